Serve one request from end to end over real processes

Cause: the project starts here; a request has to go the whole way before any part is deepened. Change: daemon on mode, claims at slot owners, output commit, resume with prefix on another engine, followers, stand-ins for engine, service, platform and a fault-injecting proxy, a cluster of real processes, and a demo that kills an engine in the middle.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, and the naive version that they compare with."""
--- /dev/null
+++ b/turmericflow/profile.py
@@ -0,0 +1,146 @@
+"""Declarations of operators: profiles, customers and marks, checked."""
+
+from __future__ import annotations
+
+import enum
+from typing import Annotated
+
+from pydantic import ConfigDict, Field, TypeAdapter
+from pydantic.dataclasses import dataclass
+
+_CONFIG = ConfigDict(extra="forbid")
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Seconds = Annotated[float, Field(gt=0, le=86_400, allow_inf_nan=False)]
+
+
+class ProfileKind(enum.StrEnum):
+    """Whether a profile's work is a generation or a call to a plain service."""
+
+    GENERATION = "generation"
+    CALL = "call"
+
+
+class Urgency(enum.StrEnum):
+    """Urgency classes, most urgent first."""
+
+    URGENT = "urgent"
+    NORMAL = "normal"
+    THRIFTY = "thrifty"
+
+
+@dataclass(slots=True, config=_CONFIG)
+class Objectives:
+    """Service-level objectives, as shares of accepted requests.
+
+    Attributes
+    ----------
+    whole_in_time
+        Share answered whole and within the deadline.
+    first_token_s
+        Time within which the first token is due, in seconds.
+    first_token
+        Share whose first token is in time.
+    resume_s
+        Time within which output goes on after a loss, in seconds.
+    resume
+        Share of losses resumed in time.
+    """
+
+    whole_in_time: Annotated[float, Field(gt=0, lt=1)] = 0.999
+    first_token_s: Seconds = 2.0
+    first_token: Annotated[float, Field(gt=0, lt=1)] = 0.99
+    resume_s: Seconds = 6.0
+    resume: Annotated[float, Field(gt=0, lt=1)] = 0.99
+
+
+@dataclass(slots=True, config=_CONFIG)
+class Profile:
+    """What a class of work needs.
+
+    Attributes
+    ----------
+    name
+        Name that callers give.
+    service
+        Name of the service whose targets run the work.
+    kind
+        Generation, or call to a plain service.
+    model, adapter, version
+        What the target must have loaded; empty for calls.
+    urgency
+        Decides between resume latency and extra work after a loss.
+    idempotent
+        Whether the work may run more than once.
+    wait_s
+        How long a caller waits for the first output, in seconds.
+    deadline_s
+        How long the whole answer may take, in seconds.
+    max_tokens
+        Largest output that a caller may ask for, in tokens.
+    retired
+        Whether new requests are refused; running work finishes.
+    """
+
+    name: Name
+    service: Name
+    kind: ProfileKind = ProfileKind.GENERATION
+    model: str = ""
+    adapter: str = ""
+    version: str = ""
+    urgency: Urgency = Urgency.NORMAL
+    idempotent: bool = True
+    wait_s: Seconds = 5.0
+    deadline_s: Seconds = 600.0
+    max_tokens: Annotated[int, Field(gt=0, le=1_000_000)] = 4096
+    retired: bool = False
+    objectives: Objectives = Field(default_factory=Objectives)
+
+
+@dataclass(slots=True, config=_CONFIG)
+class Customer:
+    """A customer, its share and its limits.
+
+    Attributes
+    ----------
+    name
+        Name of the customer.
+    weight
+        Weight of its fair share within a profile.
+    rate_per_s
+        Largest sustained rate over all routers, in requests per second.
+    burst
+        Requests that may come at once above the rate.
+    key_hashes
+        SHA-256 hex digests of the customer's keys; empty means no key is
+        asked for.
+    """
+
+    name: Name
+    weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
+    rate_per_s: Annotated[float, Field(gt=0, le=1_000_000)] = 1000.0
+    burst: Annotated[float, Field(gt=0, le=1_000_000)] = 1000.0
+    key_hashes: list[Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]] = Field(
+        default_factory=list
+    )
+
+
+@dataclass(slots=True, config=_CONFIG)
+class Mark:
+    """A mark on a target that is to leave.
+
+    Attributes
+    ----------
+    name
+        Name of the target.
+    leaving
+        Whether the target receives no new work.
+    """
+
+    name: Name
+    leaving: bool = True
+
+
+PROFILE_ADAPTER = TypeAdapter(Profile)
+CUSTOMER_ADAPTER = TypeAdapter(Customer)
+MARK_ADAPTER = TypeAdapter(Mark)
--- /dev/null
+++ b/turmericflow/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports on service-level burn."""
--- /dev/null
+++ b/turmericflow/services/_answer.py
@@ -0,0 +1,144 @@
+"""Answers to callers: server-sent events, whole answers and errors."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+
+import msgspec
+from aiohttp import web
+
+from turmericflow.tables import RequestRow
+from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
+
+
+class _Waker:
+    """A listener that an HTTP handler waits on."""
+
+    __slots__ = ("_event",)
+
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+
+    def wake(self) -> None:
+        self._event.set()
+
+    async def wait(self) -> None:
+        await self._event.wait()
+        self._event.clear()
+
+
+def event_id(row: RequestRow, index: int) -> str:
+    """Return the id of a token's event: generation, attempt and index."""
+    attempt = 0
+    for start in row.attempts:
+        if start.index <= index:
+            attempt = start.attempt
+    return f"{row.generation}.{attempt}.{index}"
+
+
+def start_after(last_id: str | None, row: RequestRow) -> int:
+    """Return the index at which a caller that has ``last_id`` goes on."""
+    if last_id is None:
+        return 0
+    generation, _, rest = last_id.partition(".")
+    attempt, _, index = rest.partition(".")
+    if not (attempt.isdigit() and index.isdigit()):
+        message = f"Last-Event-ID: got {last_id!r}, expected GENERATION.ATTEMPT.INDEX"
+        raise RequestFailed(
+            Failure(ErrorCode.BAD_REQUEST, Verdict.MAY_HAVE_RUN, message)
+        )
+    if generation != row.generation or event_id(row, int(index)) != last_id:
+        message = (
+            f"Last-Event-ID: got {last_id!r}, which is of another generation "
+            f"than {row.generation!r}"
+        )
+        raise RequestFailed(
+            Failure(ErrorCode.GENERATION_MISMATCH, Verdict.RAN, message)
+        )
+    return int(index) + 1
+
+
+def _error_body(failure: Failure) -> dict:
+    return {
+        "error": {
+            "code": failure.code,
+            "verdict": failure.verdict,
+            "message": failure.message,
+            "retry_after_s": failure.retry_after_s,
+        }
+    }
+
+
+def error_response(failure: Failure) -> web.Response:
+    """Return the HTTP response of a failure."""
+    headers = {}
+    if failure.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, round(failure.retry_after_s)))
+    return web.json_response(
+        _error_body(failure), status=failure.http_status, headers=headers
+    )
+
+
+def _digest(row: RequestRow) -> str:
+    return hashlib.sha256("".join(row.tokens).encode()).hexdigest()
+
+
+def _last_event(row: RequestRow) -> bytes:
+    if row.failure is not None:
+        data = msgspec.json.encode(_error_body(row.failure))
+        return b"event: error\ndata: " + data + b"\n\n"
+    data = msgspec.json.encode({"count": len(row.tokens), "digest": _digest(row)})
+    return b"event: end\ndata: " + data + b"\n\n"
+
+
+async def stream_answer(
+    request: web.Request, row: RequestRow, sent: int
+) -> web.StreamResponse:
+    """Send a row's tokens as server-sent events, from index ``sent`` on."""
+    resp = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+    waker = _Waker()
+    row.listeners.append(waker)
+    try:
+        await resp.prepare(request)
+        while True:
+            if sent < row.committed:
+                sent = await _send_tokens(resp, row, sent)
+            if row.ended:
+                break
+            await waker.wait()
+        await resp.write(_last_event(row))
+    finally:
+        row.listeners.remove(waker)
+    return resp
+
+
+async def _send_tokens(resp: web.StreamResponse, row: RequestRow, sent: int) -> int:
+    end = row.committed
+    parts = []
+    for index in range(sent, end):
+        data = msgspec.json.encode({"index": index, "text": row.tokens[index]})
+        parts.append(b"id: %b\ndata: " % event_id(row, index).encode() + data)
+    await resp.write(b"\n\n".join(parts) + b"\n\n")
+    return end
+
+
+async def whole_answer(row: RequestRow) -> web.Response:
+    """Send a row's whole answer once it has ended."""
+    waker = _Waker()
+    row.listeners.append(waker)
+    try:
+        while not row.ended:
+            await waker.wait()
+    finally:
+        row.listeners.remove(waker)
+    if row.failure is not None:
+        return error_response(row.failure)
+    return web.json_response(
+        {
+            "generation": row.generation,
+            "text": "".join(row.tokens),
+            "count": len(row.tokens),
+            "digest": _digest(row),
+        }
+    )
--- /dev/null
+++ b/turmericflow/services/_engine.py
@@ -0,0 +1,144 @@
+"""How a model engine speaks: the only module that knows its HTTP interface."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from turmericflow.cfg import Address
+from turmericflow.verdict import Verdict
+
+
+class TargetFailed(Exception):
+    """Raised when a target refuses or is lost.
+
+    Attributes
+    ----------
+    verdict
+        ``NOT_RUN`` if the target refused before running, else
+        ``MAY_HAVE_RUN``.
+    """
+
+    def __init__(self, verdict: Verdict, message: str) -> None:
+        super().__init__(message)
+        self.verdict = verdict
+
+
+class EngineRequest(msgspec.Struct, omit_defaults=True):
+    """Body of ``POST /v1/generate``."""
+
+    generation: str
+    attempt: int
+    prompt: str
+    prefix: list[str]
+    max_tokens: int
+    priority: int
+    model: str
+    adapter: str
+    version: str
+
+
+class _Line(msgspec.Struct):
+    i: int = -1
+    t: str = ""
+    done: int = -1
+    error: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class EngineOutput:
+    """Some consecutive tokens, and whether the output ends with them."""
+
+    start: int
+    texts: list[str]
+    done: bool
+
+
+_DECODER = msgspec.json.Decoder(_Line)
+
+
+def _parse(data: bytes) -> EngineOutput:
+    start = -1
+    texts: list[str] = []
+    for line in _DECODER.decode_lines(data):
+        if line.error:
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, line.error)
+        if line.done >= 0:
+            return EngineOutput(max(start, 0) if texts else line.done, texts, True)
+        if start < 0:
+            start = line.i
+        texts.append(line.t)
+    return EngineOutput(start, texts, False)
+
+
+async def _read(resp: aiohttp.ClientResponse) -> AsyncIterator[EngineOutput]:
+    rest = b""
+    async for data in resp.content.iter_any():
+        end = data.rfind(b"\n") + 1
+        if not end:
+            rest += data
+            continue
+        output = _parse(rest + data[:end])
+        rest = data[end:]
+        yield output
+        if output.done:
+            return
+    raise TargetFailed(Verdict.MAY_HAVE_RUN, "stream ended before the output did")
+
+
+class EngineClient:
+    """Client of the engines' HTTP interface."""
+
+    __slots__ = ("_session",)
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def generate(
+        self, address: Address, request: EngineRequest
+    ) -> AsyncIterator[EngineOutput]:
+        """Start or resume a generation and yield its output.
+
+        Raises
+        ------
+        TargetFailed
+            If the engine refuses, or is lost before the output ends.
+        """
+        url = f"{address.url}/v1/generate"
+        async for output in self._stream("POST", url, msgspec.json.encode(request)):
+            yield output
+
+    async def attach(
+        self, address: Address, generation: str, start: int
+    ) -> AsyncIterator[EngineOutput]:
+        """Yield the output of a running generation from an index on."""
+        url = f"{address.url}/v1/streams/{generation}?from={start}"
+        async for output in self._stream("GET", url, None):
+            yield output
+
+    async def cancel(self, address: Address, generation: str, attempt: int) -> None:
+        """Cancel an attempt; an engine that cannot be reached is left alone."""
+        url = f"{address.url}/v1/streams/{generation}?attempt={attempt}"
+        try:
+            async with self._session.delete(url):
+                return
+        except aiohttp.ClientError:
+            return
+
+    async def _stream(
+        self, method: str, url: str, body: bytes | None
+    ) -> AsyncIterator[EngineOutput]:
+        try:
+            async with self._session.request(method, url, data=body) as resp:
+                if resp.status != 200:
+                    text = await resp.text()
+                    raise TargetFailed(Verdict.NOT_RUN, f"{resp.status}: {text}")
+                async for output in _read(resp):
+                    yield output
+        except aiohttp.ClientConnectorError as exc:
+            raise TargetFailed(Verdict.NOT_RUN, str(exc)) from exc
+        except (aiohttp.ClientError, OSError) as exc:
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, str(exc)) from exc
--- /dev/null
+++ b/turmericflow/services/_peers.py
@@ -0,0 +1,222 @@
+"""Streams to and from the other routers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+
+import structlog
+from mode import Service
+
+from turmericflow import wire
+from turmericflow.cfg import Settings
+from turmericflow.services._stats import Stats
+from turmericflow.tables import Tables
+
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 1.0
+RECONNECT_WAIT_S = 0.2
+
+Reply = Callable[[wire.Message], None]
+Handler = Callable[[wire.AnyMessage, Reply], Awaitable[None] | None]
+
+log = structlog.get_logger()
+
+
+class PeerUnreachable(Exception):
+    """Raised when a peer did not answer; the call may have taken effect."""
+
+
+class _Stream(asyncio.Protocol):
+    """One connection: decodes what comes in and hands it on."""
+
+    def __init__(self, on_message: Callable, on_lost: Callable, stats: Stats) -> None:
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self._stats = stats
+        self._decoder = wire.Decoder()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._stats.count("peer.bytes_in", len(data))
+        try:
+            messages = self._decoder.feed(data)
+        except wire.WireError:
+            self._stats.count("peer.invalid_message")
+            self.transport.abort()
+            return
+        for msg in messages:
+            self._on_message(self, msg)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._on_lost(self)
+
+    def send(self, msg: wire.Message) -> None:
+        data = wire.encode(msg)
+        self._stats.count("peer.bytes_out", len(data))
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
+
+class Peers(Service):
+    """Carries messages between this router and the others.
+
+    A call to this host itself is handled in place, without a connection.
+    """
+
+    def __init__(self, settings: Settings, tables: Tables, stats: Stats) -> None:
+        super().__init__()
+        self._settings = settings
+        self._tables = tables
+        self._stats = stats
+        self._handlers: dict[type, Handler] = {}
+        self._rids = itertools.count(1)
+        self._waiting: dict[int, Callable[[wire.AnyMessage | None], None]] = {}
+        self._rids_of: dict[str, set[int]] = {}
+        self._streams: dict[str, _Stream] = {}
+        self._connecting: dict[str, asyncio.Task] = {}
+        self._accepted: set[_Stream] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._server: asyncio.Server | None = None
+
+    def handle(self, kind: type, handler: Handler) -> None:
+        """Register the handler of a message type; it replies by a callable."""
+        self._handlers[kind] = handler
+
+    def next_rid(self) -> int:
+        """Return a number for a new call."""
+        return next(self._rids)
+
+    async def on_start(self) -> None:
+        address = self._settings.peer
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, address.ip, address.port, reuse_address=True
+        )
+
+    async def on_stop(self) -> None:
+        self._server.close()
+        for stream in [*self._accepted, *self._streams.values()]:
+            stream.transport.close()
+        for task in [*self._connecting.values(), *self._tasks]:
+            task.cancel()
+
+    async def call(
+        self, host: str, msg: wire.Message, timeout_s: float = CALL_TIMEOUT_S
+    ) -> wire.AnyMessage:
+        """Send a message and return its reply.
+
+        Raises
+        ------
+        PeerUnreachable
+            If no reply came in time; the message may have taken effect.
+        """
+        fut = asyncio.get_running_loop().create_future()
+
+        def resolve(reply: wire.AnyMessage | None) -> None:
+            if not fut.done():
+                fut.set_result(reply)
+
+        await self.send(host, msg, resolve)
+        try:
+            reply = await asyncio.wait_for(fut, timeout_s)
+        except TimeoutError:
+            reply = None
+        finally:
+            self.forget(host, msg.rid)
+        if reply is None:
+            raise PeerUnreachable(f"{host}: no reply to {type(msg).__name__}")
+        return reply
+
+    async def send(
+        self,
+        host: str,
+        msg: wire.Message,
+        on_reply: Callable[[wire.AnyMessage | None], None],
+    ) -> None:
+        """Send a message; replies go to ``on_reply``, None once the peer is lost.
+
+        Raises
+        ------
+        PeerUnreachable
+            If there is no connection and none can be made.
+        """
+        if host == self._tables.host:
+            self._waiting[msg.rid] = on_reply
+            self._handle(msg, self._resolve)
+            return
+        stream = self._streams.get(host) or await self._connect(host)
+        self._waiting[msg.rid] = on_reply
+        self._rids_of.setdefault(host, set()).add(msg.rid)
+        stream.send(msg)
+
+    def forget(self, host: str, rid: int) -> None:
+        """Take no more replies to a message."""
+        self._waiting.pop(rid, None)
+        self._rids_of.get(host, set()).discard(rid)
+
+    async def _connect(self, host: str) -> _Stream:
+        task = self._connecting.get(host)
+        if task is None:
+            task = asyncio.ensure_future(self._open(host))
+            self._connecting[host] = task
+            task.add_done_callback(lambda _: self._connecting.pop(host, None))
+        try:
+            return await asyncio.shield(task)
+        except (OSError, TimeoutError) as exc:
+            raise PeerUnreachable(f"{host}: {exc!r}") from exc
+
+    async def _open(self, host: str) -> _Stream:
+        peer = self._tables.peers.rows.get(host)
+        if peer is None:
+            raise OSError(f"no peer named {host!r}")
+        loop = asyncio.get_running_loop()
+
+        def on_message(stream: _Stream, msg: wire.AnyMessage) -> None:
+            self._resolve(msg)
+
+        def on_lost(stream: _Stream) -> None:
+            self._lost(host)
+
+        def make() -> _Stream:
+            return _Stream(on_message, on_lost, self._stats)
+
+        connecting = loop.create_connection(make, peer.peer.ip, peer.peer.port)
+        _, stream = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+        stream.send(wire.Hello(self._tables.host, self._tables.data_centre, 0))
+        self._streams[host] = stream
+        return stream
+
+    def _lost(self, host: str) -> None:
+        self._streams.pop(host, None)
+        for rid in self._rids_of.pop(host, set()):
+            resolve = self._waiting.pop(rid, None)
+            if resolve is not None:
+                resolve(None)
+
+    def _resolve(self, msg: wire.AnyMessage) -> None:
+        resolve = self._waiting.get(msg.rid)
+        if resolve is not None:
+            resolve(msg)
+
+    def _accept(self) -> _Stream:
+        def on_message(stream: _Stream, msg: wire.AnyMessage) -> None:
+            self._handle(msg, stream.send)
+
+        stream = _Stream(on_message, self._accepted.discard, self._stats)
+        self._accepted.add(stream)
+        return stream
+
+    def _handle(self, msg: wire.AnyMessage, reply: Reply) -> None:
+        handler = self._handlers.get(type(msg))
+        if handler is None:
+            return
+        outcome = handler(msg, reply)
+        if outcome is not None:
+            task = asyncio.ensure_future(outcome)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/turmericflow/services/_platform.py
@@ -0,0 +1,121 @@
+"""How the platform speaks: the only module that knows its object API."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+from turmericflow.cfg import Address
+
+WATCH_WAIT_S = 20.0
+
+
+class PlatformObject(msgspec.Struct):
+    """An object of the platform's API and its version."""
+
+    kind: str
+    name: str
+    version: int
+    value: Any = None
+
+
+class ObjectList(msgspec.Struct):
+    """Objects, and the platform's version at which they were read."""
+
+    version: int
+    items: list[PlatformObject]
+
+
+class HostEntry(msgspec.Struct):
+    """One row of the platform's host list."""
+
+    name: str
+    role: str
+    service: str
+    data_centre: str
+    ip: str
+    port: int
+    state: str = "live"
+
+
+class PlatformError(Exception):
+    """Raised when the platform gives no usable answer.
+
+    Attributes
+    ----------
+    unknown_effect
+        Whether a write may have taken effect all the same.
+    """
+
+    def __init__(self, message: str, unknown_effect: bool) -> None:
+        super().__init__(message)
+        self.unknown_effect = unknown_effect
+
+
+class PlatformClient:
+    """Client of the platform's object API and host list."""
+
+    __slots__ = ("_base", "_session")
+
+    def __init__(self, session: aiohttp.ClientSession, address: Address) -> None:
+        self._session = session
+        self._base = address.url
+
+    async def _call(self, method: str, path: str, **kwargs: Any) -> tuple[int, bytes]:
+        try:
+            async with self._session.request(
+                method, self._base + path, **kwargs
+            ) as resp:
+                body = await resp.read()
+                if resp.status in (429, 500, 503):
+                    raise PlatformError(f"{method} {path}: {resp.status}", False)
+                return resp.status, body
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise PlatformError(f"{method} {path}: {exc!r}", True) from exc
+
+    async def get(self, kind: str, name: str) -> PlatformObject | None:
+        """Return an object, or None if there is none."""
+        status, body = await self._call("GET", f"/v1/objects/{kind}/{name}")
+        if status == 404:
+            return None
+        return msgspec.json.decode(body, type=PlatformObject)
+
+    async def list(self) -> ObjectList:
+        """Return all objects."""
+        _, body = await self._call("GET", "/v1/objects")
+        return msgspec.json.decode(body, type=ObjectList)
+
+    async def put(
+        self, kind: str, name: str, value: Any, version: int
+    ) -> Result[PlatformObject, PlatformObject | None]:
+        """Write an object if its version is still the one named, 0 for none.
+
+        Returns
+        -------
+        Result
+            The object written, or the object that stands in its place.
+        """
+        status, body = await self._call(
+            "PUT",
+            f"/v1/objects/{kind}/{name}",
+            data=msgspec.json.encode(value),
+            headers={"If-Match": str(version)},
+        )
+        if status == 409:
+            return Err(msgspec.json.decode(body, type=PlatformObject | None))
+        return Ok(msgspec.json.decode(body, type=PlatformObject))
+
+    async def watch(self, since: int, wait_s: float = WATCH_WAIT_S) -> ObjectList:
+        """Wait for objects newer than a version; an empty list after the wait."""
+        path = f"/v1/watch?since={since}&wait={wait_s}"
+        timeout = aiohttp.ClientTimeout(total=wait_s + 5)
+        _, body = await self._call("GET", path, timeout=timeout)
+        return msgspec.json.decode(body, type=ObjectList)
+
+    async def hosts(self) -> list[HostEntry]:
+        """Return the host list, which lags."""
+        _, body = await self._call("GET", "/v1/hosts")
+        return msgspec.json.decode(body, type=list[HostEntry])
--- /dev/null
+++ b/turmericflow/services/main.py
@@ -0,0 +1,53 @@
+"""Entry point of ``turmericflowd``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import structlog
+
+from turmericflow.cfg import Settings, SettingsError
+from turmericflow.services._daemon import Daemon
+from turmericflow.services._log import set_up_log
+
+EXIT_SETTINGS = 2
+
+log = structlog.get_logger()
+
+
+async def _serve(settings: Settings) -> None:
+    daemon = Daemon.from_settings(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await daemon.start()
+    log.info("started", host=settings.host, entry=str(settings.entry))
+    await stop.wait()
+    await daemon.stop()
+    log.info("stopped", host=settings.host)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the daemon until it is told to stop; return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog="turmericflowd", description="The daemon of one entry host."
+    )
+    parser.add_argument("--config", required=True, type=Path, help="YAML settings")
+    args = parser.parse_args(argv)
+    try:
+        settings = Settings.from_file(args.config)
+    except SettingsError as exc:
+        print(f"turmericflowd: {exc}", file=sys.stderr)
+        return EXIT_SETTINGS
+    set_up_log(settings.log)
+    asyncio.run(_serve(settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/turmericflow/tables/_all.py
@@ -0,0 +1,32 @@
+"""All tables of one host."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from turmericflow.tables._claims import ClaimTable
+from turmericflow.tables._config import ConfigTable
+from turmericflow.tables._peers import PeerTable
+from turmericflow.tables._requests import RequestTable
+from turmericflow.tables._slots import SlotTable
+from turmericflow.tables._targets import TargetTable
+
+
+@dataclass(slots=True)
+class Tables:
+    """The whole state of one host's decisions.
+
+    Attributes
+    ----------
+    host, data_centre
+        Name of this host and where it is.
+    """
+
+    host: str
+    data_centre: str
+    requests: RequestTable = field(default_factory=RequestTable)
+    claims: ClaimTable = field(default_factory=ClaimTable)
+    slots: SlotTable = field(default_factory=SlotTable)
+    targets: TargetTable = field(default_factory=TargetTable)
+    peers: PeerTable = field(default_factory=PeerTable)
+    config: ConfigTable = field(default_factory=ConfigTable)
--- /dev/null
+++ b/turmericflow/tables/_requests.py
@@ -0,0 +1,99 @@
+"""Requests that this host runs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from turmericflow.profile import Profile
+from turmericflow.tables._claims import AttemptStart
+from turmericflow.tables._slots import RequestId
+from turmericflow.verdict import Failure
+
+
+class Listener(Protocol):
+    """One who receives the committed tokens of a request."""
+
+    def wake(self) -> None:
+        """Say that the row has more committed tokens, or has ended."""
+
+
+@dataclass(slots=True)
+class RequestRow:
+    """A request as its runner sees it.
+
+    Attributes
+    ----------
+    request_id
+        The request's name.
+    profile
+        The profile in force when the request was accepted.
+    generation
+        Name of the generation.
+    runner_epoch
+        Epoch under which this host was granted the request.
+    body
+        The checked request body, as JSON bytes.
+    prompt
+        The prompt's text.
+    max_tokens
+        Largest number of tokens asked for.
+    accepted_at
+        Time of acceptance, in seconds of the host's clock.
+    attempts
+        Attempts so far, the last one in force.
+    tokens
+        Texts of all tokens taken from targets.
+    committed
+        Number of tokens that the journal's holder has acknowledged.
+    journaled
+        Number of tokens that were sent to the journal's holder.
+    target
+        Name of the target in use, or empty.
+    dispatched
+        Whether a byte of any attempt may have left for a target.
+    complete
+        Whether the target's output has ended.
+    ended
+        Whether the request has ended, with ``failure`` None for success.
+    failure
+        Why the request failed.
+    listeners
+        Those who receive the committed tokens.
+    """
+
+    request_id: RequestId
+    profile: Profile
+    generation: str
+    runner_epoch: int
+    body: bytes
+    prompt: str
+    max_tokens: int
+    accepted_at: float
+    attempts: list[AttemptStart] = field(default_factory=list)
+    tokens: list[str] = field(default_factory=list)
+    committed: int = 0
+    journaled: int = 0
+    target: str = ""
+    dispatched: bool = False
+    complete: bool = False
+    ended: bool = False
+    failure: Failure | None = None
+    listeners: list[Listener] = field(default_factory=list)
+
+    @property
+    def attempt(self) -> int:
+        """Number of the attempt in force, 0 before the first."""
+        return self.attempts[-1].attempt if self.attempts else 0
+
+    def wake(self) -> None:
+        """Wake every listener."""
+        for listener in self.listeners:
+            listener.wake()
+
+
+@dataclass(slots=True)
+class RequestTable:
+    """All requests that this host runs or ran a short while ago."""
+
+    rows: dict[RequestId, RequestRow] = field(default_factory=dict)
--- /dev/null
+++ b/turmericflow/testing/__init__.py
@@ -0,0 +1,16 @@
+"""Stand-ins for outside systems, and shared builders for tests."""
+
+from __future__ import annotations
+
+from turmericflow.testing._answers import AnswerCheck, check_answer
+from turmericflow.testing._cluster import Cluster, ClusterPlan, EngineSpec
+
+__all__ = (
+    # Processes
+    "Cluster",
+    "ClusterPlan",
+    "EngineSpec",
+    # Assertions
+    "AnswerCheck",
+    "check_answer",
+)
--- /dev/null
+++ b/turmericflow/testing/_cluster.py
@@ -0,0 +1,273 @@
+"""Real processes on loopback: stand-ins, proxies and daemons."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import yaml
+
+READY_S = 20.0
+POLL_S = 0.05
+STOP_S = 30.0
+
+
+@dataclass(slots=True)
+class EngineSpec:
+    """A target to start: its name, service and the stand-in's arguments."""
+
+    name: str
+    service: str
+    data_centre: str
+    args: list[str] = field(default_factory=list)
+    role: str = "engine"
+
+
+@dataclass(slots=True)
+class ClusterPlan:
+    """What a cluster is to have.
+
+    Attributes
+    ----------
+    routers
+        Data centre of each router, by host name.
+    targets
+        Engines and plain services.
+    objects
+        Values to write to the platform, by ``kind/name``.
+    settings
+        Further fields for each daemon's settings.
+    peer_delay_s
+        One-way delay between routers, through a proxy before each; 0 for none.
+    platform_args
+        Arguments of the platform's stand-in.
+    """
+
+    routers: dict[str, str]
+    targets: list[EngineSpec]
+    objects: dict[str, object]
+    settings: dict[str, object] = field(default_factory=dict)
+    peer_delay_s: float = 0.0
+    platform_args: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Running:
+    """A process that was started, and its ports."""
+
+    process: subprocess.Popen
+    ip: str
+    ports: list[int]
+
+    @property
+    def address(self) -> str:
+        """Its first address."""
+        return f"{self.ip}:{self.ports[0]}"
+
+
+def free_port(ip: str) -> int:
+    """Return a port that the kernel chose on an address."""
+    with socket.socket() as sock:
+        sock.bind((ip, 0))
+        return sock.getsockname()[1]
+
+
+def http_json(method: str, url: str, body: object = None, headers: dict | None = None):
+    """Make one HTTP call and return its JSON, or None for an empty body."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data, headers or {}, method=method)
+    with urllib.request.urlopen(request, timeout=10) as resp:
+        raw = resp.read()
+    return json.loads(raw) if raw else None
+
+
+class Cluster:
+    """Starts a plan's processes, and ends just these."""
+
+    def __init__(self, plan: ClusterPlan) -> None:
+        self.plan = plan
+        self.processes: dict[str, Running] = {}
+        self.entries: dict[str, str] = {}
+        self._folder = tempfile.TemporaryDirectory(prefix="turmericflow-")
+        self._rows: list[dict] = []
+        self._peer_ports: dict[str, int] = {}
+
+    def __enter__(self) -> Cluster:
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Start the platform, the targets and the routers, and wait for them."""
+        self.start_platform()
+        for spec in self.plan.targets:
+            self.start_target(spec)
+        self.write_hosts()
+        for path, value in self.plan.objects.items():
+            self.put(path, value)
+        self._place_routers()
+        for host in self.plan.routers:
+            self.start_router(host)
+        for host in self.plan.routers:
+            self.wait_router(host)
+
+    def start_platform(self) -> None:
+        """Start the platform's stand-in."""
+        module = "turmericflow.testing.platform"
+        self._start_stand_in("platform", module, "127.0.0.1", self.plan.platform_args)
+
+    def start_target(self, spec: EngineSpec, port: int = 0) -> None:
+        """Start an engine or a plain service."""
+        module = f"turmericflow.testing.{spec.role}"
+        args = [*spec.args, "--port", str(port)]
+        running = self._start_stand_in(spec.name, module, "127.0.0.1", args)
+        self._rows = [row for row in self._rows if row["name"] != spec.name]
+        self._rows.append(
+            {
+                "name": spec.name,
+                "role": spec.role,
+                "service": spec.service,
+                "data_centre": spec.data_centre,
+                "ip": running.ip,
+                "port": running.ports[0],
+                "state": "live",
+            }
+        )
+
+    def write_hosts(self) -> None:
+        """Write the host list to the platform."""
+        url = f"http://{self.processes['platform'].address}/admin/hosts"
+        http_json("PUT", url, self._rows)
+
+    def put(self, path: str, value: object, version: int = 0) -> dict:
+        """Write an object to the platform."""
+        url = f"http://{self.processes['platform'].address}/v1/objects/{path}"
+        return http_json("PUT", url, value, {"If-Match": str(version)})
+
+    def fault(self, **fields: object) -> None:
+        """Put a fault of the platform in force."""
+        url = f"http://{self.processes['platform'].address}/admin/fault"
+        http_json("PUT", url, fields)
+
+    def start_router(self, host: str) -> None:
+        """Start a daemon with its settings."""
+        path = Path(self._folder.name) / f"{host}.yaml"
+        path.write_text(yaml.safe_dump(self._settings(host)), "utf-8")
+        ip, port = self.entries[host].rsplit(":", 1)
+        argv = ["-m", "turmericflow.services.main", "--config", str(path)]
+        process = subprocess.Popen([sys.executable, *argv])
+        self.processes[host] = Running(process, ip, [int(port)])
+
+    def wait_router(self, host: str) -> None:
+        """Wait until a daemon answers and knows its configuration."""
+        until = time.monotonic() + READY_S
+        url = f"http://{self.entries[host]}/v1/status"
+        while True:
+            try:
+                if http_json("GET", url)["ready"]:
+                    return
+            except OSError:
+                pass
+            if time.monotonic() > until:
+                raise TimeoutError(f"{host} was not ready within {READY_S} s")
+            time.sleep(POLL_S)
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        running = self.processes.pop(name)
+        running.process.kill()
+        running.process.wait()
+
+    def pause(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.processes[name].process.send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Continue a paused process."""
+        self.processes[name].process.send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> int:
+        """Ask a process to stop gracefully and return its exit code."""
+        running = self.processes.pop(name)
+        running.process.terminate()
+        return running.process.wait(STOP_S)
+
+    def control(self, name: str, **fields: object) -> None:
+        """Put a fault of a proxy in force."""
+        running = self.processes[name]
+        with socket.create_connection((running.ip, running.ports[1])) as sock:
+            sock.sendall(json.dumps(fields).encode() + b"\n")
+            sock.recv(16)
+
+    def stop(self) -> None:
+        """End every process that this cluster started."""
+        for running in self.processes.values():
+            running.process.kill()
+        for running in self.processes.values():
+            running.process.wait()
+        self.processes.clear()
+        self._folder.cleanup()
+
+    def _place_routers(self) -> None:
+        for number, host in enumerate(self.plan.routers):
+            ip = f"127.0.1.{number + 1}"
+            self.entries[host] = f"{ip}:{free_port(ip)}"
+            self._peer_ports[host] = free_port(ip)
+        if not self.plan.peer_delay_s:
+            return
+        for host in self.plan.routers:
+            ip = self.entries[host].rsplit(":", 1)[0]
+            to = f"{ip}:{self._peer_ports[host]}"
+            name = f"proxy-{host}"
+            module = "turmericflow.testing.proxy"
+            self._start_stand_in(name, module, ip, ["--to", to])
+            self.control(name, delay_s=self.plan.peer_delay_s)
+
+    def _settings(self, host: str) -> dict:
+        own = self.entries[host].rsplit(":", 1)[0]
+        peers = [self._peer_row(other) for other in self.plan.routers if other != host]
+        return {
+            "host": host,
+            "data_centre": self.plan.routers[host],
+            "entry": self.entries[host],
+            "peer": f"{own}:{self._peer_ports[host]}",
+            "platform": self.processes["platform"].address,
+            "peers": peers,
+            "slots": 64,
+            **self.plan.settings,
+        }
+
+    def _peer_row(self, host: str) -> dict:
+        ip = self.entries[host].rsplit(":", 1)[0]
+        proxy = self.processes.get(f"proxy-{host}")
+        port = proxy.ports[0] if proxy else self._peer_ports[host]
+        return {
+            "host": host,
+            "data_centre": self.plan.routers[host],
+            "entry": self.entries[host],
+            "peer": f"{ip}:{port}",
+        }
+
+    def _start_stand_in(
+        self, name: str, module: str, ip: str, args: list[str]
+    ) -> Running:
+        argv = [sys.executable, "-m", module, "--ip", ip, *args]
+        process = subprocess.Popen(argv, stdout=subprocess.PIPE, text=True)
+        words = process.stdout.readline().split()
+        running = Running(process, ip, [int(word) for word in words[1:]])
+        self.processes[name] = running
+        return running
--- /dev/null
+++ b/turmericflow/testing/engine.py
@@ -0,0 +1,232 @@
+"""Stand-in for a model engine, over HTTP on loopback."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import time
+from random import Random
+
+import msgspec
+from aiohttp import web
+
+from turmericflow.services._engine import EngineRequest
+from turmericflow.testing._batch import Batch, EngineSpeed, Stream
+from turmericflow.testing._serve import serve
+
+CACHE_EVENT_KEEP = 10_000
+
+
+class Order(msgspec.Struct):
+    """An order for what an engine is to have loaded."""
+
+    fence: int
+    models: list[str]
+    role: str = "any"
+
+
+class EngineStandIn:
+    """A model engine with continuous batching, a prefix cache and orders."""
+
+    def __init__(self, args: argparse.Namespace) -> None:
+        speed = EngineSpeed(
+            args.step_ms,
+            args.slow_down,
+            args.slots,
+            args.prefill_tokens_s,
+            args.cache_blocks,
+        )
+        self.batch = Batch(speed, args.seed)
+        self.models = set(args.model)
+        self.role = "any"
+        self.fence = 0
+        self.checks_fencing = args.checks_fencing
+        self._lag_s = args.report_lag_s
+        self._load_s = args.load_s
+        self._gap_share = args.cache_gap_share
+        self._rng = Random(args.seed + 1)
+        self._reports: list[tuple[float, dict]] = []
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task | None = None
+        self._orders: set[asyncio.Task] = set()
+        self.silent = False
+
+    def app(self) -> web.Application:
+        """Return the engine's HTTP interface."""
+        app = web.Application(client_max_size=16_000_000)
+        app.router.add_post("/v1/generate", self._generate)
+        app.router.add_get("/v1/streams/{generation}", self._attach)
+        app.router.add_delete("/v1/streams/{generation}", self._cancel)
+        app.router.add_get("/v1/load", self._load)
+        app.router.add_get("/v1/cache", self._cache)
+        app.router.add_post("/v1/orders", self._order)
+        app.router.add_get("/v1/totals", self._totals)
+        app.router.add_post("/admin/silent", self._set_silent)
+        app.on_startup.append(self._start)
+        return app
+
+    async def _start(self, app: web.Application) -> None:
+        self._task = asyncio.ensure_future(self._steps())
+
+    async def _steps(self) -> None:
+        due = time.monotonic()
+        while True:
+            if not self.batch.running and not self.batch.queue:
+                self._report()
+                self._wake.clear()
+                await self._wake.wait()
+                due = time.monotonic()
+            due = max(due + self.batch.step_s(), time.monotonic())
+            await asyncio.sleep(due - time.monotonic())
+            if not self.silent:
+                self.batch.step()
+                self._report()
+
+    def _report(self) -> None:
+        report = {
+            "running": len(self.batch.running),
+            "queued": len(self.batch.queue),
+            "slots": self.batch.speed.slots,
+            "step_ms": self.batch.step_s() * 1000,
+            "prefill_tokens_s": self.batch.speed.prefill_tokens_s,
+            "models": sorted(self.models),
+            "role": self.role,
+            "fence": self.fence,
+        }
+        now = time.monotonic()
+        self._reports.append((now, report))
+        while len(self._reports) > 1 and self._reports[1][0] <= now - self._lag_s:
+            self._reports.pop(0)
+
+    async def _generate(self, request: web.Request) -> web.StreamResponse:
+        body = msgspec.json.decode(await request.read(), type=EngineRequest)
+        wanted = f"{body.model}/{body.adapter}/{body.version}"
+        if self.models and wanted not in self.models:
+            return web.Response(status=409, text=f"{wanted} is not loaded")
+        if "crash=1" in body.prompt.split():
+            os._exit(139)
+        stream = self.batch.add(
+            body.generation,
+            body.attempt,
+            body.prompt,
+            body.prefix,
+            body.max_tokens,
+            body.priority,
+        )
+        self._wake.set()
+        return await self._send(request, stream, len(body.prefix))
+
+    async def _attach(self, request: web.Request) -> web.StreamResponse:
+        stream = self.batch.streams.get(request.match_info["generation"])
+        start = int(request.query.get("from", "0"))
+        if stream is None or stream.cancelled or start > len(stream.tokens):
+            return web.Response(status=404, text="no such stream")
+        return await self._send(request, stream, start)
+
+    async def _send(
+        self, request: web.Request, stream: Stream, start: int
+    ) -> web.StreamResponse:
+        resp = web.StreamResponse(headers={"X-Attempt": str(stream.attempt)})
+        await resp.prepare(request)
+        event = asyncio.Event()
+        stream.on_change.append(event.set)
+        sent = start
+        try:
+            while not stream.cancelled:
+                fresh = stream.tokens[sent:]
+                lines = [
+                    b'{"i":%d,"t":"%b"}\n' % (sent + number, text.encode())
+                    for number, text in enumerate(fresh)
+                ]
+                sent += len(fresh)
+                if stream.done:
+                    lines.append(b'{"done":%d}\n' % sent)
+                if lines:
+                    await resp.write(b"".join(lines))
+                if stream.done:
+                    return resp
+                await event.wait()
+                event.clear()
+            await resp.write(b'{"error":"cancelled"}\n')
+            return resp
+        except ConnectionError:
+            return resp
+        finally:
+            stream.on_change.remove(event.set)
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        stream = self.batch.streams.get(request.match_info["generation"])
+        attempt = int(request.query.get("attempt", "0"))
+        if stream is not None and attempt in (0, stream.attempt):
+            self.batch.cancel(stream)
+        return web.Response()
+
+    async def _load(self, request: web.Request) -> web.Response:
+        if not self.batch.running and not self.batch.queue:
+            self._report()
+        return web.json_response(self._reports[0][1])
+
+    async def _cache(self, request: web.Request) -> web.Response:
+        since = int(request.query.get("since", "0"))
+        events = self.batch.cache.events
+        first = max(since, len(events) - CACHE_EVENT_KEEP)
+        sent = [
+            {"seq": first + number + 1, "op": op, "block": block}
+            for number, (op, block) in enumerate(events[first:])
+            if self._rng.random() >= self._gap_share
+        ]
+        return web.json_response({"seq": len(events), "events": sent})
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = msgspec.json.decode(await request.read(), type=Order)
+        if self.checks_fencing and order.fence < self.fence:
+            return web.json_response({"fence": self.fence}, status=409)
+        self.fence = max(self.fence, order.fence)
+        task = asyncio.ensure_future(self._obey(order))
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+        return web.json_response({"fence": self.fence})
+
+    async def _obey(self, order: Order) -> None:
+        if set(order.models) - self.models:
+            await asyncio.sleep(self._load_s)
+        self.models = set(order.models)
+        self.role = order.role
+
+    async def _totals(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {"prefilled": self.batch.prefilled, "generated": self.batch.generated}
+        )
+
+    async def _set_silent(self, request: web.Request) -> web.Response:
+        self.silent = (await request.json())["silent"]
+        return web.Response()
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="python -m turmericflow.testing.engine")
+    parser.add_argument("--ip", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--model", action="append", default=[])
+    parser.add_argument("--step-ms", type=float, default=20.0)
+    parser.add_argument("--slow-down", type=float, default=0.01)
+    parser.add_argument("--slots", type=int, default=32)
+    parser.add_argument("--prefill-tokens-s", type=float, default=20_000.0)
+    parser.add_argument("--cache-blocks", type=int, default=4096)
+    parser.add_argument("--cache-gap-share", type=float, default=0.0)
+    parser.add_argument("--report-lag-s", type=float, default=0.2)
+    parser.add_argument("--load-s", type=float, default=0.5)
+    parser.add_argument("--checks-fencing", action="store_true")
+    return parser
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run the stand-in until it is ended; print its port first."""
+    args = _parser().parse_args(argv)
+    asyncio.run(serve(EngineStandIn(args).app(), args.ip, args.port))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/turmericflow/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one file for each module."""
--- /dev/null
+++ b/turmericflow/verdict.py
@@ -0,0 +1,115 @@
+"""Verdicts: whether a failed request may have run."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+
+class Verdict(enum.StrEnum):
+    """Whether any attempt of a request may have run on a target.
+
+    ``NOT_RUN`` is stated only when no byte of any attempt left for a target,
+    or when the target itself states that it refused before running.
+    """
+
+    NOT_RUN = "NOT_RUN"
+    MAY_HAVE_RUN = "MAY_HAVE_RUN"
+    RAN = "RAN"
+
+
+class ErrorCode(enum.StrEnum):
+    """Reasons for which a request or an operation is refused."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHORIZED = "unauthorized"
+    NOT_FOUND = "not_found"
+    KEY_REQUIRED = "key_required"
+    KEY_CONFLICT = "key_conflict"
+    TOO_LARGE = "too_large"
+    UNKNOWN_PROFILE = "unknown_profile"
+    UNKNOWN_CUSTOMER = "unknown_customer"
+    SEALED = "sealed"
+    GENERATION_MISMATCH = "generation_mismatch"
+    RATE_LIMITED = "rate_limited"
+    OVERLOADED = "overloaded"
+    NO_TARGET = "no_target"
+    NO_OWNER = "no_owner"
+    STALE_VIEW = "stale_view"
+    TARGET_FAILED = "target_failed"
+    TARGET_REFUSED = "target_refused"
+    SUSPECT_CONTENT = "suspect_content"
+    REPLACED = "replaced"
+    RETENTION = "retention"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    STOPPING = "stopping"
+    INTERNAL = "internal"
+
+
+HTTP_STATUS: dict[ErrorCode, int] = {
+    ErrorCode.BAD_REQUEST: 400,
+    ErrorCode.UNAUTHORIZED: 401,
+    ErrorCode.NOT_FOUND: 404,
+    ErrorCode.KEY_REQUIRED: 400,
+    ErrorCode.KEY_CONFLICT: 422,
+    ErrorCode.TOO_LARGE: 413,
+    ErrorCode.UNKNOWN_PROFILE: 404,
+    ErrorCode.UNKNOWN_CUSTOMER: 401,
+    ErrorCode.SEALED: 409,
+    ErrorCode.GENERATION_MISMATCH: 409,
+    ErrorCode.RATE_LIMITED: 429,
+    ErrorCode.OVERLOADED: 503,
+    ErrorCode.NO_TARGET: 503,
+    ErrorCode.NO_OWNER: 503,
+    ErrorCode.STALE_VIEW: 503,
+    ErrorCode.TARGET_FAILED: 502,
+    ErrorCode.TARGET_REFUSED: 502,
+    ErrorCode.SUSPECT_CONTENT: 422,
+    ErrorCode.REPLACED: 409,
+    ErrorCode.RETENTION: 409,
+    ErrorCode.DEADLINE: 504,
+    ErrorCode.CANCELLED: 409,
+    ErrorCode.STOPPING: 503,
+    ErrorCode.INTERNAL: 500,
+}
+
+
+@dataclass(slots=True, frozen=True)
+class Failure:
+    """A typed error together with its verdict.
+
+    Attributes
+    ----------
+    code
+        The reason.
+    verdict
+        Whether the request may have run.
+    message
+        One sentence for a person, with the value got and what was expected.
+    retry_after_s
+        Seconds after which a retry is worth while, or None.
+    """
+
+    code: ErrorCode
+    verdict: Verdict
+    message: str
+    retry_after_s: float | None = None
+
+    @property
+    def http_status(self) -> int:
+        """The HTTP status that goes with the code."""
+        return HTTP_STATUS[self.code]
+
+
+class RequestFailed(Exception):
+    """Raised inside the services to end a request with a `Failure`."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.message)
+        self.failure = failure
+
+
+def not_run(code: ErrorCode, message: str, retry_after_s: float | None = None):
+    """Build a `RequestFailed` whose verdict is ``NOT_RUN``."""
+    return RequestFailed(Failure(code, Verdict.NOT_RUN, message, retry_after_s))
--- /dev/null
+++ b/turmericflow/wire/__init__.py
@@ -0,0 +1,59 @@
+"""Typed messages between routers, on msgpack streams."""
+
+from __future__ import annotations
+
+from turmericflow.wire._codec import MAX_MESSAGE_BYTES, Decoder, WireError, encode
+from turmericflow.wire._messages import (
+    AnyMessage,
+    Append,
+    Appended,
+    AppendEntry,
+    Attached,
+    Claim,
+    End,
+    Ended,
+    Follow,
+    Followed,
+    Granted,
+    Hello,
+    Message,
+    Recorded,
+    Refused,
+    Rumour,
+    Rumours,
+    WireAttempt,
+    WireFailure,
+)
+
+__all__ = (
+    # Streams
+    "MAX_MESSAGE_BYTES",
+    "Decoder",
+    "WireError",
+    "encode",
+    # Bases and parts
+    "AnyMessage",
+    "Message",
+    "WireAttempt",
+    "WireFailure",
+    # Connections
+    "Hello",
+    # Claims
+    "Attached",
+    "Claim",
+    "Granted",
+    "Recorded",
+    "Refused",
+    # Journal
+    "Append",
+    "AppendEntry",
+    "Appended",
+    "End",
+    "Ended",
+    # Followers
+    "Follow",
+    "Followed",
+    # Gossip
+    "Rumour",
+    "Rumours",
+)
