Put admission and placement behind one service

Cause: the runner chose targets itself, so the policy could not grow apart from it. Change: a Dispatch service admits, places and releases; the runner asks it. Conclusion: routing, admission and limits have one place to be called from.

--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -11,6 +11,7 @@
 from turmericflow.cfg import Settings
 from turmericflow.services._claimant import Claimant
 from turmericflow.services._config import Config
+from turmericflow.services._dispatch import Dispatch
 from turmericflow.services._engine import EngineClient
 from turmericflow.services._entry import Entry
 from turmericflow.services._gossip import Gossip
@@ -59,8 +60,8 @@
             Claimant(self.tables, peers, self.stats),
             EngineClient(self._session),
             Journal(self.tables, peers, self.stats),
+            Dispatch(self.tables, self.stats, Random(secrets.randbits(64))),
             self.stats,
-            Random(secrets.randbits(64)),
         )
         config = Config(self.settings, self.tables, platform, self.stats)
         gossip = Gossip(self.tables, peers, self.stats)
