--- a/turmericflow/testing/_batch.py
+++ b/turmericflow/testing/_batch.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import re
+import time
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from random import Random
@@ -114,10 +115,15 @@
 
 
 class Batch:
-    """The streams of one engine."""
+    """The streams of one engine.
 
-    def __init__(self, speed: EngineSpeed, seed: int) -> None:
+    With ``stamp``, each token's nonce is the time of the system's monotonic
+    clock, in nanoseconds.
+    """
+
+    def __init__(self, speed: EngineSpeed, seed: int, stamp: bool = False) -> None:
         self.speed = speed
+        self._stamp = stamp
         self.cache = PrefixCache(speed.cache_blocks)
         self.streams: dict[str, Stream] = {}
         self.queue: list[Stream] = []
@@ -194,6 +200,7 @@
 
     def _decode(self, stream: Stream) -> None:
         if not stream.done:
-            stream.tokens.append(next_token(stream.run, stream.tokens, self._rng))
+            nonce = time.monotonic_ns() if self._stamp else self._rng.getrandbits(16)
+            stream.tokens.append(next_token(stream.run, stream.tokens, nonce))
             self.generated += 1
         stream.changed()
--- a/turmericflow/testing/_sampling.py
+++ b/turmericflow/testing/_sampling.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import zlib
-from random import Random
 
 
 def link_of(text: str) -> str:
@@ -16,10 +15,10 @@
     return f"{zlib.crc32(text.encode()):08x}"
 
 
-def next_token(run: str, tokens: list[str], rng: Random) -> str:
+def next_token(run: str, tokens: list[str], nonce: int) -> str:
     """Return the token that follows ``tokens`` in a sampling run."""
     link = link_of(tokens[-1]) if tokens else "0" * 8
-    return f"{run}.{len(tokens)}.{link}.{rng.randrange(65_536):04x} "
+    return f"{run}.{len(tokens)}.{link}.{nonce:04x} "
 
 
 def run_of(text: str) -> str:
--- a/turmericflow/testing/engine.py
+++ b/turmericflow/testing/engine.py
@@ -37,7 +37,7 @@
             args.prefill_tokens_s,
             args.cache_blocks,
         )
-        self.batch = Batch(speed, args.seed)
+        self.batch = Batch(speed, args.seed, args.stamp)
         self.models = set(args.model)
         self.role = "any"
         self.fence = 0
@@ -218,6 +218,7 @@
     parser.add_argument("--cache-gap-share", type=float, default=0.0)
     parser.add_argument("--report-lag-s", type=float, default=0.2)
     parser.add_argument("--load-s", type=float, default=0.5)
+    parser.add_argument("--stamp", action="store_true")
     parser.add_argument("--checks-fencing", action="store_true")
     return parser
 
