Keep membership by probes, suspicion and refutation

Cause: peers were taken to be alive for ever, and facts went from each host to all others.

Change: a host probes at most four contacts, its successors on salted rings over all hosts and over its data centre, asks two others before it suspects, and spreads what it finds as versioned facts over the same contacts. A version holds incarnation, revision and state in one number, so the newest wins without further rules. Contacts compare digests of what they know. A stream that was closed while it was opened no longer stays registered. `membership.live_hosts`, `staying_hosts`, `freshness.may_dispatch` and `Tables.stopping` are there for the other services.

Figures: contacts per host at most 4 for 7, 35 and 400 hosts, with every host reached in at most 12 hops (test_membership).

--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -110,6 +110,8 @@
         Number of slots when this daemon creates the owner map.
     max_body_bytes
         Largest request body taken from a caller, in bytes.
+    advertised_peer
+        Address that other daemons are told to connect to, or None for ``peer``.
     """
 
     host: Name
@@ -123,6 +125,7 @@
     log: LogSettings = Field(default_factory=LogSettings)
     slots: Annotated[int, Field(ge=1, le=16_384)] = 1024
     max_body_bytes: Annotated[int, Field(ge=1024)] = 1_000_000
+    advertised_peer: AddressField | None = None
 
     @classmethod
     def from_file(cls, path: Path) -> Settings:
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -16,6 +16,7 @@
 from turmericflow.services._entry import Entry
 from turmericflow.services._gossip import Gossip
 from turmericflow.services._journal import Journal
+from turmericflow.services._membership import Membership
 from turmericflow.services._owner import Owner
 from turmericflow.services._peers import Peers
 from turmericflow.services._platform import PlatformClient
@@ -65,8 +66,12 @@
         )
         config = Config(self.settings, self.tables, platform, self.stats)
         gossip = Gossip(self.tables, peers, self.stats)
+        rng = Random(secrets.randbits(64))
+        self.membership = Membership(
+            self.settings, self.tables, peers, gossip, self.stats, rng
+        )
         entry = Entry(self.settings, self.tables, runner, self.stats)
-        for service in (peers, gossip, config, entry):
+        for service in (peers, gossip, self.membership, config, entry):
             await self.add_runtime_dependency(service)
 
     async def on_shutdown(self) -> None:
--- a/turmericflow/services/_gossip.py
+++ b/turmericflow/services/_gossip.py
@@ -2,61 +2,167 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+import time
+from collections.abc import Callable, Iterable, Iterator
 
 from mode import Service
 
 from turmericflow import wire
 from turmericflow.services._peers import Peers, PeerUnreachable, Reply
 from turmericflow.services._stats import Stats
-from turmericflow.tables import Tables
+from turmericflow.systems import overlay
+from turmericflow.tables import FactTable, Tables
+
+FLUSH_S = 0.01
+DROP_S = 1.0
+SYNC_TIMEOUT_S = 5.0
+BATCH_BYTES = 256_000
+FETCH_NAMES = 1_000
 
 Subscriber = Callable[[wire.Rumour], None]
 
 
+def _batches(rumours: Iterable[wire.Rumour]) -> Iterator[list[wire.Rumour]]:
+    batch: list[wire.Rumour] = []
+    size = 0
+    for rumour in rumours:
+        if batch and size + len(rumour.value) > BATCH_BYTES:
+            yield batch
+            batch, size = [], 0
+        batch.append(rumour)
+        size += len(rumour.value) + len(rumour.name)
+    if batch:
+        yield batch
+
+
 class Gossip(Service):
-    """Spreads facts and tells subscribers of those that are new."""
+    """Spreads facts over the overlay and tells subscribers of those that are new.
+
+    A fact with no time to live lasts as long as any host runs; hosts compare
+    digests of these with their contacts, so that one that missed some heals.
+    """
 
     def __init__(self, tables: Tables, peers: Peers, stats: Stats) -> None:
         super().__init__()
         self._tables = tables
         self._peers = peers
         self._stats = stats
-        self._known: dict[tuple[str, str], wire.Rumour] = {}
+        self.facts = FactTable()
         self._subscribers: dict[str, list[Subscriber]] = {}
+        self._pending: dict[tuple[str, str], tuple[wire.Rumour, str]] = {}
+        self._wake = asyncio.Event()
+        self._syncing: set[str] = set()
         peers.handle(wire.Rumours, self._on_rumours)
+        peers.handle(wire.Compare, self._on_compare)
+        peers.handle(wire.Fetch, self._on_fetch)
 
     def subscribe(self, kind: str, subscriber: Subscriber) -> None:
         """Call ``subscriber`` with each new fact of a kind."""
         self._subscribers.setdefault(kind, []).append(subscriber)
 
     async def publish(
-        self, kind: str, name: str, version: int, value: bytes, ttl_s: float
+        self, kind: str, name: str, version: int, value: bytes, ttl_s: float = 0.0
     ) -> None:
-        """Spread a fact from here; subscribers here are told as well."""
-        rumour = wire.Rumour(kind, name, version, value, ttl_s)
-        if self._learn(rumour):
-            await self._spread([rumour])
-
-    def _learn(self, rumour: wire.Rumour) -> bool:
-        name = (rumour.kind, rumour.name)
-        known = self._known.get(name)
-        if known is not None and known.version >= rumour.version:
+        """Spread a fact from here; subscribers here are told as well.
+
+        Parameters
+        ----------
+        kind, name
+            What the fact is about.
+        version
+            Its version; a fact that is not newer than the one known is dropped.
+        value
+            Its value, as bytes.
+        ttl_s
+            Time after which each host forgets it, in seconds; 0 for never.
+        """
+        self.spread(wire.Rumour(kind, name, version, value, ttl_s))
+
+    def spread(self, rumour: wire.Rumour) -> bool:
+        """Spread a fact from here; return whether it was new."""
+        return self._learn(rumour, "")
+
+    def _learn(self, rumour: wire.Rumour, sender: str) -> bool:
+        if not self.facts.learn(rumour, time.monotonic()):
             return False
-        self._known[name] = rumour
+        self._pending[rumour.kind, rumour.name] = (rumour, sender)
+        self._wake.set()
         for subscriber in self._subscribers.get(rumour.kind, []):
             subscriber(rumour)
         return True
 
-    async def _spread(self, rumours: list[wire.Rumour]) -> None:
-        for host in list(self._tables.peers.rows):
-            msg = wire.Rumours(self._peers.next_rid(), rumours)
+    @Service.task
+    async def _flush(self) -> None:
+        while not self.should_stop:
+            await self._wake.wait()
+            await asyncio.sleep(FLUSH_S)
+            self._wake.clear()
+            pending = list(self._pending.values())
+            self._pending.clear()
+            for host in list(overlay.contacts(self._tables)):
+                await self._send(host, [r for r, sender in pending if sender != host])
+
+    @Service.task
+    async def _drop(self) -> None:
+        while not self.should_stop:
+            self.facts.drop_lapsed(time.monotonic())
+            await self.sleep(DROP_S)
+
+    async def _send(self, host: str, rumours: list[wire.Rumour]) -> None:
+        for batch in _batches(rumours):
+            msg = wire.Rumours(self._peers.next_rid(), batch, self._tables.host)
             try:
-                await self._peers.send(host, msg, lambda reply: None)
+                await self._peers.post(host, msg)
             except PeerUnreachable:
                 self._stats.count("gossip.unreachable")
+                return
+
+    def _on_rumours(self, msg: wire.Rumours, reply: Reply) -> None:
+        for rumour in msg.rumours:
+            self._learn(rumour, msg.sender)
+
+    def _on_compare(self, msg: wire.Compare, reply: Reply) -> None:
+        buckets = self.facts.differing(msg.buckets)
+        versions = self.facts.versions(buckets)
+        reply(wire.Differences(msg.rid, buckets, versions))
+
+    def _on_fetch(self, msg: wire.Fetch, reply: Reply) -> None:
+        found = [self.facts.get(each.kind, each.name) for each in msg.names]
+        batch = next(_batches(rumour for rumour in found if rumour is not None), [])
+        reply(wire.Rumours(msg.rid, batch, self._tables.host))
+
+    async def sync(self, host: str) -> bool:
+        """Bring this host and another to the same facts.
+
+        Returns
+        -------
+        bool
+            Whether the other answered to the end.
+        """
+        if host in self._syncing:
+            return False
+        self._syncing.add(host)
+        try:
+            await self._sync(host)
+        except PeerUnreachable:
+            return False
+        finally:
+            self._syncing.discard(host)
+        return True
 
-    async def _on_rumours(self, msg: wire.Rumours, reply: Reply) -> None:
-        fresh = [rumour for rumour in msg.rumours if self._learn(rumour)]
-        if fresh:
-            await self._spread(fresh)
+    async def _sync(self, host: str) -> None:
+        self._stats.count("gossip.syncs")
+        msg = wire.Compare(self._peers.next_rid(), list(self.facts.buckets))
+        found = await self._peers.call(host, msg, SYNC_TIMEOUT_S)
+        wanted, offered = self.facts.compare(found.buckets, found.versions)
+        while wanted:
+            names = wanted[:FETCH_NAMES]
+            msg = wire.Fetch(self._peers.next_rid(), names)
+            reply = await self._peers.call(host, msg, SYNC_TIMEOUT_S)
+            for rumour in reply.rumours:
+                self._learn(rumour, host)
+            got = {(rumour.kind, rumour.name) for rumour in reply.rumours}
+            left = [each for each in names if (each.kind, each.name) not in got]
+            wanted = (left if got else []) + wanted[FETCH_NAMES:]
+        await self._send(host, offered)
--- /dev/null
+++ b/turmericflow/services/_membership.py
@@ -0,0 +1,257 @@
+"""Probes other hosts and keeps the table of peers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from random import Random
+
+import msgspec
+import structlog
+from mode import Service
+
+from turmericflow import wire
+from turmericflow.cfg import Address, Settings
+from turmericflow.services._gossip import Gossip
+from turmericflow.services._peers import Peers, PeerUnreachable, Reply
+from turmericflow.services._stats import Stats
+from turmericflow.systems import freshness, membership, overlay
+from turmericflow.tables import Peer, PeerState, Tables
+
+PROBE_S = 0.4
+DEAD_PROBE_S = 1.0
+EXPIRE_S = 0.1
+PROBE_TIMEOUT_S = 0.5
+INDIRECT_TIMEOUT_S = 0.7
+INDIRECT_HOSTS = 2
+MEMBER = "member"
+
+log = structlog.get_logger()
+
+
+class _WireInfo(msgspec.Struct, array_like=True):
+    data_centre: str
+    entry_ip: str
+    entry_port: int
+    peer_ip: str
+    peer_port: int
+
+
+def _encode_info(info: membership.MemberInfo) -> bytes:
+    entry, peer = info.entry, info.peer
+    return msgspec.msgpack.encode(
+        _WireInfo(info.data_centre, entry.ip, entry.port, peer.ip, peer.port)
+    )
+
+
+def _decode_info(value: bytes) -> membership.MemberInfo:
+    raw = msgspec.msgpack.decode(value, type=_WireInfo)
+    return membership.MemberInfo(
+        raw.data_centre,
+        Address(raw.entry_ip, raw.entry_port),
+        Address(raw.peer_ip, raw.peer_port),
+    )
+
+
+def _info_of(peer: Peer) -> membership.MemberInfo:
+    return membership.MemberInfo(peer.data_centre, peer.entry, peer.peer)
+
+
+class Membership(Service):
+    """Keeps `Tables.peers` by probes, and spreads what it finds as facts."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        tables: Tables,
+        peers: Peers,
+        gossip: Gossip,
+        stats: Stats,
+        rng: Random,
+    ) -> None:
+        super().__init__()
+        self._tables = tables
+        self._peers = peers
+        self._gossip = gossip
+        self._stats = stats
+        self._rng = rng
+        advertised = settings.advertised_peer or settings.peer
+        self._info = membership.MemberInfo(
+            settings.data_centre, settings.entry, advertised
+        )
+        self._started_at = time.monotonic()
+        self._turn = 0
+        self._unequal: set[str] = set()
+        self._probing: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+        tables.peers.incarnation = int(time.time() * 1000)
+        gossip.subscribe(MEMBER, self._on_fact)
+        peers.on_lost(self._on_lost)
+        peers.handle(wire.Ping, self._on_ping)
+        peers.handle(wire.ProbeFor, self._on_probe_for)
+
+    async def on_start(self) -> None:
+        self._publish_own()
+
+    async def on_stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+    def leave(self) -> None:
+        """Say that this host leaves: it takes no lasting duty any more."""
+        membership.leave(self._tables)
+        self._publish_own()
+        log.info("leaving", host=self._tables.host)
+
+    def _publish_own(self) -> None:
+        version = membership.own_version(self._tables)
+        self._spread(self._tables.host, version, self._info)
+
+    def _spread(self, host: str, version: int, info: membership.MemberInfo) -> None:
+        value = _encode_info(info)
+        self._gossip.spread(wire.Rumour(MEMBER, host, version, value, 0.0))
+
+    def _on_fact(self, rumour: wire.Rumour) -> None:
+        if rumour.name == self._tables.host:
+            if membership.refute(self._tables, rumour.version):
+                self._stats.count("membership.refuted")
+                self._publish_own()
+            return
+        try:
+            info = _decode_info(rumour.value)
+        except (msgspec.MsgspecError, ValueError):
+            self._stats.count("membership.invalid")
+            return
+        now = time.monotonic()
+        row = self._tables.peers.rows.get(rumour.name)
+        before = None if row is None else row.state
+        if membership.learn(self._tables, rumour.name, rumour.version, info, now):
+            state = self._tables.peers.rows[rumour.name].state
+            if state is not before:
+                log.info("member", host=rumour.name, state=state.value)
+
+    def _heard(self, host: str, version: int) -> None:
+        row = self._tables.peers.rows.get(host)
+        if row is None:
+            return
+        row.heard_at = time.monotonic()
+        if version > membership.version_of(row):
+            self._spread(host, version, _info_of(row))
+
+    def _on_ping(self, msg: wire.Ping, reply: Reply) -> None:
+        if membership.refute(self._tables, msg.believed):
+            self._stats.count("membership.refuted")
+            self._publish_own()
+        self._heard(msg.host, msg.version)
+        age_s = freshness.age_s(self._tables, time.monotonic())
+        version = membership.own_version(self._tables)
+        reply(wire.Ack(msg.rid, version, age_s, self._gossip.facts.root))
+
+    async def _on_probe_for(self, msg: wire.ProbeFor, reply: Reply) -> None:
+        known = msg.host in self._tables.peers.rows
+        reply(wire.Probed(msg.rid, known and await self._ping(msg.host)))
+
+    @Service.task
+    async def _probe_contacts(self) -> None:
+        while not self.should_stop:
+            contacts = overlay.contacts(self._tables)
+            if contacts:
+                self._turn = (self._turn + 1) % len(contacts)
+                self._start(self._probe(contacts[self._turn]))
+            await self.sleep(PROBE_S * self._rng.uniform(0.8, 1.2))
+
+    @Service.task
+    async def _probe_dead(self) -> None:
+        while not self.should_stop:
+            rows = self._tables.peers.rows.values()
+            dead = [row.host for row in rows if row.state is PeerState.DEAD]
+            if dead:
+                self._start(self._ping(self._rng.choice(dead)))
+            await self.sleep(DEAD_PROBE_S)
+
+    @Service.task
+    async def _expire(self) -> None:
+        last = time.monotonic()
+        while not self.should_stop:
+            await self.sleep(EXPIRE_S)
+            now = time.monotonic()
+            paused, last = now - last > PROBE_TIMEOUT_S, now
+            if paused:
+                continue
+            for host, version in membership.expired(self._tables, now):
+                self._spread(host, version, _info_of(self._tables.peers.rows[host]))
+
+    def _start(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _on_lost(self, host: str) -> None:
+        row = self._tables.peers.rows.get(host)
+        if row is not None and row.state is not PeerState.DEAD:
+            self._start(self._probe(host))
+
+    async def _probe(self, host: str) -> None:
+        if host in self._probing:
+            return
+        self._probing.add(host)
+        try:
+            if await self._ping(host) or await self._ask_others(host):
+                return
+            self._suspect(host)
+        finally:
+            self._probing.discard(host)
+
+    def _suspect(self, host: str) -> None:
+        now = time.monotonic()
+        version = membership.suspect(self._tables, host, now, self._started_at)
+        if version is not None:
+            self._stats.count("membership.suspected")
+            self._spread(host, version, _info_of(self._tables.peers.rows[host]))
+
+    async def _ping(self, host: str) -> bool:
+        row = self._tables.peers.rows[host]
+        msg = wire.Ping(
+            self._peers.next_rid(),
+            self._tables.host,
+            membership.own_version(self._tables),
+            membership.version_of(row),
+        )
+        asked_at = time.monotonic()
+        try:
+            ack = await self._peers.call(host, msg, PROBE_TIMEOUT_S)
+        except PeerUnreachable:
+            return False
+        self._heard(host, ack.version)
+        same = ack.root == self._gossip.facts.root
+        freshness.take_word(self._tables, asked_at, ack.age_s, same)
+        self._compare(host, same)
+        return True
+
+    def _compare(self, host: str, same: bool) -> None:
+        if same:
+            self._unequal.discard(host)
+        elif host in self._unequal:
+            self._unequal.discard(host)
+            self._start(self._gossip.sync(host))
+        else:
+            self._unequal.add(host)
+
+    async def _ask_others(self, host: str) -> bool:
+        rows = self._tables.peers.rows.values()
+        others = [
+            row.host
+            for row in rows
+            if row.state is PeerState.ALIVE and row.host != host
+        ]
+        asked = self._rng.sample(others, min(INDIRECT_HOSTS, len(others)))
+        answers = await asyncio.gather(*(self._ask(other, host) for other in asked))
+        return any(answers)
+
+    async def _ask(self, other: str, host: str) -> bool:
+        msg = wire.ProbeFor(self._peers.next_rid(), host)
+        try:
+            reply = await self._peers.call(other, msg, INDIRECT_TIMEOUT_S)
+        except PeerUnreachable:
+            return False
+        return reply.reached
--- a/turmericflow/services/_peers.py
+++ b/turmericflow/services/_peers.py
@@ -37,6 +37,7 @@
         self._stats = stats
         self._decoder = wire.Decoder()
         self.transport: asyncio.Transport | None = None
+        self.lost = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -53,6 +54,7 @@
             self._on_message(self, msg)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
         self._on_lost(self)
 
     def send(self, msg: wire.Message) -> None:
@@ -81,12 +83,18 @@
         self._connecting: dict[str, asyncio.Task] = {}
         self._accepted: set[_Stream] = set()
         self._tasks: set[asyncio.Task] = set()
+        self._stopping = False
+        self._lost_listeners: list[Callable[[str], None]] = []
         self._server: asyncio.Server | None = None
 
     def handle(self, kind: type, handler: Handler) -> None:
         """Register the handler of a message type; it replies by a callable."""
         self._handlers[kind] = handler
 
+    def on_lost(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with the name of each host whose stream is lost."""
+        self._lost_listeners.append(listener)
+
     def next_rid(self) -> int:
         """Return a number for a new call."""
         return next(self._rids)
@@ -99,6 +107,7 @@
         )
 
     async def on_stop(self) -> None:
+        self._stopping = True
         self._server.close()
         for stream in [*self._accepted, *self._streams.values()]:
             stream.transport.close()
@@ -154,6 +163,17 @@
         self._rids_of.setdefault(host, set()).add(msg.rid)
         stream.send(msg)
 
+    async def post(self, host: str, msg: wire.Message) -> None:
+        """Send a message to another host that gets no reply.
+
+        Raises
+        ------
+        PeerUnreachable
+            If there is no connection and none can be made.
+        """
+        stream = self._streams.get(host) or await self._connect(host)
+        stream.send(msg)
+
     def forget(self, host: str, rid: int) -> None:
         """Take no more replies to a message."""
         self._waiting.pop(rid, None)
@@ -180,14 +200,23 @@
             self._resolve(msg)
 
         def on_lost(stream: _Stream) -> None:
-            self._lost(host)
+            if self._streams.get(host) is stream:
+                self._lost(host)
 
         def make() -> _Stream:
             return _Stream(on_message, on_lost, self._stats)
 
         connecting = loop.create_connection(make, peer.peer.ip, peer.peer.port)
         _, stream = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
-        stream.send(wire.Hello(self._tables.host, self._tables.data_centre, 0))
+        if stream.lost:
+            raise OSError(f"{host} closed the connection at once")
+        stream.send(
+            wire.Hello(
+                self._tables.host,
+                self._tables.data_centre,
+                self._tables.peers.incarnation,
+            )
+        )
         self._streams[host] = stream
         return stream
 
@@ -197,6 +226,10 @@
             resolve = self._waiting.pop(rid, None)
             if resolve is not None:
                 resolve(None)
+        if self._stopping:
+            return
+        for listener in self._lost_listeners:
+            listener(host)
 
     def _resolve(self, msg: wire.AnyMessage) -> None:
         resolve = self._waiting.get(msg.rid)
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from turmericflow.systems import _claims as claims, _routing as routing
+from turmericflow.systems import (
+    _claims as claims,
+    _freshness as freshness,
+    _membership as membership,
+    _overlay as overlay,
+    _routing as routing,
+)
 from turmericflow.systems._convert import (
     to_attempts,
     to_failure,
@@ -13,6 +19,9 @@
 __all__ = (
     # Decisions, one module each
     "claims",
+    "freshness",
+    "membership",
+    "overlay",
     "routing",
     # Conversions
     "to_attempts",
--- /dev/null
+++ b/turmericflow/systems/_freshness.py
@@ -0,0 +1,42 @@
+"""Freshness: whether this host's view is new enough to give work to targets."""
+
+from __future__ import annotations
+
+from turmericflow.systems import _membership as membership, _overlay as overlay
+from turmericflow.tables import Tables
+
+FRESH_S = 4.0
+HEARD_S = 3.0
+
+
+def age_s(tables: Tables, now: float) -> float:
+    """Return the age of the configuration in force, in seconds."""
+    return now - tables.config.confirmed_at
+
+
+def take_word(
+    tables: Tables, asked_at: float, peer_age_s: float, same_view: bool
+) -> None:
+    """Take a peer's word on the age of a view that equals this host's."""
+    if same_view:
+        confirmed_at = asked_at - peer_age_s
+        tables.config.confirmed_at = max(tables.config.confirmed_at, confirmed_at)
+
+
+def _hears_contacts(tables: Tables, now: float) -> bool:
+    contacts = overlay.contacts(tables)
+    rows = tables.peers.rows
+    heard = sum(1 for host in contacts if now - rows[host].heard_at <= HEARD_S)
+    return 2 * heard > len(contacts) or not contacts
+
+
+def may_dispatch(tables: Tables, now: float) -> bool:
+    """Return whether new work, resumes included, may be given to targets.
+
+    A host may when its view is fresh by the platform or by a peer's word, or
+    when it is among most of the hosts that it knew and hears from them: then
+    it learns from them what any of them learns.
+    """
+    if age_s(tables, now) <= FRESH_S:
+        return True
+    return membership.among_most(tables, now) and _hears_contacts(tables, now)
--- /dev/null
+++ b/turmericflow/systems/_membership.py
@@ -0,0 +1,173 @@
+"""Membership: who is alive, by probes, suspicion and refutation.
+
+What is held of a host is one number, its member version.  It is ordered by the
+host's incarnation, then by the revision that only the host raises, then by the
+state, so that for one revision a suspicion beats "alive" and death beats both.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from turmericflow.cfg import Address
+from turmericflow.tables import Peer, PeerState, Tables
+
+SUSPECT_S = 1.0
+START_GRACE_S = 5.0
+FORGET_S = 600.0
+
+_RANKS = (PeerState.ALIVE, PeerState.LEAVING, PeerState.SUSPECT, PeerState.DEAD)
+_STATE_BITS = 2
+_REVISION_BITS = 18
+_MAX_REVISION = (1 << _REVISION_BITS) - 1
+
+
+@dataclass(slots=True, frozen=True)
+class MemberInfo:
+    """Where a member is and how it is reached."""
+
+    data_centre: str
+    entry: Address
+    peer: Address
+
+
+def pack_version(incarnation: int, revision: int, state: PeerState) -> int:
+    """Return the member version of a host's state."""
+    number = incarnation << _REVISION_BITS | min(revision, _MAX_REVISION)
+    return number << _STATE_BITS | _RANKS.index(state)
+
+
+def unpack_version(version: int) -> tuple[int, int, PeerState]:
+    """Return incarnation, revision and state of a member version."""
+    number, rank = version >> _STATE_BITS, version & (1 << _STATE_BITS) - 1
+    return number >> _REVISION_BITS, number & _MAX_REVISION, _RANKS[rank]
+
+
+def version_of(peer: Peer) -> int:
+    """Return the member version held of a peer."""
+    return pack_version(peer.incarnation, peer.revision, peer.state)
+
+
+def own_version(tables: Tables) -> int:
+    """Return this host's own member version."""
+    state = PeerState.LEAVING if tables.stopping else PeerState.ALIVE
+    return pack_version(tables.peers.incarnation, tables.peers.revision, state)
+
+
+def learn(
+    tables: Tables, host: str, version: int, info: MemberInfo, now: float
+) -> bool:
+    """Take in a newer member version of another host.
+
+    Returns
+    -------
+    bool
+        Whether anything changed.
+    """
+    row = tables.peers.rows.get(host)
+    if row is None:
+        row = Peer(host, info.data_centre, info.entry, info.peer, incarnation=-1)
+        tables.peers.rows[host] = row
+    elif version <= version_of(row):
+        return False
+    incarnation, revision, state = unpack_version(version)
+    row.leaving = state is PeerState.LEAVING or (
+        row.leaving and incarnation == row.incarnation and state is not PeerState.ALIVE
+    )
+    row.data_centre, row.entry, row.peer = info.data_centre, info.entry, info.peer
+    row.incarnation, row.revision, row.state = incarnation, revision, state
+    row.changed_at = now
+    tables.peers.changes += 1
+    return True
+
+
+def refute(tables: Tables, believed: int) -> bool:
+    """Outbid what another host believes of this one.
+
+    Returns
+    -------
+    bool
+        Whether this host's version has grown and is to be spread.
+    """
+    if believed <= own_version(tables):
+        return False
+    incarnation, revision, _ = unpack_version(believed)
+    peers = tables.peers
+    if incarnation > peers.incarnation:
+        peers.incarnation, peers.revision = incarnation + 1, 0
+    else:
+        peers.revision = revision + 1
+    return True
+
+
+def leave(tables: Tables) -> None:
+    """Say that this host leaves."""
+    tables.stopping = True
+    tables.peers.revision += 1
+
+
+def suspect(tables: Tables, host: str, now: float, started_at: float) -> int | None:
+    """Suspect a host that answered no probe.
+
+    Returns
+    -------
+    int or None
+        Its member version to spread; None if nothing changes, as for a host
+        never heard of while this one has only just started.
+    """
+    row = tables.peers.rows[host]
+    if row.state in (PeerState.SUSPECT, PeerState.DEAD):
+        return None
+    never_heard = row.heard_at == float("-inf")
+    if never_heard and now - started_at < START_GRACE_S:
+        return None
+    return pack_version(row.incarnation, row.revision, PeerState.SUSPECT)
+
+
+def expired(tables: Tables, now: float) -> list[tuple[str, int]]:
+    """Return the suspects whose time to refute is over, as dead."""
+    return [
+        (row.host, pack_version(row.incarnation, row.revision, PeerState.DEAD))
+        for row in tables.peers.rows.values()
+        if row.state is PeerState.SUSPECT and now - row.changed_at >= SUSPECT_S
+    ]
+
+
+def live_hosts(tables: Tables) -> list[str]:
+    """Return this host and all that are not held to be dead, sorted.
+
+    Leaving hosts are among them: they run until their work is done.
+    """
+    rows = tables.peers.rows.values()
+    found = [row.host for row in rows if row.state is not PeerState.DEAD]
+    return sorted([*found, tables.host])
+
+
+def staying_hosts(tables: Tables) -> list[str]:
+    """Return the live hosts that can be given lasting duties, sorted."""
+    found = [] if tables.stopping else [tables.host]
+    for row in tables.peers.rows.values():
+        if row.state is not PeerState.DEAD and not row.leaving:
+            found.append(row.host)
+    return sorted(found)
+
+
+def data_centre_of(tables: Tables, host: str) -> str:
+    """Return a known host's data centre."""
+    if host == tables.host:
+        return tables.data_centre
+    return tables.peers.rows[host].data_centre
+
+
+def among_most(tables: Tables, now: float) -> bool:
+    """Return whether this host and those it holds alive outnumber the dead.
+
+    Hosts that left are not counted, nor those that are dead since long ago.
+    """
+    alive, dead = 1, 0
+    for row in tables.peers.rows.values():
+        if row.state is not PeerState.DEAD:
+            alive += 1
+        elif not row.leaving and now - row.changed_at < FORGET_S:
+            dead += 1
+    return alive > dead
--- /dev/null
+++ b/turmericflow/systems/_overlay.py
@@ -0,0 +1,62 @@
+"""Overlay: the few hosts that a host probes and sends facts to.
+
+Hosts stand on several rings, each in the order of a salted hash; a host's
+contacts are its successors on them.  Two rings hold all hosts and two the hosts
+of a data centre, so that a host has at most four contacts whatever the fleet's
+size, facts reach all in a logarithmic number of hops, and few of them cross
+between data centres.
+"""
+
+from __future__ import annotations
+
+import xxhash
+
+from turmericflow.systems import _membership as membership
+from turmericflow.tables import PeerState, Tables
+
+GLOBAL_RINGS = ("global-1", "global-2")
+LOCAL_RINGS = ("local-1", "local-2")
+FULL_MESH_HOSTS = 5
+WATCHERS = 2
+
+
+def _place(salt: str, host: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{salt}\0{host}".encode())
+
+
+def _successor(salt: str, host: str, others: list[str]) -> str:
+    own = _place(salt, host)
+    return min(others, key=lambda other: (_place(salt, other) - own) % (1 << 64))
+
+
+def contacts(tables: Tables) -> list[str]:
+    """Return the hosts that this host probes and sends facts to."""
+    peers = tables.peers
+    if peers.contacts_at == peers.changes:
+        return peers.contacts
+    rows = [row for row in peers.rows.values() if row.state is not PeerState.DEAD]
+    found = [row.host for row in rows]
+    if len(found) > FULL_MESH_HOSTS:
+        local = [row.host for row in rows if row.data_centre == tables.data_centre]
+        chosen = [_successor(salt, tables.host, found) for salt in GLOBAL_RINGS]
+        for salt in LOCAL_RINGS if local else ():
+            chosen.append(_successor(salt, tables.host, local))
+        found = list(dict.fromkeys(chosen))
+    peers.contacts, peers.contacts_at = found, peers.changes
+    return found
+
+
+def ranked(tables: Tables, duty: str, data_centre: str) -> list[str]:
+    """Return a data centre's staying hosts in the order in which a duty falls."""
+    hosts = [
+        host
+        for host in membership.staying_hosts(tables)
+        if membership.data_centre_of(tables, host) == data_centre
+    ]
+    return sorted(hosts, key=lambda host: _place(duty, host))
+
+
+def is_watcher(tables: Tables) -> bool:
+    """Return whether this host is one of its data centre's watchers."""
+    ranking = ranked(tables, "watcher", tables.data_centre)
+    return tables.host in ranking[:WATCHERS]
--- a/turmericflow/tables/__init__.py
+++ b/turmericflow/tables/__init__.py
@@ -5,6 +5,7 @@
 from turmericflow.tables._all import Tables
 from turmericflow.tables._claims import AttemptStart, Claim, ClaimState, ClaimTable
 from turmericflow.tables._config import ConfigTable
+from turmericflow.tables._facts import FactTable
 from turmericflow.tables._peers import Peer, PeerState, PeerTable
 from turmericflow.tables._requests import Listener, RequestRow, RequestTable
 from turmericflow.tables._slots import RequestId, SlotEntry, SlotTable
@@ -32,6 +33,7 @@
     "TargetTable",
     # Peers and configuration
     "ConfigTable",
+    "FactTable",
     "Peer",
     "PeerState",
     "PeerTable",
--- a/turmericflow/tables/_all.py
+++ b/turmericflow/tables/_all.py
@@ -20,6 +20,8 @@
     ----------
     host, data_centre
         Name of this host and where it is.
+    stopping
+        Whether this host is on its way out and takes no lasting duty.
     """
 
     host: str
@@ -30,3 +32,4 @@
     targets: TargetTable = field(default_factory=TargetTable)
     peers: PeerTable = field(default_factory=PeerTable)
     config: ConfigTable = field(default_factory=ConfigTable)
+    stopping: bool = False
--- a/turmericflow/tables/_peers.py
+++ b/turmericflow/tables/_peers.py
@@ -1,4 +1,4 @@
-"""Peers: the other entry hosts."""
+"""Peers: the other entry hosts, and this host's own standing among them."""
 
 from __future__ import annotations
 
@@ -12,9 +12,9 @@
     """What membership holds of a peer."""
 
     ALIVE = "alive"
+    LEAVING = "leaving"
     SUSPECT = "suspect"
     DEAD = "dead"
-    LEAVING = "leaving"
 
 
 @dataclass(slots=True)
@@ -30,9 +30,18 @@
     state
         What membership holds of it.
     incarnation
-        Its number, which only the host itself raises.
+        Number of its process's life, higher after each restart; a host whose
+        incarnation has grown has lost its memory.
+    revision
+        Number within an incarnation, which only the host itself raises, to
+        refute a suspicion or to say that it leaves.
+    leaving
+        Whether it has said that it leaves.
     changed_at
         Time of the last change of state, in seconds of this host's clock.
+    heard_at
+        Time at which it last answered or probed, in seconds of this host's
+        clock.
     """
 
     host: str
@@ -42,10 +51,32 @@
     state: PeerState = PeerState.ALIVE
     incarnation: int = 0
     changed_at: float = 0.0
+    revision: int = 0
+    leaving: bool = False
+    heard_at: float = float("-inf")
 
 
 @dataclass(slots=True)
 class PeerTable:
-    """All other entry hosts that this host knows."""
+    """All other entry hosts that this host knows.
+
+    Attributes
+    ----------
+    rows
+        Peers by host name.
+    incarnation, revision
+        This host's own numbers.
+    changes
+        Number of changes of membership so far.
+    contacts
+        Hosts to probe and to send facts to, by `systems.overlay`.
+    contacts_at
+        Value of ``changes`` for which ``contacts`` was worked out.
+    """
 
     rows: dict[str, Peer] = field(default_factory=dict)
+    incarnation: int = 0
+    revision: int = 0
+    changes: int = 0
+    contacts: list[str] = field(default_factory=list)
+    contacts_at: int = -1
--- a/turmericflow/testing/_cluster.py
+++ b/turmericflow/testing/_cluster.py
@@ -245,6 +245,7 @@
             "data_centre": self.plan.routers[host],
             "entry": self.entries[host],
             "peer": f"{own}:{self._peer_ports[host]}",
+            "advertised_peer": self._peer_row(host)["peer"],
             "platform": self.processes["platform"].address,
             "peers": peers,
             "slots": 64,
--- /dev/null
+++ b/turmericflow/tests/test_membership.py
@@ -0,0 +1,155 @@
+"""Tests of membership, the overlay and freshness, with no process."""
+
+from __future__ import annotations
+
+import pytest
+
+from turmericflow.cfg import Address
+from turmericflow.systems import freshness, membership, overlay
+from turmericflow.systems._membership import MemberInfo, pack_version
+from turmericflow.tables import PeerState, Tables
+
+CENTRES = ("mvd-cordon", "mvd-aguada", "mvd-carrasco")
+
+
+def _info(number: int) -> MemberInfo:
+    ip = f"10.0.{number // 250}.{number % 250 + 1}"
+    return MemberInfo(CENTRES[number % 3], Address(ip, 8000), Address(ip, 8001))
+
+
+def _tables(host: str, hosts: int) -> Tables:
+    number = int(host.removeprefix("entry-"))
+    tables = Tables(host, CENTRES[number % 3])
+    tables.peers.incarnation = 100
+    for other in range(hosts):
+        if other != number:
+            version = pack_version(100, 0, PeerState.ALIVE)
+            membership.learn(tables, f"entry-{other}", version, _info(other), 0.0)
+    return tables
+
+
+def _learn(tables: Tables, number: int, version: int, now: float = 0.0) -> bool:
+    return membership.learn(tables, f"entry-{number}", version, _info(number), now)
+
+
+def test_versions_survive_packing_and_order_as_suspicion_needs():
+    numbers = [
+        (100, 0, PeerState.ALIVE),
+        (100, 0, PeerState.SUSPECT),
+        (100, 0, PeerState.DEAD),
+        (100, 1, PeerState.ALIVE),
+        (100, 1, PeerState.LEAVING),
+        (101, 0, PeerState.ALIVE),
+    ]
+    packed = [pack_version(*each) for each in numbers]
+    assert packed == sorted(packed)
+    assert [membership.unpack_version(each) for each in packed] == numbers
+    assert pack_version(2**42, 5, PeerState.DEAD) < 2**63
+
+
+def test_unanswered_suspicion_ends_in_death_and_a_refuted_one_does_not():
+    tables = _tables("entry-0", 3)
+    for number in (1, 2):
+        version = membership.suspect(tables, f"entry-{number}", 50.0, 0.0)
+        assert _learn(tables, number, version, 50.0)
+    assert membership.live_hosts(tables) == ["entry-0", "entry-1", "entry-2"]
+    assert _learn(tables, 2, pack_version(100, 1, PeerState.ALIVE), 50.5)
+    assert membership.expired(tables, 50.0 + membership.SUSPECT_S / 2) == []
+    found = membership.expired(tables, 50.0 + membership.SUSPECT_S)
+    assert [host for host, _ in found] == ["entry-1"]
+    assert _learn(tables, 1, found[0][1], 51.0)
+    assert not _learn(tables, 1, pack_version(100, 0, PeerState.ALIVE), 52.0)
+    assert membership.live_hosts(tables) == ["entry-0", "entry-2"]
+
+
+def test_host_outbids_its_own_death_even_when_its_clock_has_gone_back():
+    tables = _tables("entry-0", 2)
+    assert not membership.refute(tables, pack_version(100, 0, PeerState.ALIVE))
+    assert membership.refute(tables, pack_version(100, 4, PeerState.DEAD))
+    assert (tables.peers.incarnation, tables.peers.revision) == (100, 5)
+    assert membership.refute(tables, pack_version(900, 2, PeerState.ALIVE))
+    assert membership.own_version(tables) > pack_version(900, 2, PeerState.DEAD)
+
+
+def test_restart_shows_as_higher_incarnation_and_refutation_does_not():
+    tables = _tables("entry-0", 2)
+    _learn(tables, 1, pack_version(100, 7, PeerState.ALIVE))
+    assert tables.peers.rows["entry-1"].incarnation == 100
+    _learn(tables, 1, pack_version(101, 0, PeerState.ALIVE))
+    assert tables.peers.rows["entry-1"].incarnation == 101
+
+
+def test_leaving_host_lives_on_but_takes_no_lasting_duty():
+    tables = _tables("entry-0", 3)
+    _learn(tables, 1, pack_version(100, 1, PeerState.LEAVING))
+    _learn(tables, 1, pack_version(100, 1, PeerState.SUSPECT))
+    assert "entry-1" in membership.live_hosts(tables)
+    assert membership.staying_hosts(tables) == ["entry-0", "entry-2"]
+    membership.leave(tables)
+    assert membership.staying_hosts(tables) == ["entry-2"]
+
+
+@pytest.mark.parametrize("hosts", [7, 35, 400])
+def test_contacts_stay_few_and_reach_every_host(hosts):
+    contacts = {}
+    for number in range(hosts):
+        found = overlay.contacts(_tables(f"entry-{number}", hosts))
+        contacts[f"entry-{number}"] = found
+        assert 1 <= len(found) <= 4
+    reached, fresh = {"entry-0"}, {"entry-0"}
+    hops = 0
+    while fresh:
+        fresh = {other for host in fresh for other in contacts[host]} - reached
+        reached |= fresh
+        hops += 1
+    assert len(reached) == hosts
+    assert hops <= 12
+
+
+def test_two_watchers_in_each_data_centre_agreed_by_all():
+    watchers = [
+        host
+        for host in (f"entry-{number}" for number in range(30))
+        if overlay.is_watcher(_tables(host, 30))
+    ]
+    assert len(watchers) == overlay.WATCHERS * len(CENTRES)
+
+
+def _with_dead(hosts: int, dead: int) -> Tables:
+    tables = _tables("entry-0", hosts)
+    for number in range(1, dead + 1):
+        _learn(tables, number, pack_version(100, 0, PeerState.DEAD), 10.0)
+    for row in tables.peers.rows.values():
+        row.heard_at = 12.0
+    return tables
+
+
+@pytest.mark.parametrize(
+    ("dead", "platform_age_s", "expected"),
+    [
+        (0, 60.0, True),
+        (3, 60.0, True),
+        (4, 60.0, False),
+        (6, 60.0, False),
+        (6, 1, True),
+    ],
+)
+def test_host_dispatches_by_a_fresh_view_or_among_most(dead, platform_age_s, expected):
+    tables = _with_dead(7, dead)
+    tables.config.confirmed_at = 12.0 - platform_age_s
+    assert freshness.may_dispatch(tables, 12.0) is expected
+
+
+def test_host_that_hears_from_no_contact_stops_before_it_holds_them_dead():
+    tables = _with_dead(7, 0)
+    assert freshness.may_dispatch(tables, 12.0 + freshness.HEARD_S)
+    assert not freshness.may_dispatch(tables, 12.1 + freshness.HEARD_S)
+
+
+def test_word_of_a_peer_counts_only_for_the_same_view():
+    tables = _tables("entry-0", 2)
+    freshness.take_word(tables, 20.0, 0.5, same_view=False)
+    assert freshness.age_s(tables, 20.0) == float("inf")
+    freshness.take_word(tables, 20.0, 0.5, same_view=True)
+    freshness.take_word(tables, 21.0, 9.0, same_view=True)
+    assert freshness.age_s(tables, 21.0) == 1.5
--- a/turmericflow/wire/__init__.py
+++ b/turmericflow/wire/__init__.py
@@ -4,19 +4,27 @@
 
 from turmericflow.wire._codec import MAX_MESSAGE_BYTES, Decoder, WireError, encode
 from turmericflow.wire._messages import (
+    Ack,
     AnyMessage,
     Append,
     Appended,
     AppendEntry,
     Attached,
     Claim,
+    Compare,
+    Differences,
     End,
     Ended,
+    FactVersion,
+    Fetch,
     Follow,
     Followed,
     Granted,
     Hello,
     Message,
+    Ping,
+    Probed,
+    ProbeFor,
     Recorded,
     Refused,
     Rumour,
@@ -54,6 +62,15 @@
     "Follow",
     "Followed",
     # Gossip
+    "Compare",
+    "Differences",
+    "FactVersion",
+    "Fetch",
     "Rumour",
     "Rumours",
+    # Membership
+    "Ack",
+    "Ping",
+    "ProbeFor",
+    "Probed",
 )
--- a/turmericflow/wire/_messages.py
+++ b/turmericflow/wire/_messages.py
@@ -176,6 +176,73 @@
 
     rid: int
     rumours: list[Rumour]
+    sender: str = ""
+
+
+class Ping(Message, tag="ping"):
+    """Probe a host; says what the sender holds of itself and of the receiver."""
+
+    rid: int
+    host: str
+    version: int
+    believed: int
+
+
+class Ack(Message, tag="ack"):
+    """Answers `Ping`.
+
+    ``age_s`` is the age of the sender's configuration and ``root`` the digest
+    of all that it knows.
+    """
+
+    rid: int
+    version: int
+    age_s: float
+    root: int
+
+
+class ProbeFor(Message, tag="probefor"):
+    """Ask a third host to probe a host."""
+
+    rid: int
+    host: str
+
+
+class Probed(Message, tag="probed"):
+    """Answers `ProbeFor`."""
+
+    rid: int
+    reached: bool
+
+
+class FactVersion(Message, tag="factversion"):
+    """Name and version of one fact."""
+
+    kind: str
+    name: str
+    version: int
+
+
+class Compare(Message, tag="compare"):
+    """Send the digests of all buckets of facts, to be compared."""
+
+    rid: int
+    buckets: list[int]
+
+
+class Differences(Message, tag="differences"):
+    """Answers `Compare` with the versions held in the buckets that differ."""
+
+    rid: int
+    buckets: list[int]
+    versions: list[FactVersion]
+
+
+class Fetch(Message, tag="fetch"):
+    """Ask for facts by name; the reply is `Rumours`, not all of them at once."""
+
+    rid: int
+    names: list[FactVersion]
 
 
 AnyMessage = (
@@ -192,4 +259,11 @@
     | Follow
     | Followed
     | Rumours
+    | Ping
+    | Ack
+    | ProbeFor
+    | Probed
+    | Compare
+    | Differences
+    | Fetch
 )
