Name line, field, value got and expected in settings errors

Pydantic's own wording varied from field to field, took "5" and true for an integer and let a repeated field pass in silence.

Settings are now parsed with the line of each value, aliases and repeated fields are refused, and each fault is one line of the same form. Settings gain tls, insecure_bind and operator_key_hashes; an address that is not loopback is refused without one of the first two.

--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -6,7 +6,6 @@
 from pathlib import Path
 from typing import Annotated
 
-import yaml
 from pydantic import (
     AfterValidator,
     BeforeValidator,
@@ -17,7 +16,11 @@
 )
 from pydantic.dataclasses import dataclass
 
-from turmericflow.profile import Name
+from turmericflow._problems import Problem, find_problems
+from turmericflow._yaml import Document, YamlError, parse
+from turmericflow.profile import Flag, Int, KeyHash, Name, Number
+
+MAX_PORT = 65_535
 
 _CONFIG = ConfigDict(extra="forbid")
 
@@ -32,17 +35,24 @@
 
 def _check_ip(value: str) -> str:
     try:
-        ipaddress.ip_address(value)
+        return str(ipaddress.ip_address(value))
     except ValueError:
-        raise ValueError("expected an IP number, not a host name") from None
-    return value
+        raise ValueError("an IP number, not a host name") from None
 
 
 def _split_address(value: object) -> object:
-    if not isinstance(value, str):
+    if isinstance(value, Address):
         return value
+    if not isinstance(value, str):
+        raise ValueError("text of the form IP:PORT")
     ip, _, port = value.rpartition(":")
-    return {"ip": ip.strip("[]"), "port": int(port) if port.isdigit() else port}
+    try:
+        ipaddress.ip_address(ip.strip("[]"))
+    except ValueError:
+        raise ValueError("IP:PORT with an IP number, not a host name") from None
+    if not (port.isascii() and port.isdigit() and 1 <= int(port) <= MAX_PORT):
+        raise ValueError(f"IP:PORT with a port from 1 to {MAX_PORT}")
+    return {"ip": ip.strip("[]"), "port": int(port)}
 
 
 @dataclass(slots=True, config=_CONFIG, frozen=True)
@@ -50,13 +60,18 @@
     """An IP number and a port."""
 
     ip: Annotated[str, AfterValidator(_check_ip)]
-    port: Annotated[int, Field(ge=1, le=65_535)]
+    port: Annotated[Int, Field(ge=1, le=MAX_PORT)]
 
     def __str__(self) -> str:
         return (
             f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
         )
 
+    @property
+    def is_loopback(self) -> bool:
+        """Whether only processes of the same machine can reach it."""
+        return ipaddress.ip_address(self.ip).is_loopback
+
     @property
     def url(self) -> str:
         """The address as the base of an HTTP URL."""
@@ -80,10 +95,30 @@
 class LogSettings:
     """Form and level of the log."""
 
-    json: bool = False
+    json: Flag = False
     level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
 
 
+@dataclass(slots=True, config=_CONFIG)
+class TlsSettings:
+    """Certificate files for callers and for routers.
+
+    Attributes
+    ----------
+    cert, key
+        PEM files of this host's certificate and its key.
+    ca
+        PEM file of the authority that signs the routers' certificates.
+    reload_s
+        Time between looks for changed files, in seconds.
+    """
+
+    cert: Annotated[str, Field(min_length=1)]
+    key: Annotated[str, Field(min_length=1)]
+    ca: Annotated[str, Field(min_length=1)]
+    reload_s: Annotated[Number, Field(gt=0, le=86_400)] = 10.0
+
+
 @dataclass(slots=True, config=_CONFIG)
 class Settings:
     """Settings of one daemon.
@@ -110,6 +145,13 @@
         Number of slots when this daemon creates the owner map.
     max_body_bytes
         Largest request body taken from a caller, in bytes.
+    tls
+        Certificates for callers and routers, or None for none.
+    insecure_bind
+        Whether addresses other than loopback are allowed without ``tls``.
+    operator_key_hashes
+        SHA-256 hex digests of the keys that open the status details; empty
+        means that no key is asked for.
     """
 
     host: Name
@@ -121,8 +163,11 @@
     fencing_services: list[Name] = Field(default_factory=list)
     statsd: AddressField | None = None
     log: LogSettings = Field(default_factory=LogSettings)
-    slots: Annotated[int, Field(ge=1, le=16_384)] = 1024
-    max_body_bytes: Annotated[int, Field(ge=1024)] = 1_000_000
+    slots: Annotated[Int, Field(ge=1, le=16_384)] = 1024
+    max_body_bytes: Annotated[Int, Field(ge=1024)] = 1_000_000
+    tls: TlsSettings | None = None
+    insecure_bind: Flag = False
+    operator_key_hashes: list[KeyHash] = Field(default_factory=list)
 
     @classmethod
     def from_file(cls, path: Path) -> Settings:
@@ -143,39 +188,70 @@
         SettingsError
             If the file cannot be read, is not YAML, or a field is wrong.
         """
+        document = _read(path)
         try:
-            raw = yaml.safe_load(path.read_text("utf-8"))
-        except (OSError, UnicodeDecodeError, yaml.YAMLError) as exc:
-            reason = " ".join(str(exc).split())
-            raise SettingsError(f"{path}: cannot be read as YAML: {reason}") from None
-        try:
-            settings = _ADAPTER.validate_python(raw)
+            settings = _ADAPTER.validate_python(document.value)
         except ValidationError as exc:
-            raise SettingsError(_describe(path, exc)) from None
-        _check_distinct(path, settings)
+            problem = find_problems(_ADAPTER, exc)[0]
+            raise _error(path, document, problem) from None
+        for problem in (_find_equal(settings), _find_open(settings)):
+            if problem is not None:
+                raise _error(path, document, problem)
         return settings
 
 
 _ADAPTER = TypeAdapter(Settings)
 
 
-def _describe(path: Path, exc: ValidationError) -> str:
-    first = exc.errors()[0]
-    field = ".".join(str(part) for part in first["loc"]) or "(top level)"
-    return f"{path}: {field}: got {first['input']!r}: {first['msg']}"
+def _read(path: Path) -> Document:
+    try:
+        documents = parse(path.read_bytes())
+    except OSError as exc:
+        message = f"{path}: (whole file): got {exc.strerror}, expected a YAML file"
+        raise SettingsError(message) from None
+    except YamlError as exc:
+        raise SettingsError(f"{path}:{exc.line}: (whole file): {exc}") from None
+    if len(documents) != 1:
+        message = f"got {len(documents)} documents, expected one mapping of fields"
+        raise SettingsError(f"{path}: (whole file): {message}")
+    return documents[0]
 
 
-def _check_distinct(path: Path, settings: Settings) -> None:
-    seen: dict[Address, str] = {}
-    named = [("entry", settings.entry), ("peer", settings.peer)]
-    named.append(("platform", settings.platform))
+def _error(path: Path, document: Document, problem: Problem) -> SettingsError:
+    return SettingsError(f"{path}:{document.line_of(problem.path)}: {problem}")
+
+
+def _named_addresses(settings: Settings) -> list[tuple[tuple, Address]]:
+    named = [(("entry",), settings.entry), (("peer",), settings.peer)]
+    named.append((("platform",), settings.platform))
     for number, peer in enumerate(settings.peers):
-        named.append((f"peers.{number}.entry", peer.entry))
-        named.append((f"peers.{number}.peer", peer.peer))
-    for field, address in named:
+        named.append((("peers", number, "entry"), peer.entry))
+        named.append((("peers", number, "peer"), peer.peer))
+    return named
+
+
+def _find_equal(settings: Settings) -> Problem | None:
+    seen: dict[Address, Problem] = {}
+    for path, address in _named_addresses(settings):
         if address in seen:
-            raise SettingsError(
-                f"{path}: {field}: got {address}, the same as {seen[address]}: "
-                "expected an address of its own"
-            )
-        seen[address] = field
+            got = f"{address}, the same as {seen[address].field}"
+            return Problem(path, got, "an address of its own")
+        seen[address] = Problem(path, str(address), "")
+    hosts = {settings.host}
+    for number, peer in enumerate(settings.peers):
+        if peer.host in hosts:
+            got = f"{peer.host!r} twice"
+            return Problem(("peers", number, "host"), got, "a name of its own")
+        hosts.add(peer.host)
+    return None
+
+
+def _find_open(settings: Settings) -> Problem | None:
+    if settings.tls is not None or settings.insecure_bind:
+        return None
+    for field in ("entry", "peer"):
+        address = getattr(settings, field)
+        if not address.is_loopback:
+            expected = "a loopback address, or tls, or insecure_bind: true"
+            return Problem((field,), f"{address} without tls", expected)
+    return None
--- a/turmericflow/profile.py
+++ b/turmericflow/profile.py
@@ -5,13 +5,19 @@
 import enum
 from typing import Annotated
 
-from pydantic import ConfigDict, Field, TypeAdapter
+from pydantic import ConfigDict, Field, Strict, TypeAdapter
 from pydantic.dataclasses import dataclass
 
 _CONFIG = ConfigDict(extra="forbid")
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-Seconds = Annotated[float, Field(gt=0, le=86_400, allow_inf_nan=False)]
+Text = Annotated[str, Field(max_length=256)]
+Flag = Annotated[bool, Strict()]
+Int = Annotated[int, Strict()]
+Number = Annotated[float, Strict(), Field(allow_inf_nan=False)]
+Seconds = Annotated[Number, Field(gt=0, le=86_400)]
+Share = Annotated[Number, Field(gt=0, lt=1)]
+KeyHash = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 
 
 class ProfileKind(enum.StrEnum):
@@ -47,11 +53,11 @@
         Share of losses resumed in time.
     """
 
-    whole_in_time: Annotated[float, Field(gt=0, lt=1)] = 0.999
+    whole_in_time: Share = 0.999
     first_token_s: Seconds = 2.0
-    first_token: Annotated[float, Field(gt=0, lt=1)] = 0.99
+    first_token: Share = 0.99
     resume_s: Seconds = 6.0
-    resume: Annotated[float, Field(gt=0, lt=1)] = 0.99
+    resume: Share = 0.99
 
 
 @dataclass(slots=True, config=_CONFIG)
@@ -85,15 +91,15 @@
     name: Name
     service: Name
     kind: ProfileKind = ProfileKind.GENERATION
-    model: str = ""
-    adapter: str = ""
-    version: str = ""
+    model: Text = ""
+    adapter: Text = ""
+    version: Text = ""
     urgency: Urgency = Urgency.NORMAL
-    idempotent: bool = True
+    idempotent: Flag = True
     wait_s: Seconds = 5.0
     deadline_s: Seconds = 600.0
-    max_tokens: Annotated[int, Field(gt=0, le=1_000_000)] = 4096
-    retired: bool = False
+    max_tokens: Annotated[Int, Field(gt=0, le=1_000_000)] = 4096
+    retired: Flag = False
     objectives: Objectives = Field(default_factory=Objectives)
 
 
@@ -117,12 +123,10 @@
     """
 
     name: Name
-    weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
-    rate_per_s: Annotated[float, Field(gt=0, le=1_000_000)] = 1000.0
-    burst: Annotated[float, Field(gt=0, le=1_000_000)] = 1000.0
-    key_hashes: list[Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]] = Field(
-        default_factory=list
-    )
+    weight: Annotated[Number, Field(gt=0, le=1000)] = 1.0
+    rate_per_s: Annotated[Number, Field(gt=0, le=1_000_000)] = 1000.0
+    burst: Annotated[Number, Field(gt=0, le=1_000_000)] = 1000.0
+    key_hashes: list[KeyHash] = Field(default_factory=list)
 
 
 @dataclass(slots=True, config=_CONFIG)
@@ -138,7 +142,7 @@
     """
 
     name: Name
-    leaving: bool = True
+    leaving: Flag = True
 
 
 PROFILE_ADAPTER = TypeAdapter(Profile)
