Answer every bad input with a typed JSON error and its verdict

Oversized bodies and unknown paths got the library's HTML, X-Try was not read, and an event id such as g1.².1 raised a traceback.

Retired profiles refuse new requests.

--- a/turmericflow/services/_answer.py
+++ b/turmericflow/services/_answer.py
@@ -38,16 +38,16 @@
 
 
 def start_after(last_id: str | None, row: RequestRow) -> int:
-    """Return the index at which a caller that has ``last_id`` goes on."""
+    """Return the index at which a caller that has ``last_id`` goes on.
+
+    Parameters
+    ----------
+    last_id
+        The id of the last event that the caller has, checked for its form.
+    """
     if last_id is None:
         return 0
-    generation, _, rest = last_id.partition(".")
-    attempt, _, index = rest.partition(".")
-    if not (attempt.isdigit() and index.isdigit()):
-        message = f"Last-Event-ID: got {last_id!r}, expected GENERATION.ATTEMPT.INDEX"
-        raise RequestFailed(
-            Failure(ErrorCode.BAD_REQUEST, Verdict.MAY_HAVE_RUN, message)
-        )
+    generation, _, index = last_id.split(".")
     if generation != row.generation or event_id(row, int(index)) != last_id:
         message = (
             f"Last-Event-ID: got {last_id!r}, which is of another generation "
--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -4,34 +4,35 @@
 
 import hashlib
 import secrets
+from typing import Annotated
 
 import msgspec
 from aiohttp import web
 from mode import Service
 
 from turmericflow.cfg import Settings
-from turmericflow.profile import ProfileKind
-from turmericflow.services._answer import (
-    error_response,
-    start_after,
-    stream_answer,
-    whole_answer,
-)
+from turmericflow.profile import Profile, ProfileKind
+from turmericflow.services._answer import start_after, stream_answer, whole_answer
+from turmericflow.services._auth import authenticate
 from turmericflow.services._claimant import NewRequest
+from turmericflow.services._headers import read_header, read_try
+from turmericflow.services._http import error_middleware, http_logger, read_body
 from turmericflow.services._runner import Runner
 from turmericflow.services._stats import Stats
-from turmericflow.tables import RequestId, RequestRow, Tables
-from turmericflow.verdict import ErrorCode, RequestFailed, not_run
+from turmericflow.tables import RequestId, Tables
+from turmericflow.verdict import ErrorCode, Failure, Verdict, not_run
 
 ADDRESSES_KEEP_S = 5
+MAX_TOKENS = 1_000_000
+KEEP_ALIVE_S = 75.0
 
 
 class GenerateBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of ``POST /v1/generate``."""
 
-    profile: str
-    prompt: str
-    max_tokens: int = 256
+    profile: Annotated[str, msgspec.Meta(max_length=63)]
+    prompt: Annotated[str, msgspec.Meta(min_length=1)]
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)] = 256
     stream: bool = True
 
 
@@ -48,12 +49,25 @@
         self._stats = stats
         self._web: web.AppRunner | None = None
 
-    async def on_start(self) -> None:
-        app = web.Application(client_max_size=self._settings.max_body_bytes)
+    def app(self) -> web.Application:
+        """Return the HTTP interface."""
+        app = web.Application(
+            client_max_size=self._settings.max_body_bytes,
+            middlewares=[error_middleware(self._stats)],
+        )
         app.router.add_get("/v1/addresses", self._addresses)
         app.router.add_get("/v1/status", self._status)
         app.router.add_post("/v1/generate", self._generate)
-        self._web = web.AppRunner(app, access_log=None)
+        return app
+
+    async def on_start(self) -> None:
+        app = self.app()
+        self._web = web.AppRunner(
+            app,
+            access_log=None,
+            logger=http_logger(self._stats),
+            keepalive_timeout=KEEP_ALIVE_S,
+        )
         await self._web.setup()
         address = self._settings.entry
         await web.TCPSite(self._web, address.ip, address.port).start()
@@ -80,52 +94,45 @@
         )
 
     async def _generate(self, request: web.Request) -> web.StreamResponse:
-        try:
-            row, body = await self._submit(request)
-        except RequestFailed as exc:
-            self._stats.count(f"entry.refused.{exc.failure.code}")
-            return error_response(exc.failure)
-        self._stats.count("entry.accepted")
-        if body.stream:
-            try:
-                start = start_after(request.headers.get("Last-Event-ID"), row)
-            except RequestFailed as exc:
-                return error_response(exc.failure)
-            return await stream_answer(request, row, start)
-        return await whole_answer(row)
-
-    async def _submit(self, request: web.Request) -> tuple[RequestRow, GenerateBody]:
-        raw = await request.read()
-        try:
-            body = msgspec.json.decode(raw, type=GenerateBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            raise not_run(ErrorCode.BAD_REQUEST, f"body: {exc}") from exc
-        profile = self._tables.config.profiles.get(body.profile)
-        if profile is None or profile.kind is not ProfileKind.GENERATION:
-            message = f"profile: got {body.profile!r}, expected a declared one"
-            raise not_run(ErrorCode.UNKNOWN_PROFILE, message)
-        if not 1 <= body.max_tokens <= profile.max_tokens:
-            message = (
-                f"max_tokens: got {body.max_tokens}, "
-                f"expected 1 to {profile.max_tokens}"
-            )
-            raise not_run(ErrorCode.BAD_REQUEST, message)
-        customer = request.headers.get("X-Customer", "")
-        if customer not in self._tables.config.customers:
-            message = f"X-Customer: got {customer!r}, expected a declared customer"
-            raise not_run(ErrorCode.UNKNOWN_CUSTOMER, message)
-        key = request.headers.get("Idempotency-Key", "")
-        if not key and not profile.idempotent:
-            message = f"profile {profile.name!r} expects an Idempotency-Key"
+        customer = authenticate(request, self._tables)
+        key = read_header(request.headers, "Idempotency-Key")
+        last_id = read_header(request.headers, "Last-Event-ID")
+        try_no = read_try(request)
+        raw, body = await read_body(request, GenerateBody)
+        profile = self._profile(body.profile, ProfileKind.GENERATION)
+        if key is None and not profile.idempotent:
+            message = f"Idempotency-Key: got none, profile {profile.name!r} expects one"
             raise not_run(ErrorCode.KEY_REQUIRED, message)
         new = NewRequest(
-            RequestId(customer, key or secrets.token_hex(16)),
+            RequestId(customer.name, key or secrets.token_hex(16)),
             profile,
             body.prompt,
             body.max_tokens,
             raw,
             hashlib.sha256(raw).hexdigest(),
-            1,
+            try_no,
+        )
+        row = await self._run.submit(new, _refusal(profile, body))
+        self._stats.count("entry.accepted")
+        if not body.stream:
+            return await whole_answer(row)
+        return await stream_answer(request, row, start_after(last_id, row))
+
+    def _profile(self, name: str, kind: ProfileKind) -> Profile:
+        profile = self._tables.config.profiles.get(name)
+        if profile is None or profile.kind is not kind:
+            message = f"profile: got {name!r}, expected a declared one of kind {kind}"
+            raise not_run(ErrorCode.UNKNOWN_PROFILE, message)
+        return profile
+
+
+def _refusal(profile: Profile, body: GenerateBody) -> Failure | None:
+    if profile.retired:
+        message = f"profile: got {profile.name!r}, which is retired"
+        return Failure(ErrorCode.RETIRED, Verdict.NOT_RUN, message)
+    if body.max_tokens > profile.max_tokens:
+        message = (
+            f"max_tokens: got {body.max_tokens}, expected 1 to {profile.max_tokens}"
         )
-        row = await self._run.submit(new)
-        return row, body
+        return Failure(ErrorCode.BAD_REQUEST, Verdict.NOT_RUN, message)
+    return None
--- /dev/null
+++ b/turmericflow/services/_http.py
@@ -0,0 +1,113 @@
+"""What every handler of the callers' HTTP interface shares."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import msgspec
+import structlog
+from aiohttp import web
+
+from turmericflow.services._answer import error_response
+from turmericflow.services._stats import Stats
+from turmericflow.verdict import (
+    ErrorCode,
+    Failure,
+    RequestFailed,
+    Verdict,
+    not_run,
+)
+
+BODY_TIMEOUT_S = 30.0
+
+log = structlog.get_logger()
+
+_FAILURES = {
+    404: (ErrorCode.NOT_FOUND, "got path {path!r}, expected one of the interface"),
+    405: (ErrorCode.METHOD_NOT_ALLOWED, "got method {method}, expected {allowed}"),
+    413: (ErrorCode.TOO_LARGE, "body: got more bytes than the limit of {limit}"),
+}
+
+
+class _Counter(logging.Handler):
+    """Counts what the HTTP library would log; no line is written."""
+
+    def __init__(self, stats: Stats) -> None:
+        super().__init__()
+        self._stats = stats
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self._stats.count("entry.malformed_http")
+
+
+def http_logger(stats: Stats) -> logging.Logger:
+    """Return the logger that the HTTP library is to use."""
+    logger = logging.Logger("turmericflow.http", logging.ERROR)
+    logger.propagate = False
+    logger.addHandler(_Counter(stats))
+    return logger
+
+
+def _failure_of(request: web.Request, exc: web.HTTPException) -> Failure:
+    code, form = _FAILURES.get(exc.status, (ErrorCode.BAD_REQUEST, exc.reason))
+    message = form.format(
+        path=request.path[:200],
+        method=request.method,
+        allowed=exc.headers.get("Allow", ""),
+        limit=request.client_max_size,
+    )
+    return Failure(code, Verdict.NOT_RUN, message)
+
+
+def error_middleware(stats: Stats):
+    """Return the middleware that turns every error into a typed answer."""
+
+    @web.middleware
+    async def answer_errors(request: web.Request, handler) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except RequestFailed as exc:
+            failure = exc.failure
+        except web.HTTPException as exc:
+            failure = _failure_of(request, exc)
+        except ConnectionError:
+            stats.count("entry.caller_lost")
+            raise
+        except Exception as exc:
+            stats.count("entry.internal_errors")
+            log.error("internal_error", path=request.path, error=repr(exc))
+            failure = Failure(
+                ErrorCode.INTERNAL, Verdict.MAY_HAVE_RUN, "internal error"
+            )
+        stats.count(f"entry.refused.{failure.code}")
+        return error_response(failure)
+
+    return answer_errors
+
+
+async def read_body(request: web.Request, kind: type) -> tuple[bytes, msgspec.Struct]:
+    """Read a JSON body and check its form.
+
+    Returns
+    -------
+    tuple
+        The body's bytes and the value of type ``kind``.
+
+    Raises
+    ------
+    RequestFailed
+        If the body is too large, too slow, or not of the form.
+    """
+    try:
+        raw = await asyncio.wait_for(request.read(), BODY_TIMEOUT_S)
+    except TimeoutError as exc:
+        message = f"body: got no end of it within {BODY_TIMEOUT_S:g} s"
+        raise not_run(ErrorCode.BAD_REQUEST, message) from exc
+    try:
+        return raw, msgspec.json.decode(raw, type=kind)
+    except msgspec.ValidationError as exc:
+        raise not_run(ErrorCode.BAD_REQUEST, f"body: {exc}") from exc
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        message = f"body: got no valid JSON, expected an object: {exc}"
+        raise not_run(ErrorCode.BAD_REQUEST, message) from exc
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -11,7 +11,7 @@
 from turmericflow.services._journal import Journal
 from turmericflow.services._stats import Stats
 from turmericflow.tables import AttemptStart, RequestRow, Tables, Target
-from turmericflow.verdict import RequestFailed
+from turmericflow.verdict import Failure, RequestFailed
 
 PRIORITY = {Urgency.URGENT: 0, Urgency.NORMAL: 1, Urgency.THRIFTY: 2}
 
@@ -54,9 +54,13 @@
         self._stats = stats
         self._tasks: set[asyncio.Task] = set()
 
-    async def submit(self, new: NewRequest) -> RequestRow:
+    async def submit(
+        self, new: NewRequest, refusal: Failure | None = None
+    ) -> RequestRow:
         """Claim a request and start to run it, or follow its runner.
 
+        ``refusal`` says why it is not to be run if it is new.
+
         Raises
         ------
         RequestFailed
@@ -65,7 +69,7 @@
         present = self._tables.requests.rows.get(new.request_id)
         if present is not None and not present.ended:
             return present
-        refusal = self._dispatch.admit(new)
+        refusal = refusal or self._dispatch.admit(new)
         if refusal is not None:
             raise RequestFailed(refusal)
         row = await self._claimant.claim(new)
--- a/turmericflow/verdict.py
+++ b/turmericflow/verdict.py
@@ -24,11 +24,13 @@
     BAD_REQUEST = "bad_request"
     UNAUTHORIZED = "unauthorized"
     NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     KEY_REQUIRED = "key_required"
     KEY_CONFLICT = "key_conflict"
     TOO_LARGE = "too_large"
     UNKNOWN_PROFILE = "unknown_profile"
     UNKNOWN_CUSTOMER = "unknown_customer"
+    RETIRED = "retired"
     SEALED = "sealed"
     GENERATION_MISMATCH = "generation_mismatch"
     RATE_LIMITED = "rate_limited"
@@ -51,11 +53,13 @@
     ErrorCode.BAD_REQUEST: 400,
     ErrorCode.UNAUTHORIZED: 401,
     ErrorCode.NOT_FOUND: 404,
+    ErrorCode.METHOD_NOT_ALLOWED: 405,
     ErrorCode.KEY_REQUIRED: 400,
     ErrorCode.KEY_CONFLICT: 422,
     ErrorCode.TOO_LARGE: 413,
     ErrorCode.UNKNOWN_PROFILE: 404,
     ErrorCode.UNKNOWN_CUSTOMER: 401,
+    ErrorCode.RETIRED: 410,
     ErrorCode.SEALED: 409,
     ErrorCode.GENERATION_MISMATCH: 409,
     ErrorCode.RATE_LIMITED: 429,
