Route, queue and admit by estimates of the targets' load

Cause: a request went to the target with the fewest of this host's own requests, was never refused, and nothing knew what the targets report. Change: pure systems for estimates, policies, fair queues, admission, rate limits, budgets and breakers; a service that polls load reports and cache events; Dispatch drives them each tick and on each release.

--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -110,6 +110,8 @@
         Number of slots when this daemon creates the owner map.
     max_body_bytes
         Largest request body taken from a caller, in bytes.
+    policy
+        Policy that chooses among the targets that may run some work.
     """
 
     host: Name
@@ -123,6 +125,7 @@
     log: LogSettings = Field(default_factory=LogSettings)
     slots: Annotated[int, Field(ge=1, le=16_384)] = 1024
     max_body_bytes: Annotated[int, Field(ge=1024)] = 1_000_000
+    policy: Annotated[str, Field(pattern="^(random|sq|lew|mc|fpi|ours)$")] = "ours"
 
     @classmethod
     def from_file(cls, path: Path) -> Settings:
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -19,8 +19,10 @@
 from turmericflow.services._owner import Owner
 from turmericflow.services._peers import Peers
 from turmericflow.services._platform import PlatformClient
+from turmericflow.services._reports import Reports
 from turmericflow.services._runner import Runner
 from turmericflow.services._stats import Stats
+from turmericflow.systems import policies
 from turmericflow.tables import Peer, Tables
 
 TARGET_CONNECT_TIMEOUT_S = 1.0
@@ -55,18 +57,26 @@
         platform = PlatformClient(self._session, self.settings.platform)
         peers = Peers(self.settings, self.tables, self.stats)
         Owner(self.tables, peers, self.stats)
+        engines = EngineClient(self._session)
+        dispatch = Dispatch(
+            self.tables,
+            self.stats,
+            Random(secrets.randbits(64)),
+            policies.policy_of(self.settings.policy),
+        )
         runner = Runner(
             self.tables,
             Claimant(self.tables, peers, self.stats),
-            EngineClient(self._session),
+            engines,
             Journal(self.tables, peers, self.stats),
-            Dispatch(self.tables, self.stats, Random(secrets.randbits(64))),
+            dispatch,
             self.stats,
         )
         config = Config(self.settings, self.tables, platform, self.stats)
         gossip = Gossip(self.tables, peers, self.stats)
         entry = Entry(self.settings, self.tables, runner, self.stats)
-        for service in (peers, gossip, config, entry):
+        reports = Reports(self.tables, engines, self.stats)
+        for service in (peers, gossip, config, reports, dispatch, entry):
             await self.add_runtime_dependency(service)
 
     async def on_shutdown(self) -> None:
--- a/turmericflow/services/_dispatch.py
+++ b/turmericflow/services/_dispatch.py
@@ -6,29 +6,89 @@
 import time
 from random import Random
 
+from mode import Service
+
+from turmericflow.profile import ProfileKind
 from turmericflow.services._claimant import NewRequest
 from turmericflow.services._stats import Stats
-from turmericflow.systems import routing
-from turmericflow.tables import RequestRow, Tables, Target
+from turmericflow.systems import (
+    admission,
+    budgets,
+    estimates,
+    fairness,
+    limits,
+    policies,
+    prefixes,
+    scheduling,
+)
+from turmericflow.tables import (
+    Pool,
+    RequestId,
+    RequestRow,
+    Tables,
+    Target,
+    Waiting,
+    Work,
+)
 from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
 
-SUSPECT_S = 2.0
-NO_TARGET_WAIT_S = 0.1
+TICK_S = 0.05
+RETRY_AFTER_S = 1.0
 
 
-class Dispatch:
-    """Decides, by the systems, what is accepted and where it runs."""
+class _Place:
+    """A place that was taken: what for, where and when."""
+
+    __slots__ = ("sent_at", "target", "work")
 
-    __slots__ = ("_rng", "_stats", "_tables")
+    def __init__(self, work: Work, target: Target, sent_at: float) -> None:
+        self.work = work
+        self.target = target
+        self.sent_at = sent_at
 
-    def __init__(self, tables: Tables, stats: Stats, rng: Random) -> None:
+
+class Dispatch(Service):
+    """Decides, by the systems, what is accepted and where it runs."""
+
+    def __init__(
+        self,
+        tables: Tables,
+        stats: Stats,
+        rng: Random,
+        policy: policies.Policy = policies.Ours(),
+    ) -> None:
+        super().__init__()
         self._tables = tables
         self._stats = stats
         self._rng = rng
+        self._policy = policy
+        self._started_at = time.monotonic()
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._places: dict[tuple[RequestId, str], list[_Place]] = {}
+        budgets.fill(tables.load)
+
+    @Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            now = time.monotonic()
+            for pool in self._tables.load.pools.values():
+                scheduling.refresh(self._tables, pool, now)
+                self._settle(scheduling.expire(pool, now))
+                self._pump(pool, now)
+            await self.sleep(TICK_S)
 
     def admit(self, new: NewRequest) -> Failure | None:
         """Return why a new request is refused, or None if it is accepted."""
-        return None
+        now = time.monotonic()
+        work = self._work_of_new(new, now)
+        pool = scheduling.pool_of(self._tables, work, now)
+        if not pool.targets and now < self._started_at + new.profile.wait_s:
+            return None
+        routers = limits.live_routers(self._tables)
+        refusal = admission.admit(self._tables, pool, work, routers, now, self._rng)
+        if refusal is not None:
+            self._stats.count(f"dispatch.refused.{refusal.code}")
+        return refusal
 
     async def place(
         self, row: RequestRow, exclude: frozenset[str] = frozenset()
@@ -40,26 +100,111 @@
         RequestFailed
             If no target can run the request in time.
         """
+        now = time.monotonic()
+        work = self._work_of_row(row, exclude)
+        self._spend(row)
+        pool = scheduling.pool_of(self._tables, work, now)
         until = row.accepted_at + row.profile.wait_s
-        while True:
-            now = time.monotonic()
-            target = routing.choose(
-                self._tables.targets, row.profile, now, self._rng, exclude
-            )
-            if target is not None:
-                target.in_flight += 1
-                target.sent_since_report += 1
-                return target
-            if now >= until:
-                verdict = Verdict.MAY_HAVE_RUN if row.dispatched else Verdict.NOT_RUN
-                message = f"no target of service {row.profile.service!r} can run this"
-                failure = Failure(ErrorCode.NO_TARGET, verdict, message, 1.0)
-                raise RequestFailed(failure)
-            await asyncio.sleep(NO_TARGET_WAIT_S)
+        if work.resume:
+            until = row.accepted_at + row.profile.deadline_s
+        fut = asyncio.get_running_loop().create_future()
+        entry = scheduling.enqueue(self._tables, pool, work, until)
+        self._waiting[id(entry)] = fut
+        self._pump(pool, now)
+        try:
+            place = await asyncio.shield(fut)
+        except asyncio.CancelledError:
+            self._abandon(pool, entry, fut)
+            raise
+        finally:
+            self._waiting.pop(id(entry), None)
+        if place is None:
+            raise RequestFailed(self._too_late(row))
+        self._places.setdefault((row.request_id, place.target.name), []).append(place)
+        return place.target
 
     def release(self, row: RequestRow, target: Target, lost: bool) -> None:
         """Give a place back; ``lost`` says that the target failed the attempt."""
-        target.in_flight -= 1
+        now = time.monotonic()
+        places = self._places[(row.request_id, target.name)]
+        place = places.pop()
+        if not places:
+            del self._places[(row.request_id, target.name)]
         if lost:
-            target.suspect_until = time.monotonic() + SUSPECT_S
             self._stats.count("dispatch.target_lost")
+        if row.complete and row.profile.kind is ProfileKind.GENERATION:
+            load = self._tables.load
+            estimates.learn_length(load, row.profile.name, len(row.tokens))
+        self._give_back(place, lost, now)
+
+    def _give_back(self, place: _Place, lost: bool, now: float) -> None:
+        pool = scheduling.pool_of(self._tables, place.work, now)
+        scheduling.release(
+            self._tables, pool, place.work, place.target, place.sent_at, lost, now
+        )
+        self._pump(pool, now)
+
+    def _spend(self, row: RequestRow) -> None:
+        """Take a repeated attempt out of its budget, or end the request."""
+        if not row.attempts:
+            return
+        load = self._tables.load
+        if not budgets.spend(load.resumes if row.tokens else load.retries):
+            self._stats.count("dispatch.budget_used_up")
+            verdict = Verdict.RAN if row.tokens else Verdict.MAY_HAVE_RUN
+            message = "the target was lost, and the budget of repeats is used up"
+            failure = Failure(ErrorCode.TARGET_FAILED, verdict, message, RETRY_AFTER_S)
+            raise RequestFailed(failure)
+
+    def _too_late(self, row: RequestRow) -> Failure:
+        verdict = Verdict.MAY_HAVE_RUN if row.dispatched else Verdict.NOT_RUN
+        self._stats.count("dispatch.given_up")
+        message = f"no target of service {row.profile.service!r} can run this in time"
+        return Failure(ErrorCode.NO_TARGET, verdict, message, RETRY_AFTER_S)
+
+    def _work_of_new(self, new: NewRequest, now: float) -> Work:
+        load = self._tables.load
+        return Work(
+            new.request_id,
+            new.profile,
+            len(new.prompt.split()),
+            [],
+            new.max_tokens,
+            now,
+            estimates.expected_tokens(load, new.profile.name, new.max_tokens),
+        )
+
+    def _work_of_row(self, row: RequestRow, exclude: frozenset[str]) -> Work:
+        load, name = self._tables.load, row.profile.name
+        words = row.prompt.split()
+        left = max(1, row.max_tokens - len(row.tokens))
+        return Work(
+            row.request_id,
+            row.profile,
+            len(words) + len(row.tokens),
+            prefixes.block_names(words),
+            left,
+            row.accepted_at,
+            estimates.expected_tokens(load, name, left),
+            bool(row.attempts),
+            exclude,
+        )
+
+    def _pump(self, pool: Pool, now: float) -> None:
+        self._settle(scheduling.pump(self._tables, pool, self._policy, now, self._rng))
+
+    def _settle(self, outcomes: list[scheduling.Outcome]) -> None:
+        for outcome in outcomes:
+            fut = self._waiting.get(id(outcome.entry))
+            match outcome:
+                case scheduling.Placed(entry=entry, target=target):
+                    place = _Place(entry.work, target, time.monotonic())
+                    fut.set_result(place)
+                case scheduling.GivenUp():
+                    fut.set_result(None)
+
+    def _abandon(self, pool: Pool, entry: Waiting, fut: asyncio.Future) -> None:
+        """Undo a wait whose request was ended in the meantime."""
+        fairness.leave(pool, entry)
+        if fut.done() and not fut.cancelled() and fut.result() is not None:
+            self._give_back(fut.result(), False, time.monotonic())
--- a/turmericflow/services/_engine.py
+++ b/turmericflow/services/_engine.py
@@ -11,6 +11,8 @@
 from turmericflow.cfg import Address
 from turmericflow.verdict import Verdict
 
+REPORT_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
+
 
 class TargetFailed(Exception):
     """Raised when a target refuses or is lost.
@@ -48,6 +50,33 @@
     error: str = ""
 
 
+class EngineLoad(msgspec.Struct):
+    """Load report of a target; plain services report ``running`` alone."""
+
+    running: int
+    queued: int = 0
+    slots: int = 1
+    step_ms: float = 0.0
+    prefill_tokens_s: float = 0.0
+    models: list[str] = msgspec.field(default_factory=list)
+    role: str = "any"
+
+
+class CacheEvent(msgspec.Struct):
+    """A block that came into an engine's prefix cache or was dropped."""
+
+    seq: int
+    op: str
+    block: str
+
+
+class CacheEvents(msgspec.Struct):
+    """Cache events, and the number of the newest one."""
+
+    seq: int
+    events: list[CacheEvent]
+
+
 @dataclass(slots=True, frozen=True)
 class EngineOutput:
     """Some consecutive tokens, and whether the output ends with them."""
@@ -128,6 +157,26 @@
         except aiohttp.ClientError:
             return
 
+    async def load(self, address: Address) -> EngineLoad:
+        """Return a target's load report, which lags."""
+        return await self._get(f"{address.url}/v1/load", EngineLoad)
+
+    async def cache(self, address: Address, since: int) -> CacheEvents:
+        """Return the cache events after a number; some may be missing."""
+        return await self._get(f"{address.url}/v1/cache?since={since}", CacheEvents)
+
+    async def _get(self, url: str, kind: type):
+        try:
+            async with self._session.get(url, timeout=REPORT_TIMEOUT) as resp:
+                raw = await resp.read()
+                if resp.status != 200:
+                    raise TargetFailed(Verdict.NOT_RUN, f"{url}: {resp.status}")
+                return msgspec.json.decode(raw, type=kind)
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise TargetFailed(Verdict.NOT_RUN, f"{url}: {exc!r}") from exc
+        except msgspec.DecodeError as exc:
+            raise TargetFailed(Verdict.NOT_RUN, f"{url}: {exc}") from exc
+
     async def _stream(
         self, method: str, url: str, body: bytes | None
     ) -> AsyncIterator[EngineOutput]:
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -2,7 +2,19 @@
 
 from __future__ import annotations
 
-from turmericflow.systems import _claims as claims, _routing as routing
+from turmericflow.systems import (
+    _admission as admission,
+    _breakers as breakers,
+    _budgets as budgets,
+    _claims as claims,
+    _estimates as estimates,
+    _fairness as fairness,
+    _limits as limits,
+    _policies as policies,
+    _prefixes as prefixes,
+    _routing as routing,
+    _scheduling as scheduling,
+)
 from turmericflow.systems._convert import (
     to_attempts,
     to_failure,
@@ -12,8 +24,17 @@
 
 __all__ = (
     # Decisions, one module each
+    "admission",
+    "breakers",
+    "budgets",
     "claims",
+    "estimates",
+    "fairness",
+    "limits",
+    "policies",
+    "prefixes",
     "routing",
+    "scheduling",
     # Conversions
     "to_attempts",
     "to_failure",
--- /dev/null
+++ b/turmericflow/systems/_prefixes.py
@@ -0,0 +1,114 @@
+"""Prefix caches: names of blocks, and which targets are thought to hold them."""
+
+from __future__ import annotations
+
+import hashlib
+
+from turmericflow.tables import LoadTable, Target
+
+BLOCK_TOKENS = 16
+TRUST_S = 300.0
+MAX_BLOCKS = 200_000
+MAX_GAP_REPAIRS = 3
+
+
+def block_names(words: list[str]) -> list[str]:
+    """Return the chained names of a prompt's whole blocks."""
+    names = []
+    digest = hashlib.blake2b(digest_size=8)
+    for start in range(0, len(words) - BLOCK_TOKENS + 1, BLOCK_TOKENS):
+        digest.update(" ".join(words[start : start + BLOCK_TOKENS]).encode() + b"\n")
+        names.append(digest.hexdigest())
+    return names
+
+
+def warm_targets(load: LoadTable, blocks: list[str], most: int) -> list[str]:
+    """Return up to ``most`` targets thought to hold a prompt's longest prefix."""
+    low, high = 0, len(blocks)
+    while low < high:
+        middle = (low + high + 1) // 2
+        if load.warm.get(blocks[middle - 1]):
+            low = middle
+        else:
+            high = middle - 1
+    if not low:
+        return []
+    holders = load.warm[blocks[low - 1]]
+    newest = sorted(holders, key=holders.__getitem__, reverse=True)
+    return newest[:most]
+
+
+def cached_tokens(load: LoadTable, name: str, blocks: list[str], now: float) -> float:
+    """Return how much of a prompt a target is expected to have cached.
+
+    What was seen long ago counts for less, for it may have been dropped since.
+    """
+    low, high = 0, len(blocks)
+    while low < high:
+        middle = (low + high + 1) // 2
+        if name in load.warm.get(blocks[middle - 1], ()):
+            low = middle
+        else:
+            high = middle - 1
+    if not low:
+        return 0.0
+    age = now - load.warm[blocks[low - 1]][name]
+    return low * BLOCK_TOKENS * max(0.0, 1.0 - max(0.0, age) / TRUST_S)
+
+
+def expect(load: LoadTable, name: str, blocks: list[str], at: float) -> None:
+    """Note that a target will hold a prompt's blocks from a time on."""
+    for block in blocks:
+        holders = load.warm.pop(block, None)
+        if holders is None:
+            holders = {}
+        load.warm[block] = holders
+        holders[name] = at
+    while len(load.warm) > MAX_BLOCKS:
+        del load.warm[next(iter(load.warm))]
+
+
+def _drop(load: LoadTable, name: str, block: str) -> None:
+    holders = load.warm.get(block)
+    if holders is not None:
+        holders.pop(name, None)
+        if not holders:
+            del load.warm[block]
+
+
+def learn(
+    load: LoadTable,
+    target: Target,
+    seq: int,
+    events: list[tuple[int, str, str]],
+    now: float,
+) -> None:
+    """Take in a target's cache events, given as ``(number, op, block)``.
+
+    After a gap the next question starts before it again.  A gap that stays is
+    passed over, and all that was known of the target's cache is forgotten but
+    for the events at hand.
+    """
+    whole = [number for number, _, _ in events] == list(
+        range(target.cache_seq + 1, seq + 1)
+    )
+    if seq < target.cache_seq:
+        forget(load, target.name)
+    if not whole and target.cache_gaps >= MAX_GAP_REPAIRS:
+        forget(load, target.name)
+    for _, op, block in events:
+        if op == "add":
+            expect(load, target.name, [block], now)
+        else:
+            _drop(load, target.name, block)
+    if whole or target.cache_gaps >= MAX_GAP_REPAIRS or seq < target.cache_seq:
+        target.cache_seq = seq
+        target.cache_gaps = 0
+    else:
+        target.cache_gaps += 1
+
+
+def forget(load: LoadTable, name: str) -> None:
+    """Forget what a target has cached, as after its loss."""
+    for block in [each for each, held in load.warm.items() if name in held]:
+        _drop(load, name, block)
--- a/turmericflow/systems/_routing.py
+++ b/turmericflow/systems/_routing.py
@@ -5,13 +5,21 @@
 from random import Random
 
 from turmericflow.profile import Profile, ProfileKind
-from turmericflow.tables import Target, TargetKind, TargetTable
+from turmericflow.systems import (
+    _breakers as breakers,
+    _estimates as estimates,
+    _policies as policies,
+    _prefixes as prefixes,
+)
+from turmericflow.tables import Pool, Tables, Target, TargetKind, TargetTable, Work
 
+SAMPLE = 5
+WARM_SAMPLE = 3
 
-def _matches(target: Target, profile: Profile, now: float) -> bool:
-    if target.service != profile.service or target.leaving:
-        return False
-    if target.suspect_until > now:
+
+def matches(target: Target, profile: Profile) -> bool:
+    """Return whether a target can run a profile's work at all."""
+    if target.service != profile.service:
         return False
     if profile.kind is ProfileKind.CALL:
         return target.kind is TargetKind.SERVICE
@@ -21,6 +29,26 @@
     return not target.models or wanted in target.models
 
 
+def is_leaving(tables: Tables, target: Target) -> bool:
+    """Return whether a target must receive no new work."""
+    mark = tables.config.marks.get(target.name)
+    return target.leaving or (mark is not None and mark.leaving)
+
+
+def available(tables: Tables, target: Target, now: float) -> bool:
+    """Return whether a target may be given any work now."""
+    if target.suspect_until > now or is_leaving(tables, target):
+        return False
+    return breakers.allows(target, now)
+
+
+def usable(tables: Tables, target: Target, work: Work, now: float) -> bool:
+    """Return whether a target may be given some work now."""
+    if target.name in work.exclude or not matches(target, work.profile):
+        return False
+    return available(tables, target, now)
+
+
 def candidates(
     targets: TargetTable, profile: Profile, now: float, exclude: frozenset[str]
 ) -> list[Target]:
@@ -28,25 +56,60 @@
     return [
         target
         for target in targets.rows.values()
-        if target.name not in exclude and _matches(target, profile, now)
+        if target.name not in exclude
+        and not target.leaving
+        and target.suspect_until <= now
+        and breakers.allows(target, now)
+        and matches(target, profile)
     ]
 
 
+def _room(target: Target, pool: Pool, work: Work, now: float) -> bool:
+    kept = 0 if work.resume else pool.reserve
+    return estimates.occupied(target, now) < estimates.slots_of(target) - kept
+
+
+def sample(
+    tables: Tables, pool: Pool, work: Work, now: float, rng: Random
+) -> list[Target]:
+    """Return a few targets with room, among them those that hold the prefix.
+
+    The number looked at does not grow with the fleet unless none of them can
+    take the work.
+    """
+    rows = tables.targets.rows
+
+    def fits(target: Target) -> bool:
+        return usable(tables, target, work, now) and _room(target, pool, work, now)
+
+    if len(pool.targets) <= SAMPLE + WARM_SAMPLE:
+        return [each for each in pool.targets if fits(each)]
+    names = prefixes.warm_targets(tables.load, work.blocks, WARM_SAMPLE)
+    warm = [rows[name] for name in names if name in rows]
+    picked = {each.name: each for each in warm}
+    picked.update((each.name, each) for each in rng.sample(pool.targets, SAMPLE))
+    found = [each for each in picked.values() if fits(each)]
+    if found:
+        return found
+    return [each for each in pool.targets if fits(each)]
+
+
 def choose(
-    targets: TargetTable,
-    profile: Profile,
+    tables: Tables,
+    pool: Pool,
+    policy: policies.Policy,
+    work: Work,
     now: float,
     rng: Random,
-    exclude: frozenset[str] = frozenset(),
 ) -> Target | None:
-    """Choose the target with the fewest requests of this host.
+    """Choose a target that has room for some work.
 
     Returns
     -------
     Target or None
-        None if no target matches.
+        None if no target can take it now.
     """
-    found = candidates(targets, profile, now, exclude)
+    found = sample(tables, pool, work, now, rng)
     if not found:
         return None
-    return min(found, key=lambda target: (target.in_flight, rng.random()))
+    return policies.choose(policy, tables.load, found, work, now, rng)
--- /dev/null
+++ b/turmericflow/systems/_scheduling.py
@@ -0,0 +1,172 @@
+"""Queues before the targets: which waiting work runs where, and when."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from turmericflow.systems import (
+    _admission as admission,
+    _breakers as breakers,
+    _budgets as budgets,
+    _estimates as estimates,
+    _fairness as fairness,
+    _policies as policies,
+    _prefixes as prefixes,
+    _routing as routing,
+)
+from turmericflow.tables import Pool, Tables, Target, TargetKind, Waiting, Work
+
+RATE_GAIN = 0.3
+RATE_S = 0.5
+HOLD_GAIN = 0.05
+
+
+@dataclass(slots=True, frozen=True)
+class Placed:
+    """Work that runs on a target from now on."""
+
+    entry: Waiting
+    target: Target
+
+
+@dataclass(slots=True, frozen=True)
+class GivenUp:
+    """Work whose time in the queue is over."""
+
+    entry: Waiting
+
+
+Outcome = Placed | GivenUp
+
+
+def pool_of(tables: Tables, work: Work, now: float) -> Pool:
+    """Return the pool of some work, and make it at first."""
+    pool = tables.load.pools.get(work.pool)
+    if pool is None:
+        pool = Pool(work.profile, measured_at=now)
+        tables.load.pools[work.pool] = pool
+    if not pool.targets:
+        _count(tables, pool, now)
+    return pool
+
+
+def _reserve(pool: Pool, targets: list[Target], resume_s: float) -> int:
+    """Return the places of each target that a loss of the largest would need.
+
+    What comes free by itself within the time for a resume needs no reserve.
+    """
+    if len(targets) < 2 or not pool.hold_s:
+        return 0
+    largest = max(estimates.slots_of(each) for each in targets)
+    rest = sum(estimates.slots_of(each) for each in targets) - largest
+    freed = rest * min(1.0, resume_s / pool.hold_s)
+    short = max(0.0, largest - freed)
+    return min(largest // 4, -int(-short // (len(targets) - 1)))
+
+
+def _count(tables: Tables, pool: Pool, now: float) -> None:
+    rows = tables.targets.rows.values()
+    pool.targets = [each for each in rows if routing.matches(each, pool.profile)]
+    usable = [each for each in pool.targets if routing.available(tables, each, now)]
+    engines = [each for each in usable if each.kind is TargetKind.ENGINE]
+    pool.reserve = _reserve(pool, engines, pool.profile.objectives.resume_s)
+    pool.slots = pool.free = 0
+    for each in usable:
+        slots = max(0, estimates.slots_of(each) - pool.reserve)
+        pool.slots += slots
+        pool.free += max(0, slots - estimates.occupied(each, now))
+
+
+def refresh(tables: Tables, pool: Pool, now: float) -> None:
+    """Bring a pool up to date; called each tick for each pool."""
+    _count(tables, pool, now)
+    admission.forget_admitted(pool, now)
+    fairness.trim(pool)
+    elapsed = now - pool.measured_at
+    if elapsed >= RATE_S:
+        rate = pool.released / elapsed
+        pool.rate_per_s += RATE_GAIN * (rate - pool.rate_per_s)
+        pool.released, pool.measured_at = 0, now
+
+
+def enqueue(tables: Tables, pool: Pool, work: Work, until: float) -> Waiting:
+    """Put work into its pool's queue."""
+    if pool.admitted.pop(work.request_id, None) is not None:
+        budgets.earn(tables.load)
+    weight = admission.weight_of(tables, work.request_id.customer)
+    return fairness.push(tables.load, pool, work, weight, until)
+
+
+def _sent(tables: Tables, pool: Pool, target: Target, work: Work, now: float) -> None:
+    load = tables.load
+    prompt = estimates.uncached(load, target, work, now)
+    debt = estimates.prefill_debt(target, now) + prompt
+    target.prefill_debt, target.prefill_at = debt, now
+    ready_at = now + debt / estimates.prefill_rate(target)
+    prefixes.expect(load, target.name, work.blocks, ready_at)
+    estimates.note_in_flight(target, 1, now)
+    target.sent_since_report += 1
+    target.classes[estimates.class_of(work.expected_tokens)] += 1
+    target.work_tokens += work.expected_tokens
+    breakers.on_sent(target, now)
+    pool.free -= 1
+
+
+def pump(
+    tables: Tables, pool: Pool, policy: policies.Policy, now: float, rng: Random
+) -> list[Outcome]:
+    """Give places to waiting work in its fair order, as long as there are any.
+
+    Work that may not run on some targets does not hold up what stands behind it.
+    """
+    outcomes: list[Outcome] = []
+    passed: list[Waiting] = []
+    while (entry := fairness.head(pool)) is not None:
+        if now >= entry.until:
+            fairness.leave(pool, entry)
+            outcomes.append(GivenUp(entry))
+            continue
+        target = routing.choose(tables, pool, policy, entry.work, now, rng)
+        if target is not None:
+            fairness.serve(pool, entry)
+            _sent(tables, pool, target, entry.work, now)
+            outcomes.append(Placed(entry, target))
+        elif entry.work.exclude:
+            passed.append(fairness.set_aside(pool))
+        else:
+            break
+    for entry in passed:
+        fairness.put_back(tables.load, pool, entry)
+    return outcomes
+
+
+def expire(pool: Pool, now: float) -> list[Outcome]:
+    """Give up all waiting work whose time is over, wherever it stands."""
+    late = [each[3] for each in pool.heap if not each[3].gone and now >= each[3].until]
+    for entry in late:
+        fairness.leave(pool, entry)
+    return [GivenUp(entry) for entry in late]
+
+
+def release(
+    tables: Tables,
+    pool: Pool,
+    work: Work,
+    target: Target,
+    sent_at: float,
+    lost: bool,
+    now: float,
+) -> None:
+    """Give a place back; ``lost`` says that the target failed the attempt."""
+    estimates.note_in_flight(target, -1, now)
+    target.classes[estimates.class_of(work.expected_tokens)] -= 1
+    target.work_tokens = max(0.0, target.work_tokens - work.expected_tokens)
+    pool.free += 1
+    pool.released += 1
+    if lost:
+        breakers.on_lost(target, now)
+        return
+    breakers.on_success(target, sent_at, now)
+    held = now - sent_at
+    pool.hold_s += HOLD_GAIN * (held - pool.hold_s) if pool.hold_s else held
--- a/turmericflow/tables/__init__.py
+++ b/turmericflow/tables/__init__.py
@@ -5,10 +5,28 @@
 from turmericflow.tables._all import Tables
 from turmericflow.tables._claims import AttemptStart, Claim, ClaimState, ClaimTable
 from turmericflow.tables._config import ConfigTable
+from turmericflow.tables._load import (
+    Budget,
+    Demand,
+    Flow,
+    LoadTable,
+    Pool,
+    RateBucket,
+    Waiting,
+    Work,
+)
 from turmericflow.tables._peers import Peer, PeerState, PeerTable
 from turmericflow.tables._requests import Listener, RequestRow, RequestTable
 from turmericflow.tables._slots import RequestId, SlotEntry, SlotTable
-from turmericflow.tables._targets import LoadReport, Target, TargetKind, TargetTable
+from turmericflow.tables._targets import (
+    Breaker,
+    BreakerState,
+    LoadReport,
+    StepFit,
+    Target,
+    TargetKind,
+    TargetTable,
+)
 
 __all__ = (
     # All tables of one host
@@ -25,8 +43,20 @@
     # Slots
     "SlotEntry",
     "SlotTable",
+    # Load
+    "Budget",
+    "Demand",
+    "Flow",
+    "LoadTable",
+    "Pool",
+    "RateBucket",
+    "Waiting",
+    "Work",
     # Targets
+    "Breaker",
+    "BreakerState",
     "LoadReport",
+    "StepFit",
     "Target",
     "TargetKind",
     "TargetTable",
--- a/turmericflow/tables/_all.py
+++ b/turmericflow/tables/_all.py
@@ -6,6 +6,7 @@
 
 from turmericflow.tables._claims import ClaimTable
 from turmericflow.tables._config import ConfigTable
+from turmericflow.tables._load import LoadTable
 from turmericflow.tables._peers import PeerTable
 from turmericflow.tables._requests import RequestTable
 from turmericflow.tables._slots import SlotTable
@@ -30,3 +31,4 @@
     targets: TargetTable = field(default_factory=TargetTable)
     peers: PeerTable = field(default_factory=PeerTable)
     config: ConfigTable = field(default_factory=ConfigTable)
+    load: LoadTable = field(default_factory=LoadTable)
--- /dev/null
+++ b/turmericflow/tables/_load.py
@@ -0,0 +1,214 @@
+"""Work that waits for a target, and what is known of the load."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from turmericflow.profile import Profile
+from turmericflow.tables._slots import RequestId
+from turmericflow.tables._targets import Target
+
+
+@dataclass(slots=True)
+class Work:
+    """What routing and admission need to know of one attempt.
+
+    Attributes
+    ----------
+    request_id, profile
+        The request, and the profile in force when it was accepted.
+    prompt_tokens
+        Length of the prompt and of the tokens that a resume carries along.
+    blocks
+        Names of the prompt's whole blocks, chained.
+    max_tokens
+        Largest number of tokens still to come.
+    accepted_at
+        Time of acceptance, in seconds of the host's clock.
+    expected_tokens
+        Tokens still expected to come.
+    resume
+        Whether the attempt goes on with output that was taken before.
+    exclude
+        Targets that must not run it.
+    """
+
+    request_id: RequestId
+    profile: Profile
+    prompt_tokens: int
+    blocks: list[str]
+    max_tokens: int
+    accepted_at: float
+    expected_tokens: float = 0.0
+    resume: bool = False
+    exclude: frozenset[str] = frozenset()
+
+    @property
+    def pool(self) -> str:
+        """Name of the pool of targets that can run it."""
+        profile = self.profile
+        return f"{profile.service} {profile.model}/{profile.adapter}/{profile.version}"
+
+
+@dataclass(slots=True)
+class Waiting:
+    """Work in a queue.
+
+    Attributes
+    ----------
+    work
+        The work.
+    rank
+        Its class; a lower one goes first.
+    start_tag
+        Its place in the fair order within the class.
+    until
+        Time at which it is given up, in seconds of the host's clock.
+    gone
+        Whether it has left the queue.
+    """
+
+    work: Work
+    rank: int
+    start_tag: float
+    until: float
+    gone: bool = False
+
+
+@dataclass(slots=True)
+class Flow:
+    """One customer's work within one profile.
+
+    Attributes
+    ----------
+    finish_tag
+        Tag at which its last work ends in the fair order.
+    queued
+        Work that it has in the queue.
+    """
+
+    finish_tag: float = 0.0
+    queued: int = 0
+
+
+@dataclass(slots=True)
+class Pool:
+    """Targets that can run the same work, and the queue before them.
+
+    Attributes
+    ----------
+    profile
+        A profile whose work they run.
+    targets
+        Members, by last refresh; each is checked again when it is used.
+    free, slots
+        Places free and in all, by last refresh and what was sent since.
+    reserve
+        Places of each target that are kept for resumes.
+    hold_s
+        Mean time for which a request holds a place, in seconds.
+    rate_per_s
+        Rate at which places come free for this host.
+    released, measured_at
+        Releases since the last measurement of the rate, and when that was.
+    heap
+        Waiting work as ``(rank, start tag, number, entry)``.
+    depth
+        Number of waiting entries by rank.
+    flows
+        Customers within profiles, by ``(profile, customer)``.
+    virtual
+        Virtual time of the fair order, by rank.
+    admitted
+        Requests accepted whose first attempt is not yet in the queue, with
+        the time of acceptance and their rank.
+    """
+
+    profile: Profile
+    targets: list[Target] = field(default_factory=list)
+    free: int = 0
+    slots: int = 0
+    reserve: int = 0
+    hold_s: float = 0.0
+    rate_per_s: float = 0.0
+    released: int = 0
+    measured_at: float = float("-inf")
+    heap: list[tuple[int, float, int, Waiting]] = field(default_factory=list)
+    depth: dict[int, int] = field(default_factory=dict)
+    flows: dict[tuple[str, str], Flow] = field(default_factory=dict)
+    virtual: dict[int, float] = field(default_factory=dict)
+    admitted: dict[RequestId, tuple[float, int]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Budget:
+    """Tokens that accepted work earns and repeated work spends."""
+
+    tokens: float = 0.0
+
+
+@dataclass(slots=True)
+class RateBucket:
+    """This host's part of one customer's rate.
+
+    Attributes
+    ----------
+    rate_per_s
+        Allotted rate.
+    until
+        Time at which the allotment lapses, in seconds of the host's clock.
+    tokens, filled_at
+        Requests that may come at once, and when that was so.
+    asked
+        Requests since the last report of demand.
+    """
+
+    rate_per_s: float = 0.0
+    until: float = float("-inf")
+    tokens: float = 0.0
+    filled_at: float = float("-inf")
+    asked: int = 0
+
+
+@dataclass(slots=True)
+class Demand:
+    """What one host last asked of a customer's rate."""
+
+    rate_per_s: float
+    asked_at: float
+    granted_per_s: float = 0.0
+
+
+@dataclass(slots=True)
+class LoadTable:
+    """State of routing, admission, fairness and limits on one host.
+
+    Attributes
+    ----------
+    pools
+        Pools by name.
+    lengths
+        Mean output of each profile, in tokens.
+    warm
+        Targets that hold a prefix block, with the time it was last seen.
+    retries, resumes
+        Budgets of repeated work.
+    buckets
+        This host's part of each customer's rate.
+    demands
+        Demand by customer and host, where this host keeps the limit.
+    arrivals
+        Recent arrivals per second, short and long.
+    number
+        Counts entries, for a stable order.
+    """
+
+    pools: dict[str, Pool] = field(default_factory=dict)
+    lengths: dict[str, float] = field(default_factory=dict)
+    warm: dict[str, dict[str, float]] = field(default_factory=dict)
+    retries: Budget = field(default_factory=Budget)
+    resumes: Budget = field(default_factory=Budget)
+    buckets: dict[str, RateBucket] = field(default_factory=dict)
+    demands: dict[str, dict[str, Demand]] = field(default_factory=dict)
+    arrivals: list[float] = field(default_factory=lambda: [0.0, 0.0])
+    number: int = 0
--- a/turmericflow/tables/_targets.py
+++ b/turmericflow/tables/_targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections import deque
 from dataclasses import dataclass, field
 
 from turmericflow.cfg import Address
@@ -31,6 +32,8 @@
         Rate at which uncached prompt is taken in, in tokens per second.
     reported_at
         Time at which the report arrived, in seconds of the host's clock.
+    own
+        Requests of this host that the report already counts.
     """
 
     running: int = 0
@@ -39,6 +42,54 @@
     step_ms: float = 0.0
     prefill_tokens_s: float = 0.0
     reported_at: float = float("-inf")
+    own: int = 0
+
+
+class BreakerState(enum.StrEnum):
+    """Whether a target is given work, judged by its last outcomes."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+@dataclass(slots=True)
+class Breaker:
+    """Circuit breaker of one target.
+
+    Attributes
+    ----------
+    state
+        Where it stands.
+    until
+        Time until which an open breaker shuts the target out, in seconds.
+    opened
+        How often it opened in a row.
+    probing
+        Whether a half-open breaker's one probe is under way.
+    """
+
+    state: BreakerState = BreakerState.CLOSED
+    until: float = float("-inf")
+    opened: int = 0
+    probing: bool = False
+
+
+@dataclass(slots=True)
+class StepFit:
+    """A line through an engine's step times by batch size.
+
+    Attributes
+    ----------
+    streams, step_s
+        The smallest batch reported, and its step time in seconds.
+    slope_s
+        Growth with each further stream, in seconds.
+    """
+
+    streams: int = 0
+    step_s: float = 0.0
+    slope_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -69,6 +120,23 @@
         Requests that this host has running there.
     sent_since_report
         Requests that this host has sent since the last load report.
+    history
+        Times at which ``in_flight`` changed, and what it became.
+    classes
+        Requests of this host that run there, short ones and long ones.
+    work_tokens
+        Tokens that this host's requests there are still expected to need.
+    prefill_debt, prefill_at
+        Uncached prompt sent and not yet taken in, in tokens, and when that
+        was so, in seconds of the host's clock.
+    fit
+        Step time by batch size.
+    breaker
+        Its circuit breaker.
+    cache_seq
+        Number of the last cache event that was learned without a gap.
+    cache_gaps
+        How often in a row the events after it came with a gap.
     """
 
     name: str
@@ -82,6 +150,15 @@
     load: LoadReport = field(default_factory=LoadReport)
     in_flight: int = 0
     sent_since_report: int = 0
+    history: deque[tuple[float, int]] = field(default_factory=deque)
+    classes: list[int] = field(default_factory=lambda: [0, 0])
+    work_tokens: float = 0.0
+    prefill_debt: float = 0.0
+    prefill_at: float = 0.0
+    fit: StepFit = field(default_factory=StepFit)
+    breaker: Breaker = field(default_factory=Breaker)
+    cache_seq: int = 0
+    cache_gaps: int = 0
 
 
 @dataclass(slots=True)
--- a/turmericflow/testing/_batch.py
+++ b/turmericflow/testing/_batch.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import hashlib
 import re
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from random import Random
 
+from turmericflow.systems import prefixes
 from turmericflow.testing._sampling import next_token, run_of
 
-BLOCK_TOKENS = 16
-
 
 @dataclass(slots=True, frozen=True)
 class EngineSpeed:
@@ -28,7 +26,7 @@
     prefill_tokens_s
         Rate at which uncached prompt is taken in, in tokens per second.
     cache_blocks
-        Blocks of `BLOCK_TOKENS` tokens that the prefix cache holds.
+        Blocks of 16 words that the prefix cache holds.
     """
 
     step_ms: float = 20.0
@@ -97,16 +95,6 @@
             self.events.append(("drop", block))
 
 
-def block_names(words: list[str]) -> list[str]:
-    """Return the chained names of a prompt's whole blocks."""
-    names = []
-    digest = hashlib.blake2b(digest_size=8)
-    for start in range(0, len(words) - BLOCK_TOKENS + 1, BLOCK_TOKENS):
-        digest.update(" ".join(words[start : start + BLOCK_TOKENS]).encode() + b"\n")
-        names.append(digest.hexdigest())
-    return names
-
-
 def wanted_length(prompt: str, max_tokens: int) -> int:
     """Return an output's length; ``len=N`` in the prompt makes it shorter."""
     found = re.search(r"\blen=(\d+)\b", prompt)
@@ -141,8 +129,8 @@
         if older is not None:
             self.cancel(older)
         words = prompt.split() + [text.strip() for text in prefix]
-        blocks = block_names(words)
-        left = len(words) - self.cache.hits(blocks) * BLOCK_TOKENS
+        blocks = prefixes.block_names(words)
+        left = len(words) - self.cache.hits(blocks) * prefixes.BLOCK_TOKENS
         run = run_of(prefix[0]) if prefix else f"{self._rng.getrandbits(32):08x}"
         self._arrivals += 1
         stream = Stream(
