--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -154,6 +154,8 @@
     operator_key_hashes
         SHA-256 hex digests of the keys that open the status details; empty
         means that no key is asked for.
+    policy
+        Policy that chooses among the targets that may run some work.
     """
 
     host: Name
@@ -171,6 +173,7 @@
     tls: TlsSettings | None = None
     insecure_bind: Flag = False
     operator_key_hashes: list[KeyHash] = Field(default_factory=list)
+    policy: Annotated[str, Field(pattern="^(random|sq|lew|mc|fpi|ours)$")] = "ours"
 
     @classmethod
     def from_file(cls, path: Path) -> Settings:
--- a/turmericflow/tests/test_entry.py
+++ b/turmericflow/tests/test_entry.py
@@ -129,7 +129,8 @@
 def test_stream_goes_on_after_last_event(app):
     status, _, raw = post(app, headers={"Last-Event-ID": "g1.1.0"})
     assert status == 200
-    assert raw.startswith(b'id: g1.1.1\ndata: {"index":1,"text":"letters "}')
+    first = b'retry: 200\n\nid: g1.1.1\ndata: {"index":1,"text":"letters "}\n\n'
+    assert raw.startswith(first)
     assert b"event: end" in raw
 
 
