Add the command-line tool for callers and operators

Declarations could be written only by hand to the object API, and a caller had no program.

turmericflow checks YAML declarations with every fault at once by file, line, field, got and expected; diff, apply, get, retire and leave work on the platform by conditional writes. A lost reply is settled by reading back and sent again only on the same version; a race is shown and left alone. The client counts deliberate tries, honours Retry-After, gives up after 30 s without progress and leaves a silent address after 10 s.

--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -67,6 +67,17 @@
             f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
         )
 
+    @classmethod
+    def from_text(cls, text: str) -> Address:
+        """Return the address that ``IP:PORT`` stands for.
+
+        Raises
+        ------
+        ValueError
+            If it is of another form; the message says which was expected.
+        """
+        return cls(**_split_address(text))
+
     @property
     def is_loopback(self) -> bool:
         """Whether only processes of the same machine can reach it."""
--- /dev/null
+++ b/turmericflow/cli/_access.py
@@ -0,0 +1,129 @@
+"""How the tool reaches routers and the platform."""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import os
+import ssl
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import aiohttp
+
+from turmericflow.cfg import Address
+from turmericflow.cli._exit import CommandError, Exit
+from turmericflow.client import Access, Caller
+from turmericflow.services._platform import PlatformClient
+
+ADDRESSES_ENV = "TURMERICFLOW_ADDRESSES"
+CUSTOMER_ENV = "TURMERICFLOW_CUSTOMER"
+KEY_ENV = "TURMERICFLOW_KEY"
+PLATFORM_ENV = "TURMERICFLOW_PLATFORM"
+PLATFORM_TIMEOUT_S = 5.0
+
+
+def parse_address(text: str) -> Address:
+    """Return an address, for `argparse`."""
+    try:
+        return Address.from_text(text)
+    except ValueError as exc:
+        raise argparse.ArgumentTypeError(f"got {text!r}, expected {exc}") from None
+
+
+def add_router_options(parser: argparse.ArgumentParser) -> None:
+    """Add the options that say how routers are reached."""
+    parser.add_argument(
+        "--address",
+        action="append",
+        type=parse_address,
+        metavar="IP:PORT",
+        help=f"a router; may be repeated (or {ADDRESSES_ENV}, separated by commas)",
+    )
+    parser.add_argument(
+        "--key-file",
+        type=Path,
+        metavar="FILE",
+        help=f"file that holds the key to send (or {KEY_ENV}, the key itself)",
+    )
+    parser.add_argument(
+        "--ca", type=Path, metavar="FILE", help="PEM file of the routers' authority"
+    )
+
+
+def add_platform_option(parser: argparse.ArgumentParser) -> None:
+    """Add the option that says where the platform's object API is."""
+    parser.add_argument(
+        "--platform",
+        type=parse_address,
+        metavar="IP:PORT",
+        help=f"the platform's object API (or {PLATFORM_ENV})",
+    )
+
+
+def addresses_of(args: argparse.Namespace) -> list[str]:
+    """Return the routers' addresses."""
+    if args.address:
+        return [str(address) for address in args.address]
+    listed = [part for part in os.environ.get(ADDRESSES_ENV, "").split(",") if part]
+    if not listed:
+        message = f"expected --address IP:PORT or {ADDRESSES_ENV}"
+        raise CommandError(message, Exit.USAGE)
+    try:
+        return [str(parse_address(part.strip())) for part in listed]
+    except argparse.ArgumentTypeError as exc:
+        raise CommandError(f"{ADDRESSES_ENV}: {exc}", Exit.USAGE) from exc
+
+
+def key_of(args: argparse.Namespace) -> str | None:
+    """Return the key to send, or None."""
+    if args.key_file is None:
+        return os.environ.get(KEY_ENV)
+    try:
+        return args.key_file.read_text("utf-8").strip()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise CommandError(f"{args.key_file}: {exc}", Exit.USAGE) from exc
+
+
+def tls_of(args: argparse.Namespace) -> ssl.SSLContext | None:
+    """Return the context of the connections, or None for plain ones."""
+    if args.ca is None:
+        return None
+    try:
+        return ssl.create_default_context(cafile=args.ca)
+    except OSError as exc:
+        raise CommandError(f"{args.ca}: {exc}", Exit.USAGE) from exc
+
+
+def customer_of(args: argparse.Namespace) -> str:
+    """Return the customer's name."""
+    customer = args.customer or os.environ.get(CUSTOMER_ENV)
+    if not customer:
+        raise CommandError(f"expected --customer NAME or {CUSTOMER_ENV}", Exit.USAGE)
+    return customer
+
+
+@contextlib.asynccontextmanager
+async def open_caller(args: argparse.Namespace) -> AsyncIterator[Caller]:
+    """Yield a caller, as the options say."""
+    access = Access(customer_of(args), key_of(args), tls_of(args), max_tries=args.tries)
+    async with aiohttp.ClientSession() as session:
+        yield Caller(session, addresses_of(args), access)
+
+
+@contextlib.asynccontextmanager
+async def open_platform(args: argparse.Namespace) -> AsyncIterator[PlatformClient]:
+    """Yield a client of the platform's object API."""
+    address = args.platform
+    if address is None:
+        text = os.environ.get(PLATFORM_ENV)
+        if not text:
+            message = f"expected --platform IP:PORT or {PLATFORM_ENV}"
+            raise CommandError(message, Exit.USAGE)
+        try:
+            address = parse_address(text)
+        except argparse.ArgumentTypeError as exc:
+            raise CommandError(f"{PLATFORM_ENV}: {exc}", Exit.USAGE) from exc
+    timeout = aiohttp.ClientTimeout(total=PLATFORM_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        yield PlatformClient(session, address)
--- /dev/null
+++ b/turmericflow/cli/_operators.py
@@ -0,0 +1,289 @@
+"""Commands of operators that read or write declarations."""
+
+from __future__ import annotations
+
+import argparse
+import json
+from dataclasses import asdict
+from pathlib import Path
+
+from turmericflow.cli._access import add_platform_option, open_platform
+from turmericflow.cli._exit import OF_OUTCOME, CommandError, Exit
+from turmericflow.cli._output import print_error, print_json, print_table
+from turmericflow.declare import (
+    ADAPTERS,
+    Applied,
+    Change,
+    ChangeKind,
+    Declaration,
+    FieldChange,
+    Outcome,
+    apply_change,
+    compare,
+    read_declarations,
+)
+from turmericflow.profile import Mark
+from turmericflow.services._platform import PlatformClient, PlatformError
+
+
+def _read(args: argparse.Namespace) -> list[Declaration]:
+    declarations, faults = read_declarations(args.paths)
+    if not faults:
+        return declarations
+    if args.json:
+        print_json(
+            {
+                "faults": [
+                    {
+                        "file": fault.file,
+                        "line": fault.line,
+                        "field": fault.problem.field,
+                        "got": fault.problem.got,
+                        "expected": fault.problem.expected,
+                    }
+                    for fault in faults
+                ]
+            }
+        )
+    for fault in faults:
+        print_error(fault)
+    raise CommandError(f"{len(faults)} faults; nothing was changed", Exit.USAGE)
+
+
+async def _compare_all(
+    platform: PlatformClient, declarations: list[Declaration]
+) -> list[Change]:
+    try:
+        found = await platform.list()
+    except PlatformError as exc:
+        raise CommandError(str(exc), Exit.UNREACHABLE) from exc
+    present = {f"{item.kind}/{item.name}": item for item in found.items}
+    return [compare(each, present.get(each.path)) for each in declarations]
+
+
+def _fields(changes: tuple[FieldChange, ...]) -> list[dict]:
+    return [asdict(each) for each in changes]
+
+
+def _print_fields(changes: tuple[FieldChange, ...]) -> None:
+    for each in changes:
+        present = json.dumps(each.present)
+        print(f"    {each.field}: {present} -> {json.dumps(each.wanted)}")
+
+
+async def _check(args: argparse.Namespace) -> Exit:
+    declarations = _read(args)
+    if args.json:
+        print_json({"faults": [], "declarations": [d.path for d in declarations]})
+    else:
+        print(f"{len(declarations)} declarations, no fault")
+    return Exit.OK
+
+
+async def _diff(args: argparse.Namespace) -> Exit:
+    declarations = _read(args)
+    async with open_platform(args) as platform:
+        changes = await _compare_all(platform, declarations)
+    if args.json:
+        rows = [
+            {
+                "path": each.declaration.path,
+                "change": each.kind,
+                "version": each.version,
+                "fields": _fields(each.fields),
+            }
+            for each in changes
+        ]
+        print_json({"changes": rows})
+        return Exit.OK
+    for each in changes:
+        if each.kind is not ChangeKind.NONE:
+            print(f"{each.kind} {each.declaration.path} (version {each.version})")
+            _print_fields(each.fields)
+    left = sum(1 for each in changes if each.kind is ChangeKind.NONE)
+    print(f"{len(changes) - left} to change, {left} as declared")
+    return Exit.OK
+
+
+def _read_expected(path: Path) -> dict[str, int]:
+    try:
+        rows = json.loads(path.read_text("utf-8"))["changes"]
+        return {row["path"]: int(row["version"]) for row in rows}
+    except (OSError, ValueError, KeyError, TypeError) as exc:
+        message = f"{path}: got {exc!r}, expected the output of diff --json"
+        raise CommandError(message, Exit.USAGE) from exc
+
+
+def _raced_since(change: Change, expected: dict[str, int]) -> Applied | None:
+    version = expected.get(change.declaration.path, change.version)
+    if version == change.version or change.kind is ChangeKind.NONE:
+        return None
+    return Applied(change, Outcome.RACED, change.version, change.fields)
+
+
+async def _apply_all(
+    platform: PlatformClient, changes: list[Change], expected: dict[str, int]
+) -> list[Applied]:
+    results = []
+    for change in changes:
+        raced = _raced_since(change, expected)
+        results.append(raced or await apply_change(platform, change))
+    return results
+
+
+def _print_applied(result: Applied) -> None:
+    path = result.change.declaration.path
+    print(f"{result.outcome} {path} (version {result.version})")
+    if result.outcome is Outcome.RACED:
+        print("    another operator's change stands, against what was declared:")
+        _print_fields(result.differs)
+    if result.message:
+        print(f"    {result.message}")
+
+
+def _report_applied(results: list[Applied], as_json: bool) -> Exit:
+    if as_json:
+        rows = [
+            {
+                "path": each.change.declaration.path,
+                "outcome": each.outcome,
+                "version": each.version,
+                "differs": _fields(each.differs),
+                "message": each.message,
+            }
+            for each in results
+        ]
+        print_json({"results": rows})
+    else:
+        for each in results:
+            _print_applied(each)
+    code = max((OF_OUTCOME[each.outcome] for each in results), default=Exit.OK)
+    if code is not Exit.OK:
+        bad = sum(1 for each in results if OF_OUTCOME[each.outcome] is not Exit.OK)
+        print_error(f"{bad} of {len(results)} objects are not as declared")
+    return code
+
+
+async def _apply(args: argparse.Namespace) -> Exit:
+    declarations = _read(args)
+    expected = _read_expected(args.expect) if args.expect else {}
+    async with open_platform(args) as platform:
+        changes = await _compare_all(platform, declarations)
+        results = await _apply_all(platform, changes, expected)
+    return _report_applied(results, args.json)
+
+
+async def _get(args: argparse.Namespace) -> Exit:
+    async with open_platform(args) as platform:
+        try:
+            found = await platform.list()
+        except PlatformError as exc:
+            raise CommandError(str(exc), Exit.UNREACHABLE) from exc
+    kind, _, name = args.path.partition("/")
+    items = [
+        item
+        for item in found.items
+        if item.kind in ADAPTERS and kind in ("", item.kind) and name in ("", item.name)
+    ]
+    if name and not items:
+        raise CommandError(f"got {args.path!r}, expected an object that exists")
+    if args.json:
+        rows = [
+            {"path": f"{i.kind}/{i.name}", "version": i.version, "value": i.value}
+            for i in items
+        ]
+        print_json({"objects": rows})
+    else:
+        rows = [(f"{i.kind}/{i.name}", i.version, json.dumps(i.value)) for i in items]
+        print_table(("object", "version", "value"), rows)
+    return Exit.OK
+
+
+async def _set(args: argparse.Namespace, kind: str, name: str, value: dict) -> Exit:
+    wanted = Declaration(kind, name, value, "", 0)
+    async with open_platform(args) as platform:
+        try:
+            change = compare(wanted, await platform.get(kind, name))
+        except PlatformError as exc:
+            raise CommandError(str(exc), Exit.UNREACHABLE) from exc
+        result = await apply_change(platform, change)
+    return _report_applied([result], args.json)
+
+
+async def _retire(args: argparse.Namespace) -> Exit:
+    async with open_platform(args) as platform:
+        try:
+            found = await platform.get("profile", args.profile)
+        except PlatformError as exc:
+            raise CommandError(str(exc), Exit.UNREACHABLE) from exc
+        if found is None or found.value is None:
+            raise CommandError(f"got {args.profile!r}, expected a declared profile")
+        wanted = Declaration(
+            "profile", args.profile, {**found.value, "retired": True}, "", 0
+        )
+        change = Change(wanted, ChangeKind.UPDATE, found.version)
+        if found.value.get("retired"):
+            change = Change(wanted, ChangeKind.NONE, found.version)
+        result = await apply_change(platform, change)
+    return _report_applied([result], args.json)
+
+
+async def _leave(args: argparse.Namespace) -> Exit:
+    value = ADAPTERS["mark"].dump_python(Mark(args.target, not args.undo))
+    return await _set(args, "mark", args.target, value)
+
+
+def _add(commands, name: str, run, summary: str, example: str, platform: bool = True):
+    parser = commands.add_parser(
+        name,
+        help=summary,
+        description=summary,
+        epilog=f"example:\n  {example}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.set_defaults(run=run)
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    if platform:
+        add_platform_option(parser)
+    return parser
+
+
+def _add_paths(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "paths", nargs="+", type=Path, metavar="PATH", help="YAML file or folder"
+    )
+
+
+def add_operator_commands(commands) -> None:
+    """Add the commands of operators to a parser."""
+    summary = "Check declarations without a connection."
+    parser = _add(
+        commands, "check", _check, summary, "turmericflow check declarations/", False
+    )
+    _add_paths(parser)
+    summary = "Show what apply would change."
+    parser = _add(commands, "diff", _diff, summary, "turmericflow diff declarations/")
+    _add_paths(parser)
+    summary = (
+        "Put declarations in force, each on the version that it was compared with."
+    )
+    parser = _add(
+        commands, "apply", _apply, summary, "turmericflow apply declarations/"
+    )
+    _add_paths(parser)
+    parser.add_argument(
+        "--expect",
+        type=Path,
+        metavar="FILE",
+        help="output of diff --json; what was changed since is left alone",
+    )
+    summary = "Print objects as the platform holds them."
+    parser = _add(commands, "get", _get, summary, "turmericflow get profile/quotation")
+    parser.add_argument("path", nargs="?", default="", metavar="KIND[/NAME]")
+    summary = "Refuse new requests of a profile; running work finishes."
+    parser = _add(commands, "retire", _retire, summary, "turmericflow retire quotation")
+    parser.add_argument("profile")
+    summary = "Mark a target as leaving: it receives no new work."
+    parser = _add(commands, "leave", _leave, summary, "turmericflow leave redactor-3")
+    parser.add_argument("target")
+    parser.add_argument("--undo", action="store_true", help="take the mark away")
--- /dev/null
+++ b/turmericflow/cli/main.py
@@ -0,0 +1,65 @@
+"""Entry point of ``turmericflow``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import sys
+
+from turmericflow.cli._callers import add_caller_commands
+from turmericflow.cli._exit import CommandError, Exit
+from turmericflow.cli._operators import add_operator_commands
+from turmericflow.cli._output import print_error
+
+_EPILOG = """\
+exit codes:
+  0 done                     5 RAN: the request ran
+  1 failed                   6 another operator's change stands
+  2 usage, or faulty files   7 nothing reached; nothing was changed
+  3 NOT_RUN                  8 a change may be in force; apply again is safe
+  4 MAY_HAVE_RUN
+
+examples:
+  turmericflow generate quotation 'Fascia sign, 3 m' --address 127.0.1.1:7000
+  turmericflow check declarations/ && turmericflow apply declarations/
+  turmericflow COMMAND --help
+"""
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of all commands."""
+    parser = argparse.ArgumentParser(
+        prog="turmericflow",
+        description="Tool of turmericflow's callers and operators.",
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(metavar="COMMAND", required=True)
+    add_caller_commands(commands)
+    add_operator_commands(commands)
+    return parser
+
+
+def _close_output() -> None:
+    # The interpreter would complain when it flushes a closed pipe at its end.
+    os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    args = build_parser().parse_args(argv)
+    try:
+        return int(asyncio.run(args.run(args)))
+    except CommandError as exc:
+        print_error(exc)
+        return int(exc.code)
+    except KeyboardInterrupt:
+        return int(Exit.INTERRUPTED)
+    except BrokenPipeError:
+        _close_output()
+        return int(Exit.FAILED)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/turmericflow/client/__init__.py
+++ b/turmericflow/client/__init__.py
@@ -2,6 +2,15 @@
 
 from __future__ import annotations
 
-from turmericflow.client._caller import Answer, Caller, Token
+from turmericflow.client._answer import Answer, BadReply, Token
+from turmericflow.client._caller import Access, Caller
 
-__all__ = ("Answer", "Caller", "Token")
+__all__ = (
+    # Requests
+    "Access",
+    "Caller",
+    # Answers
+    "Answer",
+    "BadReply",
+    "Token",
+)
--- a/turmericflow/client/_caller.py
+++ b/turmericflow/client/_caller.py
@@ -3,72 +3,77 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
-import json
+import ssl
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
 
 import aiohttp
 
+from turmericflow.client._answer import (
+    Answer,
+    BadReply,
+    EventReader,
+    Token,
+    parse_failure,
+)
 from turmericflow.verdict import ErrorCode, Failure, Verdict
 
-RECONNECT_WAIT_S = 0.05
+CONNECT_TIMEOUT_S = 2.0
 GIVE_UP_S = 30.0
+IDLE_S = 10.0
+RECONNECT_WAIT_S = 0.05
+FULL_WAIT_S = 1.0
 
+# Another router can answer these at once.
+_ELSEWHERE = frozenset(
+    {
+        ErrorCode.NO_OWNER,
+        ErrorCode.REPLACED,
+        ErrorCode.STALE_VIEW,
+        ErrorCode.STOPPING,
+    }
+)
+# These pass with time.
+_LATER = frozenset({ErrorCode.OVERLOADED, ErrorCode.RATE_LIMITED, ErrorCode.NO_TARGET})
 
-@dataclass(slots=True, frozen=True)
-class Token:
-    """One token and the time at which it came, in seconds of a local clock."""
-
-    index: int
-    text: str
-    at: float
+OnToken = Callable[[Token], None]
 
 
-@dataclass(slots=True)
-class Answer:
-    """What a caller has received.
+@dataclass(slots=True, frozen=True)
+class Access:
+    """How a caller reaches the routers.
 
     Attributes
     ----------
-    tokens
-        The tokens in order.
-    last_id
-        Id of the last token's event.
-    whole
-        Whether the end came and its count and digest match.
-    failure
-        The error that ended the request, or None.
-    reconnects
-        How often the caller went on at another address.
+    customer
+        Name of the customer.
+    key
+        The customer's key, or None where none is asked for.
+    tls
+        Context of the connections, or None for plain ones.
+    max_tries
+        Deliberate tries of a request that is refused for a while.
+    idle_s
+        Silence after which another address is taken, in seconds.
     """
 
-    tokens: list[Token] = field(default_factory=list)
-    last_id: str = ""
-    whole: bool = False
-    failure: Failure | None = None
-    reconnects: int = 0
-
-    @property
-    def text(self) -> str:
-        """The whole text so far."""
-        return "".join(token.text for token in self.tokens)
+    customer: str
+    key: str | None = None
+    tls: ssl.SSLContext | None = None
+    max_tries: int = 1
+    idle_s: float = IDLE_S
 
-    @property
-    def ended(self) -> bool:
-        """Whether nothing more comes."""
-        return self.whole or self.failure is not None
 
+@dataclass(slots=True, frozen=True)
+class _Exchange:
+    """One request as it is sent to an address."""
 
-def parse_failure(error: dict) -> Failure:
-    """Return the failure that a JSON error stands for."""
-    return Failure(
-        ErrorCode(error["code"]),
-        Verdict(error["verdict"]),
-        error["message"],
-        error.get("retry_after_s"),
-    )
+    method: str
+    path: str
+    key: str
+    body: dict | None = None
+    try_no: int = 1
 
 
 class Caller:
@@ -80,16 +85,36 @@
         The HTTP session to use.
     addresses
         Entry addresses as ``IP:PORT``, the preferred one first.
-    customer
-        Name of the customer.
+    access
+        How to reach them, or just the customer's name.
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, addresses: list[str], customer: str
+        self,
+        session: aiohttp.ClientSession,
+        addresses: list[str],
+        access: Access | str,
     ) -> None:
         self._session = session
         self._addresses = list(addresses)
-        self._customer = customer
+        self._access = Access(access) if isinstance(access, str) else access
+
+    async def addresses(self) -> dict:
+        """Return the addresses to use and how long to keep them.
+
+        Raises
+        ------
+        BadReply
+            If no address answers.
+        """
+        for _ in range(len(self._addresses)):
+            url = self._url("/v1/addresses")
+            try:
+                async with self._session.get(url, **self._options()) as resp:
+                    return await resp.json()
+            except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+                self._next_address()
+        raise BadReply(f"none of {', '.join(self._addresses)} answered")
 
     async def generate(
         self,
@@ -97,7 +122,7 @@
         prompt: str,
         key: str,
         max_tokens: int = 256,
-        on_token: Callable[[Token], None] | None = None,
+        on_token: OnToken | None = None,
     ) -> Answer:
         """Run a generation to its end, over lost connections.
 
@@ -107,82 +132,123 @@
             The answer, with its failure if it was refused or failed.
         """
         body = {"profile": profile, "prompt": prompt, "max_tokens": max_tokens}
+        return await self._run(_Exchange("POST", "/v1/generate", key, body), on_token)
+
+    async def attach(
+        self, key: str, last_id: str = "", on_token: OnToken | None = None
+    ) -> Answer:
+        """Receive the rest of a request that runs, or its recorded answer."""
+        answer = Answer(last_id=last_id)
+        exchange = _Exchange("GET", f"/v1/requests/{key}", key)
+        return await self._run(exchange, on_token, answer)
+
+    async def call(self, profile: str, payload: object, key: str) -> Answer:
+        """Make a call to a plain service; the answer is one token."""
+        body = {"profile": profile, "payload": payload}
+        return await self._run(_Exchange("POST", "/v1/call", key, body))
+
+    async def cancel(self, key: str) -> Failure | None:
+        """Cancel a request; return why it could not be, or None."""
         answer = Answer()
+        await self._run(_Exchange("DELETE", f"/v1/requests/{key}", key), None, answer)
+        return answer.failure
+
+    async def _run(
+        self,
+        exchange: _Exchange,
+        on_token: OnToken | None = None,
+        answer: Answer | None = None,
+    ) -> Answer:
+        answer = answer or Answer()
+        sent = False
         until = time.monotonic() + GIVE_UP_S
-        number = 0
         while not answer.ended and time.monotonic() < until:
-            address = self._addresses[number % len(self._addresses)]
+            before = len(answer.tokens)
+            pause_s = RECONNECT_WAIT_S
             try:
-                await self._connect(address, body, key, answer, on_token)
-            except (aiohttp.ClientError, OSError, TimeoutError):
+                failure = await self._exchange(exchange, answer, on_token)
+                if failure is not None:
+                    exchange, pause_s = self._after(failure, exchange, answer)
+            except aiohttp.ClientConnectorError:
                 pass
+            except (aiohttp.ClientError, OSError, ValueError, BadReply):
+                sent = True
+            if len(answer.tokens) > before:
+                until = time.monotonic() + GIVE_UP_S
             if not answer.ended:
-                number += 1
                 answer.reconnects += 1
-                await asyncio.sleep(RECONNECT_WAIT_S)
+                self._next_address()
+                await asyncio.sleep(pause_s)
+        if not answer.ended:
+            verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
+            message = f"got no end of the answer from any address for {GIVE_UP_S:g} s"
+            answer.failure = Failure(ErrorCode.UNREACHABLE, verdict, message)
         return answer
 
-    async def _connect(
-        self,
-        address: str,
-        body: dict,
-        key: str,
-        answer: Answer,
-        on_token: Callable[[Token], None] | None,
-    ) -> None:
-        headers = {"X-Customer": self._customer, "Idempotency-Key": key}
-        if answer.last_id:
-            headers["Last-Event-ID"] = answer.last_id
-        url = f"http://{address}/v1/generate"
-        async with self._session.post(url, json=body, headers=headers) as resp:
+    def _after(
+        self, failure: Failure, exchange: _Exchange, answer: Answer
+    ) -> tuple[_Exchange, float]:
+        """Return what to send next and when, or end the answer."""
+        wait_s = failure.retry_after_s or FULL_WAIT_S
+        if failure.code in _ELSEWHERE:
+            wait_s = RECONNECT_WAIT_S
+        elif failure.code not in _LATER or exchange.try_no >= self._access.max_tries:
+            answer.failure = failure
+            return exchange, 0.0
+        if failure.verdict is Verdict.NOT_RUN:
+            exchange = replace(exchange, try_no=exchange.try_no + 1)
+        return exchange, wait_s
+
+    async def _exchange(
+        self, exchange: _Exchange, answer: Answer, on_token: OnToken | None
+    ) -> Failure | None:
+        options = self._options()
+        options["headers"].update(_headers(exchange, answer))
+        url = self._url(exchange.path)
+        async with self._session.request(
+            exchange.method, url, json=exchange.body, **options
+        ) as resp:
             if resp.status != 200:
-                failure = parse_failure((await resp.json())["error"])
-                if failure.code not in (ErrorCode.NO_OWNER, ErrorCode.REPLACED):
-                    answer.failure = failure
-                return
-            await self._read(resp, answer, on_token)
-
-    async def _read(
-        self,
-        resp: aiohttp.ClientResponse,
-        answer: Answer,
-        on_token: Callable[[Token], None] | None,
-    ) -> None:
-        event, event_id = "", ""
-        async for raw in resp.content:
-            name, _, value = raw.decode().rstrip("\n").partition(": ")
-            match name:
-                case "event":
-                    event = value
-                case "id":
-                    event_id = value
-                case "data":
-                    data = json.loads(value)
-                    self._take(event, event_id, data, answer, on_token)
-                    event, event_id = "", ""
-            if answer.ended:
-                return
-
-    def _take(
-        self,
-        event: str,
-        event_id: str,
-        data: dict,
-        answer: Answer,
-        on_token: Callable[[Token], None] | None,
-    ) -> None:
-        match event:
-            case "end":
-                digest = hashlib.sha256(answer.text.encode()).hexdigest()
-                same = digest == data["digest"] and data["count"] == len(answer.tokens)
-                answer.whole = same
-            case "error":
-                failure = parse_failure(data["error"])
-                if failure.code is not ErrorCode.REPLACED:
-                    answer.failure = failure
-            case "":
-                token = Token(data["index"], data["text"], time.monotonic())
-                answer.tokens.append(token)
-                answer.last_id = event_id
-                if on_token is not None:
-                    on_token(token)
+                return parse_failure(await resp.json())
+            if not resp.content_type.startswith("text/event-stream"):
+                _take_whole(await resp.json(), answer)
+                return None
+            reader = EventReader(answer, on_token)
+            async for line in resp.content:
+                reader.feed(line)
+                if answer.ended or reader.interrupted:
+                    return reader.interrupted
+        return None
+
+    def _options(self) -> dict:
+        headers = {"X-Customer": self._access.customer}
+        if self._access.key is not None:
+            headers["Authorization"] = f"Bearer {self._access.key}"
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=self._access.idle_s
+        )
+        return {"headers": headers, "timeout": timeout, "ssl": self._access.tls or True}
+
+    def _url(self, path: str) -> str:
+        scheme = "https" if self._access.tls else "http"
+        return f"{scheme}://{self._addresses[0]}{path}"
+
+    def _next_address(self) -> None:
+        self._addresses.append(self._addresses.pop(0))
+
+
+def _headers(exchange: _Exchange, answer: Answer) -> dict[str, str]:
+    headers = {}
+    if exchange.method == "POST":
+        headers["Idempotency-Key"] = exchange.key
+        headers["X-Try"] = str(exchange.try_no)
+    if answer.last_id:
+        headers["Last-Event-ID"] = answer.last_id
+    return headers
+
+
+def _take_whole(body: object, answer: Answer) -> None:
+    text = body.get("text", "") if isinstance(body, dict) else ""
+    if text and not answer.tokens:
+        answer.tokens.append(Token(0, text, time.monotonic()))
+    answer.whole = True
--- a/turmericflow/services/_platform.py
+++ b/turmericflow/services/_platform.py
@@ -70,9 +70,12 @@
                 method, self._base + path, **kwargs
             ) as resp:
                 body = await resp.read()
-                if resp.status in (429, 500, 503):
-                    raise PlatformError(f"{method} {path}: {resp.status}", False)
+                if resp.status == 429 or resp.status >= 500:
+                    unknown = resp.status not in (429, 503)
+                    raise PlatformError(f"{method} {path}: {resp.status}", unknown)
                 return resp.status, body
+        except aiohttp.ClientConnectorError as exc:
+            raise PlatformError(f"{method} {path}: {exc!r}", False) from exc
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise PlatformError(f"{method} {path}: {exc!r}", True) from exc
 
--- /dev/null
+++ b/turmericflow/tests/test_cli.py
@@ -0,0 +1,192 @@
+"""Tests of the command-line tool against the platform's stand-in."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from turmericflow.cli.main import main
+from turmericflow.testing import Cluster, ClusterPlan
+from turmericflow.testing._cluster import http_json
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+PROFILE = """\
+profiles:
+  - name: quotation
+    service: redactor
+    model: sable
+    max_tokens: {tokens}
+"""
+FAULTY = """\
+profiles:
+  - name: Quotation
+    service: redactor
+    model: sable
+    colour: red
+    wait_s: "3"
+  - name: proof
+    service: redactor
+customers:
+  - name: norte
+    weight: -1
+  - name: sur
+  - name: sur
+"""
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    cluster = Cluster(ClusterPlan({}, [], {}))
+    try:
+        cluster.start_platform()
+        yield cluster
+    finally:
+        cluster.stop()
+
+
+@pytest.fixture
+def run(cluster, capsys, monkeypatch):
+    """Run the tool against the stand-in; return code, output and errors."""
+    monkeypatch.setenv("TURMERICFLOW_PLATFORM", cluster.processes["platform"].address)
+
+    def run(*argv):
+        code = main([str(arg) for arg in argv])
+        return code, *capsys.readouterr()
+
+    yield run
+    cluster.fault()
+
+
+@pytest.fixture
+def file(tmp_path):
+    """Write the profile with a number of tokens; return the file."""
+
+    def write(tokens):
+        path = tmp_path / f"{tokens}.yaml"
+        path.write_text(PROFILE.format(tokens=tokens))
+        return path
+
+    return write
+
+
+def put_tokens(cluster, tokens):
+    """Write the profile as another operator would."""
+    address = cluster.processes["platform"].address
+    value = {"name": "quotation", "service": "redactor", "model": "sable"}
+    present = get(address)
+    value["max_tokens"] = tokens
+    return cluster.put("profile/quotation", value, present["version"])
+
+
+def get(address):
+    try:
+        return http_json("GET", f"http://{address}/v1/objects/profile/quotation")
+    except OSError:
+        return {"version": 0, "value": None}
+
+
+@pytest.fixture
+def stored(cluster):
+    """Return the profile as it stands on the platform."""
+    return lambda: get(cluster.processes["platform"].address)
+
+
+def test_check_shows_all_faults_at_once(run, tmp_path):
+    path = tmp_path / "faulty.yaml"
+    path.write_text(FAULTY)
+    code, out, errors = run("check", path)
+    assert code == 2 and out == ""
+    for part in (
+        "2: profiles.0.name: got 'Quotation', expected text of the form",
+        "5: profiles.0.colour: got the unknown field 'colour', expected one of",
+        "6: profiles.0.wait_s: got '3', expected a number",
+        "11: customers.0.weight: got -1, expected a value greater than 0",
+    ):
+        assert f"turmericflow: {path}:{part}" in errors
+    _, out, _ = run("check", path, "--json")
+    faults = json.loads(out)["faults"]
+    assert [(fault["line"], fault["field"]) for fault in faults] == [
+        (2, "profiles.0.name"),
+        (6, "profiles.0.wait_s"),
+        (5, "profiles.0.colour"),
+        (7, "profiles.1.model"),
+        (11, "customers.0.weight"),
+        (13, "customers.2.name"),
+    ]
+
+
+def test_examples_are_without_fault(run):
+    assert run("check", EXAMPLES)[0] == 0
+
+
+def test_apply_is_idempotent_and_shown_by_get(run, file, stored):
+    assert run("apply", file(100))[0] == 0
+    version = stored()["version"]
+    code, out, _ = run("apply", file(100), "--json")
+    assert code == 0
+    assert json.loads(out)["results"][0]["outcome"] == "unchanged"
+    assert stored()["version"] == version
+    code, out, _ = run("get", "profile/quotation", "--json")
+    assert json.loads(out)["objects"][0]["value"]["max_tokens"] == 100
+
+
+def test_diff_names_fields(run, file):
+    run("apply", file(100))
+    code, out, _ = run("diff", file(200))
+    assert code == 0
+    assert "max_tokens: 100 -> 200" in out
+
+
+def test_lost_reply_is_settled_and_not_doubled(run, cluster, file, stored):
+    run("apply", file(100))
+    before = stored()["version"]
+    cluster.fault(fault="lose_reply")
+    code, out, _ = run("apply", file(300))
+    assert code == 0, out
+    assert stored()["version"] == before + 1
+    assert stored()["value"]["max_tokens"] == 300
+
+
+def test_race_is_shown_and_not_overwritten(run, cluster, file, stored, tmp_path):
+    run("apply", file(100))
+    _, plan, _ = run("diff", file(200), "--json")
+    path = tmp_path / "plan.json"
+    path.write_text(plan)
+    put_tokens(cluster, 700)
+    code, out, errors = run("apply", file(200), "--expect", path)
+    assert code == 6
+    assert "raced profile/quotation" in out and "max_tokens: 700 -> 200" in out
+    assert "1 of 1 objects are not as declared" in errors
+    assert stored()["value"]["max_tokens"] == 700
+
+
+def test_platform_outage_changes_nothing(run, cluster, file, stored):
+    run("apply", file(100))
+    cluster.fault(fault="outage")
+    code, _, errors = run("apply", file(400))
+    assert code == 7 and "503" in errors
+    cluster.fault()
+    assert stored()["value"]["max_tokens"] == 100
+
+
+def test_retire_and_leave(run, file, stored):
+    run("apply", file(100))
+    assert run("retire", "quotation")[0] == 0
+    assert stored()["value"]["retired"] is True
+    assert run("retire", "unknown")[0] == 1
+    assert run("leave", "redactor-3")[0] == 0
+    _, out, _ = run("get", "mark", "--json")
+    assert json.loads(out)["objects"][0]["value"]["leaving"] is True
+    assert run("leave", "redactor-3", "--undo")[0] == 0
+    _, out, _ = run("get", "mark/redactor-3", "--json")
+    assert json.loads(out)["objects"][0]["value"]["leaving"] is False
+
+
+def test_usage_errors(run, capsys):
+    with pytest.raises(SystemExit) as caught:
+        main(["get", "--platform", "localhost:80"])
+    assert caught.value.code == 2
+    assert "expected IP:PORT with an IP number" in capsys.readouterr().err
+    assert run("addresses", "--customer", "norte")[0] == 2
--- a/turmericflow/verdict.py
+++ b/turmericflow/verdict.py
@@ -47,6 +47,7 @@
     CANCELLED = "cancelled"
     STOPPING = "stopping"
     INTERNAL = "internal"
+    UNREACHABLE = "unreachable"
 
 
 HTTP_STATUS: dict[ErrorCode, int] = {
@@ -76,6 +77,7 @@
     ErrorCode.CANCELLED: 409,
     ErrorCode.STOPPING: 503,
     ErrorCode.INTERNAL: 500,
+    ErrorCode.UNREACHABLE: 503,
 }
 
 
