--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -156,6 +156,8 @@
         Number of slots when this daemon creates the owner map.
     max_body_bytes
         Largest request body taken from a caller, in bytes.
+    advertised_peer
+        Address that other daemons are told to connect to, or None for ``peer``.
     tls
         Certificates for callers and routers, or None for none.
     insecure_bind
@@ -174,6 +176,7 @@
     fencing_services: list[Name] = Field(default_factory=list)
     statsd: AddressField | None = None
     log: LogSettings = Field(default_factory=LogSettings)
+    advertised_peer: AddressField | None = None
     slots: Annotated[Int, Field(ge=1, le=16_384)] = 1024
     max_body_bytes: Annotated[Int, Field(ge=1024)] = 1_000_000
     tls: TlsSettings | None = None
