--- a/turmericflow/services/_claimant.py
+++ b/turmericflow/services/_claimant.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import enum
 import secrets
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from turmericflow import wire
@@ -12,21 +15,29 @@
 from turmericflow.services._peers import Peers, PeerUnreachable, Reply
 from turmericflow.services._stats import Stats
 from turmericflow.systems import (
+    slots,
     to_attempts,
     to_failure,
     to_wire_attempts,
     to_wire_failure,
 )
 from turmericflow.tables import RequestId, RequestRow, Tables
-from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict, not_run
+from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
 
 FOLLOW_TIMEOUT_S = 1.0
+ASK_TIMEOUT_S = 0.8
+ASK_AGAIN_S = 0.05
+SEAL_WAIT_S = 1.5
+END_WAIT_S = 3.0
 NO_EPOCH = -1
 
 
 @dataclass(slots=True, frozen=True)
 class NewRequest:
-    """A request as its caller sent it."""
+    """A request as its caller sent it.
+
+    ``keyed`` says whether the caller chose the key, so that it can send a copy.
+    """
 
     request_id: RequestId
     profile: Profile
@@ -35,6 +46,15 @@
     body: bytes
     fingerprint: str
     try_no: int
+    keyed: bool = True
+
+
+class _Following(enum.Enum):
+    """What came of an attempt to follow a runner."""
+
+    YES = enum.auto()
+    UNREACHABLE = enum.auto()
+    GONE = enum.auto()
 
 
 class _RemoteListener:
@@ -68,7 +88,7 @@
 
 
 def _unclaimed_row(new: NewRequest, generation: str, epoch: int) -> RequestRow:
-    return RequestRow(
+    row = RequestRow(
         new.request_id,
         new.profile,
         generation,
@@ -78,6 +98,8 @@
         new.max_tokens,
         time.monotonic(),
     )
+    row.fingerprint = new.fingerprint
+    return row
 
 
 def _follower(answer: wire.Attached, new: NewRequest) -> RequestRow:
@@ -93,12 +115,18 @@
     return row
 
 
+def _doubtful(failure: Failure) -> Failure:
+    if failure.verdict is not Verdict.NOT_RUN:
+        return failure
+    return dataclasses.replace(failure, verdict=Verdict.MAY_HAVE_RUN)
+
+
 def _take_followed(row: RequestRow, reply: wire.Followed | None) -> None:
     if row.ended:
         return
     if reply is None:
         message = "the router that ran this request was lost"
-        row.failure = Failure(ErrorCode.REPLACED, Verdict.RAN, message, 0.0)
+        row.failure = Failure(ErrorCode.REPLACED, Verdict.MAY_HAVE_RUN, message, 0.0)
         row.ended = True
     else:
         row.tokens[reply.start :] = reply.texts
@@ -117,10 +145,11 @@
         self._tables = tables
         self._peers = peers
         self._stats = stats
+        self._claiming: dict[RequestId, asyncio.Task] = {}
         peers.handle(wire.Follow, self._on_follow)
 
     async def claim(self, new: NewRequest) -> RequestRow:
-        """Claim a request.
+        """Claim a request; copies that come meanwhile share the outcome.
 
         Returns
         -------
@@ -133,73 +162,148 @@
         RequestFailed
             If the claim is refused.
         """
-        lost_epoch = NO_EPOCH
+        request_id = new.request_id
+        task = self._claiming.get(request_id)
+        if task is None:
+            task = asyncio.ensure_future(self._claim(new))
+            self._claiming[request_id] = task
+            task.add_done_callback(lambda _: self._claiming.pop(request_id))
+        row = await asyncio.shield(task)
+        if row.fingerprint != new.fingerprint and new.fingerprint:
+            message = f"key {request_id.key!r} is in use with another body"
+            failure = Failure(ErrorCode.KEY_CONFLICT, Verdict.NOT_RUN, message)
+            raise RequestFailed(failure)
+        return row
+
+    async def _claim(self, new: NewRequest) -> RequestRow:
+        grant = secrets.token_hex(8)
+        lost_epoch, gone = NO_EPOCH, False
+        until = time.monotonic() + new.profile.wait_s
         while True:
-            answer = await self._ask(new, lost_epoch)
+
+            def make(rid: int, epoch: int) -> wire.Claim:
+                return self._make_claim(new, rid, epoch, grant, lost_epoch, gone)
+
+            answer = await self._ask(new.request_id, make)
             match answer:
                 case wire.Granted():
-                    row = self._granted(answer, new)
-                    return row
+                    return self._granted(answer, new)
                 case wire.Recorded():
                     return _recorded(answer, new)
                 case wire.Refused(failure=failure):
                     raise RequestFailed(to_failure(failure))
-                case wire.Attached(runner=runner) if runner != self._tables.host:
-                    row = _follower(answer, new)
-                    if await self._follow(row, answer):
+                case wire.Attached():
+                    row, following = await self._attach(new, answer)
+                    if following is _Following.YES:
                         return row
-            lost_epoch = answer.runner_epoch
-
-    async def _ask(self, new: NewRequest, lost_epoch: int) -> wire.AnyMessage:
-        request_id = new.request_id
-        entry = self._tables.slots.entry_of(request_id)
-        if entry is None:
-            raise not_run(ErrorCode.NO_OWNER, "no owner map is known yet", 1.0)
-        msg = wire.Claim(
-            self._peers.next_rid(),
-            request_id.customer,
-            request_id.key,
+                    lost_epoch = answer.runner_epoch
+                    gone = following is _Following.GONE
+            if time.monotonic() >= until:
+                raise RequestFailed(self._no_owner(new))
+            await asyncio.sleep(ASK_AGAIN_S)
+
+    def _no_owner(self, new: NewRequest) -> Failure:
+        verdict = Verdict.MAY_HAVE_RUN if new.keyed else Verdict.NOT_RUN
+        message = "no owner of this key answered in time"
+        return Failure(ErrorCode.NO_OWNER, verdict, message, 1.0)
+
+    def _make_claim(
+        self,
+        new: NewRequest,
+        rid: int,
+        slot_epoch: int,
+        grant: str,
+        lost_epoch: int,
+        gone: bool,
+    ) -> wire.Claim:
+        return wire.Claim(
+            rid,
+            new.request_id.customer,
+            new.request_id.key,
             new.try_no,
             new.fingerprint,
-            secrets.token_hex(8),
+            grant,
             new.profile.name,
             new.profile.idempotent,
             self._tables.host,
-            entry.epoch,
+            slot_epoch,
             lost_epoch,
             new.body,
+            gone,
         )
-        try:
-            return await self._peers.call(entry.owner, msg)
-        except PeerUnreachable as exc:
-            raise not_run(ErrorCode.NO_OWNER, str(exc), 1.0) from exc
 
-    async def _follow(self, row: RequestRow, answer: wire.Attached) -> bool:
-        """Take the tokens of a request that another router runs.
+    async def _ask(
+        self, request_id: RequestId, make: Callable[[int, int], wire.Message]
+    ) -> wire.AnyMessage | None:
+        """Ask the owner of a request, or its backup if the owner is silent.
 
-        Returns False if that router cannot be reached.
+        Returns None if there is no answer for now.
         """
+        entry = self._tables.slots.entry_of(request_id)
+        if entry is None:
+            return None
+        for host in (entry.owner, entry.backup):
+            if not host or not slots.alive(self._tables, host):
+                continue
+            msg = make(self._peers.next_rid(), entry.epoch)
+            try:
+                answer = await self._peers.call(host, msg, ASK_TIMEOUT_S)
+            except PeerUnreachable:
+                self._stats.count("claimant.unreachable")
+                continue
+            if not isinstance(answer, wire.Moved):
+                return answer
+            if answer.entry is not None:
+                now = time.monotonic()
+                slots.accept_all(self._tables, [answer.entry], now)
+            return None
+        return None
+
+    async def _attach(
+        self, new: NewRequest, answer: wire.Attached
+    ) -> tuple[RequestRow, _Following]:
+        if answer.runner == self._tables.host:
+            row = self._tables.requests.rows.get(new.request_id)
+            if row is not None and row.runner_epoch == answer.runner_epoch:
+                return row, _Following.YES
+            return _follower(answer, new), _Following.GONE
+        row = _follower(answer, new)
+        return row, await self._follow(row, answer)
+
+    async def _follow(self, row: RequestRow, answer: wire.Attached) -> _Following:
+        """Take the tokens of a request that another router runs."""
         first = asyncio.get_running_loop().create_future()
         msg = wire.Follow(
             self._peers.next_rid(), row.request_id.customer, row.request_id.key, 0
         )
 
-        def on_reply(reply: wire.AnyMessage | None) -> None:
+        def on_reply(reply: wire.Followed | None) -> None:
+            if reply is not None and reply.generation != row.generation:
+                outcome = _Following.GONE
+            else:
+                lost = reply is None
+                outcome = _Following.UNREACHABLE if lost else _Following.YES
             if not first.done():
-                first.set_result(reply is not None)
-            _take_followed(row, reply)
+                first.set_result(outcome)
+            if outcome is not _Following.GONE:
+                _take_followed(row, reply)
 
         try:
             await self._peers.send(answer.runner, msg, on_reply)
             return await asyncio.wait_for(first, FOLLOW_TIMEOUT_S)
         except (PeerUnreachable, TimeoutError):
             self._peers.forget(answer.runner, msg.rid)
-            return False
-
-    def _on_follow(self, msg: wire.Follow, reply: Reply) -> None:
-        row = self._tables.requests.rows.get(RequestId(msg.customer, msg.key))
+            return _Following.UNREACHABLE
+
+    async def _on_follow(self, msg: wire.Follow, reply: Reply) -> None:
+        request_id = RequestId(msg.customer, msg.key)
+        claiming = self._claiming.get(request_id)
+        if claiming is not None:
+            await asyncio.wait([claiming], timeout=FOLLOW_TIMEOUT_S / 2)
+        row = self._tables.requests.rows.get(request_id)
         if row is None:
-            lost = Failure(ErrorCode.REPLACED, Verdict.RAN, "runs elsewhere", 0.0)
+            message = "this router does not run the request"
+            lost = Failure(ErrorCode.REPLACED, Verdict.MAY_HAVE_RUN, message, 0.0)
             reply(wire.Followed(msg.rid, "", [], 0, [], True, to_wire_failure(lost)))
             return
         follower = _RemoteListener(row, msg, reply)
@@ -219,24 +323,114 @@
             to_attempts(answer.attempts),
             list(answer.tokens),
             len(answer.tokens),
+            dispatched=answer.regranted,
+            try_no=new.try_no,
+            fingerprint=new.fingerprint,
+            keyed=new.keyed,
         )
+        table = self._tables.slots
+        row.slot = table.slot_of(new.request_id)
+        row.journal_at = answer.journal_at
+        row.journal_epoch = table.entries[row.slot].epoch
+        row.journaled_attempts = list(row.attempts)
         self._tables.requests.rows[new.request_id] = row
         return row
 
+    async def seal(self, new: NewRequest, failure: Failure) -> RequestRow:
+        """Seal a try that is refused before it is told so.
+
+        Returns
+        -------
+        RequestRow
+            The row to listen to, if the request turns out to run or to have
+            ended already.
+
+        Raises
+        ------
+        RequestFailed
+            With ``NOT_RUN`` only if no copy of this try can run any more.
+        """
+        if not new.keyed or failure.verdict is not Verdict.NOT_RUN:
+            raise RequestFailed(failure)
+        answer = await self._ask_until(
+            new.request_id,
+            lambda rid, epoch: _make_seal(new, failure, rid, epoch),
+            SEAL_WAIT_S,
+        )
+        match answer:
+            case wire.Sealed(failure=sealed):
+                raise RequestFailed(to_failure(sealed))
+            case wire.Refused(failure=recorded):
+                raise RequestFailed(to_failure(recorded))
+            case wire.Recorded():
+                return _recorded(answer, new)
+            case wire.Attached():
+                row, following = await self._attach(new, answer)
+                if following is _Following.YES:
+                    return row
+        self._stats.count("claimant.seal_unconfirmed")
+        raise RequestFailed(_doubtful(failure))
+
+    async def _ask_until(
+        self,
+        request_id: RequestId,
+        make: Callable[[int, int], wire.Message],
+        wait_s: float,
+    ) -> wire.AnyMessage | None:
+        until = time.monotonic() + wait_s
+        while time.monotonic() < until:
+            answer = await self._ask(request_id, make)
+            if answer is not None:
+                return answer
+            await asyncio.sleep(ASK_AGAIN_S)
+        return None
+
     async def fail(self, row: RequestRow, failure: Failure) -> None:
-        """End a request with a failure, at its owner first."""
-        owner = self._tables.slots.entry_of(row.request_id).owner
-        msg = wire.End(
-            self._peers.next_rid(),
-            row.request_id.customer,
-            row.request_id.key,
-            row.runner_epoch,
-            to_wire_failure(failure),
+        """End a request with a failure, at its owner first.
+
+        It is told as ``NOT_RUN`` only if the owner has recorded it so, and not
+        at all if another router runs the request by now.
+        """
+        answer = await self._ask_until(
+            row.request_id,
+            lambda rid, epoch: _make_end(row, failure, rid),
+            END_WAIT_S,
         )
-        try:
-            await self._peers.call(owner, msg)
-        except PeerUnreachable:
-            self._stats.count("runner.end_unreachable")
+        match answer:
+            case wire.Ended(failure=None):
+                message = "another router now runs this request"
+                failure = Failure(ErrorCode.REPLACED, Verdict.MAY_HAVE_RUN, message)
+            case wire.Ended(failure=recorded):
+                failure = to_failure(recorded)
+            case _:
+                self._stats.count("runner.end_unreachable")
+                failure = _doubtful(failure) if row.keyed else failure
         row.failure = failure
         row.ended = True
         row.wake()
+
+
+def _make_seal(
+    new: NewRequest, failure: Failure, rid: int, slot_epoch: int
+) -> wire.Seal:
+    return wire.Seal(
+        rid,
+        new.request_id.customer,
+        new.request_id.key,
+        new.try_no,
+        new.fingerprint,
+        new.profile.name,
+        new.profile.idempotent,
+        slot_epoch,
+        to_wire_failure(failure),
+    )
+
+
+def _make_end(row: RequestRow, failure: Failure, rid: int) -> wire.End:
+    return wire.End(
+        rid,
+        row.request_id.customer,
+        row.request_id.key,
+        row.runner_epoch,
+        to_wire_failure(failure),
+    )
--- a/turmericflow/services/_config.py
+++ b/turmericflow/services/_config.py
@@ -17,7 +17,8 @@
     PlatformObject,
 )
 from turmericflow.services._stats import Stats
-from turmericflow.tables import SlotEntry, Tables, Target, TargetKind
+from turmericflow.systems import owner_map, slots
+from turmericflow.tables import Tables, Target, TargetKind
 
 RETRY_S = 0.5
 HOSTS_S = 1.0
@@ -51,8 +52,6 @@
                 self._put_in_force(item)
             since = max(since, found.version)
             self._tables.config.confirmed_at = time.monotonic()
-            if not self._tables.slots.entries:
-                await self._create_owner_map()
 
     @Service.task
     async def _hosts(self) -> None:
@@ -88,28 +87,9 @@
         log.info("object_in_force", path=path, version=item.version)
 
     def _put_owner_map(self, item: PlatformObject) -> None:
-        hosts = [*item.value["hosts"], ""]
-        self._tables.slots.entries = [
-            SlotEntry(hosts[owner], hosts[backup], epoch)
-            for owner, backup, epoch in item.value["slots"]
-        ]
-        self._tables.slots.version = item.version
-
-    async def _create_owner_map(self) -> None:
-        peers = self._tables.peers.rows.values()
-        centres = {peer.host: peer.data_centre for peer in peers}
-        centres[self._tables.host] = self._tables.data_centre
-        hosts = sorted(centres)
-        slots = []
-        for slot in range(self._settings.slots):
-            owner = slot % len(hosts)
-            backup = _backup(hosts, centres, owner)
-            slots.append([owner, backup, 1])
-        value = {"hosts": hosts, "slots": slots}
-        try:
-            await self._platform.put("owners", "map", value, 0)
-        except PlatformError:
-            self._stats.count("platform.errors")
+        entries, hosts = owner_map.decode(item.value)
+        now = time.monotonic()
+        slots.put_map(self._tables, item.version, entries, hosts, now)
 
     def _learn_host(self, entry: HostEntry) -> None:
         if entry.role not in ("engine", "service"):
@@ -126,11 +106,3 @@
             )
         row.address = Address(entry.ip, entry.port)
         row.leaving = entry.state != "live"
-
-
-def _backup(hosts: list[str], centres: dict[str, str], owner: int) -> int:
-    for step in range(1, len(hosts)):
-        other = (owner + step) % len(hosts)
-        if centres[hosts[other]] != centres[hosts[owner]]:
-            return other
-    return (owner + 1) % len(hosts) if len(hosts) > 1 else -1
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -21,6 +21,7 @@
 from turmericflow.services._peers import Peers
 from turmericflow.services._platform import PlatformClient
 from turmericflow.services._runner import Runner
+from turmericflow.services._slots import SlotService
 from turmericflow.services._stats import Stats
 from turmericflow.tables import Peer, Tables
 
@@ -56,22 +57,27 @@
         platform = PlatformClient(self._session, self.settings.platform)
         peers = Peers(self.settings, self.tables, self.stats)
         Owner(self.tables, peers, self.stats)
+        journal = Journal(self.tables, peers, self.stats)
         runner = Runner(
             self.tables,
             Claimant(self.tables, peers, self.stats),
             EngineClient(self._session),
-            Journal(self.tables, peers, self.stats),
+            journal,
             Dispatch(self.tables, self.stats, Random(secrets.randbits(64))),
             self.stats,
         )
         config = Config(self.settings, self.tables, platform, self.stats)
         gossip = Gossip(self.tables, peers, self.stats)
+        self.slots = SlotService(
+            self.settings, self.tables, peers, gossip, platform, self.stats
+        )
+        self.slots.on_change(journal.slots_changed)
         rng = Random(secrets.randbits(64))
         self.membership = Membership(
             self.settings, self.tables, peers, gossip, self.stats, rng
         )
         entry = Entry(self.settings, self.tables, runner, self.stats)
-        for service in (peers, gossip, self.membership, config, entry):
+        for service in (peers, gossip, self.membership, config, self.slots, entry):
             await self.add_runtime_dependency(service)
 
     async def on_shutdown(self) -> None:
--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -19,6 +19,7 @@
 from turmericflow.services._http import error_middleware, http_logger, read_body
 from turmericflow.services._runner import Runner
 from turmericflow.services._stats import Stats
+from turmericflow.systems import slots
 from turmericflow.tables import RequestId, Tables
 from turmericflow.verdict import ErrorCode, Failure, Verdict, not_run
 
@@ -83,7 +84,8 @@
         )
 
     async def _status(self, request: web.Request) -> web.Response:
-        ready = bool(self._tables.slots.entries and self._tables.config.profiles)
+        settled = slots.settled(self._tables.slots)
+        ready = bool(settled and self._tables.config.profiles)
         return web.json_response(
             {
                 "host": self._tables.host,
@@ -111,6 +113,7 @@
             raw,
             hashlib.sha256(raw).hexdigest(),
             try_no,
+            bool(key),
         )
         row = await self._run.submit(new, _refusal(profile, body))
         self._stats.count("entry.accepted")
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -71,7 +71,7 @@
             return present
         refusal = refusal or self._dispatch.admit(new)
         if refusal is not None:
-            raise RequestFailed(refusal)
+            return await self._claimant.seal(new, refusal)
         row = await self._claimant.claim(new)
         if self._tables.requests.rows.get(new.request_id) is row:
             task = asyncio.ensure_future(self._run(row))
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 from turmericflow.systems import (
+    _backup as backup,
     _claims as claims,
     _freshness as freshness,
+    _journal as journal,
     _membership as membership,
     _overlay as overlay,
+    _owner_map as owner_map,
+    _placement as placement,
+    _records as records,
     _routing as routing,
+    _slots as slots,
 )
 from turmericflow.systems._convert import (
     to_attempts,
@@ -18,11 +24,17 @@
 
 __all__ = (
     # Decisions, one module each
+    "backup",
     "claims",
+    "journal",
+    "owner_map",
+    "placement",
+    "records",
     "freshness",
     "membership",
     "overlay",
     "routing",
+    "slots",
     # Conversions
     "to_attempts",
     "to_failure",
--- /dev/null
+++ b/turmericflow/systems/_backup.py
@@ -0,0 +1,138 @@
+"""Backup's decisions: what it acknowledges to a slot's owner."""
+
+from __future__ import annotations
+
+from turmericflow import wire
+from turmericflow.systems import _slots as slots_system
+from turmericflow.systems._records import to_claim, to_record
+from turmericflow.tables import Claim, RequestId, Tables
+
+TRANSFER_BYTES = 1_000_000
+RECORD_OVERHEAD_BYTES = 256
+
+
+def _behind(tables: Tables, raw: wire.WireSlot, now: float) -> wire.WireSlot | None:
+    """Take in an owner's entry; return this host's own if that is newer."""
+    slots = tables.slots
+    if not 0 <= raw.slot < len(slots.entries):
+        return raw
+    slots_system.accept_told(tables, raw.slot, slots_system.to_slot_entry(raw), now)
+    known = slots.entries[raw.slot]
+    if known.epoch != raw.epoch:
+        return slots_system.to_wire_slot(raw.slot, known)
+    return None
+
+
+def _further(row: Claim, record: wire.Record) -> bool:
+    """Return whether this host's record goes further than the owner's."""
+    if row.generation != record.generation or not row.generation:
+        return False
+    return row.ended or len(row.tokens) > len(record.tokens)
+
+
+def _merge(tables: Tables, record: wire.Record, now: float) -> wire.Record | None:
+    """Take an owner's record in; return this host's where it goes further."""
+    fresh = to_claim(tables, record, now)
+    row = tables.claims.rows.get(fresh.request_id)
+    if row is not None and _further(row, record):
+        if row.ended and not fresh.ended:
+            row.seq = fresh.seq
+            return to_record(row)
+        if not row.ended:
+            fresh.tokens, fresh.attempts = row.tokens, row.attempts
+            tables.claims.rows[fresh.request_id] = fresh
+            return None if fresh.ended else to_record(fresh)
+    tables.claims.rows[fresh.request_id] = fresh
+    return None
+
+
+def store(tables: Tables, msg: wire.Store, now: float) -> wire.Stored:
+    """Decide on an owner's change of a claim.
+
+    Returns
+    -------
+    Stored
+        Accepted only in the epoch that this host knows, and if it holds the
+        slot's records or is receiving them.
+    """
+    newer = _behind(tables, msg.slot, now)
+    if newer is not None:
+        return wire.Stored(msg.rid, False, newer)
+    slot = msg.slot.slot
+    if msg.slot.backup != tables.host:
+        return wire.Stored(msg.rid, False)
+    receiving = tables.slots.receiving.get(slot) == msg.slot.epoch
+    if not receiving and not slots_system.holds(tables, slot):
+        return wire.Stored(msg.rid, False)
+    row = tables.claims.rows.get(RequestId(msg.record.customer, msg.record.key))
+    if row is not None and msg.record.seq < row.seq:
+        return wire.Stored(msg.rid, False)
+    return wire.Stored(msg.rid, True, None, _merge(tables, msg.record, now))
+
+
+def transfer(tables: Tables, msg: wire.Transfer, now: float) -> wire.Stored:
+    """Take in a part of a slot's records."""
+    newer = _behind(tables, msg.slot, now)
+    if newer is not None:
+        return wire.Stored(msg.rid, False, newer)
+    slots, slot, epoch = tables.slots, msg.slot.slot, msg.slot.epoch
+    own = tables.peers.incarnation
+    if msg.slot.backup != tables.host or (own and msg.incarnation != own):
+        return wire.Stored(msg.rid, False)
+    if msg.first:
+        slots.receiving[slot] = epoch
+    elif slots.receiving.get(slot) != epoch:
+        return wire.Stored(msg.rid, False)
+    for record in msg.records:
+        row = tables.claims.rows.get(RequestId(record.customer, record.key))
+        if row is None or row.seq <= record.seq:
+            _merge(tables, record, now)
+    if msg.last:
+        del slots.receiving[slot]
+        slots.held[slot] = epoch
+        _take_windows(tables, msg, now)
+    return wire.Stored(msg.rid, True)
+
+
+def _take_windows(tables: Tables, msg: wire.Transfer, now: float) -> None:
+    slots, slot = tables.slots, msg.slot.slot
+    slots.retention_until.pop(slot, None)
+    if msg.retention_s > 0:
+        slots.retention_until[slot] = now + msg.retention_s
+    if msg.alone_s > 0:
+        slots.alone_until[slot] = now + msg.alone_s
+
+
+def transfers(tables: Tables, slot: int, now: float) -> list[wire.Transfer]:
+    """Return the messages that carry a slot's records to its backup.
+
+    Their ``rid`` is 0, to be set by the sender.
+    """
+    slots = tables.slots
+    entry = slots.entries[slot]
+    rows = [row for row in tables.claims.rows.values() if row.slot == slot]
+    parts: list[list[wire.Record]] = [[]]
+    size = 0
+    for record in map(to_record, rows):
+        size += len(record.body) + sum(map(len, record.tokens)) + RECORD_OVERHEAD_BYTES
+        if size > TRANSFER_BYTES and parts[-1]:
+            parts.append([])
+            size = 0
+        parts[-1].append(record)
+    retention_s = max(0.0, slots.retention_until.get(slot, now) - now)
+    alone_s = max(0.0, slots.alone_until.get(slot, now) - now)
+    raw = slots_system.to_wire_slot(slot, entry)
+    incarnation = slots.incarnations.get(entry.backup, 0)
+    return [
+        wire.Transfer(
+            0,
+            raw,
+            incarnation,
+            number == 0,
+            number == len(parts) - 1,
+            part,
+            retention_s,
+            alone_s,
+        )
+        for number, part in enumerate(parts)
+    ]
--- a/turmericflow/systems/_claims.py
+++ b/turmericflow/systems/_claims.py
@@ -1,17 +1,51 @@
-"""Owner's decisions: who may run a request, and what its journal holds."""
+"""Owner's decisions: who may run a request.
+
+A change of a claim takes effect once the slot's backup has acknowledged it.
+Until then it is pending, and nothing else is decided for that request.
+"""
 
 from __future__ import annotations
 
+import dataclasses
+from dataclasses import dataclass
+
 from turmericflow import wire
-from turmericflow.systems._convert import to_attempts, to_wire_attempts, to_wire_failure
-from turmericflow.tables import Claim, ClaimState, RequestId, Tables
+from turmericflow.systems import _slots as slots_system
+from turmericflow.systems._convert import to_wire_attempts, to_wire_failure
+from turmericflow.systems._records import to_claim, to_record
+from turmericflow.tables import (
+    Claim,
+    ClaimState,
+    PendingClaim,
+    RequestId,
+    SlotEntry,
+    Tables,
+)
 from turmericflow.verdict import ErrorCode, Failure, Verdict
 
-ClaimReply = wire.Granted | wire.Attached | wire.Recorded | wire.Refused
+RUNNER_EPOCH_STRIDE = 1024
+SEQ_STRIDE = 1 << 32
+NO_EPOCH = -1
+
+
+@dataclass(slots=True, frozen=True)
+class Confirm:
+    """A change to be acknowledged by a backup before its reply is sent."""
+
+    backup: str
+    store: wire.Store
+
 
+@dataclass(slots=True, frozen=True)
+class Wait:
+    """Another change of the same request is pending; decide again after it."""
 
-def _refused(rid: int, code: ErrorCode, verdict: Verdict, message: str) -> wire.Refused:
-    return wire.Refused(rid, to_wire_failure(Failure(code, verdict, message)))
+
+Decision = wire.Message | Confirm | Wait
+
+
+def _refused(rid: int, failure: Failure) -> wire.Refused:
+    return wire.Refused(rid, to_wire_failure(failure))
 
 
 def _granted(rid: int, row: Claim) -> wire.Granted:
@@ -22,10 +56,22 @@
         to_wire_attempts(row.attempts),
         list(row.tokens),
         row.body,
+        row.regranted,
+        row.journal_at,
     )
 
 
-def _new_claim(msg: wire.Claim, now: float) -> Claim:
+def _moved(tables: Tables, rid: int, slot: int) -> wire.Moved:
+    entry = tables.slots.entries[slot]
+    return wire.Moved(rid, slots_system.to_wire_slot(slot, entry))
+
+
+def _first_runner_epoch(entry: SlotEntry) -> int:
+    return entry.epoch * RUNNER_EPOCH_STRIDE + 1
+
+
+def _new_claim(tables: Tables, msg: wire.Claim, slot: int, now: float) -> Claim:
+    entry = tables.slots.entries[slot]
     return Claim(
         request_id=RequestId(msg.customer, msg.key),
         try_no=msg.try_no,
@@ -34,33 +80,204 @@
         profile=msg.profile,
         idempotent=msg.idempotent,
         runner=msg.runner,
-        runner_epoch=1,
+        runner_epoch=_first_runner_epoch(entry),
         body=msg.body,
         touched_at=now,
+        slot=slot,
+        grant=msg.generation,
+        journal_at=slots_system.holder(tables, entry, msg.runner),
     )
 
 
-def _repeat(row: Claim, msg: wire.Claim, now: float) -> ClaimReply:
+def _apply(tables: Tables, row: Claim, reply: wire.Message) -> wire.Message:
+    tables.claims.rows[row.request_id] = row
+    if isinstance(reply, wire.Granted):
+        return _granted(reply.rid, row)
+    return reply
+
+
+def _change(
+    tables: Tables, row: Claim, reply: wire.Message, unconfirmed: wire.Message
+) -> Decision:
+    """Change a claim, with the backup's acknowledgement where there is one.
+
+    Without it only idempotent work goes on: when the backup is held to be
+    lost, or in the odd epoch of a backup that took over alone.
+    """
+    entry = tables.slots.entries[row.slot]
+    tables.claims.seq += 1
+    row.seq = entry.epoch * SEQ_STRIDE + tables.claims.seq
+    if entry.backup and slots_system.alive(tables, entry.backup):
+        tables.claims.pending[row.request_id] = PendingClaim(row, entry.epoch, reply)
+        slot = slots_system.to_wire_slot(row.slot, entry)
+        return Confirm(entry.backup, wire.Store(reply.rid, slot, to_record(row)))
+    if not entry.backup and not slots_system.is_alone(entry):
+        return _apply(tables, row, reply)
+    if row.idempotent and isinstance(reply, wire.Granted):
+        return _apply(tables, row, reply)
+    return unconfirmed
+
+
+def settle(
+    tables: Tables, request_id: RequestId, seq: int, stored: wire.Stored | None
+) -> wire.Message | None:
+    """Take the backup's answer to a pending change.
+
+    Parameters
+    ----------
+    tables
+        The owner's tables.
+    request_id, seq
+        The change.
+    stored
+        The backup's answer, None if none came.
+
+    Returns
+    -------
+    Message or None
+        The reply to be sent; None if the change is no longer pending.
+    """
+    pending = tables.claims.pending.get(request_id)
+    if pending is None or pending.row.seq != seq:
+        return None
+    del tables.claims.pending[request_id]
+    row, rid = pending.row, pending.reply.rid
+    entry = tables.slots.entries[row.slot]
+    if entry.epoch != pending.epoch:
+        return _moved(tables, rid, row.slot)
+    if stored is None or not stored.accepted:
+        if stored is not None:
+            tables.slots.synced.pop(row.slot, None)
+        return wire.Moved(rid)
+    if stored.record is not None:
+        return _take_further(tables, pending, stored.record)
+    return _apply(tables, row, pending.reply)
+
+
+def _take_further(
+    tables: Tables, pending: PendingClaim, raw: wire.Record
+) -> wire.Message:
+    """Take over what the backup, as the journal's holder, has beyond this host."""
+    row = pending.row
+    theirs = to_claim(tables, raw, row.touched_at)
+    if theirs.ended:
+        theirs.seq = row.seq
+        tables.claims.rows[row.request_id] = theirs
+        if isinstance(pending.reply, wire.Ended):
+            return wire.Ended(pending.reply.rid)
+        return _ended_reply(pending.reply.rid, theirs)
+    row.tokens, row.attempts = theirs.tokens, theirs.attempts
+    return _apply(tables, row, pending.reply)
+
+
+def _ended_reply(rid: int, row: Claim) -> wire.Message:
+    if row.state is ClaimState.FINISHED:
+        attempts = to_wire_attempts(row.attempts)
+        return wire.Recorded(rid, row.generation, attempts, list(row.tokens))
+    return _refused(rid, row.failure)
+
+
+def _may_run_anew(row: Claim, try_no: int) -> bool:
+    """Return whether a higher try may start over after a failure."""
+    if row.state not in (ClaimState.FAILED, ClaimState.SEALED):
+        return False
+    if try_no <= row.try_no:
+        return False
+    return row.idempotent or row.failure.verdict is Verdict.NOT_RUN
+
+
+def _conflict(key: str) -> Failure:
+    message = f"key {key!r} was used before with another body"
+    return Failure(ErrorCode.KEY_CONFLICT, Verdict.NOT_RUN, message)
+
+
+def _known(
+    tables: Tables, row: Claim, msg: wire.Claim | wire.Seal
+) -> wire.Message | None:
+    """Return what is said of a request that is known and not lost, else None."""
     if row.fingerprint != msg.fingerprint and msg.fingerprint:
-        message = f"key {msg.key!r} was used before with another body"
-        return _refused(msg.rid, ErrorCode.KEY_CONFLICT, Verdict.NOT_RUN, message)
-    match row.state:
-        case ClaimState.FINISHED:
-            attempts = to_wire_attempts(row.attempts)
-            return wire.Recorded(msg.rid, row.generation, attempts, list(row.tokens))
-        case ClaimState.FAILED | ClaimState.SEALED:
-            return wire.Refused(msg.rid, to_wire_failure(row.failure))
-    if row.runner == msg.runner and row.generation == msg.generation:
-        return _granted(msg.rid, row)
-    if msg.lost_epoch == row.runner_epoch:
-        row.runner = msg.runner
-        row.runner_epoch += 1
-        row.touched_at = now
-        return _granted(msg.rid, row)
+        return _refused(msg.rid, _conflict(msg.key))
+    if _may_run_anew(row, msg.try_no):
+        return None
+    if row.refused_before is not None and msg.try_no < row.try_no:
+        return _refused(msg.rid, row.refused_before)
+    if row.ended:
+        return _ended_reply(msg.rid, row)
     return wire.Attached(msg.rid, row.generation, row.runner, row.runner_epoch)
 
 
-def claim(tables: Tables, msg: wire.Claim, now: float) -> ClaimReply:
+def _runner_lost(tables: Tables, row: Claim, msg: wire.Claim) -> bool:
+    if msg.lost_epoch != row.runner_epoch:
+        return False
+    if row.idempotent or msg.gone or row.runner == msg.runner:
+        return True
+    return not slots_system.alive(tables, row.runner)
+
+
+def _regrant(tables: Tables, row: Claim, msg: wire.Claim, now: float) -> Decision:
+    """Give a request to another runner, its journal with it.
+
+    Work that is not idempotent may have been sent to a target already, so it
+    ends there.  A journal that was lost with its holder cannot be carried on:
+    the request starts over as another generation.
+    """
+    entry = tables.slots.entries[row.slot]
+    after = dataclasses.replace(row, touched_at=now, regranted=True)
+    after.runner_epoch = max(row.runner_epoch + 1, _first_runner_epoch(entry))
+    if not row.idempotent:
+        message = "the router that ran this request was lost"
+        after.state = ClaimState.FAILED
+        after.failure = Failure(ErrorCode.REPLACED, Verdict.MAY_HAVE_RUN, message)
+        return _change(tables, after, _refused(msg.rid, after.failure), _nothing(msg))
+    after.runner, after.grant = msg.runner, msg.generation
+    if row.journal_at not in (tables.host, entry.backup):
+        after.generation, after.tokens, after.attempts = msg.generation, [], []
+    after.journal_at = slots_system.holder(tables, entry, msg.runner)
+    return _change(tables, after, _granted(msg.rid, after), _nothing(msg))
+
+
+def _nothing(msg: wire.Message) -> wire.Moved:
+    return wire.Moved(msg.rid)
+
+
+def _start_again(tables: Tables, row: Claim, msg: wire.Claim, now: float) -> Decision:
+    """Grant a higher try of a request whose earlier try was refused."""
+    after = _new_claim(tables, msg, row.slot, now)
+    after.runner_epoch = max(row.runner_epoch + 1, after.runner_epoch)
+    after.refused_before = row.failure
+    return _change(tables, after, _granted(msg.rid, after), _nothing(msg))
+
+
+def _not_known(
+    tables: Tables, slot: int, msg: wire.Claim, now: float
+) -> Failure | None:
+    lost = now < tables.slots.retention_until.get(slot, now)
+    if lost and not msg.idempotent:
+        message = "the records of this key's slot were lost: it may have run"
+        return Failure(ErrorCode.RETENTION, Verdict.MAY_HAVE_RUN, message)
+    if not msg.body:
+        message = f"no request with key {msg.key!r} is known"
+        return Failure(ErrorCode.NOT_FOUND, Verdict.MAY_HAVE_RUN, message)
+    return None
+
+
+def _place(
+    tables: Tables, msg: wire.Claim | wire.Seal
+) -> tuple[int, wire.Message | Wait | None]:
+    """Return the slot, and why nothing can be decided here and now, if so."""
+    request_id = RequestId(msg.customer, msg.key)
+    if not tables.slots.entries:
+        return -1, wire.Moved(msg.rid)
+    slot = tables.slots.slot_of(request_id)
+    entry = tables.slots.entries[slot]
+    if not slots_system.serves(tables, slot) or entry.epoch != msg.slot_epoch:
+        return slot, _moved(tables, msg.rid, slot)
+    if request_id in tables.claims.pending:
+        return slot, Wait()
+    return slot, None
+
+
+def claim(tables: Tables, msg: wire.Claim, now: float) -> Decision:
     """Decide on a claim.
 
     Parameters
@@ -74,53 +291,118 @@
 
     Returns
     -------
-    ClaimReply
-        A grant, the present runner, the recorded answer, or a refusal.
+    Decision
+        A grant, the present runner, the recorded answer or a refusal, or
+        `Moved` if it cannot be decided here; `Confirm` if the backup is to be
+        asked first.
     """
-    request_id = RequestId(msg.customer, msg.key)
-    entry = tables.slots.entry_of(request_id)
-    if entry is None or entry.owner != tables.host or entry.epoch != msg.slot_epoch:
-        message = f"{tables.host} does not own the slot in epoch {msg.slot_epoch}"
-        return _refused(msg.rid, ErrorCode.NO_OWNER, Verdict.NOT_RUN, message)
-    row = tables.claims.rows.get(request_id)
-    if row is not None:
-        return _repeat(row, msg, now)
-    if not msg.body:
-        message = f"no request with key {msg.key!r} is known"
-        return _refused(msg.rid, ErrorCode.NOT_FOUND, Verdict.MAY_HAVE_RUN, message)
-    row = _new_claim(msg, now)
-    tables.claims.rows[request_id] = row
-    return _granted(msg.rid, row)
+    slot, obstacle = _place(tables, msg)
+    if obstacle is not None:
+        return obstacle
+    row = tables.claims.rows.get(RequestId(msg.customer, msg.key))
+    if row is None:
+        failure = _not_known(tables, slot, msg, now)
+        if failure is not None:
+            return _refused(msg.rid, failure)
+        row = _new_claim(tables, msg, slot, now)
+        return _change(tables, row, _granted(msg.rid, row), _nothing(msg))
+    answer = _known(tables, row, msg)
+    if answer is None:
+        return _start_again(tables, row, msg, now)
+    if not isinstance(answer, wire.Attached):
+        return answer
+    if row.runner == msg.runner and row.grant == msg.generation:
+        return _granted(msg.rid, row)
+    if _runner_lost(tables, row, msg):
+        return _regrant(tables, row, msg, now)
+    return answer
 
 
-def append(tables: Tables, entry: wire.AppendEntry, now: float) -> bool:
-    """Add tokens to a journal.
+def seal(tables: Tables, msg: wire.Seal, failure: Failure, now: float) -> Decision:
+    """Decide on a refusal that is to be told: that try must never run.
 
-    Returns
-    -------
-    bool
-        False if the sender is no longer the request's runner; it can then
-        give its caller nothing more.
+    The verdict stays as it is only if the backup has the refusal too, and if
+    no other host can have granted the request unknown to this one.
     """
-    row = tables.claims.rows.get(RequestId(entry.customer, entry.key))
-    if row is None or row.runner_epoch != entry.runner_epoch:
-        return False
-    if row.state is not ClaimState.RUNNING or entry.start > len(row.tokens):
-        return False
-    row.tokens[entry.start :] = entry.texts
-    row.attempts = to_attempts(entry.attempts)
-    row.touched_at = now
-    if entry.complete:
-        row.state = ClaimState.FINISHED
-    return True
+    slot, obstacle = _place(tables, msg)
+    if obstacle is not None:
+        return obstacle
+    known = tables.claims.rows.get(RequestId(msg.customer, msg.key))
+    if known is not None:
+        answer = _known(tables, known, msg)
+        if answer is not None:
+            return answer
+    doubtful = dataclasses.replace(failure, verdict=Verdict.MAY_HAVE_RUN)
+    unsealed = wire.Sealed(msg.rid, to_wire_failure(doubtful))
+    if _may_be_granted_elsewhere(tables, slot, msg.idempotent, now):
+        return unsealed
+    row = _sealed_claim(tables, slot, msg, failure, now)
+    if known is not None:
+        row.runner_epoch = known.runner_epoch + 1
+        row.refused_before = known.failure
+        if known.failure.verdict is not Verdict.NOT_RUN:
+            row.failure = doubtful
+    reply = wire.Sealed(msg.rid, to_wire_failure(row.failure))
+    return _change(tables, row, reply, unsealed)
 
 
-def end(tables: Tables, msg: wire.End, failure: Failure, now: float) -> None:
-    """Record that a runner has ended its request with a failure."""
-    row = tables.claims.rows.get(RequestId(msg.customer, msg.key))
-    if row is None or row.runner_epoch != msg.runner_epoch:
-        return
-    if row.state is ClaimState.RUNNING:
-        row.state = ClaimState.FAILED
-        row.failure = failure
-        row.touched_at = now
+def _may_be_granted_elsewhere(
+    tables: Tables, slot: int, idempotent: bool, now: float
+) -> bool:
+    slots = tables.slots
+    if now < slots.retention_until.get(slot, now):
+        return True
+    return idempotent and now < slots.alone_until.get(slot, now)
+
+
+def _sealed_claim(
+    tables: Tables, slot: int, msg: wire.Seal, failure: Failure, now: float
+) -> Claim:
+    return Claim(
+        request_id=RequestId(msg.customer, msg.key),
+        try_no=msg.try_no,
+        fingerprint=msg.fingerprint,
+        generation="",
+        profile=msg.profile,
+        idempotent=msg.idempotent,
+        runner="",
+        runner_epoch=_first_runner_epoch(tables.slots.entries[slot]),
+        state=ClaimState.SEALED,
+        failure=failure,
+        touched_at=now,
+        slot=slot,
+    )
+
+
+def end(tables: Tables, msg: wire.End, failure: Failure, now: float) -> Decision:
+    """Decide on a runner's word that its request has failed.
+
+    Another runner may have dispatched before, so that only the first one's
+    ``NOT_RUN`` is believed.
+    """
+    request_id = RequestId(msg.customer, msg.key)
+    doubtful = failure
+    if failure.verdict is Verdict.NOT_RUN:
+        doubtful = dataclasses.replace(failure, verdict=Verdict.MAY_HAVE_RUN)
+    unsure = wire.Ended(msg.rid, to_wire_failure(doubtful))
+    if not tables.slots.entries:
+        return unsure
+    slot = tables.slots.slot_of(request_id)
+    if not slots_system.serves(tables, slot):
+        return _moved(tables, msg.rid, slot)
+    if request_id in tables.claims.pending:
+        return Wait()
+    row = tables.claims.rows.get(request_id)
+    if row is None:
+        return unsure
+    if row.runner_epoch != msg.runner_epoch:
+        return wire.Ended(msg.rid, None)
+    if row.ended:
+        failure = row.failure
+        return wire.Ended(
+            msg.rid, None if failure is None else to_wire_failure(failure)
+        )
+    after = dataclasses.replace(row, state=ClaimState.FAILED, touched_at=now)
+    after.failure = doubtful if row.regranted else failure
+    reply = wire.Ended(msg.rid, to_wire_failure(after.failure))
+    return _change(tables, after, reply, unsure)
--- /dev/null
+++ b/turmericflow/systems/_journal.py
@@ -0,0 +1,143 @@
+"""Journal holder's decisions: appends, uploads, and how long records stay."""
+
+from __future__ import annotations
+
+import enum
+
+from turmericflow import wire
+from turmericflow.systems import _slots as slots_system
+from turmericflow.systems._convert import to_attempts
+from turmericflow.systems._records import to_claim
+from turmericflow.tables import Claim, ClaimState, RequestId, Tables
+
+IDEMPOTENT_KEEP_S = 60.0
+KEEP_S = slots_system.RETENTION_S
+RUNNING_KEEP_S = 3600.0
+MAX_ENDED_BYTES = 64_000_000
+
+
+class AppendOutcome(enum.Enum):
+    """What became of an append."""
+
+    TAKEN = enum.auto()
+    REPLACED = enum.auto()
+    UNKNOWN = enum.auto()
+
+
+def append(tables: Tables, entry: wire.AppendEntry, now: float) -> AppendOutcome:
+    """Add tokens to a journal; one that came twice or late changes nothing.
+
+    Returns
+    -------
+    AppendOutcome
+        ``REPLACED`` if the sender is no longer the request's runner: it can
+        then give its caller nothing more.  ``UNKNOWN`` if the journal is to
+        be uploaded first.
+    """
+    row = tables.claims.rows.get(RequestId(entry.customer, entry.key))
+    if row is None or row.runner_epoch < entry.runner_epoch:
+        return AppendOutcome.UNKNOWN
+    if row.runner_epoch > entry.runner_epoch:
+        return AppendOutcome.REPLACED
+    if row.state not in (ClaimState.RUNNING, ClaimState.FINISHED):
+        return AppendOutcome.REPLACED
+    known = len(row.tokens)
+    if entry.start > known:
+        return AppendOutcome.UNKNOWN
+    end = entry.start + len(entry.texts)
+    if end > known:
+        if row.state is ClaimState.FINISHED:
+            return AppendOutcome.REPLACED
+        row.tokens.extend(entry.texts[known - entry.start :])
+    if entry.attempts and end >= known:
+        row.attempts = to_attempts(entry.attempts)
+    row.touched_at = now
+    if entry.complete:
+        row.state = ClaimState.FINISHED
+    return AppendOutcome.TAKEN
+
+
+def upload(tables: Tables, msg: wire.Upload, now: float) -> wire.Uploaded:
+    """Take in a runner's whole journal, under the slot's present epoch."""
+    record = msg.record
+    request_id = RequestId(record.customer, record.key)
+    if not tables.slots.entries:
+        return wire.Uploaded(msg.rid, False)
+    slot = tables.slots.slot_of(request_id)
+    entry = tables.slots.entries[slot]
+    if entry.epoch != msg.slot_epoch or not slots_system.holds(tables, slot):
+        raw = slots_system.to_wire_slot(slot, entry)
+        return wire.Uploaded(msg.rid, False, False, raw)
+    if request_id in tables.claims.pending:
+        return wire.Uploaded(msg.rid, False)
+    row = tables.claims.rows.get(request_id)
+    if row is not None and not _may_replace(row, record):
+        return wire.Uploaded(msg.rid, False, True)
+    _put_upload(tables, row, record, now)
+    return wire.Uploaded(msg.rid, True)
+
+
+def _may_replace(row: Claim, record: wire.Record) -> bool:
+    if record.runner_epoch != row.runner_epoch:
+        return record.runner_epoch > row.runner_epoch and not row.ended
+    if record.generation != row.generation:
+        return False
+    return row.state in (ClaimState.RUNNING, ClaimState.FINISHED)
+
+
+def _put_upload(
+    tables: Tables, row: Claim | None, record: wire.Record, now: float
+) -> None:
+    fresh = to_claim(tables, record, now)
+    if row is not None:
+        fresh.grant, fresh.seq = row.grant, row.seq
+        fresh.regranted, fresh.refused_before = row.regranted, row.refused_before
+        if row.state is ClaimState.FINISHED:
+            fresh.state = row.state
+        if len(row.tokens) > len(fresh.tokens) and row.generation == fresh.generation:
+            fresh.tokens, fresh.attempts = row.tokens, row.attempts
+    tables.claims.rows[fresh.request_id] = fresh
+
+
+def _keep_s(row: Claim) -> float:
+    if not row.ended:
+        return RUNNING_KEEP_S
+    if row.idempotent and row.state is not ClaimState.SEALED and not row.regranted:
+        return IDEMPOTENT_KEEP_S
+    return KEEP_S
+
+
+def _size(row: Claim) -> int:
+    return sum(map(len, row.tokens)) + len(row.body)
+
+
+def sweep(tables: Tables, now: float, max_bytes: int = MAX_ENDED_BYTES) -> int:
+    """Drop records that are past their time, or too many.
+
+    Answers of idempotent work go early, the oldest first, when all that have
+    ended take more than ``max_bytes``; records of other work are kept.
+
+    Returns
+    -------
+    int
+        Number of records dropped early.
+    """
+    rows = tables.claims.rows
+    for request_id in [
+        rid for rid, row in rows.items() if now - row.touched_at > _keep_s(row)
+    ]:
+        del rows[request_id]
+    finished = [
+        row
+        for row in rows.values()
+        if row.idempotent and row.state is ClaimState.FINISHED
+    ]
+    excess = sum(map(_size, finished)) - max_bytes
+    dropped = 0
+    for row in sorted(finished, key=lambda each: each.touched_at):
+        if excess <= 0:
+            break
+        excess -= _size(row)
+        dropped += 1
+        del rows[row.request_id]
+    return dropped
--- /dev/null
+++ b/turmericflow/systems/_slots.py
@@ -0,0 +1,232 @@
+"""Owner map: who owns each slot, what this host holds, and take-over."""
+
+from __future__ import annotations
+
+from turmericflow import wire
+from turmericflow.tables import PeerState, SlotEntry, SlotTable, Tables
+
+CREATED_EPOCH = 2
+RETENTION_S = 600.0
+
+
+def to_wire_slot(slot: int, entry: SlotEntry) -> wire.WireSlot:
+    """Return an entry in its wire form."""
+    return wire.WireSlot(
+        slot,
+        entry.owner,
+        entry.backup,
+        entry.epoch,
+        entry.owner_since,
+        entry.backup_since,
+    )
+
+
+def to_slot_entry(raw: wire.WireSlot) -> SlotEntry:
+    """Return the entry that a wire form stands for."""
+    return SlotEntry(
+        raw.owner, raw.backup, raw.epoch, raw.owner_since, raw.backup_since
+    )
+
+
+def same_life(tables: Tables, host: str) -> bool:
+    """Return whether a host has its memory since the map named it."""
+    named = tables.slots.incarnations.get(host)
+    if host == tables.host:
+        present = tables.peers.incarnation
+    else:
+        row = tables.peers.rows.get(host)
+        present = 0 if row is None else row.incarnation
+    return named is None or present <= 0 or named == present
+
+
+def alive(tables: Tables, host: str) -> bool:
+    """Return whether a host is held to be alive, with its memory."""
+    if not host:
+        return False
+    row = tables.peers.rows.get(host)
+    if host != tables.host and (row is None or row.state is PeerState.DEAD):
+        return False
+    return same_life(tables, host)
+
+
+def holds(tables: Tables, slot: int) -> bool:
+    """Return whether this host holds all records of a slot, as its party."""
+    entry = tables.slots.entries[slot]
+    if entry.owner == tables.host:
+        since = entry.owner_since
+    elif entry.backup == tables.host:
+        since = entry.backup_since
+    else:
+        return False
+    if not same_life(tables, tables.host):
+        return False
+    return since <= CREATED_EPOCH or tables.slots.held.get(slot, -1) >= since
+
+
+def serves(tables: Tables, slot: int) -> bool:
+    """Return whether this host answers for a slot as its owner."""
+    return tables.slots.entries[slot].owner == tables.host and holds(tables, slot)
+
+
+def is_alone(entry: SlotEntry) -> bool:
+    """Return whether an entry is a take-over that the map does not yet show."""
+    return entry.epoch % 2 == 1
+
+
+def _drop_records(tables: Tables, slot: int) -> None:
+    claims = tables.claims
+    for request_id in [rid for rid, row in claims.rows.items() if row.slot == slot]:
+        del claims.rows[request_id]
+    for request_id in [
+        rid for rid, pending in claims.pending.items() if pending.row.slot == slot
+    ]:
+        del claims.pending[request_id]
+
+
+def _leave_slot(tables: Tables, slot: int) -> None:
+    slots = tables.slots
+    _drop_records(tables, slot)
+    for table in (slots.held, slots.receiving, slots.synced):
+        table.pop(slot, None)
+    slots.retention_until.pop(slot, None)
+    slots.alone_until.pop(slot, None)
+
+
+def _open_lost(tables: Tables, slot: int, epoch: int, now: float) -> None:
+    tables.slots.held[slot] = epoch
+    tables.slots.retention_until[slot] = now + RETENTION_S
+
+
+def put_entry(tables: Tables, slot: int, entry: SlotEntry, now: float) -> bool:
+    """Put a slot's entry in force if it is newer.
+
+    A host that is no longer a party drops its records; an owner that does not
+    hold the records opens the slot with the retention window.
+
+    Returns
+    -------
+    bool
+        Whether it is in force now and was not before.
+    """
+    slots = tables.slots
+    if entry.epoch <= slots.entries[slot].epoch:
+        return False
+    held = holds(tables, slot)
+    slots.entries[slot] = entry
+    slots.changes += 1
+    slots.synced.pop(slot, None)
+    if tables.host not in (entry.owner, entry.backup):
+        _leave_slot(tables, slot)
+        return True
+    if held and holds(tables, slot):
+        slots.held[slot] = entry.epoch
+    if entry.owner == tables.host and same_life(tables, tables.host):
+        slots.receiving.pop(slot, None)
+        if not holds(tables, slot):
+            _drop_records(tables, slot)
+            _open_lost(tables, slot, entry.epoch, now)
+    if is_alone(entry):
+        slots.alone_until[slot] = now + RETENTION_S
+    return True
+
+
+def put_map(
+    tables: Tables,
+    version: int,
+    entries: list[SlotEntry],
+    hosts: dict[str, tuple[int, str]],
+    now: float,
+) -> None:
+    """Put an owner map in force; no slot goes back to an older epoch.
+
+    Parameters
+    ----------
+    tables
+        This host's tables.
+    version
+        Version of the platform's object.
+    entries
+        Entry of each slot.
+    hosts
+        Incarnation and data centre of each host that the map names.
+    now
+        Time in seconds of the host's clock.
+    """
+    slots = tables.slots
+    if version <= slots.version:
+        return
+    slots.version = version
+    slots.mapped = entries
+    slots.changes += 1
+    slots.incarnations = {host: number for host, (number, _) in hosts.items()}
+    slots.centres = {host: centre for host, (_, centre) in hosts.items()}
+    if not slots.entries:
+        slots.entries = [SlotEntry("", "", 0)] * len(entries)
+    for slot, entry in enumerate(entries):
+        put_entry(tables, slot, entry, now)
+
+
+def take_over(tables: Tables, now: float) -> list[tuple[int, SlotEntry]]:
+    """Take the slots over whose owner is lost and whose backup this host is.
+
+    From then on this host acknowledges nothing in the old epoch.
+
+    Returns
+    -------
+    list
+        Slots taken, with their entries, to be told to every router.
+    """
+    slots = tables.slots
+    taken = []
+    for slot, entry in enumerate(slots.entries):
+        if entry.backup != tables.host or alive(tables, entry.owner):
+            continue
+        if not holds(tables, slot):
+            continue
+        alone = SlotEntry(tables.host, "", entry.epoch + 1, entry.backup_since, 0)
+        put_entry(tables, slot, alone, now)
+        taken.append((slot, alone))
+    return taken
+
+
+def accept_told(tables: Tables, slot: int, entry: SlotEntry, now: float) -> bool:
+    """Put in force an entry that another host told, if it may tell it.
+
+    An even epoch comes from the owner map, whoever tells it.  An odd one is
+    taken only from a slot's backup as this host knows it.
+    """
+    slots = tables.slots
+    if not 0 <= slot < len(slots.entries):
+        return False
+    known = slots.entries[slot]
+    if is_alone(entry) and entry.epoch == known.epoch + 1:
+        if entry.owner != known.backup:
+            return False
+    return put_entry(tables, slot, entry, now)
+
+
+def holder(tables: Tables, entry: SlotEntry, runner: str) -> str:
+    """Return the host that keeps a runner's journal.
+
+    The owner if it is in another data centre than the runner, else the backup;
+    the owner all the same if no backup lives.
+    """
+    centres = tables.slots.centres
+    if centres.get(entry.owner) != centres.get(runner):
+        return entry.owner
+    if entry.backup and alive(tables, entry.backup):
+        return entry.backup
+    return entry.owner
+
+
+def accept_all(tables: Tables, raw: list[wire.WireSlot], now: float) -> int:
+    """Put in force the entries that another host told; return how many were new."""
+    return sum(accept_told(tables, each.slot, to_slot_entry(each), now) for each in raw)
+
+
+def settled(slots: SlotTable) -> bool:
+    """Return whether each slot has an owner, and a backup where there can be one."""
+    several = len(slots.centres) > 1
+    return bool(slots.entries) and all(
+        entry.owner and (entry.backup or not several) for entry in slots.entries
+    )
--- a/turmericflow/tables/__init__.py
+++ b/turmericflow/tables/__init__.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 from turmericflow.tables._all import Tables
-from turmericflow.tables._claims import AttemptStart, Claim, ClaimState, ClaimTable
+from turmericflow.tables._claims import (
+    AttemptStart,
+    Claim,
+    ClaimState,
+    ClaimTable,
+    PendingClaim,
+)
 from turmericflow.tables._config import ConfigTable
 from turmericflow.tables._facts import FactTable
 from turmericflow.tables._peers import Peer, PeerState, PeerTable
@@ -20,6 +26,7 @@
     "ClaimState",
     "ClaimTable",
     "Listener",
+    "PendingClaim",
     "RequestId",
     "RequestRow",
     "RequestTable",
--- a/turmericflow/tables/_claims.py
+++ b/turmericflow/tables/_claims.py
@@ -4,6 +4,7 @@
 
 import enum
 from dataclasses import dataclass, field
+from typing import Any
 
 from turmericflow.tables._slots import RequestId
 from turmericflow.verdict import Failure
@@ -61,6 +62,18 @@
         Why it failed, when it did.
     touched_at
         Time of the last change, in seconds of the host's clock.
+    slot
+        Slot that the request hashes to.
+    grant
+        Name of the claim that was granted, to know its repeat by.
+    journal_at
+        Host that holds the journal.
+    seq
+        Number of the owner's last change, which orders changes at the backup.
+    regranted
+        Whether a runner was replaced, which may have dispatched.
+    refused_before
+        Why an earlier try was refused, when one was.
     """
 
     request_id: RequestId
@@ -77,10 +90,52 @@
     tokens: list[str] = field(default_factory=list)
     failure: Failure | None = None
     touched_at: float = 0.0
+    slot: int = -1
+    grant: str = ""
+    journal_at: str = ""
+    seq: int = 0
+    regranted: bool = False
+    refused_before: Failure | None = None
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more can change but by another try."""
+        return self.state is not ClaimState.RUNNING
+
+
+@dataclass(slots=True)
+class PendingClaim:
+    """A change of a claim that waits for the backup.
+
+    Attributes
+    ----------
+    row
+        The claim as it will be.
+    epoch
+        Slot epoch in which the owner asked.
+    reply
+        Message to be sent once the change is confirmed.
+    """
+
+    row: Claim
+    epoch: int
+    reply: Any
 
 
 @dataclass(slots=True)
 class ClaimTable:
-    """All claims held by this host, as owner or as backup."""
+    """All claims held by this host, as owner or as backup.
+
+    Attributes
+    ----------
+    rows
+        Claims by request.
+    pending
+        Changes that wait for a backup, at most one for each request.
+    seq
+        Number of changes made by this host as owner.
+    """
 
     rows: dict[RequestId, Claim] = field(default_factory=dict)
+    pending: dict[RequestId, PendingClaim] = field(default_factory=dict)
+    seq: int = 0
--- a/turmericflow/tables/_requests.py
+++ b/turmericflow/tables/_requests.py
@@ -60,6 +60,16 @@
         Why the request failed.
     listeners
         Those who receive the committed tokens.
+    try_no, fingerprint
+        Number of the caller's try and digest of its body.
+    keyed
+        Whether the caller chose the key, so that it can send a copy.
+    slot
+        Slot that the request hashes to.
+    journal_at, journal_epoch
+        Host that holds the journal, and the slot epoch in which it got it.
+    journaled_attempts
+        Attempts that the journal holds.
     """
 
     request_id: RequestId
@@ -80,6 +90,13 @@
     ended: bool = False
     failure: Failure | None = None
     listeners: list[Listener] = field(default_factory=list)
+    try_no: int = 1
+    fingerprint: str = ""
+    keyed: bool = True
+    slot: int = -1
+    journal_at: str = ""
+    journal_epoch: int = 0
+    journaled_attempts: list[AttemptStart] = field(default_factory=list)
 
     @property
     def attempt(self) -> int:
--- a/turmericflow/tables/_slots.py
+++ b/turmericflow/tables/_slots.py
@@ -24,28 +24,60 @@
     owner, backup
         Host names; ``backup`` is empty when there is none.
     epoch
-        Number that grows with each change of the slot.
+        Number that grows with each change of the slot.  The owner map gives
+        even numbers; a backup that takes over alone takes the odd one between.
+    owner_since, backup_since
+        Epoch from which each has been a party to the slot without a break.
     """
 
     owner: str
     backup: str
     epoch: int
+    owner_since: int = 0
+    backup_since: int = 0
 
 
 @dataclass(slots=True)
 class SlotTable:
-    """The owner map in force on this host.
+    """The owner map in force on this host, and its own part in it.
 
     Attributes
     ----------
     version
         Version of the platform's object, 0 before one was learned.
     entries
-        One entry for each slot.
+        One entry for each slot, take-overs that the map lacks included.
+    mapped
+        The entries as the map has them.
+    incarnations, centres
+        Incarnation and data centre of each host that the map names.
+    changes
+        Number of changes of entries so far.
+    held
+        Epoch at which this host last held all records of a slot.
+    receiving
+        Epoch of the transfer that is under way to this host.
+    synced
+        Epoch at which the backup of a slot that this host owns held all.
+    retention_until
+        Time until which keys that are not known may have run, since all
+        records were lost.
+    alone_until
+        Time until which a former owner may have granted idempotent work
+        without the slot's present holders' knowledge.
     """
 
     version: int = 0
     entries: list[SlotEntry] = field(default_factory=list)
+    mapped: list[SlotEntry] = field(default_factory=list)
+    incarnations: dict[str, int] = field(default_factory=dict)
+    centres: dict[str, str] = field(default_factory=dict)
+    changes: int = 0
+    held: dict[int, int] = field(default_factory=dict)
+    receiving: dict[int, int] = field(default_factory=dict)
+    synced: dict[int, int] = field(default_factory=dict)
+    retention_until: dict[int, float] = field(default_factory=dict)
+    alone_until: dict[int, float] = field(default_factory=dict)
 
     def slot_of(self, request_id: RequestId) -> int:
         """Return the slot that a request hashes to."""
--- a/turmericflow/testing/demo.py
+++ b/turmericflow/testing/demo.py
@@ -1,4 +1,4 @@
-"""The main job on stand-ins, with an engine killed in the middle."""
+"""The main job on stand-ins, with an engine and a router killed in the middle."""
 
 from __future__ import annotations
 
@@ -59,6 +59,8 @@
             tasks.append(asyncio.ensure_future(work))
         await asyncio.sleep(0.8)
         cluster.kill("redactor-0")
+        await asyncio.sleep(0.4)
+        cluster.kill("entry-3")
         return await asyncio.gather(*tasks)
 
 
--- a/turmericflow/wire/_messages.py
+++ b/turmericflow/wire/_messages.py
@@ -25,7 +25,8 @@
     """Ask a slot's owner for the right to run a request.
 
     ``lost_epoch`` names the runner epoch that the sender found unreachable;
-    -1 asks for the first grant.
+    -1 asks for the first grant.  ``gone`` says that the runner itself answered
+    that it does not run the request.
     """
 
     rid: int
@@ -40,6 +41,7 @@
     slot_epoch: int
     lost_epoch: int
     body: bytes
+    gone: bool = False
 
 
 class WireAttempt(Message, tag="attempt"):
@@ -68,6 +70,8 @@
     attempts: list[WireAttempt]
     tokens: list[str]
     body: bytes
+    regranted: bool = False
+    journal_at: str = ""
 
 
 class Attached(Message, tag="attached"):
@@ -98,7 +102,8 @@
 class AppendEntry(Message, tag="entry"):
     """Tokens of one request that its runner has taken.
 
-    ``complete`` says that the answer ends with these tokens.
+    ``complete`` says that the answer ends with these tokens; no ``attempts``
+    means that they are as they were.
     """
 
     customer: str
@@ -118,10 +123,15 @@
 
 
 class Appended(Message, tag="appended"):
-    """Acknowledges a batch; ``refused`` holds the indexes of stale entries."""
+    """Acknowledges a batch.
+
+    ``refused`` holds the indexes of entries whose sender was replaced,
+    ``unknown`` those whose journal is not here and is to be uploaded.
+    """
 
     rid: int
     refused: list[int]
+    unknown: list[int] = []
 
 
 class End(Message, tag="end"):
@@ -135,9 +145,13 @@
 
 
 class Ended(Message, tag="ended"):
-    """Acknowledges `End`."""
+    """Acknowledges `End` with the failure as it is recorded.
+
+    None says that the sender is no longer the request's runner.
+    """
 
     rid: int
+    failure: WireFailure | None = None
 
 
 class Follow(Message, tag="follow"):
@@ -245,6 +259,120 @@
     names: list[FactVersion]
 
 
+class WireSlot(Message, tag="slot"):
+    """Owner and backup of one slot, as `SlotEntry`."""
+
+    slot: int
+    owner: str
+    backup: str
+    epoch: int
+    owner_since: int
+    backup_since: int
+
+
+class Moved(Message, tag="moved"):
+    """Not decided here and now: ask again, at the entry's owner if newer."""
+
+    rid: int
+    entry: WireSlot | None = None
+
+
+class Record(Message, tag="record"):
+    """A whole claim with its journal, as it travels between hosts."""
+
+    customer: str
+    key: str
+    try_no: int
+    fingerprint: str
+    generation: str
+    profile: str
+    idempotent: bool
+    runner: str
+    runner_epoch: int
+    body: bytes
+    state: str
+    attempts: list[WireAttempt]
+    tokens: list[str]
+    failure: WireFailure | None
+    grant: str
+    journal_at: str
+    seq: int
+    regranted: bool
+    refused_before: WireFailure | None
+
+
+class Store(Message, tag="store"):
+    """An owner's change of a claim, for its backup."""
+
+    rid: int
+    slot: WireSlot
+    record: Record
+
+
+class Stored(Message, tag="stored"):
+    """Answers `Store`.
+
+    ``entry`` is the sender's newer entry when it refuses; ``record`` is what
+    it holds when that goes further than the owner's.
+    """
+
+    rid: int
+    accepted: bool
+    entry: WireSlot | None = None
+    record: Record | None = None
+
+
+class Transfer(Message, tag="transfer"):
+    """A part of a slot's records, for a new backup of that incarnation."""
+
+    rid: int
+    slot: WireSlot
+    incarnation: int
+    first: bool
+    last: bool
+    records: list[Record]
+    retention_s: float
+    alone_s: float
+
+
+class Upload(Message, tag="upload"):
+    """A runner's claim with its whole journal, for the slot's new parties."""
+
+    rid: int
+    slot_epoch: int
+    record: Record
+
+
+class Uploaded(Message, tag="uploaded"):
+    """Answers `Upload`; ``replaced`` says that another runner has the request."""
+
+    rid: int
+    accepted: bool
+    replaced: bool = False
+    entry: WireSlot | None = None
+
+
+class Seal(Message, tag="seal"):
+    """Ask a slot's owner to see to it that a refused try can never run."""
+
+    rid: int
+    customer: str
+    key: str
+    try_no: int
+    fingerprint: str
+    profile: str
+    idempotent: bool
+    slot_epoch: int
+    failure: WireFailure
+
+
+class Sealed(Message, tag="sealed"):
+    """Answers `Seal`; the failure is told with the verdict given here."""
+
+    rid: int
+    failure: WireFailure
+
+
 AnyMessage = (
     Hello
     | Claim
@@ -259,6 +387,14 @@
     | Follow
     | Followed
     | Rumours
+    | Moved
+    | Store
+    | Stored
+    | Transfer
+    | Upload
+    | Uploaded
+    | Seal
+    | Sealed
     | Ping
     | Ack
     | ProbeFor
