Keep silent streams alive and answer lost callers in silence

A caller could not tell a paused router from an engine that takes its time: both gave no byte.

Streams that had nothing to say for a second carry a comment line, and the client leaves an address after 4 s without a byte, against 10 s. A caller that is gone is counted, no longer handed to the library as an error.

--- a/turmericflow/client/_caller.py
+++ b/turmericflow/client/_caller.py
@@ -21,7 +21,7 @@
 
 CONNECT_TIMEOUT_S = 2.0
 GIVE_UP_S = 30.0
-IDLE_S = 10.0
+IDLE_S = 4.0
 RECONNECT_WAIT_S = 0.05
 FULL_WAIT_S = 1.0
 
--- a/turmericflow/services/_http.py
+++ b/turmericflow/services/_http.py
@@ -20,6 +20,7 @@
 )
 
 BODY_TIMEOUT_S = 30.0
+CALLER_LOST_STATUS = 499
 
 log = structlog.get_logger()
 
@@ -73,7 +74,7 @@
             failure = _failure_of(request, exc)
         except ConnectionError:
             stats.count("entry.caller_lost")
-            raise
+            return web.Response(status=CALLER_LOST_STATUS)
         except Exception as exc:
             stats.count("entry.internal_errors")
             log.error("internal_error", path=request.path, error=repr(exc))
--- a/turmericflow/services/_outlet.py
+++ b/turmericflow/services/_outlet.py
@@ -11,6 +11,7 @@
 
 SLOW_CALLER_BYTES = 65_536
 RECONNECT_MS = 200
+KEEP_ALIVE_S = 1.0
 
 _ENCODER = msgspec.json.Encoder()
 
@@ -77,14 +78,26 @@
         try:
             self.wake()
             while not self._row.ended:
-                await self._changed.wait()
-                self._changed.clear()
-                await self._drain()
+                before = self._sent
+                if await self._wait():
+                    await self._drain()
+                elif self._sent == before:
+                    await self._resp.write(b": still here\n\n")
             await self._drain()
         finally:
             self._row.listeners.remove(self)
         return self._resp
 
+    async def _wait(self) -> bool:
+        """Wait for a wake that needs the task; False after `KEEP_ALIVE_S`."""
+        try:
+            async with asyncio.timeout(KEEP_ALIVE_S):
+                await self._changed.wait()
+        except TimeoutError:
+            return False
+        self._changed.clear()
+        return True
+
     async def _drain(self) -> None:
         if self._transport is None or self._transport.is_closing():
             raise ConnectionResetError("the caller's connection is closed")
