Show what each host knows, and get declarations while the platform is down

An operator could not see which host lagged, who owned slots or why a target received nothing.

GET /v1/status gives a host's versions in force, the age of its view, its members, slots, targets with the reason when one is shut out, and counters; GET /v1/config gives the declarations in force without key hashes.

--- a/turmericflow/cli/_operators.py
+++ b/turmericflow/cli/_operators.py
@@ -7,9 +7,14 @@
 from dataclasses import asdict
 from pathlib import Path
 
-from turmericflow.cli._access import add_platform_option, open_platform
+from turmericflow.cli._access import (
+    add_platform_option,
+    add_router_options,
+    open_platform,
+)
 from turmericflow.cli._exit import OF_OUTCOME, CommandError, Exit
 from turmericflow.cli._output import print_error, print_json, print_table
+from turmericflow.cli._status import fetch_objects
 from turmericflow.declare import (
     ADAPTERS,
     Applied,
@@ -173,29 +178,42 @@
     return _report_applied(results, args.json)
 
 
-async def _get(args: argparse.Namespace) -> Exit:
+async def _platform_objects(args: argparse.Namespace) -> list[dict]:
     async with open_platform(args) as platform:
         try:
             found = await platform.list()
         except PlatformError as exc:
             raise CommandError(str(exc), Exit.UNREACHABLE) from exc
-    kind, _, name = args.path.partition("/")
-    items = [
-        item
-        for item in found.items
-        if item.kind in ADAPTERS and kind in ("", item.kind) and name in ("", item.name)
+    return [
+        {
+            "path": f"{each.kind}/{each.name}",
+            "version": each.version,
+            "value": each.value,
+        }
+        for each in found.items
+        if each.kind in ADAPTERS and each.value is not None
     ]
-    if name and not items:
+
+
+def _selected(objects: list[dict], wanted: str) -> list[dict]:
+    if "/" in wanted:
+        return [each for each in objects if each["path"] == wanted]
+    prefix = f"{wanted}/" if wanted else ""
+    return [each for each in objects if each["path"].startswith(prefix)]
+
+
+async def _get(args: argparse.Namespace) -> Exit:
+    fetch = fetch_objects if args.from_routers else _platform_objects
+    objects = _selected(await fetch(args), args.path)
+    if "/" in args.path and not objects:
         raise CommandError(f"got {args.path!r}, expected an object that exists")
     if args.json:
-        rows = [
-            {"path": f"{i.kind}/{i.name}", "version": i.version, "value": i.value}
-            for i in items
-        ]
-        print_json({"objects": rows})
-    else:
-        rows = [(f"{i.kind}/{i.name}", i.version, json.dumps(i.value)) for i in items]
-        print_table(("object", "version", "value"), rows)
+        print_json({"objects": objects})
+        return Exit.OK
+    rows = [
+        (each["path"], each["version"], json.dumps(each["value"])) for each in objects
+    ]
+    print_table(("object", "version", "value"), rows)
     return Exit.OK
 
 
@@ -280,6 +298,12 @@
     summary = "Print objects as the platform holds them."
     parser = _add(commands, "get", _get, summary, "turmericflow get profile/quotation")
     parser.add_argument("path", nargs="?", default="", metavar="KIND[/NAME]")
+    parser.add_argument(
+        "--from-routers",
+        action="store_true",
+        help="ask a router what is in force there, for when the platform is down",
+    )
+    add_router_options(parser)
     summary = "Refuse new requests of a profile; running work finishes."
     parser = _add(commands, "retire", _retire, summary, "turmericflow retire quotation")
     parser.add_argument("profile")
--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import secrets
+import time
 from typing import Annotated
 
 import msgspec
@@ -13,12 +14,13 @@
 from turmericflow.cfg import Settings
 from turmericflow.profile import Profile, ProfileKind
 from turmericflow.services._answer import start_after, stream_answer, whole_answer
-from turmericflow.services._auth import authenticate
+from turmericflow.services._auth import authenticate, is_allowed
 from turmericflow.services._claimant import NewRequest
 from turmericflow.services._headers import read_header, read_try
 from turmericflow.services._http import error_middleware, http_logger, read_body
 from turmericflow.services._runner import Runner
 from turmericflow.services._stats import Stats
+from turmericflow.systems import status
 from turmericflow.tables import RequestId, Tables
 from turmericflow.verdict import ErrorCode, Failure, Verdict, not_run
 
@@ -57,6 +59,7 @@
         )
         app.router.add_get("/v1/addresses", self._addresses)
         app.router.add_get("/v1/status", self._status)
+        app.router.add_get("/v1/config", self._config)
         app.router.add_post("/v1/generate", self._generate)
         return app
 
@@ -83,16 +86,21 @@
         )
 
     async def _status(self, request: web.Request) -> web.Response:
-        ready = bool(self._tables.slots.entries and self._tables.config.profiles)
-        return web.json_response(
-            {
-                "host": self._tables.host,
-                "ready": ready,
-                "versions": self._tables.config.versions,
-                "counts": self._stats.counts,
-            }
+        if not is_allowed(request, self._settings.operator_key_hashes):
+            ready = status.is_ready(self._tables)
+            return web.json_response({"host": self._tables.host, "ready": ready})
+        entry, now = str(self._settings.entry), time.monotonic()
+        found = status.describe(self._tables, entry, self._stats.counts, now)
+        return web.Response(
+            body=msgspec.json.encode(found), content_type="application/json"
         )
 
+    async def _config(self, request: web.Request) -> web.Response:
+        if not is_allowed(request, self._settings.operator_key_hashes):
+            message = "Authorization: expected an operator's key"
+            raise not_run(ErrorCode.UNAUTHORIZED, message)
+        return web.json_response({"objects": status.declarations(self._tables)})
+
     async def _generate(self, request: web.Request) -> web.StreamResponse:
         customer = authenticate(request, self._tables)
         key = read_header(request.headers, "Idempotency-Key")
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -3,11 +3,21 @@
 from __future__ import annotations
 
 from turmericflow.systems import (
+    _admission as admission,
+    _breakers as breakers,
+    _budgets as budgets,
     _claims as claims,
+    _estimates as estimates,
+    _fairness as fairness,
     _freshness as freshness,
+    _limits as limits,
     _membership as membership,
     _overlay as overlay,
+    _policies as policies,
+    _prefixes as prefixes,
     _routing as routing,
+    _scheduling as scheduling,
+    _status as status,
 )
 from turmericflow.systems._convert import (
     to_attempts,
@@ -18,11 +28,21 @@
 
 __all__ = (
     # Decisions, one module each
+    "admission",
+    "breakers",
+    "budgets",
     "claims",
     "freshness",
     "membership",
     "overlay",
+    "estimates",
+    "fairness",
+    "limits",
+    "policies",
+    "prefixes",
     "routing",
+    "scheduling",
+    "status",
     # Conversions
     "to_attempts",
     "to_failure",
