Spread configuration by few watchers, gossip and turns at polling

Cause: every host watched the platform and polled the host list, nothing learned from peers, and a restarted host had only the platform to ask.

Change: two hosts of each data centre watch; the rest learn by gossip and take turns to poll at one rate for the fleet. A starting host asks its contacts and the platform before it puts anything in force; an answer of the platform older than one seen before counts for nothing. Deletions spread as objects. The age of a view passes with probes between hosts that hold the same. A daemon that is told to stop serves while its address may be kept, then finishes what runs. The proxy can hold back some callers only, the platform can answer as of an old version.

--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -112,6 +112,9 @@
         Largest request body taken from a caller, in bytes.
     advertised_peer
         Address that other daemons are told to connect to, or None for ``peer``.
+    addresses_keep_s
+        How long callers may keep the addresses that they are told, in seconds;
+        a daemon that is to stop serves new requests for as long.
     """
 
     host: Name
@@ -126,6 +129,7 @@
     slots: Annotated[int, Field(ge=1, le=16_384)] = 1024
     max_body_bytes: Annotated[int, Field(ge=1024)] = 1_000_000
     advertised_peer: AddressField | None = None
+    addresses_keep_s: Annotated[float, Field(ge=0.1, le=300)] = 5.0
 
     @classmethod
     def from_file(cls, path: Path) -> Settings:
--- a/turmericflow/services/_config.py
+++ b/turmericflow/services/_config.py
@@ -1,99 +1,166 @@
-"""Learns configuration, the owner map and targets from the platform."""
+"""Puts configuration and the owner map in force, from the platform and peers."""
 
 from __future__ import annotations
 
+import asyncio
 import time
+from collections.abc import Callable
+from random import Random
 
+import msgspec
 import structlog
 from mode import Service
 from pydantic import ValidationError
 
-from turmericflow.cfg import Address, Settings
+from turmericflow import wire
+from turmericflow.cfg import Settings
 from turmericflow.profile import CUSTOMER_ADAPTER, MARK_ADAPTER, PROFILE_ADAPTER
+from turmericflow.services._gossip import Gossip
 from turmericflow.services._platform import (
-    HostEntry,
     PlatformClient,
     PlatformError,
     PlatformObject,
 )
 from turmericflow.services._stats import Stats
-from turmericflow.tables import SlotEntry, Tables, Target, TargetKind
+from turmericflow.systems import overlay, spread
+from turmericflow.tables import SlotEntry, Tables
 
+OBJECT = "object"
 RETRY_S = 0.5
-HOSTS_S = 1.0
+WATCH_WAIT_S = 2.0
+DUTY_CHECK_S = 0.5
+JOIN_S = 2.0
+YIELD_OBJECTS = 500
 
 log = structlog.get_logger()
 
 
 class Config(Service):
-    """Keeps the configuration in force as new as the platform's."""
+    """Keeps the configuration in force as new as the fleet's.
+
+    A data centre's watchers wait on the platform's watch and pass on what is
+    new; all other hosts learn from peers, and poll when their turn comes.
+    """
 
     def __init__(
-        self, settings: Settings, tables: Tables, platform: PlatformClient, stats: Stats
+        self,
+        settings: Settings,
+        tables: Tables,
+        platform: PlatformClient,
+        gossip: Gossip,
+        stats: Stats,
+        rng: Random,
     ) -> None:
         super().__init__()
         self._settings = settings
         self._tables = tables
         self._platform = platform
+        self._gossip = gossip
         self._stats = stats
+        self._rng = rng
+        self._held: list[wire.Rumour] | None = []
+        self._listeners: list[Callable[[str, str], None]] = []
+        gossip.subscribe(OBJECT, self._on_fact)
+
+    def on_change(self, listener: Callable[[str, str], None]) -> None:
+        """Call ``listener`` with kind and name of each object put in force."""
+        self._listeners.append(listener)
+
+    def learn(self, item: PlatformObject) -> None:
+        """Take in an object of the platform's, and spread it if it is new."""
+        value = msgspec.json.encode(item.value)
+        path = f"{item.kind}/{item.name}"
+        self._gossip.spread(wire.Rumour(OBJECT, path, item.version, value, 0.0))
 
     @Service.task
-    async def _watch(self) -> None:
-        since = 0
+    async def _run(self) -> None:
+        await self._join()
         while not self.should_stop:
-            try:
-                found = await self._platform.watch(since)
-            except PlatformError:
-                self._stats.count("platform.errors")
+            if not overlay.is_watcher(self._tables):
+                await self.sleep(DUTY_CHECK_S)
+            elif not await self._ask_platform(WATCH_WAIT_S):
                 await self.sleep(RETRY_S)
-                continue
-            for item in found.items:
-                self._put_in_force(item)
-            since = max(since, found.version)
-            self._tables.config.confirmed_at = time.monotonic()
-            if not self._tables.slots.entries:
-                await self._create_owner_map()
 
     @Service.task
-    async def _hosts(self) -> None:
+    async def _poll(self) -> None:
         while not self.should_stop:
-            try:
-                for entry in await self._platform.hosts():
-                    self._learn_host(entry)
-            except PlatformError:
-                self._stats.count("platform.errors")
-            await self.sleep(HOSTS_S)
-
-    def _put_in_force(self, item: PlatformObject) -> None:
-        table = self._tables.config
-        path = f"{item.kind}/{item.name}"
-        if item.version <= table.versions.get(path, 0):
+            await self.sleep(spread.poll_wait_s(self._tables, self._rng))
+            if self._held is None and not overlay.is_watcher(self._tables):
+                await self._ask_platform(0.0)
+
+    async def _join(self) -> None:
+        """Learn from peers and the platform before anything is put in force."""
+        contacts = list(overlay.contacts(self._tables))
+        syncs = [asyncio.ensure_future(self._gossip.sync(host)) for host in contacts]
+        if syncs:
+            await asyncio.wait(syncs, timeout=JOIN_S)
+        asking = asyncio.ensure_future(self._ask_platform(0.0))
+        await asyncio.wait([asking], timeout=JOIN_S)
+        held, self._held = self._held, None
+        for number, rumour in enumerate(held):
+            self._on_fact(rumour)
+            if number % YIELD_OBJECTS == 0:
+                await asyncio.sleep(0)
+        log.info("joined", objects=len(self._tables.config.versions))
+
+    async def _ask_platform(self, wait_s: float) -> bool:
+        asked_at = time.monotonic()
+        try:
+            found = await self._platform.watch(self._tables.config.seen, wait_s)
+        except PlatformError:
+            self._stats.count("platform.errors")
+            return False
+        for item in found.items:
+            self.learn(item)
+        confirmed_at = time.monotonic() if wait_s else asked_at
+        if not spread.seen_by_platform(self._tables, found.version, confirmed_at):
+            self._stats.count("platform.old_answers")
+            return False
+        if not self._has_owner_map():
+            await self._create_owner_map()
+        return True
+
+    def _has_owner_map(self) -> bool:
+        return bool(self._gossip.facts.get(OBJECT, "owners/map"))
+
+    def _on_fact(self, rumour: wire.Rumour) -> None:
+        if self._held is not None:
+            self._held.append(rumour)
+            return
+        if not spread.is_newer(self._tables, rumour.name, rumour.version):
             return
+        kind, _, name = rumour.name.partition("/")
         try:
-            match item.kind:
-                case "profile":
-                    profile = PROFILE_ADAPTER.validate_python(item.value)
-                    table.profiles[item.name] = profile
-                case "customer":
-                    customer = CUSTOMER_ADAPTER.validate_python(item.value)
-                    table.customers[item.name] = customer
-                case "mark":
-                    table.marks[item.name] = MARK_ADAPTER.validate_python(item.value)
-                case "owners":
-                    self._put_owner_map(item)
-        except (ValidationError, KeyError, TypeError, ValueError) as exc:
-            log.warning("object_invalid", path=path, error=str(exc))
+            value = msgspec.json.decode(rumour.value)
+            self._put_in_force(kind, name, value, rumour.version)
+        except (ValidationError, KeyError, TypeError, ValueError, IndexError) as exc:
+            log.warning("object_invalid", path=rumour.name, error=str(exc))
+            self._stats.count("config.invalid")
             return
-        table.versions[path] = item.version
-        log.info("object_in_force", path=path, version=item.version)
+        self._tables.config.versions[rumour.name] = rumour.version
+        log.info("object_in_force", path=rumour.name, version=rumour.version)
+        for listener in self._listeners:
+            listener(kind, name)
 
-    def _put_owner_map(self, item: PlatformObject) -> None:
-        hosts = [*item.value["hosts"], ""]
+    def _put_in_force(self, kind: str, name: str, value: object, version: int) -> None:
+        table = self._tables.config
+        match kind:
+            case "profile":
+                _put(table.profiles, name, value, PROFILE_ADAPTER)
+            case "customer":
+                _put(table.customers, name, value, CUSTOMER_ADAPTER)
+            case "mark":
+                _put(table.marks, name, value, MARK_ADAPTER)
+            case "owners" if value is not None:
+                self._put_owner_map(value, version)
+
+    def _put_owner_map(self, value: dict, version: int) -> None:
+        hosts = [*value["hosts"], ""]
         self._tables.slots.entries = [
             SlotEntry(hosts[owner], hosts[backup], epoch)
-            for owner, backup, epoch in item.value["slots"]
+            for owner, backup, epoch in value["slots"]
         ]
-        self._tables.slots.version = item.version
+        self._tables.slots.version = version
 
     async def _create_owner_map(self) -> None:
         peers = self._tables.peers.rows.values()
@@ -107,25 +174,20 @@
             slots.append([owner, backup, 1])
         value = {"hosts": hosts, "slots": slots}
         try:
-            await self._platform.put("owners", "map", value, 0)
+            result = await self._platform.put("owners", "map", value, 0)
         except PlatformError:
             self._stats.count("platform.errors")
-
-    def _learn_host(self, entry: HostEntry) -> None:
-        if entry.role not in ("engine", "service"):
             return
-        rows = self._tables.targets.rows
-        row = rows.get(entry.name)
-        if row is None:
-            row = rows[entry.name] = Target(
-                entry.name,
-                TargetKind(entry.role),
-                entry.service,
-                entry.data_centre,
-                Address(entry.ip, entry.port),
-            )
-        row.address = Address(entry.ip, entry.port)
-        row.leaving = entry.state != "live"
+        written = result.ok() or result.err()
+        if written is not None:
+            self.learn(written)
+
+
+def _put(table: dict, name: str, value: object, adapter) -> None:
+    if value is None:
+        table.pop(name, None)
+    else:
+        table[name] = adapter.validate_python(value)
 
 
 def _backup(hosts: list[str], centres: dict[str, str], owner: int) -> int:
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import secrets
 from random import Random
 
@@ -15,6 +16,7 @@
 from turmericflow.services._engine import EngineClient
 from turmericflow.services._entry import Entry
 from turmericflow.services._gossip import Gossip
+from turmericflow.services._hosts import Hosts
 from turmericflow.services._journal import Journal
 from turmericflow.services._membership import Membership
 from turmericflow.services._owner import Owner
@@ -25,6 +27,8 @@
 from turmericflow.tables import Peer, Tables
 
 TARGET_CONNECT_TIMEOUT_S = 1.0
+LEAVE_MARGIN_S = 1.0
+FINISH_CHECK_S = 0.05
 
 
 class Daemon(Service):
@@ -64,16 +68,31 @@
             Dispatch(self.tables, self.stats, Random(secrets.randbits(64))),
             self.stats,
         )
-        config = Config(self.settings, self.tables, platform, self.stats)
-        gossip = Gossip(self.tables, peers, self.stats)
         rng = Random(secrets.randbits(64))
+        gossip = Gossip(self.tables, peers, self.stats)
         self.membership = Membership(
             self.settings, self.tables, peers, gossip, self.stats, rng
         )
+        config = Config(self.settings, self.tables, platform, gossip, self.stats, rng)
+        hosts = Hosts(
+            self.tables, platform, gossip, config, self.membership, self.stats, rng
+        )
         entry = Entry(self.settings, self.tables, runner, self.stats)
-        for service in (peers, gossip, self.membership, config, entry):
+        for service in (peers, gossip, self.membership, config, hosts, entry):
             await self.add_runtime_dependency(service)
 
+    async def finish(self) -> None:
+        """Leave without cutting off a request: the first part of a planned stop.
+
+        New requests are served for as long as callers may keep this host's
+        address; then those that run are finished.
+        """
+        self.membership.leave_for_good()
+        await asyncio.sleep(self.settings.addresses_keep_s + LEAVE_MARGIN_S)
+        self.tables.stopping = True
+        while any(not row.ended for row in self.tables.requests.rows.values()):
+            await asyncio.sleep(FINISH_CHECK_S)
+
     async def on_shutdown(self) -> None:
         if self._session is not None:
             await self._session.close()
--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -4,6 +4,8 @@
 
 import hashlib
 import secrets
+import time
+from random import Random
 
 import msgspec
 from aiohttp import web
@@ -20,10 +22,11 @@
 from turmericflow.services._claimant import NewRequest
 from turmericflow.services._runner import Runner
 from turmericflow.services._stats import Stats
+from turmericflow.systems import addresses, freshness
 from turmericflow.tables import RequestId, RequestRow, Tables
 from turmericflow.verdict import ErrorCode, RequestFailed, not_run
 
-ADDRESSES_KEEP_S = 5
+FINISH_S = 86_400.0
 
 
 class GenerateBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -47,13 +50,14 @@
         self._run = runner
         self._stats = stats
         self._web: web.AppRunner | None = None
+        self._rng = Random()
 
     async def on_start(self) -> None:
         app = web.Application(client_max_size=self._settings.max_body_bytes)
         app.router.add_get("/v1/addresses", self._addresses)
         app.router.add_get("/v1/status", self._status)
         app.router.add_post("/v1/generate", self._generate)
-        self._web = web.AppRunner(app, access_log=None)
+        self._web = web.AppRunner(app, access_log=None, shutdown_timeout=FINISH_S)
         await self._web.setup()
         address = self._settings.entry
         await web.TCPSite(self._web, address.ip, address.port).start()
@@ -62,19 +66,36 @@
         await self._web.cleanup()
 
     async def _addresses(self, request: web.Request) -> web.Response:
-        own = [str(self._settings.entry)]
-        others = [str(peer.entry) for peer in self._tables.peers.rows.values()]
+        centre = request.query.get("data_centre", self._tables.data_centre)
+        found = addresses.in_order(
+            self._tables, self._settings.entry, centre, self._rng
+        )
         return web.json_response(
-            {"addresses": own + others, "keep_s": ADDRESSES_KEEP_S}
+            {
+                "addresses": [str(address) for address in found],
+                "keep_s": self._settings.addresses_keep_s,
+            }
         )
 
     async def _status(self, request: web.Request) -> web.Response:
+        now = time.monotonic()
         ready = bool(self._tables.slots.entries and self._tables.config.profiles)
         return web.json_response(
             {
                 "host": self._tables.host,
                 "ready": ready,
                 "versions": self._tables.config.versions,
+                "age_s": round(freshness.age_s(self._tables, now), 3),
+                "may_dispatch": freshness.may_dispatch(self._tables, now),
+                "incarnation": self._tables.peers.incarnation,
+                "members": {
+                    row.host: row.state for row in self._tables.peers.rows.values()
+                },
+                "leaving": sorted(
+                    row.name
+                    for row in self._tables.targets.rows.values()
+                    if row.leaving
+                ),
                 "counts": self._stats.counts,
             }
         )
@@ -95,6 +116,9 @@
         return await whole_answer(row)
 
     async def _submit(self, request: web.Request) -> tuple[RequestRow, GenerateBody]:
+        if self._tables.stopping:
+            message = f"{self._tables.host} is about to stop; use another address"
+            raise not_run(ErrorCode.STOPPING, message, 0.0)
         raw = await request.read()
         try:
             body = msgspec.json.decode(raw, type=GenerateBody)
--- a/turmericflow/services/_membership.py
+++ b/turmericflow/services/_membership.py
@@ -80,6 +80,7 @@
             settings.data_centre, settings.entry, advertised
         )
         self._started_at = time.monotonic()
+        self._final = False
         self._turn = 0
         self._unequal: set[str] = set()
         self._probing: set[str] = set()
@@ -97,11 +98,18 @@
         for task in self._tasks:
             task.cancel()
 
-    def leave(self) -> None:
-        """Say that this host leaves: it takes no lasting duty any more."""
-        membership.leave(self._tables)
-        self._publish_own()
-        log.info("leaving", host=self._tables.host)
+    def leave_for_good(self) -> None:
+        """Say that this host leaves, whatever marks and the host list say."""
+        self.set_leaving(True)
+        self._final = True
+
+    def set_leaving(self, leaving: bool) -> None:
+        """Say that this host leaves, or that it stays after all."""
+        if self._final:
+            return
+        if membership.set_leaving(self._tables, leaving):
+            self._publish_own()
+            log.info("leaving" if leaving else "staying", host=self._tables.host)
 
     def _publish_own(self) -> None:
         version = membership.own_version(self._tables)
@@ -145,7 +153,8 @@
         self._heard(msg.host, msg.version)
         age_s = freshness.age_s(self._tables, time.monotonic())
         version = membership.own_version(self._tables)
-        reply(wire.Ack(msg.rid, version, age_s, self._gossip.facts.root))
+        seen = self._tables.config.seen
+        reply(wire.Ack(msg.rid, version, age_s, self._gossip.facts.root, seen))
 
     async def _on_probe_for(self, msg: wire.ProbeFor, reply: Reply) -> None:
         known = msg.host in self._tables.peers.rows
@@ -224,7 +233,7 @@
             return False
         self._heard(host, ack.version)
         same = ack.root == self._gossip.facts.root
-        freshness.take_word(self._tables, asked_at, ack.age_s, same)
+        freshness.take_word(self._tables, asked_at, ack.age_s, ack.seen, same)
         self._compare(host, same)
         return True
 
--- a/turmericflow/services/_peers.py
+++ b/turmericflow/services/_peers.py
@@ -206,7 +206,9 @@
         def make() -> _Stream:
             return _Stream(on_message, on_lost, self._stats)
 
-        connecting = loop.create_connection(make, peer.peer.ip, peer.peer.port)
+        connecting = loop.create_connection(
+            make, peer.peer.ip, peer.peer.port, local_addr=(self._settings.peer.ip, 0)
+        )
         _, stream = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
         if stream.lost:
             raise OSError(f"{host} closed the connection at once")
--- a/turmericflow/services/main.py
+++ b/turmericflow/services/main.py
@@ -15,11 +15,21 @@
 from turmericflow.services._log import set_up_log
 
 EXIT_SETTINGS = 2
+EXIT_CRASHED = 3
+CRASH_CHECK_S = 0.5
 
 log = structlog.get_logger()
 
 
-async def _serve(settings: Settings) -> None:
+async def _wait(daemon: Daemon, stop: asyncio.Event) -> None:
+    while not stop.is_set() and not daemon.crashed:
+        try:
+            await asyncio.wait_for(stop.wait(), CRASH_CHECK_S)
+        except TimeoutError:
+            continue
+
+
+async def _serve(settings: Settings) -> int:
     daemon = Daemon.from_settings(settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -27,9 +37,14 @@
         loop.add_signal_handler(number, stop.set)
     await daemon.start()
     log.info("started", host=settings.host, entry=str(settings.entry))
-    await stop.wait()
+    await _wait(daemon, stop)
+    if daemon.crashed:
+        log.error("crashed", host=settings.host)
+        return EXIT_CRASHED
+    await daemon.finish()
     await daemon.stop()
     log.info("stopped", host=settings.host)
+    return 0
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -45,8 +60,7 @@
         print(f"turmericflowd: {exc}", file=sys.stderr)
         return EXIT_SETTINGS
     set_up_log(settings.log)
-    asyncio.run(_serve(settings))
-    return 0
+    return asyncio.run(_serve(settings))
 
 
 if __name__ == "__main__":
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from turmericflow.systems import (
+    _addresses as addresses,
     _claims as claims,
     _freshness as freshness,
     _membership as membership,
     _overlay as overlay,
     _routing as routing,
+    _spread as spread,
 )
 from turmericflow.systems._convert import (
     to_attempts,
@@ -18,11 +20,13 @@
 
 __all__ = (
     # Decisions, one module each
+    "addresses",
     "claims",
     "freshness",
     "membership",
     "overlay",
     "routing",
+    "spread",
     # Conversions
     "to_attempts",
     "to_failure",
--- /dev/null
+++ b/turmericflow/systems/_addresses.py
@@ -0,0 +1,48 @@
+"""Addresses that callers are told to use."""
+
+from __future__ import annotations
+
+from random import Random
+
+from turmericflow.cfg import Address
+from turmericflow.systems import _membership as membership
+from turmericflow.tables import PeerState, Tables
+
+NEAR_ADDRESSES = 6
+FAR_ADDRESSES = 6
+
+
+def in_order(
+    tables: Tables, own: Address, data_centre: str, rng: Random
+) -> list[Address]:
+    """Return entry addresses in the order in which a caller should try them.
+
+    Hosts in the caller's data centre come first; each group is shuffled, so
+    that callers spread over it.  Suspected and leaving hosts are left out,
+    unless no other is known.
+
+    Parameters
+    ----------
+    tables
+        The host's tables.
+    own
+        This host's entry address.
+    data_centre
+        The caller's data centre, or this host's if it is not known.
+    rng
+        Source of randomness.
+    """
+    near: list[Address] = []
+    far: list[Address] = []
+    for host in membership.staying_hosts(tables):
+        if host == tables.host:
+            address, place = own, tables.data_centre
+        else:
+            row = tables.peers.rows[host]
+            if row.state is not PeerState.ALIVE:
+                continue
+            address, place = row.entry, row.data_centre
+        (near if place == data_centre else far).append(address)
+    near = rng.sample(near, min(NEAR_ADDRESSES, len(near)))
+    far = rng.sample(far, min(FAR_ADDRESSES, len(far)))
+    return [*near, *far] or [own]
--- a/turmericflow/systems/_freshness.py
+++ b/turmericflow/systems/_freshness.py
@@ -15,12 +15,13 @@
 
 
 def take_word(
-    tables: Tables, asked_at: float, peer_age_s: float, same_view: bool
+    tables: Tables, asked_at: float, peer_age_s: float, seen: int, same_view: bool
 ) -> None:
-    """Take a peer's word on the age of a view that equals this host's."""
+    """Take a peer's word on the age and reach of a view that equals this host's."""
     if same_view:
-        confirmed_at = asked_at - peer_age_s
-        tables.config.confirmed_at = max(tables.config.confirmed_at, confirmed_at)
+        config = tables.config
+        config.confirmed_at = max(config.confirmed_at, asked_at - peer_age_s)
+        config.seen = max(config.seen, seen)
 
 
 def _hears_contacts(tables: Tables, now: float) -> bool:
--- a/turmericflow/systems/_membership.py
+++ b/turmericflow/systems/_membership.py
@@ -50,7 +50,7 @@
 
 def own_version(tables: Tables) -> int:
     """Return this host's own member version."""
-    state = PeerState.LEAVING if tables.stopping else PeerState.ALIVE
+    state = PeerState.LEAVING if tables.peers.leaving else PeerState.ALIVE
     return pack_version(tables.peers.incarnation, tables.peers.revision, state)
 
 
@@ -100,10 +100,20 @@
     return True
 
 
-def leave(tables: Tables) -> None:
-    """Say that this host leaves."""
-    tables.stopping = True
+def set_leaving(tables: Tables, leaving: bool) -> bool:
+    """Say that this host leaves, or that it stays after all.
+
+    Returns
+    -------
+    bool
+        Whether that is a change, to be spread.
+    """
+    if tables.peers.leaving is leaving:
+        return False
+    tables.peers.leaving = leaving
     tables.peers.revision += 1
+    tables.peers.changes += 1
+    return True
 
 
 def suspect(tables: Tables, host: str, now: float, started_at: float) -> int | None:
@@ -145,7 +155,7 @@
 
 def staying_hosts(tables: Tables) -> list[str]:
     """Return the live hosts that can be given lasting duties, sorted."""
-    found = [] if tables.stopping else [tables.host]
+    found = [] if tables.peers.leaving else [tables.host]
     for row in tables.peers.rows.values():
         if row.state is not PeerState.DEAD and not row.leaving:
             found.append(row.host)
--- a/turmericflow/tables/_all.py
+++ b/turmericflow/tables/_all.py
@@ -21,7 +21,8 @@
     host, data_centre
         Name of this host and where it is.
     stopping
-        Whether this host is on its way out and takes no lasting duty.
+        Whether this host takes no new requests any more, for it is about to
+        stop; ``peers.leaving`` says earlier that it is to be given none.
     """
 
     host: str
--- a/turmericflow/tables/_config.py
+++ b/turmericflow/tables/_config.py
@@ -20,6 +20,8 @@
     confirmed_at
         Time at which this view was last known to be current, in seconds of
         this host's clock.
+    seen
+        Platform version up to which no change is missing from this view.
     """
 
     versions: dict[str, int] = field(default_factory=dict)
@@ -27,3 +29,4 @@
     customers: dict[str, Customer] = field(default_factory=dict)
     marks: dict[str, Mark] = field(default_factory=dict)
     confirmed_at: float = float("-inf")
+    seen: int = 0
--- a/turmericflow/tables/_peers.py
+++ b/turmericflow/tables/_peers.py
@@ -66,6 +66,8 @@
         Peers by host name.
     incarnation, revision
         This host's own numbers.
+    leaving
+        Whether this host has said that it leaves.
     changes
         Number of changes of membership so far.
     contacts
@@ -77,6 +79,7 @@
     rows: dict[str, Peer] = field(default_factory=dict)
     incarnation: int = 0
     revision: int = 0
+    leaving: bool = False
     changes: int = 0
     contacts: list[str] = field(default_factory=list)
     contacts_at: int = -1
--- a/turmericflow/testing/_cluster.py
+++ b/turmericflow/testing/_cluster.py
@@ -10,6 +10,7 @@
 import tempfile
 import time
 import urllib.request
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -19,6 +20,8 @@
 POLL_S = 0.05
 STOP_S = 30.0
 
+_CUT = {"stall_up": True, "stall_down": True, "refuse": True}
+
 
 @dataclass(slots=True)
 class EngineSpec:
@@ -49,6 +52,10 @@
         One-way delay between routers, through a proxy before each; 0 for none.
     platform_args
         Arguments of the platform's stand-in.
+    wait_ready
+        Whether the start ends only when all routers are ready.
+    first_fault
+        Fault of the platform while the routers start.
     """
 
     routers: dict[str, str]
@@ -57,6 +64,8 @@
     settings: dict[str, object] = field(default_factory=dict)
     peer_delay_s: float = 0.0
     platform_args: list[str] = field(default_factory=list)
+    wait_ready: bool = True
+    first_fault: dict[str, object] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -115,15 +124,19 @@
         """Start the platform, the targets and the routers, and wait for them."""
         self.start_platform()
         for spec in self.plan.targets:
-            self.start_target(spec)
+            self._spawn_target(spec)
+        for spec in self.plan.targets:
+            self._add_target(spec)
         self.write_hosts()
         for path, value in self.plan.objects.items():
             self.put(path, value)
         self._place_routers()
+        self.fault(**self.plan.first_fault)
         for host in self.plan.routers:
             self.start_router(host)
-        for host in self.plan.routers:
-            self.wait_router(host)
+        if self.plan.wait_ready:
+            for host in self.plan.routers:
+                self.wait_router(host)
 
     def start_platform(self) -> None:
         """Start the platform's stand-in."""
@@ -132,9 +145,16 @@
 
     def start_target(self, spec: EngineSpec, port: int = 0) -> None:
         """Start an engine or a plain service."""
+        self._spawn_target(spec, port)
+        self._add_target(spec)
+
+    def _spawn_target(self, spec: EngineSpec, port: int = 0) -> None:
         module = f"turmericflow.testing.{spec.role}"
         args = [*spec.args, "--port", str(port)]
-        running = self._start_stand_in(spec.name, module, "127.0.0.1", args)
+        self._spawn(spec.name, module, "127.0.0.1", args)
+
+    def _add_target(self, spec: EngineSpec) -> None:
+        running = self._take_ports(spec.name)
         self._rows = [row for row in self._rows if row["name"] != spec.name]
         self._rows.append(
             {
@@ -158,6 +178,11 @@
         url = f"http://{self.processes['platform'].address}/v1/objects/{path}"
         return http_json("PUT", url, value, {"If-Match": str(version)})
 
+    def delete(self, path: str, version: int) -> dict:
+        """Delete an object of the platform."""
+        url = f"http://{self.processes['platform'].address}/v1/objects/{path}"
+        return http_json("DELETE", url, None, {"If-Match": str(version)})
+
     def fault(self, **fields: object) -> None:
         """Put a fault of the platform in force."""
         url = f"http://{self.processes['platform'].address}/admin/fault"
@@ -213,6 +238,39 @@
             sock.sendall(json.dumps(fields).encode() + b"\n")
             sock.recv(16)
 
+    def cut(self, one: list[str], other: list[str]) -> None:
+        """Hold back all bytes between two groups of routers."""
+        for group, against in ((one, other), (other, one)):
+            ips = [self.entries[host].rsplit(":", 1)[0] for host in against]
+            for host in group:
+                self.control(f"proxy-{host}", **_CUT, sources=ips)
+
+    def heal(self) -> None:
+        """Lift the faults of all routers' proxies."""
+        for host in self.plan.routers:
+            self.control(f"proxy-{host}", delay_s=self.plan.peer_delay_s)
+
+    def status(self, host: str) -> dict:
+        """Return a daemon's status."""
+        return http_json("GET", f"http://{self.entries[host]}/v1/status")
+
+    def wait_all(
+        self, done: Callable[[dict], bool], hosts: Iterable[str] | None = None
+    ) -> None:
+        """Wait until the status of each router, or of some, fits."""
+        until = time.monotonic() + READY_S
+        for host in hosts or self.plan.routers:
+            while not self._fits(host, done):
+                if time.monotonic() > until:
+                    raise TimeoutError(f"{host}: {self.status(host)}")
+                time.sleep(POLL_S)
+
+    def _fits(self, host: str, done: Callable[[dict], bool]) -> bool:
+        try:
+            return bool(done(self.status(host)))
+        except OSError:
+            return False
+
     def stop(self) -> None:
         """End every process that this cluster started."""
         for running in self.processes.values():
@@ -232,10 +290,11 @@
         for host in self.plan.routers:
             ip = self.entries[host].rsplit(":", 1)[0]
             to = f"{ip}:{self._peer_ports[host]}"
-            name = f"proxy-{host}"
             module = "turmericflow.testing.proxy"
-            self._start_stand_in(name, module, ip, ["--to", to])
-            self.control(name, delay_s=self.plan.peer_delay_s)
+            self._spawn(f"proxy-{host}", module, ip, ["--to", to])
+        for host in self.plan.routers:
+            self._take_ports(f"proxy-{host}")
+        self.heal()
 
     def _settings(self, host: str) -> dict:
         own = self.entries[host].rsplit(":", 1)[0]
@@ -266,9 +325,16 @@
     def _start_stand_in(
         self, name: str, module: str, ip: str, args: list[str]
     ) -> Running:
+        self._spawn(name, module, ip, args)
+        return self._take_ports(name)
+
+    def _spawn(self, name: str, module: str, ip: str, args: list[str]) -> None:
         argv = [sys.executable, "-m", module, "--ip", ip, *args]
         process = subprocess.Popen(argv, stdout=subprocess.PIPE, text=True)
-        words = process.stdout.readline().split()
-        running = Running(process, ip, [int(word) for word in words[1:]])
-        self.processes[name] = running
+        self.processes[name] = Running(process, ip, [])
+
+    def _take_ports(self, name: str) -> Running:
+        running = self.processes[name]
+        words = running.process.stdout.readline().split()
+        running.ports = [int(word) for word in words[1:]]
         return running
--- a/turmericflow/testing/platform.py
+++ b/turmericflow/testing/platform.py
@@ -13,6 +13,7 @@
 from turmericflow.testing._serve import serve
 
 MAX_VALUE_BYTES = 1_000_000
+KEPT_VERSIONS = 100
 
 
 class PlatformStandIn:
@@ -23,7 +24,8 @@
     fault
         ``""``, ``outage`` (503), ``hang`` (no answer), ``lose_reply`` (a write
         takes effect and its connection is closed) or ``old`` (reads and
-        watches answer as of the time the fault began).
+        watches answer as of a version, by default the one at which the fault
+        began).
     delay_s
         Time added to each answer, in seconds.
     """
@@ -40,6 +42,7 @@
         self.fault = ""
         self.delay_s = 0.0
         self._old: tuple[int, dict[str, dict]] = (0, {})
+        self._history: list[tuple[int, dict[str, dict]]] = [(0, {})]
         self._hosts: list[tuple[float, list]] = [(0.0, [])]
         self._changed = asyncio.Condition()
 
@@ -123,6 +126,8 @@
             "value": value,
         }
         self.objects = {**self.objects, path: written}
+        self._history.append((self.version, self.objects))
+        del self._history[:-KEPT_VERSIONS]
         async with self._changed:
             self._changed.notify_all()
         return web.json_response(written)
@@ -162,7 +167,8 @@
         body = await request.json()
         self.fault = body.get("fault", "")
         self.delay_s = body.get("delay_s", 0.0)
-        self._old = (self.version, self.objects)
+        upto = body.get("version", self.version)
+        self._old = [each for each in self._history if each[0] <= upto][-1]
         return web.Response()
 
     async def _get_calls(self, request: web.Request) -> web.Response:
--- a/turmericflow/testing/proxy.py
+++ b/turmericflow/testing/proxy.py
@@ -25,6 +25,8 @@
         on when the fault is lifted.
     drop_down
         Whether bytes to the caller are thrown away.
+    sources
+        IP numbers of the callers that the fault is for; empty for all.
     """
 
     delay_s: float = 0.0
@@ -32,6 +34,17 @@
     stall_up: bool = False
     stall_down: bool = False
     drop_down: bool = False
+    sources: tuple[str, ...] = ()
+
+    def holds(self, caller: asyncio.StreamWriter, up: bool) -> bool:
+        """Return whether bytes of a caller's connection are held back."""
+        stalled = self.stall_up if up else self.stall_down
+        return stalled and self.affects(caller)
+
+    def affects(self, writer: asyncio.StreamWriter) -> bool:
+        """Return whether the fault is for a caller."""
+        source = writer.get_extra_info("peername")
+        return not self.sources or (source is not None and source[0] in self.sources)
 
 
 class Proxy:
@@ -58,7 +71,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one caller."""
-        if self.fault.refuse:
+        if self.fault.refuse and self.fault.affects(writer):
             writer.transport.abort()
             return
         try:
@@ -69,17 +82,21 @@
         pair = {writer, up_writer}
         self._writers |= pair
         ways = (
-            self._pump(reader, up_writer, up=True),
-            self._pump(up_reader, writer, up=False),
+            self._pump(reader, up_writer, writer, up=True),
+            self._pump(up_reader, writer, writer, up=False),
         )
         await asyncio.gather(*ways)
         self._writers -= pair
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, up: bool
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        caller: asyncio.StreamWriter,
+        up: bool,
     ) -> None:
         queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue()
-        sender = asyncio.ensure_future(self._send(queue, writer, up))
+        sender = asyncio.ensure_future(self._send(queue, writer, caller, up))
         loop = asyncio.get_running_loop()
         try:
             while data := await reader.read(CHUNK_BYTES):
@@ -90,13 +107,17 @@
         await sender
 
     async def _send(
-        self, queue: asyncio.Queue, writer: asyncio.StreamWriter, up: bool
+        self,
+        queue: asyncio.Queue,
+        writer: asyncio.StreamWriter,
+        caller: asyncio.StreamWriter,
+        up: bool,
     ) -> None:
         loop = asyncio.get_running_loop()
         while True:
             due, data = await queue.get()
             await asyncio.sleep(max(0.0, due - loop.time()))
-            while self.fault.stall_up if up else self.fault.stall_down:
+            while self.fault.holds(caller, up):
                 await self._lifted.wait()
             if self.fault.drop_down and not up and data:
                 continue
--- /dev/null
+++ b/turmericflow/tests/test_config.py
@@ -0,0 +1,108 @@
+"""Tests of the spread of configuration, with real processes."""
+
+from __future__ import annotations
+
+import pytest
+
+from turmericflow.testing import Cluster, demo
+
+QUOTATION = "profile/quotation"
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+
+
+def _change(cluster: Cluster, urgency: str, version: int) -> int:
+    value = {**cluster.plan.objects[QUOTATION], "urgency": urgency}
+    return cluster.put(QUOTATION, value, version)["version"]
+
+
+def _has(version: int):
+    return lambda status: status["versions"].get(QUOTATION) == version
+
+
+def _fresh(status: dict) -> bool:
+    return status["age_s"] < 3.0
+
+
+@pytest.mark.integration
+def test_restart_takes_the_newest_while_the_platform_answers_old(cluster):
+    first = cluster.status("entry-1")["versions"][QUOTATION]
+    second = _change(cluster, "urgent", first)
+    cluster.wait_all(_has(second))
+    cluster.fault(fault="old", version=first)
+    cluster.kill("entry-3")
+    cluster.start_router("entry-3")
+    cluster.wait_router("entry-3")
+    assert cluster.status("entry-3")["versions"][QUOTATION] == second
+    cluster.wait_all(lambda status: status["counts"].get("platform.old_answers", 0))
+    cluster.wait_all(_has(second))
+    cluster.fault()
+    third = _change(cluster, "thrifty", second)
+    cluster.wait_all(_has(third))
+
+
+@pytest.mark.integration
+def test_outage_changes_nothing_and_a_restarted_host_learns_from_peers(cluster):
+    version = cluster.status("entry-1")["versions"][QUOTATION]
+    cluster.fault(fault="outage")
+    cluster.kill("entry-2")
+    cluster.wait_all(
+        lambda status: status["members"]["entry-2"] == "dead", ["entry-1", "entry-3"]
+    )
+    before = cluster.status("entry-1")["incarnation"]
+    cluster.start_router("entry-2")
+    cluster.wait_router("entry-2")
+    cluster.wait_all(_has(version))
+    cluster.wait_all(lambda status: status["age_s"] > 4.5)
+    assert all(cluster.status(host)["may_dispatch"] for host in ENTRIES)
+    cluster.fault(delay_s=1.0)
+    later = _change(cluster, "urgent", version)
+    cluster.wait_all(_has(later))
+    assert cluster.status("entry-1")["incarnation"] == before
+
+
+@pytest.mark.integration
+def test_start_while_the_platform_is_down_and_then_loses_replies():
+    plan = demo.plan()
+    plan.wait_ready = False
+    plan.first_fault = {"fault": "outage"}
+    with Cluster(plan) as cluster:
+        cluster.wait_all(lambda status: status["counts"].get("platform.errors"))
+        assert not any(cluster.status(host)["ready"] for host in ENTRIES)
+        cluster.fault(fault="lose_reply")
+        for host in ENTRIES:
+            cluster.wait_router(host)
+        assert {len(cluster.status(host)["versions"]) for host in ENTRIES} == {3}
+
+
+@pytest.mark.integration
+def test_cut_off_host_stops_giving_work_and_heals(cluster):
+    cluster.wait_all(_fresh)
+    version = cluster.status("entry-1")["versions"][QUOTATION]
+    cluster.fault(fault="outage")
+    cluster.cut(["entry-3"], ["entry-1", "entry-2"])
+    cluster.wait_all(lambda status: not status["may_dispatch"], ["entry-3"])
+    cluster.wait_all(
+        lambda status: status["members"]["entry-3"] == "dead", ["entry-1", "entry-2"]
+    )
+    cluster.wait_all(lambda status: status["age_s"] > 4.5, ["entry-1", "entry-2"])
+    assert all(cluster.status(host)["may_dispatch"] for host in ENTRIES[:2])
+    cluster.heal()
+    cluster.wait_all(lambda status: set(status["members"].values()) == {"alive"})
+    cluster.wait_all(lambda status: status["may_dispatch"])
+    cluster.fault()
+    later = _change(cluster, "urgent", version)
+    cluster.wait_all(_has(later))
+
+
+@pytest.mark.integration
+def test_deleted_object_goes_everywhere_and_stays_away(cluster):
+    cluster.put("customer/sur", {"name": "sur"})
+    path = "customer/sur"
+    cluster.wait_all(lambda status: path in status["versions"])
+    version = cluster.status("entry-1")["versions"][path]
+    gone = cluster.delete(path, version)["version"]
+    cluster.wait_all(lambda status: status["versions"][path] == gone)
+    cluster.kill("entry-1")
+    cluster.start_router("entry-1")
+    cluster.wait_router("entry-1")
+    assert cluster.status("entry-1")["versions"][path] == gone
--- a/turmericflow/tests/test_membership.py
+++ b/turmericflow/tests/test_membership.py
@@ -85,15 +85,23 @@
     _learn(tables, 1, pack_version(100, 1, PeerState.SUSPECT))
     assert "entry-1" in membership.live_hosts(tables)
     assert membership.staying_hosts(tables) == ["entry-0", "entry-2"]
-    membership.leave(tables)
+    assert membership.set_leaving(tables, True)
     assert membership.staying_hosts(tables) == ["entry-2"]
 
 
 @pytest.mark.parametrize("hosts", [7, 35, 400])
 def test_contacts_stay_few_and_reach_every_host(hosts):
     contacts = {}
+    tables = _tables("entry-0", hosts)
+    membership.learn(
+        tables, "entry-0", pack_version(1, 0, PeerState.ALIVE), _info(0), 0
+    )
     for number in range(hosts):
-        found = overlay.contacts(_tables(f"entry-{number}", hosts))
+        tables.host, tables.data_centre = f"entry-{number}", CENTRES[number % 3]
+        own = tables.peers.rows.pop(tables.host)
+        tables.peers.changes += 1
+        found = overlay.contacts(tables)
+        tables.peers.rows[tables.host] = own
         contacts[f"entry-{number}"] = found
         assert 1 <= len(found) <= 4
     reached, fresh = {"entry-0"}, {"entry-0"}
@@ -148,8 +156,9 @@
 
 def test_word_of_a_peer_counts_only_for_the_same_view():
     tables = _tables("entry-0", 2)
-    freshness.take_word(tables, 20.0, 0.5, same_view=False)
+    freshness.take_word(tables, 20.0, 0.5, 9, same_view=False)
     assert freshness.age_s(tables, 20.0) == float("inf")
-    freshness.take_word(tables, 20.0, 0.5, same_view=True)
-    freshness.take_word(tables, 21.0, 9.0, same_view=True)
+    freshness.take_word(tables, 20.0, 0.5, 9, same_view=True)
+    freshness.take_word(tables, 21.0, 9.0, 7, same_view=True)
     assert freshness.age_s(tables, 21.0) == 1.5
+    assert tables.config.seen == 9
--- a/turmericflow/wire/_messages.py
+++ b/turmericflow/wire/_messages.py
@@ -191,14 +191,16 @@
 class Ack(Message, tag="ack"):
     """Answers `Ping`.
 
-    ``age_s`` is the age of the sender's configuration and ``root`` the digest
-    of all that it knows.
+    ``age_s`` is the age of the sender's configuration, ``root`` the digest of
+    all that it knows, and ``seen`` the platform version up to which it knows
+    all objects.
     """
 
     rid: int
     version: int
     age_s: float
     root: int
+    seen: int = 0
 
 
 class ProbeFor(Message, tag="probefor"):
