--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import secrets
 from random import Random
 
@@ -15,6 +16,7 @@
 from turmericflow.services._engine import EngineClient
 from turmericflow.services._entry import Entry
 from turmericflow.services._gossip import Gossip
+from turmericflow.services._hosts import Hosts
 from turmericflow.services._journal import Journal
 from turmericflow.services._membership import Membership
 from turmericflow.services._owner import Owner
@@ -28,6 +30,8 @@
 from turmericflow.tables import Peer, Tables
 
 TARGET_CONNECT_TIMEOUT_S = 1.0
+LEAVE_MARGIN_S = 1.0
+FINISH_CHECK_S = 0.05
 
 
 class Daemon(Service):
@@ -75,16 +79,19 @@
             dispatch,
             self.stats,
         )
-        config = Config(self.settings, self.tables, platform, self.stats)
+        rng = Random(secrets.randbits(64))
         gossip = Gossip(self.tables, peers, self.stats)
+        self.membership = Membership(
+            self.settings, self.tables, peers, gossip, self.stats, rng
+        )
+        config = Config(self.settings, self.tables, platform, gossip, self.stats, rng)
+        hosts = Hosts(
+            self.tables, platform, gossip, config, self.membership, self.stats, rng
+        )
         self.slots = SlotService(
             self.settings, self.tables, peers, gossip, platform, self.stats
         )
         self.slots.on_change(journal.slots_changed)
-        rng = Random(secrets.randbits(64))
-        self.membership = Membership(
-            self.settings, self.tables, peers, gossip, self.stats, rng
-        )
         entry = Entry(self.settings, self.tables, runner, self.stats)
         reports = Reports(self.tables, engines, self.stats)
         services = (
@@ -92,6 +99,7 @@
             gossip,
             self.membership,
             config,
+            hosts,
             self.slots,
             reports,
             dispatch,
@@ -100,6 +108,19 @@
         for service in services:
             await self.add_runtime_dependency(service)
 
+    async def finish(self) -> None:
+        """Leave without cutting off a request: the first part of a planned stop.
+
+        New requests are served for as long as callers may keep this host's
+        address; then those that run are finished.
+        """
+        self.membership.leave_for_good()
+        await asyncio.sleep(self.settings.addresses_keep_s + LEAVE_MARGIN_S)
+        self.tables.stopping = True
+        while any(not row.ended for row in self.tables.requests.rows.values()):
+            await asyncio.sleep(FINISH_CHECK_S)
+        await self.slots.hand_over()
+
     async def on_shutdown(self) -> None:
         if self._session is not None:
             await self._session.close()
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from turmericflow.systems import (
+    _addresses as addresses,
     _admission as admission,
     _backup as backup,
     _breakers as breakers,
@@ -23,6 +24,7 @@
     _routing as routing,
     _scheduling as scheduling,
     _slots as slots,
+    _spread as spread,
     _status as status,
 )
 from turmericflow.systems._convert import (
@@ -34,6 +36,7 @@
 
 __all__ = (
     # Decisions, one module each
+    "addresses",
     "admission",
     "backup",
     "breakers",
@@ -54,6 +57,7 @@
     "routing",
     "scheduling",
     "slots",
+    "spread",
     "status",
     # Conversions
     "to_attempts",
--- a/turmericflow/systems/_status.py
+++ b/turmericflow/systems/_status.py
@@ -7,7 +7,11 @@
 import msgspec
 
 from turmericflow.profile import CUSTOMER_ADAPTER, MARK_ADAPTER, PROFILE_ADAPTER
-from turmericflow.systems import _breakers as breakers, _slots as slots
+from turmericflow.systems import (
+    _breakers as breakers,
+    _freshness as freshness,
+    _slots as slots,
+)
 from turmericflow.tables import ClaimState, PeerState, Tables, Target
 
 IN_USE = "in use"
@@ -49,7 +53,9 @@
     data_centre: str
     ready: bool
     stopping: bool
+    incarnation: int
     view_age_s: float | None
+    may_dispatch: bool
     versions: dict[str, int]
     members: list[MemberStatus]
     slots: SlotStatus
@@ -122,7 +128,7 @@
     now
         Time in seconds of the host's clock.
     """
-    age = now - tables.config.confirmed_at
+    age = freshness.age_s(tables, now)
     claims = dict.fromkeys((state.value for state in ClaimState), 0)
     for claim in tables.claims.rows.values():
         claims[claim.state] += 1
@@ -131,7 +137,9 @@
         tables.data_centre,
         is_ready(tables),
         tables.stopping,
+        tables.peers.incarnation,
         round(age, 3) if math.isfinite(age) else None,
+        freshness.may_dispatch(tables, now),
         dict(tables.config.versions),
         _members(tables, entry),
         _slots(tables),
