--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -67,6 +67,17 @@
             f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
         )
 
+    @classmethod
+    def from_text(cls, text: str) -> Address:
+        """Return the address that ``IP:PORT`` stands for.
+
+        Raises
+        ------
+        ValueError
+            If it is of another form; the message says which was expected.
+        """
+        return cls(**_split_address(text))
+
     @property
     def is_loopback(self) -> bool:
         """Whether only processes of the same machine can reach it."""
@@ -154,6 +165,8 @@
     operator_key_hashes
         SHA-256 hex digests of the keys that open the status details; empty
         means that no key is asked for.
+    policy
+        Policy that chooses among the targets that may run some work.
     """
 
     host: Name
@@ -171,6 +184,7 @@
     tls: TlsSettings | None = None
     insecure_bind: Flag = False
     operator_key_hashes: list[KeyHash] = Field(default_factory=list)
+    policy: Annotated[str, Field(pattern="^(random|sq|lew|mc|fpi|ours)$")] = "ours"
 
     @classmethod
     def from_file(cls, path: Path) -> Settings:
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -20,9 +20,11 @@
 from turmericflow.services._owner import Owner
 from turmericflow.services._peers import Peers
 from turmericflow.services._platform import PlatformClient
+from turmericflow.services._reports import Reports
 from turmericflow.services._runner import Runner
 from turmericflow.services._slots import SlotService
 from turmericflow.services._stats import Stats
+from turmericflow.systems import policies
 from turmericflow.tables import Peer, Tables
 
 TARGET_CONNECT_TIMEOUT_S = 1.0
@@ -58,12 +60,19 @@
         peers = Peers(self.settings, self.tables, self.stats)
         Owner(self.tables, peers, self.stats)
         journal = Journal(self.tables, peers, self.stats)
+        engines = EngineClient(self._session)
+        dispatch = Dispatch(
+            self.tables,
+            self.stats,
+            Random(secrets.randbits(64)),
+            policies.policy_of(self.settings.policy),
+        )
         runner = Runner(
             self.tables,
             Claimant(self.tables, peers, self.stats),
-            EngineClient(self._session),
+            engines,
             journal,
-            Dispatch(self.tables, self.stats, Random(secrets.randbits(64))),
+            dispatch,
             self.stats,
         )
         config = Config(self.settings, self.tables, platform, self.stats)
@@ -77,7 +86,18 @@
             self.settings, self.tables, peers, gossip, self.stats, rng
         )
         entry = Entry(self.settings, self.tables, runner, self.stats)
-        for service in (peers, gossip, self.membership, config, self.slots, entry):
+        reports = Reports(self.tables, engines, self.stats)
+        services = (
+            peers,
+            gossip,
+            self.membership,
+            config,
+            self.slots,
+            reports,
+            dispatch,
+            entry,
+        )
+        for service in services:
             await self.add_runtime_dependency(service)
 
     async def on_shutdown(self) -> None:
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -3,16 +3,25 @@
 from __future__ import annotations
 
 from turmericflow.systems import (
+    _admission as admission,
     _backup as backup,
+    _breakers as breakers,
+    _budgets as budgets,
     _claims as claims,
+    _estimates as estimates,
+    _fairness as fairness,
     _freshness as freshness,
     _journal as journal,
+    _limits as limits,
     _membership as membership,
     _overlay as overlay,
     _owner_map as owner_map,
     _placement as placement,
+    _policies as policies,
+    _prefixes as prefixes,
     _records as records,
     _routing as routing,
+    _scheduling as scheduling,
     _slots as slots,
 )
 from turmericflow.systems._convert import (
@@ -24,16 +33,25 @@
 
 __all__ = (
     # Decisions, one module each
+    "admission",
     "backup",
+    "breakers",
+    "budgets",
     "claims",
+    "estimates",
+    "fairness",
+    "freshness",
     "journal",
+    "limits",
+    "membership",
+    "overlay",
     "owner_map",
     "placement",
+    "policies",
+    "prefixes",
     "records",
-    "freshness",
-    "membership",
-    "overlay",
     "routing",
+    "scheduling",
     "slots",
     # Conversions
     "to_attempts",
--- a/turmericflow/tables/__init__.py
+++ b/turmericflow/tables/__init__.py
@@ -12,10 +12,28 @@
 )
 from turmericflow.tables._config import ConfigTable
 from turmericflow.tables._facts import FactTable
+from turmericflow.tables._load import (
+    Budget,
+    Demand,
+    Flow,
+    LoadTable,
+    Pool,
+    RateBucket,
+    Waiting,
+    Work,
+)
 from turmericflow.tables._peers import Peer, PeerState, PeerTable
 from turmericflow.tables._requests import Listener, RequestRow, RequestTable
 from turmericflow.tables._slots import RequestId, SlotEntry, SlotTable
-from turmericflow.tables._targets import LoadReport, Target, TargetKind, TargetTable
+from turmericflow.tables._targets import (
+    Breaker,
+    BreakerState,
+    LoadReport,
+    StepFit,
+    Target,
+    TargetKind,
+    TargetTable,
+)
 
 __all__ = (
     # All tables of one host
@@ -33,8 +51,20 @@
     # Slots
     "SlotEntry",
     "SlotTable",
+    # Load
+    "Budget",
+    "Demand",
+    "Flow",
+    "LoadTable",
+    "Pool",
+    "RateBucket",
+    "Waiting",
+    "Work",
     # Targets
+    "Breaker",
+    "BreakerState",
     "LoadReport",
+    "StepFit",
     "Target",
     "TargetKind",
     "TargetTable",
