Lose owners, backups and runners with real processes

Cause: the decisions on claims and slots were tested in one process only; what a caller sees when a router is killed, paused or cut off was not shown. Change: test_owner_loss.py starts five routers behind fault proxies and induces each loss; an order whose runner died is told as runner_lost with MAY_HAVE_RUN, a code of its own, since the client goes on by itself after `replaced`. Before: no test.

--- a/turmericflow/systems/_claims.py
+++ b/turmericflow/systems/_claims.py
@@ -227,7 +227,7 @@
     if not row.idempotent:
         message = "the router that ran this request was lost"
         after.state = ClaimState.FAILED
-        after.failure = Failure(ErrorCode.REPLACED, Verdict.MAY_HAVE_RUN, message)
+        after.failure = Failure(ErrorCode.RUNNER_LOST, Verdict.MAY_HAVE_RUN, message)
         return _change(tables, after, _refused(msg.rid, after.failure), _nothing(msg))
     after.runner, after.grant = msg.runner, msg.generation
     if row.journal_at not in (tables.host, entry.backup):
--- /dev/null
+++ b/turmericflow/testing/_routers.py
@@ -0,0 +1,141 @@
+"""Clusters of routers, and where a key's claim and journal are kept."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+
+import aiohttp
+
+from turmericflow.client import Answer, Caller
+from turmericflow.systems import owner_map
+from turmericflow.tables import RequestId, SlotEntry, SlotTable
+from turmericflow.testing._cluster import (
+    Cluster,
+    ClusterPlan,
+    EngineSpec,
+    http_json,
+)
+
+CUSTOMER = "norte"
+CENTRES = ("mvd-cordon", "mvd-aguada", "mvd-carrasco")
+WAIT_S = 20.0
+_KEYS = itertools.count()
+
+
+def router_plan(routers: int = 5, peer_delay_s: float = 0.001) -> ClusterPlan:
+    """Return a plan of routers in three data centres before two engines."""
+    args = ["--model", "sable/none/1", "--step-ms", "20"]
+    loaded = {"model": "sable", "adapter": "none", "version": "1"}
+    work = {"service": "redactor", **loaded}
+    return ClusterPlan(
+        routers={f"entry-{n + 1}": CENTRES[n % 3] for n in range(routers)},
+        targets=[
+            EngineSpec(f"redactor-{n}", "redactor", CENTRES[n], args) for n in range(2)
+        ],
+        objects={
+            "profile/quotation": {"name": "quotation", **work},
+            "profile/order": {"name": "order", **work, "idempotent": False},
+            "profile/stranded": {
+                "name": "stranded",
+                "service": "nowhere",
+                "wait_s": 0.5,
+            },
+            f"customer/{CUSTOMER}": {"name": CUSTOMER},
+        },
+        peer_delay_s=peer_delay_s,
+    )
+
+
+def read_map(cluster: Cluster) -> list[SlotEntry]:
+    """Return the owner map's entries as the platform has them."""
+    url = f"http://{cluster.processes['platform'].address}/v1/objects/owners/map"
+    return owner_map.decode(http_json("GET", url)["value"])[0]
+
+
+def entry_of(cluster: Cluster, key: str) -> SlotEntry:
+    """Return the owner map's entry of a key."""
+    return SlotTable(entries=read_map(cluster)).entry_of(RequestId(CUSTOMER, key))
+
+
+def find_key(cluster: Cluster, owner: str, backup: str = "") -> str:
+    """Return a fresh key whose slot has that owner, and that backup if named."""
+    table = SlotTable(entries=read_map(cluster))
+    for number in _KEYS:
+        key = f"key-{number}"
+        entry = table.entry_of(RequestId(CUSTOMER, key))
+        if entry.owner == owner and backup in ("", entry.backup):
+            return key
+    raise AssertionError("unreachable")
+
+
+def counts(cluster: Cluster, host: str) -> dict[str, int]:
+    """Return a router's counters."""
+    return http_json("GET", f"http://{cluster.entries[host]}/v1/status")["counts"]
+
+
+def wait_without(cluster: Cluster, *hosts: str) -> None:
+    """Wait until the owner map names none of the hosts and has backups again."""
+    until = time.monotonic() + WAIT_S
+    while time.monotonic() < until:
+        entries = read_map(cluster)
+        parties = {entry.owner for entry in entries}
+        parties |= {entry.backup for entry in entries}
+        if not parties & {*hosts, ""}:
+            return
+        time.sleep(0.1)
+    raise TimeoutError(f"the owner map still names one of {hosts}")
+
+
+def wait_with(cluster: Cluster, *hosts: str) -> None:
+    """Wait until each host owns a slot again."""
+    until = time.monotonic() + WAIT_S
+    while time.monotonic() < until:
+        if {*hosts} <= {entry.owner for entry in read_map(cluster)}:
+            return
+        time.sleep(0.1)
+    raise TimeoutError(f"one of {hosts} owns no slot")
+
+
+def restore(cluster: Cluster) -> None:
+    """Start the routers that were killed, and wait until all own slots."""
+    gone = [host for host in cluster.plan.routers if host not in cluster.processes]
+    for host in gone:
+        cluster.start_router(host)
+    for host in gone:
+        cluster.wait_router(host)
+    wait_with(cluster, *cluster.plan.routers)
+
+
+class Bench:
+    """Callers of a cluster, for one test."""
+
+    def __init__(self, cluster: Cluster, session: aiohttp.ClientSession) -> None:
+        self.cluster = cluster
+        self._session = session
+
+    def start(
+        self, hosts: list[str], key: str, tokens: int = 60, profile: str = "quotation"
+    ) -> asyncio.Task[Answer]:
+        """Start a generation at the first host, the others as alternatives."""
+        addresses = [self.cluster.entries[host] for host in hosts]
+        caller = Caller(self._session, addresses, CUSTOMER)
+        work = caller.generate(profile, f"site notes {key}", key, tokens)
+        return asyncio.ensure_future(work)
+
+    async def post(
+        self, host: str, key: str, profile: str, try_no: int = 1, tokens: int = 5
+    ) -> tuple[int, dict]:
+        """Post one whole-answer request and return its status and JSON."""
+        url = f"http://{self.cluster.entries[host]}/v1/generate"
+        body = {"profile": profile, "prompt": "sign", "max_tokens": tokens}
+        headers = {
+            "X-Customer": CUSTOMER,
+            "Idempotency-Key": key,
+            "X-Try": str(try_no),
+        }
+        async with self._session.post(
+            url, json={**body, "stream": False}, headers=headers
+        ) as resp:
+            return resp.status, await resp.json()
--- /dev/null
+++ b/turmericflow/tests/test_owner_loss.py
@@ -0,0 +1,215 @@
+"""Tests of lost owners, backups and runners, with real processes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from turmericflow.testing import Cluster, _routers as routers, check_answer
+from turmericflow.testing._cluster import http_json
+from turmericflow.verdict import ErrorCode, Verdict
+
+pytestmark = pytest.mark.integration
+TOKENS = 60
+MIDDLE_S = 0.5
+
+
+@pytest.fixture(scope="module")
+def shared_cluster():
+    with Cluster(routers.router_plan()) as cluster:
+        yield cluster
+
+
+@pytest.fixture
+def cluster(shared_cluster):
+    routers.restore(shared_cluster)
+    return shared_cluster
+
+
+def run(cluster, work):
+    async def with_session():
+        async with aiohttp.ClientSession() as session:
+            return await work(routers.Bench(cluster, session))
+
+    return asyncio.run(with_session())
+
+
+def check_whole(answer, tokens=TOKENS):
+    assert answer.failure is None
+    assert answer.whole
+    assert check_answer([token.text for token in answer.tokens], tokens).ok
+
+
+def test_owner_killed(cluster):
+    async def work(bench):
+        keys = [routers.find_key(cluster, "entry-2") for _ in range(4)]
+        tasks = [
+            bench.start([f"entry-{1 + number % 2 * 2}"], key)
+            for number, key in enumerate(keys)
+        ]
+        await asyncio.sleep(MIDDLE_S)
+        cluster.kill("entry-2")
+        return await asyncio.gather(*tasks)
+
+    for answer in run(cluster, work):
+        check_whole(answer)
+        assert answer.reconnects == 0
+
+
+def test_runner_killed(cluster):
+    async def work(bench):
+        keys = [routers.find_key(cluster, f"entry-{n}") for n in (1, 2, 3, 5)]
+        tasks = [bench.start(["entry-4", "entry-1"], key) for key in keys]
+        await asyncio.sleep(MIDDLE_S)
+        cluster.kill("entry-4")
+        return await asyncio.gather(*tasks)
+
+    for answer in run(cluster, work):
+        check_whole(answer)
+        assert answer.reconnects >= 1
+
+
+def test_runner_and_owner_killed(cluster):
+    async def work(bench):
+        keys = [routers.find_key(cluster, "entry-2") for _ in range(4)]
+        tasks = [bench.start(["entry-3", "entry-1"], key) for key in keys]
+        await asyncio.sleep(MIDDLE_S)
+        cluster.kill("entry-2")
+        cluster.kill("entry-3")
+        return await asyncio.gather(*tasks)
+
+    for answer in run(cluster, work):
+        texts = [token.text for token in answer.tokens]
+        assert check_answer(texts).ok
+        if answer.whole:
+            continue
+        assert answer.failure.code is ErrorCode.GENERATION_MISMATCH
+        assert answer.failure.verdict is Verdict.RAN
+
+
+def test_owner_paused_and_back(cluster):
+    async def work(bench):
+        keys = [routers.find_key(cluster, "entry-2") for _ in range(3)]
+        tasks = [bench.start(["entry-1"], key) for key in keys]
+        await asyncio.sleep(MIDDLE_S)
+        granted = routers.counts(cluster, "entry-2").get("claim.granted", 0)
+        cluster.pause("entry-2")
+        late = bench.start(["entry-3"], routers.find_key(cluster, "entry-2"))
+        answers = await asyncio.gather(*tasks, late)
+        routers.wait_without(cluster, "entry-2")
+        cluster.resume("entry-2")
+        await asyncio.sleep(MIDDLE_S)
+        after = routers.counts(cluster, "entry-2").get("claim.granted", 0)
+        return answers, after - granted
+
+    answers, granted = run(cluster, work)
+    assert granted == 0
+    for answer in answers:
+        check_whole(answer)
+
+
+def test_runner_paused_and_back(cluster):
+    async def work(bench):
+        key = routers.find_key(cluster, "entry-1")
+        first = bench.start(["entry-5", "entry-3"], key)
+        await asyncio.sleep(MIDDLE_S)
+        cluster.pause("entry-5")
+        second = await bench.start(["entry-4", "entry-1"], key)
+        cluster.resume("entry-5")
+        return await first, second
+
+    first, second = run(cluster, work)
+    check_whole(second)
+    check_whole(first)
+    assert first.text == second.text
+
+
+def generated(cluster):
+    return sum(
+        http_json("GET", f"http://{cluster.processes[name].address}/v1/totals")[
+            "generated"
+        ]
+        for name in ("redactor-0", "redactor-1")
+    )
+
+
+def test_order_whose_runner_is_killed_runs_once(cluster):
+    before = generated(cluster)
+
+    async def work(bench):
+        key = routers.find_key(cluster, "entry-1")
+        task = bench.start(["entry-4", "entry-3"], key, TOKENS, "order")
+        await asyncio.sleep(MIDDLE_S)
+        cluster.kill("entry-4")
+        copy = bench.start(["entry-2"], key, TOKENS, "order")
+        return await asyncio.gather(task, copy)
+
+    for answer in run(cluster, work):
+        assert answer.failure.code is ErrorCode.RUNNER_LOST
+        assert answer.failure.verdict is Verdict.MAY_HAVE_RUN
+    assert generated(cluster) - before <= TOKENS
+
+
+def test_copy_delayed_past_refusal_is_refused(cluster):
+    async def work(bench):
+        key = routers.find_key(cluster, "entry-1")
+        first = await bench.post("entry-3", key, "stranded")
+        copy = await bench.post("entry-4", key, "stranded")
+        owner = routers.entry_of(cluster, key).owner
+        cluster.kill(owner)
+        routers.wait_without(cluster, owner)
+        late = await bench.post("entry-5", key, "stranded")
+        return first, copy, late
+
+    first, copy, late = run(cluster, work)
+    assert first[1]["error"]["verdict"] == "NOT_RUN"
+    assert copy == first
+    assert late == first
+
+
+def test_reply_lost_after_effect(cluster):
+    async def work(bench):
+        key = routers.find_key(cluster, "entry-2")
+        cluster.control("proxy-entry-2", drop_down=True, delay_s=0.001)
+        order = bench.start(["entry-1"], key, 5, "order")
+        await asyncio.sleep(MIDDLE_S)
+        cluster.control("proxy-entry-2", delay_s=0.001, reset=True)
+        return await order
+
+    check_whole(run(cluster, work), 5)
+
+
+def test_crossed_answers(cluster):
+    async def work(bench):
+        hosts = list(cluster.plan.routers)
+        tasks = [
+            bench.start([hosts[number % 5]], f"crossed-{number // 2}", 30)
+            for number in range(80)
+        ]
+        return await asyncio.gather(*tasks)
+
+    answers = run(cluster, work)
+    for answer in answers:
+        check_whole(answer, 30)
+    texts = [answer.text for answer in answers]
+    assert texts[0::2] == texts[1::2]
+    assert len(set(texts)) == 40
+
+
+def test_data_centre_cut_off(cluster):
+    async def work(bench):
+        keys = [routers.find_key(cluster, f"entry-{n}") for n in (2, 5, 2, 5)]
+        tasks = [bench.start(["entry-1", "entry-3"], key) for key in keys]
+        await asyncio.sleep(MIDDLE_S)
+        for host in ("entry-2", "entry-5"):
+            cluster.control(f"proxy-{host}", refuse=True, reset=True)
+        try:
+            return await asyncio.gather(*tasks)
+        finally:
+            for host in ("entry-2", "entry-5"):
+                cluster.control(f"proxy-{host}", delay_s=0.001)
+
+    for answer in run(cluster, work):
+        check_whole(answer)
--- a/turmericflow/verdict.py
+++ b/turmericflow/verdict.py
@@ -42,6 +42,7 @@
     TARGET_REFUSED = "target_refused"
     SUSPECT_CONTENT = "suspect_content"
     REPLACED = "replaced"
+    RUNNER_LOST = "runner_lost"
     RETENTION = "retention"
     DEADLINE = "deadline"
     CANCELLED = "cancelled"
@@ -72,6 +73,7 @@
     ErrorCode.TARGET_REFUSED: 502,
     ErrorCode.SUSPECT_CONTENT: 422,
     ErrorCode.REPLACED: 409,
+    ErrorCode.RUNNER_LOST: 502,
     ErrorCode.RETENTION: 409,
     ErrorCode.DEADLINE: 504,
     ErrorCode.CANCELLED: 409,
