--- a/turmericflow/services/_dispatch.py
+++ b/turmericflow/services/_dispatch.py
@@ -33,6 +33,7 @@
 from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
 
 TICK_S = 0.05
+RENEW_S = 2.0
 RETRY_AFTER_S = 1.0
 
 
@@ -67,6 +68,16 @@
         self._places: dict[tuple[RequestId, str], list[_Place]] = {}
         budgets.fill(tables.load)
 
+    @Service.task
+    async def _renew_policy(self) -> None:
+        while not self.should_stop:
+            await self.sleep(RENEW_S)
+            routers = limits.live_routers(self._tables)
+            for pool in self._tables.load.pools.values():
+                self._policy = policies.renewed(
+                    self._policy, self._tables.load, pool, routers, RENEW_S
+                )
+
     @Service.task
     async def _tick(self) -> None:
         while not self.should_stop:
--- a/turmericflow/systems/_estimates.py
+++ b/turmericflow/systems/_estimates.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from turmericflow.systems import _prefixes as prefixes
 from turmericflow.tables import LoadReport, LoadTable, Target, TargetKind, Work
 
@@ -15,6 +17,7 @@
 SERVICE_SLOTS = 64
 SHORT_TOKENS = 64
 LENGTH_GAIN = 0.05
+NORMAL_PART = 2.0 / math.pi
 
 
 def class_of(expected_tokens: float) -> int:
@@ -116,12 +119,22 @@
     return max(1.0, work.prompt_tokens - cached)
 
 
-def queue_s(target: Target, streams: int, tokens: float) -> float:
-    """Return the wait for a place behind ``streams`` that run or wait."""
+def _spread(target: Target, now: float) -> float:
+    """Return the variance of the load, from what others may have sent since."""
+    age = max(0.0, min(REPORT_TRUST_S, now - target.load.reported_at)) + REPORT_LAG_S
+    return 2.0 * target.others_per_s * age
+
+
+def queue_s(target: Target, streams: int, tokens: float, now: float) -> float:
+    """Return the expected wait for a place behind ``streams`` that run or wait.
+
+    The mean of a normal variable's positive part is taken, for the load is
+    known but roughly, by ``(d + sqrt(d² + c·variance)) / 2``.
+    """
     slots = slots_of(target)
-    if streams < slots:
-        return 0.0
-    return (streams - slots + 1) * tokens * step_s(target, slots) / slots
+    over = streams - slots + 0.5
+    waiting = (over + math.sqrt(over * over + NORMAL_PART * _spread(target, now))) / 2
+    return waiting * tokens * step_s(target, slots) / slots
 
 
 def first_token_s(load: LoadTable, target: Target, work: Work, now: float) -> float:
@@ -131,7 +144,7 @@
     streams = occupied(target, now)
     prompt = prefill_debt(target, now) + uncached(load, target, work, now)
     batch = min(streams + 1, slots_of(target))
-    wait = queue_s(target, streams, max(1.0, work.expected_tokens))
+    wait = queue_s(target, streams, max(1.0, work.expected_tokens), now)
     return wait + prompt / prefill_rate(target) + step_s(target, batch)
 
 
--- a/turmericflow/systems/_policies/__init__.py
+++ b/turmericflow/systems/_policies/__init__.py
@@ -18,6 +18,7 @@
     Station,
     relative_values,
 )
+from turmericflow.systems._policies._renew import renewed
 
 __all__ = (
     # Policies
@@ -30,6 +31,7 @@
     "Sq",
     "choose",
     "policy_of",
+    "renewed",
     # Values of a queue
     "QueueValues",
     "Station",
--- a/turmericflow/systems/_scheduling.py
+++ b/turmericflow/systems/_scheduling.py
@@ -11,6 +11,7 @@
     _budgets as budgets,
     _estimates as estimates,
     _fairness as fairness,
+    _limits as limits,
     _policies as policies,
     _prefixes as prefixes,
     _routing as routing,
@@ -88,12 +89,19 @@
         rate = pool.released / elapsed
         pool.rate_per_s += RATE_GAIN * (rate - pool.rate_per_s)
         pool.released, pool.measured_at = 0, now
+        tables.load.routers = limits.live_routers(tables)
+        others = pool.rate_per_s * (tables.load.routers - 1)
+        for target in pool.targets:
+            target.others_per_s = others / len(pool.targets)
 
 
 def enqueue(tables: Tables, pool: Pool, work: Work, until: float) -> Waiting:
     """Put work into its pool's queue."""
     if pool.admitted.pop(work.request_id, None) is not None:
         budgets.earn(tables.load)
+        number = estimates.class_of(work.expected_tokens)
+        tables.load.arrivals[number] += 1
+        tables.load.arrived_tokens[number] += work.expected_tokens
     weight = admission.weight_of(tables, work.request_id.customer)
     return fairness.push(tables.load, pool, work, weight, until)
 
--- a/turmericflow/tables/_load.py
+++ b/turmericflow/tables/_load.py
@@ -197,8 +197,11 @@
         This host's part of each customer's rate.
     demands
         Demand by customer and host, where this host keeps the limit.
-    arrivals
-        Recent arrivals per second, short and long.
+    arrivals, arrived_tokens
+        Short and long requests since they were last looked at, and the tokens
+        that they are expected to need.
+    routers
+        Number of live routers, by last look.
     number
         Counts entries, for a stable order.
     """
@@ -211,4 +214,6 @@
     buckets: dict[str, RateBucket] = field(default_factory=dict)
     demands: dict[str, dict[str, Demand]] = field(default_factory=dict)
     arrivals: list[float] = field(default_factory=lambda: [0.0, 0.0])
+    arrived_tokens: list[float] = field(default_factory=lambda: [0.0, 0.0])
+    routers: int = 1
     number: int = 0
--- a/turmericflow/tables/_targets.py
+++ b/turmericflow/tables/_targets.py
@@ -129,6 +129,8 @@
     prefill_debt, prefill_at
         Uncached prompt sent and not yet taken in, in tokens, and when that
         was so, in seconds of the host's clock.
+    others_per_s
+        Requests that other hosts are thought to send there each second.
     fit
         Step time by batch size.
     breaker
@@ -155,6 +157,7 @@
     work_tokens: float = 0.0
     prefill_debt: float = 0.0
     prefill_at: float = 0.0
+    others_per_s: float = 0.0
     fit: StepFit = field(default_factory=StepFit)
     breaker: Breaker = field(default_factory=Breaker)
     cache_seq: int = 0
