--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -16,11 +16,13 @@
 from turmericflow.services._entry import Entry
 from turmericflow.services._gossip import Gossip
 from turmericflow.services._journal import Journal
+from turmericflow.services._membership import Membership
 from turmericflow.services._owner import Owner
 from turmericflow.services._peers import Peers
 from turmericflow.services._platform import PlatformClient
 from turmericflow.services._reports import Reports
 from turmericflow.services._runner import Runner
+from turmericflow.services._slots import SlotService
 from turmericflow.services._stats import Stats
 from turmericflow.systems import policies
 from turmericflow.tables import Peer, Tables
@@ -58,6 +60,7 @@
         peers = Peers(self.settings, self.tables, self.stats)
         Owner(self.tables, peers, self.stats)
         engines = EngineClient(self._session)
+        journal = Journal(self.tables, peers, self.stats)
         dispatch = Dispatch(
             self.tables,
             self.stats,
@@ -68,15 +71,33 @@
             self.tables,
             Claimant(self.tables, peers, self.stats),
             engines,
-            Journal(self.tables, peers, self.stats),
+            journal,
             dispatch,
             self.stats,
         )
         config = Config(self.settings, self.tables, platform, self.stats)
         gossip = Gossip(self.tables, peers, self.stats)
+        self.slots = SlotService(
+            self.settings, self.tables, peers, gossip, platform, self.stats
+        )
+        self.slots.on_change(journal.slots_changed)
+        rng = Random(secrets.randbits(64))
+        self.membership = Membership(
+            self.settings, self.tables, peers, gossip, self.stats, rng
+        )
         entry = Entry(self.settings, self.tables, runner, self.stats)
         reports = Reports(self.tables, engines, self.stats)
-        for service in (peers, gossip, config, reports, dispatch, entry):
+        services = (
+            peers,
+            gossip,
+            self.membership,
+            config,
+            self.slots,
+            reports,
+            dispatch,
+            entry,
+        )
+        for service in services:
             await self.add_runtime_dependency(service)
 
     async def on_shutdown(self) -> None:
