Carry callers and routers over TLS, with certificates reloaded

Keys and answers crossed the network in the clear, and any process that reached a router's peer port could speak as a router.

Settings' tls names a certificate, its key and the routers' authority: callers are served over TLS, routers show each other certificates of that authority, and changed files are used for new connections within reload_s, after a trial load that keeps a half-written pair out. Unusable files are one settings error. A request for an unknown profile is now sealed like other refusals before it is told NOT_RUN, since another router may know the profile already.

78 tests of settings, entry, tool and TLS pass, 4 of them over real routers with TLS; a peer without the authority's certificate is refused.

--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -16,6 +16,7 @@
 )
 from pydantic.dataclasses import dataclass
 
+from turmericflow._certificates import load_contexts
 from turmericflow._problems import Problem, find_problems
 from turmericflow._yaml import Document, YamlError, parse
 from turmericflow.profile import Flag, Int, KeyHash, Name, Number
@@ -211,7 +212,8 @@
         except ValidationError as exc:
             problem = find_problems(_ADAPTER, exc)[0]
             raise _error(path, document, problem) from None
-        for problem in (_find_equal(settings), _find_open(settings)):
+        checks = (_find_equal, _find_open, _find_unusable)
+        for problem in (check(settings) for check in checks):
             if problem is not None:
                 raise _error(path, document, problem)
         return settings
@@ -272,3 +274,14 @@
             expected = "a loopback address, or tls, or insecure_bind: true"
             return Problem((field,), f"{address} without tls", expected)
     return None
+
+
+def _find_unusable(settings: Settings) -> Problem | None:
+    if settings.tls is None:
+        return None
+    try:
+        load_contexts(settings.tls)
+    except OSError as exc:
+        got = f"{settings.tls.cert!r}, {settings.tls.key!r}, {settings.tls.ca!r}"
+        return Problem(("tls",), got, f"usable PEM files: {exc}")
+    return None
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -22,7 +22,9 @@
 from turmericflow.services._platform import PlatformClient
 from turmericflow.services._reports import Reports
 from turmericflow.services._runner import Runner
+from turmericflow.services._slots import SlotService
 from turmericflow.services._stats import Stats
+from turmericflow.services._tls import Tls
 from turmericflow.systems import policies
 from turmericflow.tables import Peer, Tables
 
@@ -56,9 +58,12 @@
         connector = aiohttp.TCPConnector(limit=0)
         self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
         platform = PlatformClient(self._session, self.settings.platform)
-        peers = Peers(self.settings, self.tables, self.stats)
+        tls = Tls.from_settings(self.settings, self.stats)
+        contexts = tls and tls.contexts
+        peers = Peers(self.settings, self.tables, self.stats, contexts)
         Owner(self.tables, peers, self.stats)
         engines = EngineClient(self._session)
+        journal = Journal(self.tables, peers, self.stats)
         dispatch = Dispatch(
             self.tables,
             self.stats,
@@ -69,20 +74,33 @@
             self.tables,
             Claimant(self.tables, peers, self.stats),
             engines,
-            Journal(self.tables, peers, self.stats),
+            journal,
             dispatch,
             self.stats,
         )
         config = Config(self.settings, self.tables, platform, self.stats)
         gossip = Gossip(self.tables, peers, self.stats)
+        self.slots = SlotService(
+            self.settings, self.tables, peers, gossip, platform, self.stats
+        )
+        self.slots.on_change(journal.slots_changed)
         rng = Random(secrets.randbits(64))
         self.membership = Membership(
             self.settings, self.tables, peers, gossip, self.stats, rng
         )
-        entry = Entry(self.settings, self.tables, runner, self.stats)
+        entry = Entry(self.settings, self.tables, runner, self.stats, contexts)
         reports = Reports(self.tables, engines, self.stats)
-        services = (peers, gossip, self.membership, config, reports, dispatch, entry)
-        for service in services:
+        services = (
+            peers,
+            gossip,
+            self.membership,
+            config,
+            self.slots,
+            reports,
+            dispatch,
+            entry,
+        )
+        for service in services if tls is None else (tls, *services):
             await self.add_runtime_dependency(service)
 
     async def on_shutdown(self) -> None:
--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -11,8 +11,9 @@
 from aiohttp import web
 from mode import Service
 
+from turmericflow._certificates import Contexts
 from turmericflow.cfg import Settings
-from turmericflow.profile import Profile, ProfileKind
+from turmericflow.profile import Profile, ProfileKind, is_name
 from turmericflow.services._answer import start_after, stream_answer, whole_answer
 from turmericflow.services._auth import authenticate, is_allowed
 from turmericflow.services._claimant import NewRequest
@@ -22,11 +23,12 @@
 from turmericflow.services._stats import Stats
 from turmericflow.systems import status
 from turmericflow.tables import RequestId, Tables
-from turmericflow.verdict import ErrorCode, Failure, Verdict, not_run
+from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict, not_run
 
 ADDRESSES_KEEP_S = 5
 MAX_TOKENS = 1_000_000
 KEEP_ALIVE_S = 75.0
+UNKNOWN_SERVICE = "unknown"
 
 
 class GenerateBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -42,9 +44,15 @@
     """Takes requests from callers and gives them their answers."""
 
     def __init__(
-        self, settings: Settings, tables: Tables, runner: Runner, stats: Stats
+        self,
+        settings: Settings,
+        tables: Tables,
+        runner: Runner,
+        stats: Stats,
+        tls: Contexts | None = None,
     ) -> None:
         super().__init__()
+        self._tls = tls
         self._settings = settings
         self._tables = tables
         self._run = runner
@@ -73,7 +81,8 @@
         )
         await self._web.setup()
         address = self._settings.entry
-        await web.TCPSite(self._web, address.ip, address.port).start()
+        tls = self._tls and self._tls.entry
+        await web.TCPSite(self._web, address.ip, address.port, ssl_context=tls).start()
 
     async def on_stop(self) -> None:
         await self._web.cleanup()
@@ -107,8 +116,9 @@
         last_id = read_header(request.headers, "Last-Event-ID")
         try_no = read_try(request)
         raw, body = await read_body(request, GenerateBody)
-        profile = self._profile(body.profile, ProfileKind.GENERATION)
-        if key is None and not profile.idempotent:
+        profile, refusal = self._profile(body.profile, ProfileKind.GENERATION)
+        refusal = refusal or _refusal(profile, body)
+        if key is None and refusal is None and not profile.idempotent:
             message = f"Idempotency-Key: got none, profile {profile.name!r} expects one"
             raise not_run(ErrorCode.KEY_REQUIRED, message)
         new = NewRequest(
@@ -119,19 +129,25 @@
             raw,
             hashlib.sha256(raw).hexdigest(),
             try_no,
+            bool(key),
         )
-        row = await self._run.submit(new, _refusal(profile, body))
+        row = await self._run.submit(new, refusal)
         self._stats.count("entry.accepted")
         if not body.stream:
             return await whole_answer(row)
         return await stream_answer(request, row, start_after(last_id, row))
 
-    def _profile(self, name: str, kind: ProfileKind) -> Profile:
+    def _profile(self, name: str, kind: ProfileKind) -> tuple[Profile, Failure | None]:
+        """Return a declared profile, or one to seal a request under and why."""
         profile = self._tables.config.profiles.get(name)
-        if profile is None or profile.kind is not kind:
-            message = f"profile: got {name!r}, expected a declared one of kind {kind}"
-            raise not_run(ErrorCode.UNKNOWN_PROFILE, message)
-        return profile
+        if profile is not None and profile.kind is kind:
+            return profile, None
+        message = f"profile: got {name!r}, expected a declared one of kind {kind}"
+        refusal = Failure(ErrorCode.UNKNOWN_PROFILE, Verdict.NOT_RUN, message)
+        if not is_name(name):
+            raise RequestFailed(refusal)
+        # Another router may know the profile already, so the refusal is sealed.
+        return Profile(name, UNKNOWN_SERVICE, kind, idempotent=False), refusal
 
 
 def _refusal(profile: Profile, body: GenerateBody) -> Failure | None:
--- a/turmericflow/systems/_status.py
+++ b/turmericflow/systems/_status.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from turmericflow.profile import CUSTOMER_ADAPTER, MARK_ADAPTER, PROFILE_ADAPTER
-from turmericflow.systems import _breakers as breakers
+from turmericflow.systems import _breakers as breakers, _slots as slots
 from turmericflow.tables import ClaimState, PeerState, Tables, Target
 
 IN_USE = "in use"
@@ -61,7 +61,7 @@
 
 def is_ready(tables: Tables) -> bool:
     """Whether this host knows enough to take requests."""
-    return bool(tables.slots.entries and tables.config.profiles)
+    return slots.settled(tables.slots) and bool(tables.config.profiles)
 
 
 def _members(tables: Tables, entry: str) -> list[MemberStatus]:
