--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -26,6 +26,7 @@
 from turmericflow.services._runner import Runner
 from turmericflow.services._slots import SlotService
 from turmericflow.services._stats import Stats
+from turmericflow.services._tls import Tls
 from turmericflow.systems import policies
 from turmericflow.tables import Peer, Tables
 
@@ -61,7 +62,9 @@
         connector = aiohttp.TCPConnector(limit=0)
         self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
         platform = PlatformClient(self._session, self.settings.platform)
-        peers = Peers(self.settings, self.tables, self.stats)
+        tls = Tls.from_settings(self.settings, self.stats)
+        contexts = tls and tls.contexts
+        peers = Peers(self.settings, self.tables, self.stats, contexts)
         Owner(self.tables, peers, self.stats)
         engines = EngineClient(self._session)
         journal = Journal(self.tables, peers, self.stats)
@@ -92,7 +95,7 @@
             self.settings, self.tables, peers, gossip, platform, self.stats
         )
         self.slots.on_change(journal.slots_changed)
-        entry = Entry(self.settings, self.tables, runner, self.stats)
+        entry = Entry(self.settings, self.tables, runner, self.stats, contexts)
         reports = Reports(self.tables, engines, self.stats)
         services = (
             peers,
@@ -105,7 +108,7 @@
             dispatch,
             entry,
         )
-        for service in services:
+        for service in services if tls is None else (tls, *services):
             await self.add_runtime_dependency(service)
 
     async def finish(self) -> None:
