Tell near routers what each has running on the targets

Change: routers tell up to seven near ones their counts each 0.1 s, and the load of a target is its report corrected by what all of them sent since. What is still unseen is filled in before a choice. Customers' rates are shared by a keeper for each, and a host with an old view gives no work.

--- a/benchmarks/_virtual.py
+++ b/benchmarks/_virtual.py
@@ -19,6 +19,7 @@
     policies,
     prefixes,
     scheduling,
+    sharing,
 )
 from turmericflow.tables import (
     LoadReport,
@@ -41,6 +42,7 @@
 LOSS_SEEN_S = 0.002
 NETWORK_S = 0.001
 DRAIN_S = 60.0
+FULL_SHARES = 10
 
 
 @dataclass(slots=True, frozen=True)
@@ -211,12 +213,15 @@
         self.tables = Tables(f"entry-{number}", "north")
         self.policy = cluster.policy
         self.dead = False
+        self._shares = 0
+        self._told: dict[str, int] = {}
         self._waiting: dict[int, _Attempt] = {}
         budgets.fill(self.tables.load)
         self._know(number)
 
     def _know(self, number: int) -> None:
         cluster, tables = self.cluster, self.tables
+        tables.config.confirmed_at = 0.0
         for customer in cluster.workload.customers:
             tables.config.customers[customer.name] = customer
         for other in range(cluster.fleet.routers):
@@ -236,6 +241,25 @@
         clock.every(offset * POLL_S, POLL_S, self._poll)
         clock.every(offset * CACHE_POLL_S, CACHE_POLL_S, self._poll_cache)
         clock.every(RENEW_S, RENEW_S, self._renew)
+        share_s = sharing.SHARE_S
+        clock.every(offset * share_s, share_s, self._share)
+
+    def _share(self) -> None:
+        if self.dead:
+            return
+        cluster = self.cluster
+        self._shares += 1
+        full = self._shares % FULL_SHARES == 1
+        counts = sharing.changes(self.tables, self._told, full)
+        for router in cluster.routers:
+            if router is not self:
+                later = cluster.clock.now + NETWORK_S
+                cluster.clock.at(later, _call(router.hear, self.tables, counts, full))
+
+    def hear(self, tables: Tables, counts: dict[str, int], full: bool) -> None:
+        """Take in another router's counts."""
+        now = self.cluster.clock.now
+        sharing.learn(self.tables, tables.host, counts, full, now)
 
     def _poll(self) -> None:
         now = self.cluster.clock.now
@@ -264,6 +288,8 @@
 
     def _tick(self) -> None:
         now = self.cluster.clock.now
+        self.tables.config.confirmed_at = now
+        sharing.expire(self.tables, now)
         for pool in self.tables.load.pools.values():
             scheduling.refresh(self.tables, pool, now)
             self._settle(scheduling.expire(pool, now))
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -22,6 +22,7 @@
 from turmericflow.services._platform import PlatformClient
 from turmericflow.services._reports import Reports
 from turmericflow.services._runner import Runner
+from turmericflow.services._sharing import Sharing
 from turmericflow.services._slots import SlotService
 from turmericflow.services._stats import Stats
 from turmericflow.systems import policies
@@ -95,6 +96,7 @@
             self.slots,
             reports,
             dispatch,
+            Sharing(self.tables, peers, self.stats),
             entry,
         )
         for service in services:
--- /dev/null
+++ b/turmericflow/services/_sharing.py
@@ -0,0 +1,112 @@
+"""Tells other routers this one's counts, and shares customers' limits."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Coroutine
+
+from mode import Service
+
+from turmericflow import wire
+from turmericflow.services._peers import Peers, PeerUnreachable, Reply
+from turmericflow.services._stats import Stats
+from turmericflow.systems import limits, membership, sharing
+from turmericflow.tables import Tables
+
+IDLE_S = 60.0
+
+
+class Sharing(Service):
+    """Sends counts and demands to peers, and takes in theirs."""
+
+    def __init__(self, tables: Tables, peers: Peers, stats: Stats) -> None:
+        super().__init__()
+        self._tables = tables
+        self._peers = peers
+        self._stats = stats
+        self._tasks: dict[str, asyncio.Task] = {}
+        peers.handle(wire.InFlight, self._on_in_flight)
+        peers.handle(wire.Demands, self._on_demands)
+
+    async def on_stop(self) -> None:
+        for task in list(self._tasks.values()):
+            task.cancel()
+
+    def _start(self, name: str, work: Coroutine) -> None:
+        """Run one piece of work of a name at a time, the newest one left out."""
+        if name in self._tasks:
+            work.close()
+            return
+        task = asyncio.ensure_future(work)
+        self._tasks[name] = task
+        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+
+    @Service.task
+    async def _share(self) -> None:
+        told: dict[str, int] = {}
+        full_at = float("-inf")
+        while not self.should_stop:
+            now = time.monotonic()
+            sharing.expire(self._tables, now)
+            full = now - full_at >= sharing.FULL_S
+            counts = sharing.changes(self._tables, told, full)
+            if full:
+                full_at = now
+            if counts or full:
+                msg = wire.InFlight(self._tables.host, full, counts)
+                for host in sharing.group(self._tables):
+                    self._start(f"share {host}", self._post(host, msg))
+            await self.sleep(sharing.SHARE_S)
+
+    async def _post(self, host: str, msg: wire.InFlight) -> None:
+        try:
+            await self._peers.post(host, msg)
+        except PeerUnreachable:
+            self._stats.count("sharing.unreachable")
+
+    def _on_in_flight(self, msg: wire.InFlight, reply: Reply) -> None:
+        now = time.monotonic()
+        sharing.learn(self._tables, msg.host, msg.counts, msg.full, now)
+
+    @Service.task
+    async def _ask_allotments(self) -> None:
+        asked_at = time.monotonic()
+        while not self.should_stop:
+            await self.sleep(limits.ASK_S)
+            now = time.monotonic()
+            demands = limits.demands(self._tables.load, now - asked_at)
+            limits.forget_idle(self._tables.load, now, IDLE_S)
+            asked_at = now
+            hosts = membership.live_hosts(self._tables)
+            by_keeper: dict[str, dict[str, float]] = {}
+            for name, rate in demands.items():
+                keeper = limits.keeper_of(name, hosts)
+                by_keeper.setdefault(keeper, {})[name] = rate
+            for keeper, rates in by_keeper.items():
+                self._start(f"ask {keeper}", self._ask(keeper, rates))
+
+    async def _ask(self, keeper: str, rates: dict[str, float]) -> None:
+        asked_at = time.monotonic()
+        msg = wire.Demands(self._peers.next_rid(), self._tables.host, rates)
+        try:
+            answer = await self._peers.call(keeper, msg)
+        except PeerUnreachable:
+            self._stats.count("limits.keeper_unreachable")
+            return
+        for name, rate in answer.rates.items():
+            bucket = self._tables.load.buckets.get(name)
+            if bucket is not None:
+                limits.on_allotment(bucket, rate, asked_at)
+
+    def _on_demands(self, msg: wire.Demands, reply: Reply) -> None:
+        tables, now = self._tables, time.monotonic()
+        live, known = limits.live_routers(tables), limits.known_routers(tables)
+        found = {}
+        for name, rate in msg.rates.items():
+            customer = tables.config.customers.get(name)
+            if customer is not None:
+                found[name] = limits.allot(
+                    tables.load, customer, msg.host, rate, live, known, now
+                )
+        reply(wire.Allotments(msg.rid, found))
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -22,6 +22,7 @@
     _records as records,
     _routing as routing,
     _scheduling as scheduling,
+    _sharing as sharing,
     _slots as slots,
 )
 from turmericflow.systems._convert import (
@@ -52,6 +53,7 @@
     "records",
     "routing",
     "scheduling",
+    "sharing",
     "slots",
     # Conversions
     "to_attempts",
--- a/turmericflow/systems/_admission.py
+++ b/turmericflow/systems/_admission.py
@@ -8,6 +8,7 @@
 from turmericflow.systems import (
     _estimates as estimates,
     _fairness as fairness,
+    _freshness as freshness,
     _limits as limits,
     _routing as routing,
 )
@@ -106,6 +107,9 @@
 def _overloaded(
     tables: Tables, pool: Pool, work: Work, routers: int, now: float, rng: Random
 ) -> Failure | None:
+    if not freshness.may_dispatch(tables, now):
+        message = "this host's view is too old to give work to targets"
+        return _refuse(ErrorCode.STALE_VIEW, message, SHORTEST_RETRY_S)
     if not any(routing.usable(tables, each, work, now) for each in pool.targets):
         message = f"no target of service {work.profile.service!r} can run this now"
         return _refuse(ErrorCode.NO_TARGET, message, SHORTEST_RETRY_S)
--- a/turmericflow/systems/_estimates.py
+++ b/turmericflow/systems/_estimates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 
 from turmericflow.systems import _prefixes as prefixes
 from turmericflow.tables import LoadReport, LoadTable, Target, TargetKind, Work
@@ -10,6 +11,7 @@
 REPORT_LAG_S = 0.2
 REPORT_TRUST_S = 5.0
 HISTORY_S = 2.0
+COUNTED_S = 0.1
 DEFAULT_SLOW_DOWN = 0.01
 DEFAULT_STEP_S = 0.02
 DEFAULT_PREFILL_TOKENS_S = 20_000.0
@@ -17,6 +19,7 @@
 SERVICE_SLOTS = 64
 SHORT_TOKENS = 64
 LENGTH_GAIN = 0.05
+SPREAD = 2.0
 NORMAL_PART = 2.0 / math.pi
 
 
@@ -36,26 +39,42 @@
     load.lengths[profile] = mean + LENGTH_GAIN * (tokens - mean)
 
 
+def note_known(target: Target, change: int, now: float) -> None:
+    """Change the number of requests known to be on a target."""
+    target.known += change
+    target.history.append((now, target.known))
+    while len(target.history) > 1 and target.history[1][0] <= now - HISTORY_S:
+        target.history.popleft()
+
+
 def note_in_flight(target: Target, change: int, now: float) -> None:
     """Change the number of this host's requests on a target."""
     target.in_flight += change
-    target.history.append((now, target.in_flight))
-    while len(target.history) > 1 and target.history[1][0] <= now - HISTORY_S:
-        target.history.popleft()
+    note_known(target, change, now)
 
 
-def _in_flight_at(target: Target, at: float) -> int:
-    number = 0 if target.history else target.in_flight
-    for changed_at, in_flight in target.history:
+def rebase(target: Target, change: int) -> None:
+    """Count requests as known, or no longer known, that were there before."""
+    if not change:
+        return
+    target.known += change
+    target.load.known += change
+    changed = [(at, number + change) for at, number in target.history]
+    target.history = deque(changed)
+
+
+def _known_at(target: Target, at: float) -> int:
+    number = 0 if target.history else target.known
+    for changed_at, known in target.history:
         if changed_at > at:
             break
-        number = in_flight
+        number = known
     return number
 
 
 def learn_report(target: Target, report: LoadReport) -> None:
     """Take in a load report, which shows the target a while ago."""
-    report.own = _in_flight_at(target, report.reported_at - REPORT_LAG_S)
+    report.known = _known_at(target, report.reported_at - REPORT_LAG_S)
     target.load = report
     target.sent_since_report = 0
     if report.step_ms <= 0:
@@ -72,13 +91,14 @@
 def occupied(target: Target, now: float) -> int:
     """Return how many requests are thought to be on a target now.
 
-    A late report is corrected by what this host has sent and got back since.
+    A late report is corrected by what this host and those that tell it their
+    counts have sent and got back since.
     """
     report = target.load
     if now - report.reported_at > REPORT_TRUST_S:
-        return target.in_flight
-    there = report.running + report.queued + target.in_flight - report.own
-    return max(target.in_flight, there)
+        return target.known
+    there = report.running + report.queued + target.known - report.known
+    return max(target.known, there)
 
 
 def slots_of(target: Target) -> int:
@@ -119,10 +139,17 @@
     return max(1.0, work.prompt_tokens - cached)
 
 
+def unseen_s(target: Target, now: float) -> float:
+    """Return for how long others may have sent what is not yet known of."""
+    if target.counted:
+        return COUNTED_S
+    age = max(0.0, now - target.load.reported_at)
+    return min(REPORT_TRUST_S, age + REPORT_LAG_S)
+
+
 def _spread(target: Target, now: float) -> float:
     """Return the variance of the load, from what others may have sent since."""
-    age = max(0.0, min(REPORT_TRUST_S, now - target.load.reported_at)) + REPORT_LAG_S
-    return 2.0 * target.others_per_s * age
+    return SPREAD * target.others_per_s * unseen_s(target, now)
 
 
 def queue_s(target: Target, streams: int, tokens: float, now: float) -> float:
--- a/turmericflow/systems/_limits.py
+++ b/turmericflow/systems/_limits.py
@@ -33,7 +33,11 @@
 
 def keeper_of(customer: str, hosts: list[str]) -> str:
     """Return the host that keeps a customer's limit."""
-    return max(hosts, key=lambda host: xxhash.xxh3_64_intdigest(f"{customer}\0{host}"))
+
+    def place(host: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"{customer}\0{host}".encode())
+
+    return max(hosts, key=place)
 
 
 def _fill(bucket: RateBucket, customer: Customer, known: int, now: float) -> None:
--- a/turmericflow/systems/_overlay.py
+++ b/turmericflow/systems/_overlay.py
@@ -29,6 +29,16 @@
     return min(others, key=lambda other: (_place(salt, other) - own) % (1 << 64))
 
 
+def successors(hosts: list[str], host: str, most: int) -> list[str]:
+    """Return the hosts that follow a host on the first ring."""
+    own = _place(GLOBAL_RINGS[0], host)
+
+    def distance(other: str) -> int:
+        return (_place(GLOBAL_RINGS[0], other) - own) % (1 << 64)
+
+    return sorted(hosts, key=distance)[:most]
+
+
 def contacts(tables: Tables) -> list[str]:
     """Return the hosts that this host probes and sends facts to."""
     peers = tables.peers
--- a/turmericflow/systems/_policies/_choose.py
+++ b/turmericflow/systems/_policies/_choose.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from turmericflow.systems import _estimates as estimates
+from turmericflow.systems._policies._fill import choose_filled
 from turmericflow.systems._policies._relative import QueueValues
 from turmericflow.tables import LoadTable, Target, Work
 
@@ -48,7 +49,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Ours:
-    """The least estimated time to the last token, for this request and others."""
+    """The least time for this request and others, with the unseen filled in."""
 
 
 Policy = Random | Sq | Lew | Mc | Fpi | Ours
@@ -101,14 +102,6 @@
     return values.cost(state, estimates.class_of(work.expected_tokens))
 
 
-def _ours(load: LoadTable, target: Target, work: Work, now: float) -> float:
-    streams = min(estimates.occupied(target, now), estimates.slots_of(target) - 1)
-    first = estimates.first_token_s(load, target, work, now)
-    own = estimates.step_s(target, streams + 1)
-    others = streams * estimates.slope_s(target)
-    return first + work.expected_tokens * (own + others)
-
-
 def choose(
     policy: Policy,
     load: LoadTable,
@@ -134,7 +127,7 @@
         case Fpi(values=values):
             costs = [_fpi(values, each, work, now) for each in targets]
         case Ours():
-            costs = [_ours(load, each, work, now) for each in targets]
+            return choose_filled(load, targets, work, now, rng)
     least = min(costs)
     limit = least + abs(least) * TIE_SHARE
     near = [each for each, cost in zip(targets, costs) if cost <= limit]
--- a/turmericflow/systems/_scheduling.py
+++ b/turmericflow/systems/_scheduling.py
@@ -11,6 +11,7 @@
     _budgets as budgets,
     _estimates as estimates,
     _fairness as fairness,
+    _freshness as freshness,
     _limits as limits,
     _policies as policies,
     _prefixes as prefixes,
@@ -91,8 +92,10 @@
         pool.released, pool.measured_at = 0, now
         tables.load.routers = limits.live_routers(tables)
         others = pool.rate_per_s * (tables.load.routers - 1)
+        counted = len(tables.load.heard_at) >= tables.load.routers - 1
         for target in pool.targets:
             target.others_per_s = others / len(pool.targets)
+            target.counted = counted
 
 
 def enqueue(tables: Tables, pool: Pool, work: Work, until: float) -> Waiting:
@@ -127,8 +130,11 @@
     """Give places to waiting work in its fair order, as long as there are any.
 
     Work that may not run on some targets does not hold up what stands behind it.
+    Nothing is placed by a host whose view is too old.
     """
     outcomes: list[Outcome] = []
+    if not freshness.may_dispatch(tables, now):
+        return outcomes
     passed: list[Waiting] = []
     while (entry := fairness.head(pool)) is not None:
         if now >= entry.until:
--- /dev/null
+++ b/turmericflow/systems/_sharing.py
@@ -0,0 +1,72 @@
+"""What routers tell each other of the work that each has on the targets.
+
+A target's own report is a fraction of a second old.  A few routers near each
+other tell each other their counts many times a second, so that each knows what
+the others have sent since.  Their number is bounded whatever the fleet's size.
+"""
+
+from __future__ import annotations
+
+from turmericflow.systems import _estimates as estimates, _overlay as overlay
+from turmericflow.tables import PeerState, Tables
+
+SHARE_S = 0.1
+FULL_S = 1.0
+HEARD_S = 2.5
+GROUP_PEERS = 7
+
+
+def group(tables: Tables) -> list[str]:
+    """Return the peers that this host tells its counts to.
+
+    They are the next ones on a ring of the hosts, the nearest data centre
+    first when there are more than a group takes.
+    """
+    rows = tables.peers.rows.values()
+    live = [row for row in rows if row.state is PeerState.ALIVE]
+    if len(live) > GROUP_PEERS:
+        near = [row for row in live if row.data_centre == tables.data_centre]
+        live = near if len(near) >= GROUP_PEERS else live
+    return overlay.successors([row.host for row in live], tables.host, GROUP_PEERS)
+
+
+def changes(tables: Tables, told: dict[str, int], full: bool) -> dict[str, int]:
+    """Return the counts to tell, and note them in ``told``."""
+    found = {}
+    for name, target in tables.targets.rows.items():
+        number = target.in_flight
+        if number != told.get(name, 0) or (full and number):
+            found[name] = told[name] = number
+    return found
+
+
+def learn(
+    tables: Tables, host: str, counts: dict[str, int], full: bool, now: float
+) -> None:
+    """Take in what another router has on the targets.
+
+    The first word of a router tells what was there before and is no change.
+    """
+    first = host not in tables.load.heard_at
+    if first and not full:
+        return
+    tables.load.heard_at[host] = now
+    for name, target in tables.targets.rows.items():
+        before = target.others.get(host, 0)
+        number = counts.get(name, 0 if full else before)
+        if number == before:
+            continue
+        target.others[host] = number
+        if first:
+            estimates.rebase(target, number - before)
+        else:
+            estimates.note_known(target, number - before, now)
+
+
+def expire(tables: Tables, now: float) -> None:
+    """Forget the counts of routers that are no longer heard."""
+    heard = tables.load.heard_at
+    for host in [each for each in heard if now - heard[each] > HEARD_S]:
+        del heard[host]
+        for target in tables.targets.rows.values():
+            estimates.rebase(target, -target.others.pop(host, 0))
--- a/turmericflow/tables/_load.py
+++ b/turmericflow/tables/_load.py
@@ -202,6 +202,8 @@
         that they are expected to need.
     routers
         Number of live routers, by last look.
+    heard_at
+        When routers last told their counts, in seconds of the host's clock.
     number
         Counts entries, for a stable order.
     """
@@ -216,4 +218,5 @@
     arrivals: list[float] = field(default_factory=lambda: [0.0, 0.0])
     arrived_tokens: list[float] = field(default_factory=lambda: [0.0, 0.0])
     routers: int = 1
+    heard_at: dict[str, float] = field(default_factory=dict)
     number: int = 0
--- a/turmericflow/tables/_targets.py
+++ b/turmericflow/tables/_targets.py
@@ -32,8 +32,8 @@
         Rate at which uncached prompt is taken in, in tokens per second.
     reported_at
         Time at which the report arrived, in seconds of the host's clock.
-    own
-        Requests of this host that the report already counts.
+    known
+        Requests known to this host that the report already counts.
     """
 
     running: int = 0
@@ -42,7 +42,7 @@
     step_ms: float = 0.0
     prefill_tokens_s: float = 0.0
     reported_at: float = float("-inf")
-    own: int = 0
+    known: int = 0
 
 
 class BreakerState(enum.StrEnum):
@@ -120,8 +120,14 @@
         Requests that this host has running there.
     sent_since_report
         Requests that this host has sent since the last load report.
+    others
+        Requests that other hosts have running there, as they say.
+    known
+        Requests of this host and of those others.
+    counted
+        Whether all live hosts say what they have running.
     history
-        Times at which ``in_flight`` changed, and what it became.
+        Times at which ``known`` changed, and what it became.
     classes
         Requests of this host that run there, short ones and long ones.
     work_tokens
@@ -152,6 +158,9 @@
     load: LoadReport = field(default_factory=LoadReport)
     in_flight: int = 0
     sent_since_report: int = 0
+    others: dict[str, int] = field(default_factory=dict)
+    known: int = 0
+    counted: bool = False
     history: deque[tuple[float, int]] = field(default_factory=deque)
     classes: list[int] = field(default_factory=lambda: [0, 0])
     work_tokens: float = 0.0
--- a/turmericflow/testing/__init__.py
+++ b/turmericflow/testing/__init__.py
@@ -4,12 +4,17 @@
 
 from turmericflow.testing._answers import AnswerCheck, check_answer
 from turmericflow.testing._cluster import Cluster, ClusterPlan, EngineSpec
+from turmericflow.testing._load import load_profile, load_tables, load_work
 
 __all__ = (
     # Processes
     "Cluster",
     "ClusterPlan",
     "EngineSpec",
+    # Tables
+    "load_profile",
+    "load_tables",
+    "load_work",
     # Assertions
     "AnswerCheck",
     "check_answer",
--- /dev/null
+++ b/turmericflow/testing/_load.py
@@ -0,0 +1,38 @@
+"""Builders of tables for tests of the decisions about load."""
+
+from __future__ import annotations
+
+from turmericflow.cfg import Address
+from turmericflow.profile import Customer, Profile
+from turmericflow.systems import estimates
+from turmericflow.tables import LoadReport, RequestId, Tables, Target, TargetKind, Work
+
+
+def load_profile(**fields: object) -> Profile:
+    """Return a profile of the service ``redactor``."""
+    named = {"name": "quotation", "service": "redactor", "model": "sable"}
+    return Profile(**{**named, "adapter": "none", "version": "1", **fields})
+
+
+def load_tables(
+    targets: int = 4, slots: int = 2, customers: dict[str, float] | None = None
+) -> Tables:
+    """Return tables with engines that have reported, at time 0."""
+    tables = Tables("entry-1", "north")
+    tables.config.confirmed_at = float("inf")
+    for name, weight in (customers or {"norte": 1.0, "sur": 1.0}).items():
+        tables.config.customers[name] = Customer(name, weight)
+    for number in range(targets):
+        name = f"redactor-{number}"
+        row = Target(name, TargetKind.ENGINE, "redactor", "north", Address("::1", 1))
+        tables.targets.rows[name] = row
+        estimates.learn_report(row, LoadReport(0, 0, slots, 20.0, 20_000.0, 0.0))
+    return tables
+
+
+def load_work(key: str = "k", customer: str = "norte", **fields: object) -> Work:
+    """Return some work of a customer."""
+    profile = fields.pop("profile", None) or load_profile()
+    named = {"max_tokens": 100, "accepted_at": 0.0, "expected_tokens": 50.0}
+    named = {"prompt_tokens": 100, "blocks": [], **named, **fields}
+    return Work(RequestId(customer, key), profile, **named)
--- a/turmericflow/wire/__init__.py
+++ b/turmericflow/wire/__init__.py
@@ -5,6 +5,7 @@
 from turmericflow.wire._codec import MAX_MESSAGE_BYTES, Decoder, WireError, encode
 from turmericflow.wire._messages import (
     Ack,
+    Allotments,
     AnyMessage,
     Append,
     Appended,
@@ -12,6 +13,7 @@
     Attached,
     Claim,
     Compare,
+    Demands,
     Differences,
     End,
     Ended,
@@ -21,6 +23,7 @@
     Followed,
     Granted,
     Hello,
+    InFlight,
     Message,
     Moved,
     Ping,
@@ -89,6 +92,10 @@
     "Fetch",
     "Rumour",
     "Rumours",
+    # Load
+    "Allotments",
+    "Demands",
+    "InFlight",
     # Membership
     "Ack",
     "Ping",
--- a/turmericflow/wire/_messages.py
+++ b/turmericflow/wire/_messages.py
@@ -373,6 +373,33 @@
     failure: WireFailure
 
 
+class InFlight(Message, tag="in_flight"):
+    """Tell how many requests a router has running on targets.
+
+    ``full`` says that it has none on the targets that are not named; otherwise
+    nothing has changed there.
+    """
+
+    host: str
+    full: bool
+    counts: dict[str, int]
+
+
+class Demands(Message, tag="demands"):
+    """Tell the keeper of customers' limits what a router saw, per second."""
+
+    rid: int
+    host: str
+    rates: dict[str, float]
+
+
+class Allotments(Message, tag="allotments"):
+    """Answers `Demands`: the router's parts of the limits, per second."""
+
+    rid: int
+    rates: dict[str, float]
+
+
 AnyMessage = (
     Hello
     | Claim
@@ -402,4 +429,7 @@
     | Compare
     | Differences
     | Fetch
+    | InFlight
+    | Demands
+    | Allotments
 )
