--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -8,6 +8,7 @@
 from typing import Annotated
 
 import msgspec
+import structlog
 from aiohttp import web
 from mode import Service
 
@@ -131,6 +132,9 @@
             try_no,
             bool(key),
         )
+        structlog.contextvars.bind_contextvars(
+            customer=customer.name, request=new.request_id.key
+        )
         row = await self._run.submit(new, refusal)
         self._stats.count("entry.accepted")
         if not body.stream:
--- a/turmericflow/services/_http.py
+++ b/turmericflow/services/_http.py
@@ -66,6 +66,7 @@
 
     @web.middleware
     async def answer_errors(request: web.Request, handler) -> web.StreamResponse:
+        structlog.contextvars.clear_contextvars()
         try:
             return await handler(request)
         except RequestFailed as exc:
--- a/turmericflow/services/main.py
+++ b/turmericflow/services/main.py
@@ -14,22 +14,30 @@
 from turmericflow.services._daemon import Daemon
 from turmericflow.services._log import set_up_log
 
+EXIT_OK = 0
+EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 
 log = structlog.get_logger()
 
 
-async def _serve(settings: Settings) -> None:
+async def _serve(settings: Settings) -> int:
     daemon = Daemon.from_settings(settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    await daemon.start()
+    try:
+        await daemon.start()
+    except OSError as exc:
+        await daemon.stop()
+        print(f"turmericflowd: {exc.strerror or exc}", file=sys.stderr)
+        return EXIT_FAILED
     log.info("started", host=settings.host, entry=str(settings.entry))
     await stop.wait()
     await daemon.stop()
     log.info("stopped", host=settings.host)
+    return EXIT_OK
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -45,8 +53,7 @@
         print(f"turmericflowd: {exc}", file=sys.stderr)
         return EXIT_SETTINGS
     set_up_log(settings.log)
-    asyncio.run(_serve(settings))
-    return 0
+    return asyncio.run(_serve(settings))
 
 
 if __name__ == "__main__":
--- a/turmericflow/tests/test_cfg.py
+++ b/turmericflow/tests/test_cfg.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 import subprocess
 import sys
 
@@ -101,6 +102,21 @@
     assert expected in errors
 
 
+@pytest.mark.integration
+def test_address_in_use_gives_one_line(tmp_path):
+    path = tmp_path / "taken.yaml"
+    with socket.create_server(("127.0.3.1", 0)) as taken:
+        entry = f"127.0.3.1:{taken.getsockname()[1]}"
+        peer = f"127.0.3.1:{free_port('127.0.3.1')}"
+        path.write_bytes(_settings({"entry": entry, "peer": peer}))
+        process = _start(path)
+        _, errors = process.communicate(timeout=60)
+    assert process.returncode == 1
+    lines = [line for line in errors.splitlines() if "turmericflowd: " in line]
+    assert len(lines) == 1 and "already in use" in lines[0]
+    assert "Traceback" not in errors
+
+
 @pytest.mark.integration
 def test_sigterm_stops_with_exit_code_0(tmp_path):
     path = tmp_path / "ok.yaml"
