--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -5,6 +5,7 @@
 import hashlib
 import secrets
 import time
+from random import Random
 from typing import Annotated
 
 import msgspec
@@ -22,15 +23,16 @@
 from turmericflow.services._http import error_middleware, http_logger, read_body
 from turmericflow.services._runner import Runner
 from turmericflow.services._stats import Stats
-from turmericflow.systems import status
+from turmericflow.systems import addresses, status
 from turmericflow.tables import RequestId, Tables
 from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict, not_run
 
-ADDRESSES_KEEP_S = 5
 MAX_TOKENS = 1_000_000
 KEEP_ALIVE_S = 75.0
 UNKNOWN_SERVICE = "unknown"
 
+FINISH_S = 86_400.0
+
 
 class GenerateBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of ``POST /v1/generate``."""
@@ -59,6 +61,7 @@
         self._run = runner
         self._stats = stats
         self._web: web.AppRunner | None = None
+        self._rng = Random()
 
     def app(self) -> web.Application:
         """Return the HTTP interface."""
@@ -79,6 +82,7 @@
             access_log=None,
             logger=http_logger(self._stats),
             keepalive_timeout=KEEP_ALIVE_S,
+            shutdown_timeout=FINISH_S,
         )
         await self._web.setup()
         address = self._settings.entry
@@ -89,10 +93,15 @@
         await self._web.cleanup()
 
     async def _addresses(self, request: web.Request) -> web.Response:
-        own = [str(self._settings.entry)]
-        others = [str(peer.entry) for peer in self._tables.peers.rows.values()]
+        centre = request.query.get("data_centre", self._tables.data_centre)
+        found = addresses.in_order(
+            self._tables, self._settings.entry, centre, self._rng
+        )
         return web.json_response(
-            {"addresses": own + others, "keep_s": ADDRESSES_KEEP_S}
+            {
+                "addresses": [str(address) for address in found],
+                "keep_s": self._settings.addresses_keep_s,
+            }
         )
 
     async def _status(self, request: web.Request) -> web.Response:
@@ -112,6 +121,9 @@
         return web.json_response({"objects": status.declarations(self._tables)})
 
     async def _generate(self, request: web.Request) -> web.StreamResponse:
+        if self._tables.stopping:
+            message = f"{self._tables.host} is about to stop; use another address"
+            raise not_run(ErrorCode.STOPPING, message, 0.0)
         customer = authenticate(request, self._tables)
         key = read_header(request.headers, "Idempotency-Key")
         last_id = read_header(request.headers, "Last-Event-ID")
--- a/turmericflow/services/_peers.py
+++ b/turmericflow/services/_peers.py
@@ -223,6 +223,7 @@
             peer.peer.ip,
             peer.peer.port,
             ssl=self._tls and self._tls.peer_client,
+            local_addr=(self._settings.peer.ip, 0),
         )
         _, stream = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
         if stream.lost:
--- a/turmericflow/services/main.py
+++ b/turmericflow/services/main.py
@@ -17,10 +17,20 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
+EXIT_CRASHED = 3
+CRASH_CHECK_S = 0.5
 
 log = structlog.get_logger()
 
 
+async def _wait(daemon: Daemon, stop: asyncio.Event) -> None:
+    while not stop.is_set() and not daemon.crashed:
+        try:
+            await asyncio.wait_for(stop.wait(), CRASH_CHECK_S)
+        except TimeoutError:
+            continue
+
+
 async def _serve(settings: Settings) -> int:
     daemon = Daemon.from_settings(settings)
     stop = asyncio.Event()
@@ -34,7 +44,11 @@
         print(f"turmericflowd: {exc.strerror or exc}", file=sys.stderr)
         return EXIT_FAILED
     log.info("started", host=settings.host, entry=str(settings.entry))
-    await stop.wait()
+    await _wait(daemon, stop)
+    if daemon.crashed:
+        log.error("crashed", host=settings.host)
+        return EXIT_CRASHED
+    await daemon.finish()
     await daemon.stop()
     log.info("stopped", host=settings.host)
     return EXIT_OK
--- a/turmericflow/tests/conftest.py
+++ b/turmericflow/tests/conftest.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
+from turmericflow.testing import Cluster, demo
+
 KNOWN_RED = Path(__file__).parents[2] / "KNOWN-RED.txt"
 
 
@@ -22,3 +25,12 @@
     for item in items:
         if item.nodeid in known:
             item.add_marker(pytest.mark.xfail(reason="listed in KNOWN-RED.txt"))
+
+
+@pytest.fixture
+def cluster() -> Iterator[Cluster]:
+    """Run the demo's cluster: three routers in as many data centres."""
+    plan = demo.plan()
+    plan.settings["addresses_keep_s"] = 0.5
+    with Cluster(plan) as running:
+        yield running
