--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -22,8 +22,10 @@
 from turmericflow.services._owner import Owner
 from turmericflow.services._peers import Peers
 from turmericflow.services._platform import PlatformClient
+from turmericflow.services._reports import Reports
 from turmericflow.services._runner import Runner
 from turmericflow.services._stats import Stats
+from turmericflow.systems import policies
 from turmericflow.tables import Peer, Tables
 
 TARGET_CONNECT_TIMEOUT_S = 1.0
@@ -60,12 +62,19 @@
         platform = PlatformClient(self._session, self.settings.platform)
         peers = Peers(self.settings, self.tables, self.stats)
         Owner(self.tables, peers, self.stats)
+        engines = EngineClient(self._session)
+        dispatch = Dispatch(
+            self.tables,
+            self.stats,
+            Random(secrets.randbits(64)),
+            policies.policy_of(self.settings.policy),
+        )
         runner = Runner(
             self.tables,
             Claimant(self.tables, peers, self.stats),
-            EngineClient(self._session),
+            engines,
             Journal(self.tables, peers, self.stats),
-            Dispatch(self.tables, self.stats, Random(secrets.randbits(64))),
+            dispatch,
             self.stats,
         )
         rng = Random(secrets.randbits(64))
@@ -78,7 +87,12 @@
             self.tables, platform, gossip, config, self.membership, self.stats, rng
         )
         entry = Entry(self.settings, self.tables, runner, self.stats)
-        for service in (peers, gossip, self.membership, config, hosts, entry):
+        reports = Reports(self.tables, engines, self.stats)
+        services = (
+            *(peers, gossip, self.membership, config, hosts),
+            *(reports, dispatch, entry),
+        )
+        for service in services:
             await self.add_runtime_dependency(service)
 
     async def finish(self) -> None:
--- /dev/null
+++ b/turmericflow/tests/test_daemon.py
@@ -0,0 +1,118 @@
+"""Tests of planned stops and of leaving, with real processes under load."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from turmericflow.client import Answer, Caller
+from turmericflow.testing import check_answer
+from turmericflow.testing._cluster import http_json
+
+TOKENS = 40
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+
+
+class _Load:
+    """Callers that ask for addresses, keep them for a while, and generate."""
+
+    def __init__(self, cluster) -> None:
+        self._cluster = cluster
+        self.stopped = False
+        self.answers: list[Answer] = []
+
+    def _addresses(self, number: int) -> list[str]:
+        hosts = list(self._cluster.entries.values())
+        for turn in range(len(hosts)):
+            try:
+                url = f"http://{hosts[(number + turn) % len(hosts)]}/v1/addresses"
+                return http_json("GET", url)["addresses"]
+            except OSError:
+                continue
+        raise AssertionError("no router gives addresses")
+
+    async def caller(self, session: aiohttp.ClientSession, number: int) -> None:
+        """Run one generation after another until stopped."""
+        turn = 0
+        while not self.stopped:
+            found = await asyncio.to_thread(self._addresses, number)
+            caller = Caller(session, found, "norte")
+            key = f"stop-{number}-{turn}"
+            answer = await caller.generate("quotation", f"notes {key}", key, TOKENS)
+            self.answers.append(answer)
+            turn += 1
+
+
+async def _under_load(cluster, work, callers: int = 4) -> list[Answer]:
+    load = _Load(cluster)
+    async with aiohttp.ClientSession() as session:
+        running = asyncio.gather(*(load.caller(session, n) for n in range(callers)))
+        await asyncio.sleep(1.0)
+        await asyncio.to_thread(work)
+        load.stopped = True
+        await running
+    return load.answers
+
+
+def _check_whole(answers: list[Answer]) -> None:
+    for answer in answers:
+        assert answer.whole, answer.failure
+        assert check_answer([token.text for token in answer.tokens], TOKENS).ok
+        assert answer.reconnects == 0
+
+
+@pytest.mark.integration
+async def test_rolling_replacement_cuts_off_no_request(cluster):
+    def replace_all() -> None:
+        for host in ENTRIES:
+            assert cluster.terminate(host) == 0
+            cluster.start_router(host)
+            cluster.wait_router(host)
+            cluster.wait_all(lambda s: set(s["members"].values()) == {"alive"})
+
+    answers = await _under_load(cluster, replace_all)
+    assert len(answers) >= 8
+    _check_whole(answers)
+
+
+@pytest.mark.integration
+async def test_marked_target_gets_no_new_work_and_finishes_what_runs(cluster):
+    name = "redactor-1"
+    before = {}
+
+    def generated() -> int:
+        url = f"http://{cluster.processes[name].address}/v1/totals"
+        return http_json("GET", url)["generated"]
+
+    def mark() -> None:
+        cluster.cut(["entry-3"], ["entry-1", "entry-2"])
+        cluster.put(f"mark/{name}", {"name": name})
+        cluster.wait_all(lambda status: name in status["leaving"])
+        url = f"http://{cluster.processes[name].address}/v1/load"
+        while http_json("GET", url)["running"]:
+            pass
+        before["tokens"] = generated()
+
+    answers = await _under_load(cluster, mark)
+    cluster.heal()
+    assert before["tokens"] > 0
+    more = await _under_load(cluster, lambda: None)
+    assert generated() == before["tokens"]
+    assert more
+    for answer in [*answers, *more]:
+        assert not answer.tokens or not answer.failure, answer.failure
+    _check_whole(more)
+
+
+@pytest.mark.integration
+def test_leaving_host_drops_out_of_the_addresses(cluster):
+    entry = cluster.entries["entry-2"]
+    cluster.put("mark/entry-2", {"name": "entry-2"})
+    cluster.wait_all(
+        lambda s: s["members"]["entry-2"] == "leaving", ["entry-1", "entry-3"]
+    )
+    for host in ENTRIES:
+        url = f"http://{cluster.entries[host]}/v1/addresses"
+        assert entry not in http_json("GET", url)["addresses"]
