Prove planned stops and leaving with real processes under load

Cause: a planned stop of a router and a mark during a partition were served by code that no test had driven.

Change: a rolling replacement of all routers under load, a mark put while the data centres are cut off from each other, and a marked host are tested with real processes. No place is given by a host whose view is too old. A host that is about to stop refuses by way of the claim, so that a known request is still answered.

--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -158,9 +158,6 @@
         Largest request body taken from a caller, in bytes.
     advertised_peer
         Address that other daemons are told to connect to, or None for ``peer``.
-    addresses_keep_s
-        How long callers may keep the addresses that they are told, in seconds;
-        a daemon that is to stop serves new requests for as long.
     tls
         Certificates for callers and routers, or None for none.
     insecure_bind
@@ -170,6 +167,9 @@
         means that no key is asked for.
     policy
         Policy that chooses among the targets that may run some work.
+    addresses_keep_s
+        How long callers may keep the addresses that they are told, in seconds;
+        a daemon that is to stop serves new requests for as long.
     """
 
     host: Name
@@ -182,13 +182,13 @@
     statsd: AddressField | None = None
     log: LogSettings = Field(default_factory=LogSettings)
     advertised_peer: AddressField | None = None
-    addresses_keep_s: Annotated[float, Field(ge=0.1, le=300)] = 5.0
     slots: Annotated[Int, Field(ge=1, le=16_384)] = 1024
     max_body_bytes: Annotated[Int, Field(ge=1024)] = 1_000_000
     tls: TlsSettings | None = None
     insecure_bind: Flag = False
     operator_key_hashes: list[KeyHash] = Field(default_factory=list)
     policy: Annotated[str, Field(pattern="^(random|sq|lew|mc|fpi|ours)$")] = "ours"
+    addresses_keep_s: Annotated[float, Field(ge=0.1, le=300)] = 5.0
 
     @classmethod
     def from_file(cls, path: Path) -> Settings:
--- a/turmericflow/services/_config.py
+++ b/turmericflow/services/_config.py
@@ -22,8 +22,8 @@
     PlatformObject,
 )
 from turmericflow.services._stats import Stats
-from turmericflow.systems import overlay, spread
-from turmericflow.tables import SlotEntry, Tables
+from turmericflow.systems import overlay, owner_map, slots, spread
+from turmericflow.tables import Tables
 
 OBJECT = "object"
 RETRY_S = 0.5
@@ -116,13 +116,8 @@
         if not spread.seen_by_platform(self._tables, found.version, confirmed_at):
             self._stats.count("platform.old_answers")
             return False
-        if not self._has_owner_map():
-            await self._create_owner_map()
         return True
 
-    def _has_owner_map(self) -> bool:
-        return bool(self._gossip.facts.get(OBJECT, "owners/map"))
-
     def _on_fact(self, rumour: wire.Rumour) -> None:
         if self._held is not None:
             self._held.append(rumour)
@@ -155,32 +150,8 @@
                 self._put_owner_map(value, version)
 
     def _put_owner_map(self, value: dict, version: int) -> None:
-        hosts = [*value["hosts"], ""]
-        self._tables.slots.entries = [
-            SlotEntry(hosts[owner], hosts[backup], epoch)
-            for owner, backup, epoch in value["slots"]
-        ]
-        self._tables.slots.version = version
-
-    async def _create_owner_map(self) -> None:
-        peers = self._tables.peers.rows.values()
-        centres = {peer.host: peer.data_centre for peer in peers}
-        centres[self._tables.host] = self._tables.data_centre
-        hosts = sorted(centres)
-        slots = []
-        for slot in range(self._settings.slots):
-            owner = slot % len(hosts)
-            backup = _backup(hosts, centres, owner)
-            slots.append([owner, backup, 1])
-        value = {"hosts": hosts, "slots": slots}
-        try:
-            result = await self._platform.put("owners", "map", value, 0)
-        except PlatformError:
-            self._stats.count("platform.errors")
-            return
-        written = result.ok() or result.err()
-        if written is not None:
-            self.learn(written)
+        entries, hosts = owner_map.decode(value)
+        slots.put_map(self._tables, version, entries, hosts, time.monotonic())
 
 
 def _put(table: dict, name: str, value: object, adapter) -> None:
@@ -188,11 +159,3 @@
         table.pop(name, None)
     else:
         table[name] = adapter.validate_python(value)
-
-
-def _backup(hosts: list[str], centres: dict[str, str], owner: int) -> int:
-    for step in range(1, len(hosts)):
-        other = (owner + step) % len(hosts)
-        if centres[hosts[other]] != centres[hosts[owner]]:
-            return other
-    return (owner + 1) % len(hosts) if len(hosts) > 1 else -1
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -24,6 +24,7 @@
 from turmericflow.services._platform import PlatformClient
 from turmericflow.services._reports import Reports
 from turmericflow.services._runner import Runner
+from turmericflow.services._slots import SlotService
 from turmericflow.services._stats import Stats
 from turmericflow.systems import policies
 from turmericflow.tables import Peer, Tables
@@ -63,6 +64,7 @@
         peers = Peers(self.settings, self.tables, self.stats)
         Owner(self.tables, peers, self.stats)
         engines = EngineClient(self._session)
+        journal = Journal(self.tables, peers, self.stats)
         dispatch = Dispatch(
             self.tables,
             self.stats,
@@ -73,7 +75,7 @@
             self.tables,
             Claimant(self.tables, peers, self.stats),
             engines,
-            Journal(self.tables, peers, self.stats),
+            journal,
             dispatch,
             self.stats,
         )
@@ -86,11 +88,22 @@
         hosts = Hosts(
             self.tables, platform, gossip, config, self.membership, self.stats, rng
         )
+        self.slots = SlotService(
+            self.settings, self.tables, peers, gossip, platform, self.stats
+        )
+        self.slots.on_change(journal.slots_changed)
         entry = Entry(self.settings, self.tables, runner, self.stats)
         reports = Reports(self.tables, engines, self.stats)
         services = (
-            *(peers, gossip, self.membership, config, hosts),
-            *(reports, dispatch, entry),
+            peers,
+            gossip,
+            self.membership,
+            config,
+            hosts,
+            self.slots,
+            reports,
+            dispatch,
+            entry,
         )
         for service in services:
             await self.add_runtime_dependency(service)
@@ -106,6 +119,7 @@
         self.tables.stopping = True
         while any(not row.ended for row in self.tables.requests.rows.values()):
             await asyncio.sleep(FINISH_CHECK_S)
+        await self.slots.hand_over()
 
     async def on_shutdown(self) -> None:
         if self._session is not None:
--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -15,20 +15,21 @@
 from turmericflow.cfg import Settings
 from turmericflow.profile import Profile, ProfileKind
 from turmericflow.services._answer import start_after, stream_answer, whole_answer
-from turmericflow.services._auth import authenticate
+from turmericflow.services._auth import authenticate, is_allowed
 from turmericflow.services._claimant import NewRequest
 from turmericflow.services._headers import read_header, read_try
 from turmericflow.services._http import error_middleware, http_logger, read_body
 from turmericflow.services._runner import Runner
 from turmericflow.services._stats import Stats
-from turmericflow.systems import addresses, freshness
+from turmericflow.systems import addresses, status
 from turmericflow.tables import RequestId, Tables
 from turmericflow.verdict import ErrorCode, Failure, Verdict, not_run
 
-FINISH_S = 86_400.0
 MAX_TOKENS = 1_000_000
 KEEP_ALIVE_S = 75.0
 
+FINISH_S = 86_400.0
+
 
 class GenerateBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of ``POST /v1/generate``."""
@@ -61,6 +62,7 @@
         )
         app.router.add_get("/v1/addresses", self._addresses)
         app.router.add_get("/v1/status", self._status)
+        app.router.add_get("/v1/config", self._config)
         app.router.add_post("/v1/generate", self._generate)
         return app
 
@@ -93,28 +95,21 @@
         )
 
     async def _status(self, request: web.Request) -> web.Response:
-        now = time.monotonic()
-        ready = bool(self._tables.slots.entries and self._tables.config.profiles)
-        return web.json_response(
-            {
-                "host": self._tables.host,
-                "ready": ready,
-                "versions": self._tables.config.versions,
-                "age_s": round(freshness.age_s(self._tables, now), 3),
-                "may_dispatch": freshness.may_dispatch(self._tables, now),
-                "incarnation": self._tables.peers.incarnation,
-                "members": {
-                    row.host: row.state for row in self._tables.peers.rows.values()
-                },
-                "leaving": sorted(
-                    row.name
-                    for row in self._tables.targets.rows.values()
-                    if row.leaving
-                ),
-                "counts": self._stats.counts,
-            }
+        if not is_allowed(request, self._settings.operator_key_hashes):
+            ready = status.is_ready(self._tables)
+            return web.json_response({"host": self._tables.host, "ready": ready})
+        entry, now = str(self._settings.entry), time.monotonic()
+        found = status.describe(self._tables, entry, self._stats.counts, now)
+        return web.Response(
+            body=msgspec.json.encode(found), content_type="application/json"
         )
 
+    async def _config(self, request: web.Request) -> web.Response:
+        if not is_allowed(request, self._settings.operator_key_hashes):
+            message = "Authorization: expected an operator's key"
+            raise not_run(ErrorCode.UNAUTHORIZED, message)
+        return web.json_response({"objects": status.declarations(self._tables)})
+
     async def _generate(self, request: web.Request) -> web.StreamResponse:
         customer = authenticate(request, self._tables)
         key = read_header(request.headers, "Idempotency-Key")
@@ -133,6 +128,7 @@
             raw,
             hashlib.sha256(raw).hexdigest(),
             try_no,
+            bool(key),
         )
         refusal = self._stopping() or _refusal(profile, body)
         row = await self._run.submit(new, refusal)
--- a/turmericflow/testing/_cluster.py
+++ b/turmericflow/testing/_cluster.py
@@ -98,6 +98,12 @@
     return json.loads(raw) if raw else None
 
 
+def member_states(status: dict) -> dict[str, str]:
+    """Return what a host's status holds of the other hosts."""
+    others = [row for row in status["members"] if row["host"] != status["host"]]
+    return {row["host"]: row["state"] for row in others}
+
+
 class Cluster:
     """Starts a plan's processes, and ends just these."""
 
--- a/turmericflow/tests/test_config.py
+++ b/turmericflow/tests/test_config.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from turmericflow.testing import Cluster, demo
+from turmericflow.testing import Cluster, demo, member_states
 
 QUOTATION = "profile/quotation"
 ENTRIES = ("entry-1", "entry-2", "entry-3")
@@ -20,7 +20,7 @@
 
 
 def _fresh(status: dict) -> bool:
-    return status["age_s"] < 3.0
+    return status["view_age_s"] < 3.0
 
 
 @pytest.mark.integration
@@ -46,13 +46,14 @@
     cluster.fault(fault="outage")
     cluster.kill("entry-2")
     cluster.wait_all(
-        lambda status: status["members"]["entry-2"] == "dead", ["entry-1", "entry-3"]
+        lambda status: member_states(status)["entry-2"] == "dead",
+        ["entry-1", "entry-3"],
     )
     before = cluster.status("entry-1")["incarnation"]
     cluster.start_router("entry-2")
     cluster.wait_router("entry-2")
     cluster.wait_all(_has(version))
-    cluster.wait_all(lambda status: status["age_s"] > 4.5)
+    cluster.wait_all(lambda status: status["view_age_s"] > 4.5)
     assert all(cluster.status(host)["may_dispatch"] for host in ENTRIES)
     cluster.fault(delay_s=1.0)
     later = _change(cluster, "urgent", version)
@@ -82,12 +83,13 @@
     cluster.cut(["entry-3"], ["entry-1", "entry-2"])
     cluster.wait_all(lambda status: not status["may_dispatch"], ["entry-3"])
     cluster.wait_all(
-        lambda status: status["members"]["entry-3"] == "dead", ["entry-1", "entry-2"]
+        lambda status: member_states(status)["entry-3"] == "dead",
+        ["entry-1", "entry-2"],
     )
-    cluster.wait_all(lambda status: status["age_s"] > 4.5, ["entry-1", "entry-2"])
+    cluster.wait_all(lambda status: status["view_age_s"] > 4.5, ["entry-1", "entry-2"])
     assert all(cluster.status(host)["may_dispatch"] for host in ENTRIES[:2])
     cluster.heal()
-    cluster.wait_all(lambda status: set(status["members"].values()) == {"alive"})
+    cluster.wait_all(lambda status: set(member_states(status).values()) == {"alive"})
     cluster.wait_all(lambda status: status["may_dispatch"])
     cluster.fault()
     later = _change(cluster, "urgent", version)
--- a/turmericflow/tests/test_daemon.py
+++ b/turmericflow/tests/test_daemon.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import aiohttp
 import pytest
 
 from turmericflow.client import Answer, Caller
-from turmericflow.testing import check_answer
+from turmericflow.testing import check_answer, member_states
 from turmericflow.testing._cluster import http_json
 
 TOKENS = 40
+IDLE_LOOKS = 10
+IDLE_LOOK_S = 0.1
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 
 
@@ -63,6 +66,23 @@
         assert answer.reconnects == 0
 
 
+def _shut_out(name: str):
+    def done(status: dict) -> bool:
+        states = {row["name"]: row["state"] for row in status["targets"]}
+        return "leaving" in states[name]
+
+    return done
+
+
+def _wait_idle(url: str) -> None:
+    """Wait until an engine has run nothing for longer than its reports lag."""
+    idle = 0
+    while idle < IDLE_LOOKS:
+        load = http_json("GET", f"{url}/v1/load")
+        idle = 0 if load["running"] or load["queued"] else idle + 1
+        time.sleep(IDLE_LOOK_S)
+
+
 @pytest.mark.integration
 async def test_rolling_replacement_cuts_off_no_request(cluster):
     def replace_all() -> None:
@@ -70,7 +90,7 @@
             assert cluster.terminate(host) == 0
             cluster.start_router(host)
             cluster.wait_router(host)
-            cluster.wait_all(lambda s: set(s["members"].values()) == {"alive"})
+            cluster.wait_all(lambda s: set(member_states(s).values()) == {"alive"})
 
     answers = await _under_load(cluster, replace_all)
     assert len(answers) >= 8
@@ -89,10 +109,8 @@
     def mark() -> None:
         cluster.cut(["entry-3"], ["entry-1", "entry-2"])
         cluster.put(f"mark/{name}", {"name": name})
-        cluster.wait_all(lambda status: name in status["leaving"])
-        url = f"http://{cluster.processes[name].address}/v1/load"
-        while http_json("GET", url)["running"]:
-            pass
+        cluster.wait_all(_shut_out(name))
+        _wait_idle(f"http://{cluster.processes[name].address}")
         before["tokens"] = generated()
 
     answers = await _under_load(cluster, mark)
@@ -111,7 +129,7 @@
     entry = cluster.entries["entry-2"]
     cluster.put("mark/entry-2", {"name": "entry-2"})
     cluster.wait_all(
-        lambda s: s["members"]["entry-2"] == "leaving", ["entry-1", "entry-3"]
+        lambda s: member_states(s)["entry-2"] == "leaving", ["entry-1", "entry-3"]
     )
     for host in ENTRIES:
         url = f"http://{cluster.entries[host]}/v1/addresses"
