Place models by orders under one lease for each data centre

Cause: nothing told engines what to load, and a profile whose version changed stood without a target until someone loaded it.

Change: the first host of a data centre's ranking takes a lease, a platform object that is renewed by conditional update. Orders state the wanted end, one at a time for each service, after leave of the weight store, and the next only when the last one shows. A changed profile is routed with its old version until as many engines report the new one. benchmarks/control measures control; it has not run whole yet.

Conclusion: the lease needs no clock shared by hosts.

--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,323 @@
+"""Cost and speed of control, with daemons as real processes.
+
+Run ``python -m benchmarks.control --json``; ``--quick`` takes fewer samples.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import statistics
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from datetime import datetime
+from pathlib import Path
+from random import Random
+
+import aiohttp
+
+from turmericflow.testing import Cluster, ClusterPlan, EngineSpec
+from turmericflow.testing._cluster import http_json
+
+CENTRES = ("mvd-cordon", "mvd-aguada", "mvd-carrasco")
+MODEL = "sable/none/1"
+PROFILE = {
+    "name": "quotation",
+    "service": "redactor",
+    "model": "sable",
+    "adapter": "none",
+    "version": "1",
+    "wait_s": 20.0,
+}
+HOSTS = (7, 35)
+ENGINES = 12
+MANY_TARGETS = 600
+MANY_PROFILES = 600
+MANY_CUSTOMERS = 6000
+LETTER = {"hosts": 2000, "targets": 6500, "profiles": 500, "customers": 46_000}
+SETTLE_S = 4.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+COST_NAMES = ("cpu_share", "rss_mb", "bytes_s")
+
+
+@dataclass(slots=True)
+class Size:
+    """Numbers of what a run holds."""
+
+    hosts: int = HOSTS[0]
+    targets: int = ENGINES
+    profiles: int = 1
+    customers: int = 1
+
+
+@dataclass(slots=True)
+class Effort:
+    """How long and how often is measured."""
+
+    changes: int
+    marks: int
+    window_s: float
+
+
+@dataclass(slots=True)
+class Run:
+    """What one run has measured; costs are means over the daemons."""
+
+    size: Size
+    costs: dict[str, float] = field(default_factory=dict)
+    platform_calls_s: float = 0.0
+    in_force_ms: list[float] = field(default_factory=list)
+    last_new_work_ms: list[float] = field(default_factory=list)
+
+
+def _plan(size: Size, folder: Path) -> ClusterPlan:
+    objects: dict[str, object] = {"profile/quotation": PROFILE}
+    objects["customer/norte"] = {"name": "norte", "rate_per_s": 1e6, "burst": 1e6}
+    for number in range(size.profiles - 1):
+        name = f"profile-{number}"
+        objects[f"profile/{name}"] = {**PROFILE, "name": name}
+    for number in range(size.customers - 1):
+        objects[f"customer/c{number}"] = {"name": f"c{number}"}
+    args = ["--model", MODEL, "--step-ms", "2"]
+    return ClusterPlan(
+        routers={f"entry-{n}": CENTRES[n % 3] for n in range(size.hosts)},
+        targets=[
+            EngineSpec(f"redactor-{n}", "redactor", CENTRES[n % 3], args)
+            for n in range(ENGINES)
+        ],
+        objects=objects,
+        platform_args=["--writes-s", "1000000", "--reads-s", "1000000"],
+        log_folder=folder,
+    )
+
+
+class _Cluster(Cluster):
+    """A cluster whose host list names its idle engines many times over."""
+
+    def __init__(self, size: Size, folder: Path) -> None:
+        super().__init__(_plan(size, folder))
+        self._size = size
+
+    def write_hosts(self) -> None:
+        """Write the host list, with further names for the same engines."""
+        rows = list(self._rows)
+        for number in range(len(rows), self._size.targets):
+            row = dict(self._rows[number % ENGINES])
+            row["name"], row["service"] = f"idle-{number}", "idle"
+            rows.append(row)
+        url = f"http://{self.processes['platform'].address}/admin/hosts"
+        http_json("PUT", url, rows)
+
+    def calls(self) -> int:
+        """Return the number of the platform's calls so far."""
+        url = f"http://{self.processes['platform'].address}/admin/calls"
+        found = http_json("GET", url)
+        return found.get("read", 0) + found.get("write", 0)
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def _rss_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def _bytes(cluster: Cluster, host: str) -> int:
+    counts = cluster.status(host)["counts"]
+    names = ("peer.bytes_in", "peer.bytes_out", "platform.bytes_in", "reports.bytes_in")
+    return sum(counts.get(name, 0) for name in names)
+
+
+def _measure_costs(cluster: _Cluster, run: Run, window_s: float) -> None:
+    """Measure an idle window with changes at the rate that the letter names."""
+    hosts = list(cluster.plan.routers)
+    pids = {host: cluster.processes[host].process.pid for host in hosts}
+    calls = cluster.calls()
+    cpu = {host: _cpu_s(pid) for host, pid in pids.items()}
+    sent = {host: _bytes(cluster, host) for host in hosts}
+    start = time.monotonic()
+    _change(cluster, "normal")
+    time.sleep(window_s)
+    cpu_used = [_cpu_s(pid) - cpu[host] for host, pid in pids.items()]
+    elapsed = time.monotonic() - start
+    calls_made = cluster.calls() - calls
+    used = [_bytes(cluster, host) - sent[host] for host in hosts]
+    run.platform_calls_s = calls_made / elapsed
+    run.costs = {
+        "cpu_share": statistics.mean(cpu_used) / elapsed,
+        "rss_mb": statistics.mean(_rss_mb(pid) for pid in pids.values()),
+        "bytes_s": statistics.mean(used) / (time.monotonic() - start),
+    }
+
+
+def _version(cluster: Cluster, path: str) -> int:
+    return cluster.status("entry-0")["versions"].get(path, 0)
+
+
+def _change(cluster: Cluster, urgency: str) -> int:
+    path = "profile/quotation"
+    value = {**PROFILE, "urgency": urgency}
+    return cluster.put(path, value, _version(cluster, path))["version"]
+
+
+def _log_times(folder: Path, version: int) -> dict[str, float]:
+    """Return when each host's log says that a version came into force."""
+    found = {}
+    mark = f"version={version}"
+    for path in folder.glob("*.log"):
+        for line in path.read_text().splitlines():
+            words = line.split()
+            if "object_in_force" in line and words[-1] == mark:
+                found[path.stem] = datetime.fromisoformat(words[0]).timestamp()
+    return found
+
+
+def _measure_in_force(cluster: _Cluster, run: Run, folder: Path, changes: int) -> None:
+    """Measure from the platform's acceptance to the last host's log line."""
+    written = []
+    for number in range(changes):
+        sent_at = time.time()
+        version = _change(cluster, ("urgent", "thrifty")[number % 2])
+        written.append((sent_at, version))
+        cluster.wait_all(
+            lambda s, v=version: s["versions"].get("profile/quotation", 0) >= v
+        )
+    for sent_at, version in written:
+        times = _log_times(folder, version)
+        if len(times) != run.size.hosts:
+            raise RuntimeError(f"version {version} is in force on {len(times)} hosts")
+        run.in_force_ms.append((max(times.values()) - sent_at) * 1000)
+
+
+async def _load(cluster: Cluster, stop: asyncio.Event, rng: Random) -> None:
+    async with aiohttp.ClientSession() as session:
+        entries = list(cluster.entries.values())
+        body = {"profile": "quotation", "prompt": "site notes", "max_tokens": 2}
+        while not stop.is_set():
+            url = f"http://{rng.choice(entries)}/v1/generate"
+            headers = {"X-Customer": "norte"}
+            async with session.post(url, json=body, headers=headers) as resp:
+                await resp.read()
+            await asyncio.sleep(0.02)
+
+
+async def _measure_last_work(cluster: _Cluster, run: Run, marks: int) -> None:
+    """Mark engines under load and see when each was last given work."""
+    stop = asyncio.Event()
+    rng = Random(1)
+    loads = [asyncio.ensure_future(_load(cluster, stop, rng)) for _ in range(8)]
+    await asyncio.sleep(2.0)
+    for number in range(marks):
+        name = f"redactor-{number % ENGINES}"
+        path = f"mark/{name}"
+        sent_at = time.time()
+        version = (await asyncio.to_thread(_put_mark, cluster, name, True))["version"]
+        await asyncio.sleep(2.5)
+        url = f"http://{cluster.processes[name].address}/v1/totals"
+        last = (await asyncio.to_thread(http_json, "GET", url))["last_start"]
+        run.last_new_work_ms.append(max(0.0, last - sent_at) * 1000)
+        value = {"name": name, "leaving": False}
+        await asyncio.to_thread(cluster.put, path, value, version)
+        await asyncio.sleep(0.3)
+    stop.set()
+    await asyncio.gather(*loads)
+
+
+def _put_mark(cluster: Cluster, name: str, leaving: bool) -> dict:
+    path = f"mark/{name}"
+    version = _version(cluster, path)
+    return cluster.put(path, {"name": name, "leaving": leaving}, version)
+
+
+def _run(size: Size, effort: Effort, latency: bool) -> Run:
+    run = Run(size)
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        with _Cluster(size, folder) as cluster:
+            time.sleep(SETTLE_S)
+            _measure_costs(cluster, run, effort.window_s)
+            if latency:
+                _measure_in_force(cluster, run, folder, effort.changes)
+                asyncio.run(_measure_last_work(cluster, run, effort.marks))
+    print(f"{size}: {run.costs}", file=sys.stderr)
+    return run
+
+
+def _slope(base: Run, other: Run, name: str, cost: str) -> float:
+    step = getattr(other.size, name) - getattr(base.size, name)
+    return (other.costs[cost] - base.costs[cost]) / step
+
+
+def _at_letter_size(base: Run, slopes: dict[str, dict[str, float]], cost: str) -> float:
+    value = base.costs[cost]
+    for name, size in LETTER.items():
+        value += slopes[name][cost] * (size - getattr(base.size, name))
+    return value
+
+
+def _p(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def measure(effort: Effort) -> dict:
+    """Run all sizes and return the figures."""
+    base = _run(Size(), effort, True)
+    others = {
+        "hosts": _run(Size(hosts=HOSTS[1]), effort, True),
+        "targets": _run(Size(targets=MANY_TARGETS), effort, False),
+        "profiles": _run(Size(profiles=MANY_PROFILES), effort, False),
+        "customers": _run(Size(customers=MANY_CUSTOMERS), effort, False),
+    }
+    slopes = {
+        name: {cost: _slope(base, run, name, cost) for cost in COST_NAMES}
+        for name, run in others.items()
+    }
+    large = others["hosts"]
+    in_force = base.in_force_ms + large.in_force_ms
+    last = base.last_new_work_ms + large.last_new_work_ms
+    return {
+        "in_force_ms_p50": _p(in_force, 0.5),
+        "in_force_ms_p99": _p(in_force, 0.99),
+        "in_force_samples": len(in_force),
+        "last_new_work_ms_p99": _p(last, 0.99),
+        "last_new_work_samples": len(last),
+        "platform_calls_s": {
+            str(run.size.hosts): run.platform_calls_s for run in (base, large)
+        },
+        "per_node": {str(run.size.hosts): run.costs for run in (base, large)},
+        "at_letter_size": {
+            cost: _at_letter_size(base, slopes, cost) for cost in COST_NAMES
+        },
+        "letter_size": LETTER,
+        "slopes": slopes,
+    }
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Measure and print the figures."""
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.control")
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    parser.add_argument("--quick", action="store_true", help="take fewer samples")
+    args = parser.parse_args(argv)
+    effort = Effort(10, 6, 8.0) if args.quick else Effort(60, 30, 30.0)
+    figures = measure(effort)
+    if args.json:
+        print(json.dumps(figures))
+    else:
+        for name, value in figures.items():
+            print(name, value)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -167,6 +167,8 @@
         means that no key is asked for.
     policy
         Policy that chooses among the targets that may run some work.
+    orders_lease_s
+        Term of the lease under which a data centre's orders are given.
     addresses_keep_s
         How long callers may keep the addresses that they are told, in seconds;
         a daemon that is to stop serves new requests for as long.
@@ -188,6 +190,7 @@
     insecure_bind: Flag = False
     operator_key_hashes: list[KeyHash] = Field(default_factory=list)
     policy: Annotated[str, Field(pattern="^(random|sq|lew|mc|fpi|ours)$")] = "ours"
+    orders_lease_s: Annotated[float, Field(ge=0.5, le=600)] = 30.0
     addresses_keep_s: Annotated[float, Field(ge=0.1, le=300)] = 5.0
 
     @classmethod
--- a/turmericflow/services/_config.py
+++ b/turmericflow/services/_config.py
@@ -22,13 +22,15 @@
     PlatformObject,
 )
 from turmericflow.services._stats import Stats
-from turmericflow.systems import overlay, owner_map, slots, spread
+from turmericflow.systems import orders, overlay, owner_map, slots, spread
 from turmericflow.tables import Tables
 
 OBJECT = "object"
+UNSPREAD_KINDS = frozenset({"lease"})
 RETRY_S = 0.5
 WATCH_WAIT_S = 2.0
 DUTY_CHECK_S = 0.5
+HELD_BACK_S = 0.2
 JOIN_S = 2.0
 YIELD_OBJECTS = 500
 
@@ -58,6 +60,7 @@
         self._gossip = gossip
         self._stats = stats
         self._rng = rng
+        self._held_back: set[str] = set()
         self._held: list[wire.Rumour] | None = []
         self._listeners: list[Callable[[str, str], None]] = []
         gossip.subscribe(OBJECT, self._on_fact)
@@ -68,6 +71,8 @@
 
     def learn(self, item: PlatformObject) -> None:
         """Take in an object of the platform's, and spread it if it is new."""
+        if item.kind in UNSPREAD_KINDS:
+            return
         value = msgspec.json.encode(item.value)
         path = f"{item.kind}/{item.name}"
         self._gossip.spread(wire.Rumour(OBJECT, path, item.version, value, 0.0))
@@ -141,7 +146,8 @@
         table = self._tables.config
         match kind:
             case "profile":
-                _put(table.profiles, name, value, PROFILE_ADAPTER)
+                _put(table.declared, name, value, PROFILE_ADAPTER)
+                self._route_profile(name)
             case "customer":
                 _put(table.customers, name, value, CUSTOMER_ADAPTER)
             case "mark":
@@ -149,6 +155,27 @@
             case "owners" if value is not None:
                 self._put_owner_map(value, version)
 
+    def _route_profile(self, name: str) -> None:
+        table = self._tables.config
+        declared = table.declared.get(name)
+        if declared is None:
+            table.profiles.pop(name, None)
+            return
+        current = table.profiles.get(name)
+        found = orders.effective(declared, current, self._tables)
+        table.profiles[name] = found
+        if found is declared:
+            self._held_back.discard(name)
+        else:
+            self._held_back.add(name)
+
+    @Service.task
+    async def _route_held_back(self) -> None:
+        while not self.should_stop:
+            for name in list(self._held_back):
+                self._route_profile(name)
+            await self.sleep(HELD_BACK_S)
+
     def _put_owner_map(self, value: dict, version: int) -> None:
         entries, hosts = owner_map.decode(value)
         slots.put_map(self._tables, version, entries, hosts, time.monotonic())
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -19,6 +19,7 @@
 from turmericflow.services._hosts import Hosts
 from turmericflow.services._journal import Journal
 from turmericflow.services._membership import Membership
+from turmericflow.services._orders import Orders
 from turmericflow.services._owner import Owner
 from turmericflow.services._peers import Peers
 from turmericflow.services._platform import PlatformClient
@@ -60,10 +61,10 @@
         )
         connector = aiohttp.TCPConnector(limit=0)
         self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
-        platform = PlatformClient(self._session, self.settings.platform)
+        platform = PlatformClient(self._session, self.settings.platform, self.stats)
         peers = Peers(self.settings, self.tables, self.stats)
         Owner(self.tables, peers, self.stats)
-        engines = EngineClient(self._session)
+        engines = EngineClient(self._session, self.stats)
         journal = Journal(self.tables, peers, self.stats)
         dispatch = Dispatch(
             self.tables,
@@ -93,6 +94,7 @@
         )
         self.slots.on_change(journal.slots_changed)
         entry = Entry(self.settings, self.tables, runner, self.stats)
+        orders = Orders(self.settings, self.tables, platform, engines, self.stats)
         reports = Reports(self.tables, engines, self.stats)
         services = (
             peers,
@@ -101,6 +103,7 @@
             config,
             hosts,
             self.slots,
+            orders,
             reports,
             dispatch,
             entry,
--- a/turmericflow/services/_engine.py
+++ b/turmericflow/services/_engine.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from turmericflow.cfg import Address
+from turmericflow.services._stats import Stats
 from turmericflow.verdict import Verdict
 
 REPORT_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
@@ -29,6 +30,16 @@
         self.verdict = verdict
 
 
+class StaleFence(TargetFailed):
+    """Raised when an engine has obeyed an order with a higher fencing number."""
+
+
+class _Order(msgspec.Struct):
+    fence: int
+    models: list[str]
+    role: str = "any"
+
+
 class EngineRequest(msgspec.Struct, omit_defaults=True):
     """Body of ``POST /v1/generate``."""
 
@@ -121,10 +132,13 @@
 class EngineClient:
     """Client of the engines' HTTP interface."""
 
-    __slots__ = ("_session",)
+    __slots__ = ("_session", "_stats")
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, stats: Stats | None = None
+    ) -> None:
         self._session = session
+        self._stats = stats
 
     async def generate(
         self, address: Address, request: EngineRequest
@@ -165,10 +179,34 @@
         """Return the cache events after a number; some may be missing."""
         return await self._get(f"{address.url}/v1/cache?since={since}", CacheEvents)
 
+    async def order(self, address: Address, fence: int, models: list[str]) -> None:
+        """Tell an engine what it is to have loaded in the end.
+
+        Raises
+        ------
+        StaleFence
+            If the engine has obeyed a later holder of the lease.
+        TargetFailed
+            If it cannot be reached or refuses.
+        """
+        url = f"{address.url}/v1/orders"
+        body = msgspec.json.encode(_Order(fence, models))
+        try:
+            async with self._session.post(url, data=body) as resp:
+                if resp.status == 409:
+                    raise StaleFence(Verdict.NOT_RUN, f"{url}: {await resp.text()}")
+                if resp.status != 200:
+                    raise TargetFailed(Verdict.NOT_RUN, f"{url}: {resp.status}")
+        except (aiohttp.ClientError, OSError) as exc:
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, f"{url}: {exc!r}") from exc
+
     async def _get(self, url: str, kind: type):
         try:
             async with self._session.get(url, timeout=REPORT_TIMEOUT) as resp:
                 raw = await resp.read()
+                if self._stats is not None:
+                    self._stats.count("reports.polls")
+                    self._stats.count("reports.bytes_in", len(raw))
                 if resp.status != 200:
                     raise TargetFailed(Verdict.NOT_RUN, f"{url}: {resp.status}")
                 return msgspec.json.decode(raw, type=kind)
--- /dev/null
+++ b/turmericflow/services/_orders.py
@@ -0,0 +1,144 @@
+"""Gives orders to engines, on the lease holder of a data centre."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import structlog
+from mode import Service
+
+from turmericflow.cfg import Settings
+from turmericflow.services._engine import EngineClient, StaleFence, TargetFailed
+from turmericflow.services._platform import PlatformClient, PlatformError
+from turmericflow.services._stats import Stats
+from turmericflow.systems import lease as leases, orders, overlay
+from turmericflow.tables import Tables
+
+KIND = "lease"
+DUTY = "orders"
+RENEWALS = 3
+PLAN_S = 0.5
+FIRST_PLAN_S = 2.0
+
+log = structlog.get_logger()
+
+
+class Orders(Service):
+    """Keeps the lease, and sends what the plan asks for while it is held."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        tables: Tables,
+        platform: PlatformClient,
+        engines: EngineClient,
+        stats: Stats,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._tables = tables
+        self._platform = platform
+        self._engines = engines
+        self._stats = stats
+        self._name = f"{DUTY}-{tables.data_centre}"
+        self._term_s = settings.orders_lease_s
+
+    @property
+    def _lease(self):
+        return self._tables.orders.lease
+
+    @Service.task
+    async def _keep_lease(self) -> None:
+        while not self.should_stop:
+            await self.sleep(self._term_s / RENEWALS)
+            try:
+                await self._renew()
+            except PlatformError:
+                self._stats.count("platform.errors")
+
+    def _is_candidate(self) -> bool:
+        ranking = overlay.ranked(self._tables, DUTY, self._tables.data_centre)
+        return ranking[:1] == [self._tables.host]
+
+    async def _renew(self) -> None:
+        host, lease = self._tables.host, self._lease
+        if lease.holder != host and not self._is_candidate():
+            return
+        found = await self._platform.get(KIND, self._name)
+        holder = "" if found is None else (found.value or {}).get("holder", "")
+        version = 0 if found is None else found.version
+        held = bool(lease.fence)
+        leases.observe(lease, holder, version, time.monotonic())
+        if held and lease.holder != host:
+            self._lose()
+        if not leases.may_take(
+            lease, host, time.monotonic(), self._term_s, self._targets_check()
+        ):
+            return
+        leaves = self._tables.peers.leaving
+        if leaves and lease.holder != host:
+            return
+        asked_at = time.monotonic()
+        value = {"holder": "" if leaves else host}
+        result = await self._platform.put(KIND, self._name, value, version)
+        if result.is_err():
+            self._lose()
+        elif leaves:
+            leases.observe(lease, "", result.ok().version, asked_at)
+            self._lose()
+        else:
+            self._take(result.ok().version, asked_at)
+
+    def _take(self, version: int, asked_at: float) -> None:
+        is_new = not self._lease.fence
+        leases.taken(self._lease, self._tables.host, version, asked_at)
+        if is_new:
+            log.info("lease_taken", lease=self._name, fence=version)
+
+    def _lose(self) -> None:
+        if self._lease.fence:
+            log.info("lease_lost", lease=self._name)
+        leases.lost(self._lease)
+
+    def _targets_check(self) -> bool:
+        services = {row.service for row in self._tables.targets.rows.values()}
+        return services <= set(self._settings.fencing_services)
+
+    def _may_order(self) -> bool:
+        now = time.monotonic()
+        lease = self._lease
+        if now - lease.taken_at < min(FIRST_PLAN_S, self._term_s):
+            return False
+        return leases.may_order(lease, self._tables.host, now, self._term_s)
+
+    @Service.task
+    async def _give(self) -> None:
+        while not self.should_stop:
+            await self.sleep(PLAN_S)
+            if not self._may_order():
+                continue
+            for order in orders.plan(self._tables, time.monotonic()):
+                await self._send(order)
+
+    async def _send(self, order: orders.Order) -> None:
+        try:
+            if order.loads:
+                await self._platform.weights(order.target.name)
+        except PlatformError:
+            self._stats.count("orders.weights_wait")
+            return
+        if not self._may_order():
+            return
+        orders.record(self._tables, order, time.monotonic())
+        models = sorted(order.models)
+        log.info("order", target=order.target.name, models=models)
+        self._stats.count("orders.sent")
+        sending = self._engines.order(order.target.address, self._lease.fence, models)
+        try:
+            await asyncio.wait_for(sending, leases.ORDER_LIFE_S)
+        except StaleFence:
+            self._stats.count("orders.stale_fence")
+            self._lose()
+        except (TargetFailed, TimeoutError):
+            self._stats.count("orders.failed")
--- a/turmericflow/services/_platform.py
+++ b/turmericflow/services/_platform.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from turmericflow.cfg import Address
+from turmericflow.services._stats import Stats
 
 WATCH_WAIT_S = 20.0
 
@@ -58,10 +59,16 @@
 class PlatformClient:
     """Client of the platform's object API and host list."""
 
-    __slots__ = ("_base", "_session")
+    __slots__ = ("_base", "_session", "_stats")
 
-    def __init__(self, session: aiohttp.ClientSession, address: Address) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: Address,
+        stats: Stats | None = None,
+    ) -> None:
         self._session = session
+        self._stats = stats
         self._base = address.url
 
     async def _call(self, method: str, path: str, **kwargs: Any) -> tuple[int, bytes]:
@@ -70,6 +77,9 @@
                 method, self._base + path, **kwargs
             ) as resp:
                 body = await resp.read()
+                if self._stats is not None:
+                    self._stats.count("platform.calls")
+                    self._stats.count("platform.bytes_in", len(body))
                 if resp.status == 429 or resp.status >= 500:
                     unknown = resp.status not in (429, 503)
                     raise PlatformError(f"{method} {path}: {resp.status}", unknown)
@@ -118,6 +128,16 @@
         _, body = await self._call("GET", path, timeout=timeout)
         return msgspec.json.decode(body, type=ObjectList)
 
+    async def weights(self, name: str) -> None:
+        """Take the weight store's leave to load something.
+
+        Raises
+        ------
+        PlatformError
+            If the store's rate is used up, or it gives no answer.
+        """
+        await self._call("GET", f"/v1/weights/{name}")
+
     async def hosts(self) -> list[HostEntry]:
         """Return the host list, which lags."""
         _, body = await self._call("GET", "/v1/hosts")
--- a/turmericflow/systems/_status.py
+++ b/turmericflow/systems/_status.py
@@ -154,7 +154,7 @@
     """Return the declarations in force, without the customers' key hashes."""
     config = tables.config
     kinds = (
-        ("profile", PROFILE_ADAPTER, config.profiles),
+        ("profile", PROFILE_ADAPTER, config.declared),
         ("customer", CUSTOMER_ADAPTER, config.customers),
         ("mark", MARK_ADAPTER, config.marks),
     )
--- a/turmericflow/tables/__init__.py
+++ b/turmericflow/tables/__init__.py
@@ -22,6 +22,7 @@
     Waiting,
     Work,
 )
+from turmericflow.tables._orders import GivenOrder, Lease, OrderTable
 from turmericflow.tables._peers import Peer, PeerState, PeerTable
 from turmericflow.tables._requests import Listener, RequestRow, RequestTable
 from turmericflow.tables._slots import RequestId, SlotEntry, SlotTable
@@ -68,6 +69,10 @@
     "Target",
     "TargetKind",
     "TargetTable",
+    # Orders
+    "GivenOrder",
+    "Lease",
+    "OrderTable",
     # Peers and configuration
     "ConfigTable",
     "FactTable",
--- a/turmericflow/tables/_all.py
+++ b/turmericflow/tables/_all.py
@@ -7,6 +7,7 @@
 from turmericflow.tables._claims import ClaimTable
 from turmericflow.tables._config import ConfigTable
 from turmericflow.tables._load import LoadTable
+from turmericflow.tables._orders import OrderTable
 from turmericflow.tables._peers import PeerTable
 from turmericflow.tables._requests import RequestTable
 from turmericflow.tables._slots import SlotTable
@@ -35,4 +36,5 @@
     peers: PeerTable = field(default_factory=PeerTable)
     config: ConfigTable = field(default_factory=ConfigTable)
     stopping: bool = False
+    orders: OrderTable = field(default_factory=OrderTable)
     load: LoadTable = field(default_factory=LoadTable)
--- a/turmericflow/tables/_config.py
+++ b/turmericflow/tables/_config.py
@@ -16,7 +16,10 @@
     versions
         Version in force of each object, by ``kind/name``.
     profiles, customers, marks
-        Declarations by name.
+        Declarations by name; a profile whose model, adapter or version has
+        changed stands here with what it had until enough engines have the new.
+    declared
+        Profiles as they are declared.
     confirmed_at
         Time at which this view was last known to be current, in seconds of
         this host's clock.
@@ -30,3 +33,4 @@
     marks: dict[str, Mark] = field(default_factory=dict)
     confirmed_at: float = float("-inf")
     seen: int = 0
+    declared: dict[str, Profile] = field(default_factory=dict)
--- a/turmericflow/testing/_cluster.py
+++ b/turmericflow/testing/_cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import signal
 import socket
@@ -10,9 +11,10 @@
 import tempfile
 import time
 import urllib.request
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import IO
 
 import yaml
 
@@ -54,6 +56,8 @@
         Arguments of the platform's stand-in.
     wait_ready
         Whether the start ends only when all routers are ready.
+    log_folder
+        Folder for the routers' logs, or None for standard error.
     first_fault
         Fault of the platform while the routers start.
     """
@@ -65,6 +69,7 @@
     peer_delay_s: float = 0.0
     platform_args: list[str] = field(default_factory=list)
     wait_ready: bool = True
+    log_folder: Path | None = None
     first_fault: dict[str, object] = field(default_factory=dict)
 
 
@@ -200,9 +205,18 @@
         path.write_text(yaml.safe_dump(self._settings(host)), "utf-8")
         ip, port = self.entries[host].rsplit(":", 1)
         argv = ["-m", "turmericflow.services.main", "--config", str(path)]
-        process = subprocess.Popen([sys.executable, *argv])
+        with self._log(host) as log:
+            process = subprocess.Popen([sys.executable, *argv], stderr=log)
         self.processes[host] = Running(process, ip, [int(port)])
 
+    @contextlib.contextmanager
+    def _log(self, host: str) -> Iterator[IO | None]:
+        if self.plan.log_folder is None:
+            yield None
+            return
+        with open(self.plan.log_folder / f"{host}.log", "ab") as log:
+            yield log
+
     def wait_router(self, host: str) -> None:
         """Wait until a daemon answers and knows its configuration."""
         until = time.monotonic() + READY_S
--- a/turmericflow/testing/engine.py
+++ b/turmericflow/testing/engine.py
@@ -51,6 +51,8 @@
         self._task: asyncio.Task | None = None
         self._orders: set[asyncio.Task] = set()
         self.silent = False
+        self.last_start = 0.0
+        self.stale_orders = 0
 
     def app(self) -> web.Application:
         """Return the engine's HTTP interface."""
@@ -114,6 +116,7 @@
             body.max_tokens,
             body.priority,
         )
+        self.last_start = time.time()
         self._wake.set()
         return await self._send(request, stream, len(body.prefix))
 
@@ -182,6 +185,7 @@
         order = msgspec.json.decode(await request.read(), type=Order)
         if self.checks_fencing and order.fence < self.fence:
             return web.json_response({"fence": self.fence}, status=409)
+        self.stale_orders += order.fence < self.fence
         self.fence = max(self.fence, order.fence)
         task = asyncio.ensure_future(self._obey(order))
         self._orders.add(task)
@@ -196,7 +200,12 @@
 
     async def _totals(self, request: web.Request) -> web.Response:
         return web.json_response(
-            {"prefilled": self.batch.prefilled, "generated": self.batch.generated}
+            {
+                "prefilled": self.batch.prefilled,
+                "generated": self.batch.generated,
+                "last_start": self.last_start,
+                "stale_orders": self.stale_orders,
+            }
         )
 
     async def _set_silent(self, request: web.Request) -> web.Response:
