--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -27,6 +27,7 @@
 from turmericflow.services._runner import Runner
 from turmericflow.services._slots import SlotService
 from turmericflow.services._stats import Stats
+from turmericflow.services._tls import Tls
 from turmericflow.systems import policies
 from turmericflow.tables import Peer, Tables
 
@@ -62,7 +63,9 @@
         connector = aiohttp.TCPConnector(limit=0)
         self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
         platform = PlatformClient(self._session, self.settings.platform, self.stats)
-        peers = Peers(self.settings, self.tables, self.stats)
+        tls = Tls.from_settings(self.settings, self.stats)
+        contexts = tls and tls.contexts
+        peers = Peers(self.settings, self.tables, self.stats, contexts)
         Owner(self.tables, peers, self.stats)
         engines = EngineClient(self._session, self.stats)
         journal = Journal(self.tables, peers, self.stats)
@@ -93,7 +96,7 @@
             self.settings, self.tables, peers, gossip, platform, self.stats
         )
         self.slots.on_change(journal.slots_changed)
-        entry = Entry(self.settings, self.tables, runner, self.stats)
+        self.entry = Entry(self.settings, self.tables, runner, self.stats, contexts)
         orders = Orders(self.settings, self.tables, platform, engines, self.stats)
         reports = Reports(self.tables, engines, self.stats)
         services = (
@@ -106,9 +109,9 @@
             orders,
             reports,
             dispatch,
-            entry,
+            self.entry,
         )
-        for service in services:
+        for service in services if tls is None else (tls, *services):
             await self.add_runtime_dependency(service)
 
     async def finish(self) -> None:
@@ -120,6 +123,7 @@
         self.membership.leave_for_good()
         await asyncio.sleep(self.settings.addresses_keep_s + LEAVE_MARGIN_S)
         self.tables.stopping = True
+        await self.entry.close_to_callers()
         while any(not row.ended for row in self.tables.requests.rows.values()):
             await asyncio.sleep(FINISH_CHECK_S)
         await self.slots.hand_over()
--- a/turmericflow/testing/_cluster.py
+++ b/turmericflow/testing/_cluster.py
@@ -6,6 +6,7 @@
 import json
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 import tempfile
@@ -98,7 +99,8 @@
     """Make one HTTP call and return its JSON, or None for an empty body."""
     data = None if body is None else json.dumps(body).encode()
     request = urllib.request.Request(url, data, headers or {}, method=method)
-    with urllib.request.urlopen(request, timeout=10) as resp:
+    trust_all = ssl._create_unverified_context() if url.startswith("https") else None
+    with urllib.request.urlopen(request, timeout=10, context=trust_all) as resp:
         raw = resp.read()
     return json.loads(raw) if raw else None
 
@@ -220,7 +222,8 @@
     def wait_router(self, host: str) -> None:
         """Wait until a daemon answers and knows its configuration."""
         until = time.monotonic() + READY_S
-        url = f"http://{self.entries[host]}/v1/status"
+        scheme = "https" if "tls" in self.plan.settings else "http"
+        url = f"{scheme}://{self.entries[host]}/v1/status"
         while True:
             try:
                 if http_json("GET", url)["ready"]:
