--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -120,10 +120,19 @@
             raise not_run(ErrorCode.UNAUTHORIZED, message)
         return web.json_response({"objects": status.declarations(self._tables)})
 
+    async def close_to_callers(self) -> None:
+        """Take no new connections, and no requests on those that stand.
+
+        A caller finds them closed without an answer, and goes on elsewhere
+        under the same key.
+        """
+        for site in list(self._web.sites):
+            await site.stop()
+
     async def _generate(self, request: web.Request) -> web.StreamResponse:
-        if self._tables.stopping:
-            message = f"{self._tables.host} is about to stop; use another address"
-            raise not_run(ErrorCode.STOPPING, message, 0.0)
+        if self._tables.stopping and request.transport is not None:
+            self._stats.count("entry.closed")
+            request.transport.abort()
         customer = authenticate(request, self._tables)
         key = read_header(request.headers, "Idempotency-Key")
         last_id = read_header(request.headers, "Last-Event-ID")
--- a/turmericflow/systems/_scheduling.py
+++ b/turmericflow/systems/_scheduling.py
@@ -130,7 +130,7 @@
     """Give places to waiting work in its fair order, as long as there are any.
 
     Work that may not run on some targets does not hold up what stands behind it.
-    Nothing is placed by a host whose view is too old.
+    A host whose view is too old gives no places: a target may be leaving.
     """
     outcomes: list[Outcome] = []
     if not freshness.may_dispatch(tables, now):
