--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -59,8 +59,8 @@
         platform = PlatformClient(self._session, self.settings.platform)
         peers = Peers(self.settings, self.tables, self.stats)
         Owner(self.tables, peers, self.stats)
-        journal = Journal(self.tables, peers, self.stats)
         engines = EngineClient(self._session)
+        journal = Journal(self.tables, peers, self.stats)
         dispatch = Dispatch(
             self.tables,
             self.stats,
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -23,6 +23,7 @@
     _routing as routing,
     _scheduling as scheduling,
     _slots as slots,
+    _status as status,
 )
 from turmericflow.systems._convert import (
     to_attempts,
@@ -53,6 +54,7 @@
     "routing",
     "scheduling",
     "slots",
+    "status",
     # Conversions
     "to_attempts",
     "to_failure",
