--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -189,7 +189,7 @@
     insecure_bind: Flag = False
     operator_key_hashes: list[KeyHash] = Field(default_factory=list)
     policy: Annotated[str, Field(pattern="^(random|sq|lew|mc|fpi|ours)$")] = "ours"
-    addresses_keep_s: Annotated[float, Field(ge=0.1, le=300)] = 5.0
+    addresses_keep_s: Annotated[Number, Field(ge=0.1, le=300)] = 5.0
 
     @classmethod
     def from_file(cls, path: Path) -> Settings:
--- a/turmericflow/client/_answer.py
+++ b/turmericflow/client/_answer.py
@@ -14,11 +14,22 @@
 
 @dataclass(slots=True, frozen=True)
 class Token:
-    """One token and the time at which it came, in seconds of a local clock."""
+    """One token.
+
+    Attributes
+    ----------
+    index, text
+        Its place in the answer, and its text.
+    at
+        Time at which it came, in seconds of a local clock.
+    attempt
+        Number of the attempt that it came from.
+    """
 
     index: int
     text: str
     at: float
+    attempt: int = 0
 
 
 @dataclass(slots=True)
@@ -37,6 +48,8 @@
         The error that ended the request, or None.
     reconnects
         How often the caller went on at another address.
+    lost_at
+        Number of tokens that the caller had each time it did so.
     """
 
     tokens: list[Token] = field(default_factory=list)
@@ -44,6 +57,7 @@
     whole: bool = False
     failure: Failure | None = None
     reconnects: int = 0
+    lost_at: list[int] = field(default_factory=list)
 
     @property
     def text(self) -> str:
@@ -122,7 +136,10 @@
             case "error":
                 self.interrupted = parse_failure(data)
             case "":
-                token = Token(data["index"], data["text"], time.monotonic())
+                _, attempt, _ = self._id.split(".")
+                token = Token(
+                    data["index"], data["text"], time.monotonic(), int(attempt)
+                )
                 self._answer.tokens.append(token)
                 self._answer.last_id = self._id
                 if self._on_token is not None:
--- a/turmericflow/client/_caller.py
+++ b/turmericflow/client/_caller.py
@@ -177,6 +177,7 @@
                 until = time.monotonic() + GIVE_UP_S
             if not answer.ended:
                 answer.reconnects += 1
+                answer.lost_at.append(len(answer.tokens))
                 self._next_address()
                 await asyncio.sleep(pause_s)
         if not answer.ended:
--- a/turmericflow/testing/_cluster.py
+++ b/turmericflow/testing/_cluster.py
@@ -57,6 +57,8 @@
         Whether the start ends only when all routers are ready.
     first_fault
         Fault of the platform while the routers start.
+    prepare
+        Called once the platform and the targets run, before the routers start.
     """
 
     routers: dict[str, str]
@@ -67,6 +69,7 @@
     platform_args: list[str] = field(default_factory=list)
     wait_ready: bool = True
     first_fault: dict[str, object] = field(default_factory=dict)
+    prepare: Callable[[Cluster], None] | None = None
 
 
 @dataclass(slots=True)
@@ -138,6 +141,8 @@
         self.write_hosts()
         for path, value in self.plan.objects.items():
             self.put(path, value)
+        if self.plan.prepare is not None:
+            self.plan.prepare(self)
         self._place_routers()
         self.fault(**self.plan.first_fault)
         for host in self.plan.routers:
--- a/turmericflow/tests/test_cfg.py
+++ b/turmericflow/tests/test_cfg.py
@@ -121,7 +121,9 @@
 def test_sigterm_stops_with_exit_code_0(tmp_path):
     path = tmp_path / "ok.yaml"
     fields = {name: f"127.0.3.1:{free_port('127.0.3.1')}" for name in ("entry", "peer")}
-    path.write_bytes(_settings({"log": "{json: true}", **fields}))
+    path.write_bytes(
+        _settings({"log": "{json: true}", "addresses_keep_s": "0.1", **fields})
+    )
     process = _start(path)
     try:
         for line in process.stderr:
