--- a/turmericflow/testing/__init__.py
+++ b/turmericflow/testing/__init__.py
@@ -9,6 +9,7 @@
     EngineSpec,
     member_states,
 )
+from turmericflow.testing._load import load_profile, load_tables, load_work
 
 __all__ = (
     # Processes
@@ -16,6 +17,10 @@
     "ClusterPlan",
     "EngineSpec",
     "member_states",
+    # Tables
+    "load_profile",
+    "load_tables",
+    "load_work",
     # Assertions
     "AnswerCheck",
     "check_answer",
