Count service levels at the routers and report how fast budgets burn

Objectives stood in profiles and nothing counted them.

A runner notes first token, last token and the pause of each resume at the commit, and counts a request once when it ends. Hosts send their counts each burn_save_s to one host of their data centre, which merges them into one platform object by conditional writes: a batch whose acknowledgement was lost is sent again under its number, a write whose reply was lost is settled by the batch's name. Cells grow from a minute to an hour with age, and customers beyond 60 series are counted together, so the object stays below a megabyte. turmericflow report burn prints rates over 5m, 1h, 6h and 3d and writes a page with plots.

--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -166,6 +166,8 @@
     operator_key_hashes
         SHA-256 hex digests of the keys that open the status details; empty
         means that no key is asked for.
+    burn_save_s
+        Time between saves of the service-level counts, in seconds.
     policy
         Policy that chooses among the targets that may run some work.
     addresses_keep_s
@@ -188,6 +190,7 @@
     tls: TlsSettings | None = None
     insecure_bind: Flag = False
     operator_key_hashes: list[KeyHash] = Field(default_factory=list)
+    burn_save_s: Annotated[Number, Field(ge=0.1, le=3600)] = 60.0
     policy: Annotated[str, Field(pattern="^(random|sq|lew|mc|fpi|ours)$")] = "ours"
     addresses_keep_s: Annotated[Number, Field(ge=0.1, le=300)] = 5.0
 
--- a/turmericflow/cli/main.py
+++ b/turmericflow/cli/main.py
@@ -11,6 +11,7 @@
 from turmericflow.cli._exit import CommandError, Exit
 from turmericflow.cli._operators import add_operator_commands
 from turmericflow.cli._output import print_error
+from turmericflow.cli._report import add_report_command
 from turmericflow.cli._status import add_status_command
 
 _EPILOG = """\
@@ -40,6 +41,7 @@
     add_caller_commands(commands)
     add_operator_commands(commands)
     add_status_command(commands)
+    add_report_command(commands)
     return parser
 
 
--- /dev/null
+++ b/turmericflow/report/_page.py
@@ -0,0 +1,122 @@
+"""The page with the plots of service-level burn."""
+
+from __future__ import annotations
+
+import html
+import io
+from datetime import UTC, datetime
+
+from turmericflow.profile import Objectives
+from turmericflow.systems import burn
+from turmericflow.tables import BurnTable
+
+_PAGE = """\
+<!doctype html>
+<html lang="en">
+<meta charset="utf-8">
+<title>Service-level burn</title>
+<style>
+body {{ font-family: sans-serif; margin: 2em; }}
+table {{ border-collapse: collapse; }}
+td, th {{ border: 1px solid #ccc; padding: 0.2em 0.6em; text-align: right; }}
+td:first-child, td:nth-child(2), td:nth-child(3) {{ text-align: left; }}
+.fast {{ background: #fbb; }}
+</style>
+<h1>Service-level burn</h1>
+<p>As of {at}. A rate of 1 uses the error budget up just as it is granted.</p>
+{table}
+{plots}
+</html>
+"""
+PERCENTILES = (50, 90, 95, 99, 99.9)
+
+
+def _row(tag: str, cells: list[str], classes: list[str]) -> str:
+    inner = "".join(
+        f'<{tag} class="{name}">{html.escape(cell)}</{tag}>'
+        for cell, name in zip(cells, classes)
+    )
+    return f"<tr>{inner}</tr>"
+
+
+def _table(found: list[burn.Burn]) -> str:
+    head = ["profile", "customer", "objective", *burn.WINDOWS_S, "counted in 3d"]
+    rows = [_row("th", head, [""] * len(head))]
+    for each in found:
+        if not each.totals["3d"]:
+            continue
+        rates = list(each.rates.values())
+        cells = [each.profile, each.customer or "(all)", each.objective]
+        cells += ["-" if rate is None else f"{rate:.2f}" for rate in rates]
+        classes = ["", "", ""]
+        classes += ["fast" if rate is not None and rate > 1 else "" for rate in rates]
+        rows.append(_row("td", [*cells, str(each.totals["3d"])], [*classes, ""]))
+    return f"<table>{''.join(rows)}</table>"
+
+
+def _points(
+    table: BurnTable, profile: str, objective: str, goals: Objectives
+) -> tuple[list[datetime], list[float]]:
+    times, rates = [], []
+    allowed = 1 - getattr(goals, objective)
+    for (start, length), rows in sorted(table.cells.items()):
+        levels = [
+            getattr(cell, objective)
+            for (name, _), cell in rows.items()
+            if name == profile
+        ]
+        total = sum(level.total for level in levels)
+        if total:
+            times.append(datetime.fromtimestamp(start + length, UTC))
+            missed = sum(level.missed for level in levels)
+            rates.append(missed / total / allowed)
+    return times, rates
+
+
+def _plot(table: BurnTable, profile: str, goals: Objectives) -> str:
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(11, 3.2), layout="constrained")
+    over_time, spread = figure.subplots(1, 2)
+    for objective in burn.OBJECTIVES:
+        times, rates = _points(table, profile, objective, goals)
+        over_time.plot(times, rates, marker=".", label=objective)
+        histogram = table.times.get((profile, objective))
+        if histogram is not None:
+            values = [histogram.get_value_at_percentile(each) for each in PERCENTILES]
+            labels = [f"p{each:g}" for each in PERCENTILES]
+            spread.plot(labels, values, marker="o", label=objective)
+    over_time.axhline(1.0, color="grey", linestyle="--")
+    over_time.set_title(f"{profile}: burn rate")
+    over_time.tick_params(axis="x", rotation=30)
+    spread.set_title("time, ms")
+    for axes in (over_time, spread):
+        if axes.get_legend_handles_labels()[0]:
+            axes.legend()
+    buffer = io.StringIO()
+    figure.savefig(buffer, format="svg")
+    text = buffer.getvalue()
+    return text[text.index("<svg") :]
+
+
+def render_page(
+    table: BurnTable, objectives: dict[str, Objectives], wall: float
+) -> str:
+    """Return an HTML page with burn rates and plots, which needs no other file.
+
+    Parameters
+    ----------
+    table
+        What was counted.
+    objectives
+        Objectives by profile.
+    wall
+        Time of the wall clock, in seconds.
+    """
+    profiles = sorted({name for rows in table.cells.values() for name, _ in rows})
+    plots = [
+        _plot(table, each, objectives.get(each, Objectives())) for each in profiles
+    ]
+    at = datetime.fromtimestamp(wall, UTC).isoformat(timespec="seconds")
+    found = burn.rates(table, objectives, wall)
+    return _PAGE.format(at=at, table=_table(found), plots="\n".join(plots))
--- a/turmericflow/services/_config.py
+++ b/turmericflow/services/_config.py
@@ -26,6 +26,7 @@
 from turmericflow.tables import Tables
 
 OBJECT = "object"
+NOT_SPREAD = frozenset({"burn"})
 RETRY_S = 0.5
 WATCH_WAIT_S = 2.0
 DUTY_CHECK_S = 0.5
@@ -111,7 +112,8 @@
             self._stats.count("platform.errors")
             return False
         for item in found.items:
-            self.learn(item)
+            if item.kind not in NOT_SPREAD:
+                self.learn(item)
         confirmed_at = time.monotonic() if wait_s else asked_at
         if not spread.seen_by_platform(self._tables, found.version, confirmed_at):
             self._stats.count("platform.old_answers")
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -10,6 +10,7 @@
 from mode import Service
 
 from turmericflow.cfg import Settings
+from turmericflow.services._burn import Burn
 from turmericflow.services._claimant import Claimant
 from turmericflow.services._config import Config
 from turmericflow.services._dispatch import Dispatch
@@ -98,6 +99,7 @@
         self.slots.on_change(journal.slots_changed)
         entry = Entry(self.settings, self.tables, runner, self.stats, contexts)
         reports = Reports(self.tables, engines, self.stats)
+        self.burn = Burn(self.settings, self.tables, peers, platform, self.stats)
         services = (
             peers,
             gossip,
@@ -108,6 +110,7 @@
             reports,
             dispatch,
             Sharing(self.tables, peers, self.stats),
+            self.burn,
             entry,
         )
         for service in services if tls is None else (tls, *services):
@@ -125,6 +128,7 @@
         while any(not row.ended for row in self.tables.requests.rows.values()):
             await asyncio.sleep(FINISH_CHECK_S)
         await self.slots.hand_over()
+        await self.burn.save()
 
     async def on_shutdown(self) -> None:
         if self._session is not None:
--- a/turmericflow/services/_journal.py
+++ b/turmericflow/services/_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from turmericflow import wire
 from turmericflow.services._peers import Peers, PeerUnreachable
@@ -107,6 +108,7 @@
         if row.ended:
             return
         row.committed = max(row.committed, length)
+        row.note_commit(time.monotonic())
         row.journaled_attempts = attempts
         row.ended = complete
         row.wake()
--- /dev/null
+++ b/turmericflow/systems/_burn.py
@@ -0,0 +1,207 @@
+"""Service-level burn: what counts, how it is kept, and how fast it burns."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from turmericflow.profile import Objectives
+from turmericflow.systems import _membership as membership
+from turmericflow.tables import BurnTable, Cell, Level, RequestRow, Series, Tables
+from turmericflow.verdict import ErrorCode
+
+MINUTE_S = 60
+OTHERS = "(others)"
+MAX_SERIES = 60
+WINDOWS_S = {"5m": 300, "1h": 3600, "6h": 21_600, "3d": 259_200}
+OBJECTIVES = ("whole_in_time", "first_token", "resume")
+# Length of cells, and the age up to which they are kept at that length.
+_AGES_S = ((60, 3_900), (600, 22_800), (3600, 266_400))
+_MS_PER_S = 1000
+# The caller asked for the end, or another router counts the request.
+_NOT_COUNTED = frozenset({ErrorCode.CANCELLED, ErrorCode.REPLACED})
+
+
+def count(table: BurnTable, row: RequestRow, wall: float) -> None:
+    """Count an ended request.
+
+    Parameters
+    ----------
+    table
+        Where to count it.
+    row
+        The request, as its runner has it.
+    wall
+        Time of the wall clock, in seconds.
+    """
+    if row.failure is not None and row.failure.code in _NOT_COUNTED:
+        return
+    objectives = row.profile.objectives
+    name = row.profile.name
+    start = int(wall) // MINUTE_S * MINUTE_S
+    cell = table.cell(start, MINUTE_S, (name, row.request_id.customer))
+    in_time = row.committed_at - row.accepted_at <= row.profile.deadline_s
+    cell.whole_in_time.count(row.complete and row.failure is None and in_time)
+    if row.first_committed_at:
+        first_s = row.first_committed_at - row.accepted_at
+        cell.first_token.count(first_s <= objectives.first_token_s)
+        table.time(name, "first_token").record_value(_to_ms(first_s))
+    for resume_s in row.resumes_s:
+        cell.resume.count(resume_s <= objectives.resume_s)
+        table.time(name, "resume").record_value(_to_ms(resume_s))
+
+
+def _to_ms(seconds: float) -> int:
+    return max(1, round(seconds * _MS_PER_S))
+
+
+def compact(table: BurnTable, wall: float) -> BurnTable:
+    """Return a table with old cells made longer, and the oldest left out.
+
+    Customers with few requests are counted together, so that a table has a
+    bounded size.
+    """
+    result = BurnTable(times=dict(table.times))
+    kept = _largest_series(table)
+    for (start, length), rows in table.cells.items():
+        new_length = next((n for n, age in _AGES_S if wall - start <= age), None)
+        if new_length is None:
+            continue
+        new_length = max(length, new_length)
+        new_start = start // new_length * new_length
+        for series, cell in rows.items():
+            target = series if series in kept else (series[0], OTHERS)
+            result.cell(new_start, new_length, target).add(cell)
+    return result
+
+
+def _largest_series(table: BurnTable) -> set[Series]:
+    totals: dict[Series, int] = {}
+    for rows in table.cells.values():
+        for series, cell in rows.items():
+            totals[series] = totals.get(series, 0) + cell.whole_in_time.total
+    return set(sorted(totals, key=lambda each: (-totals[each], each))[:MAX_SERIES])
+
+
+def to_value(table: BurnTable) -> dict[str, Any]:
+    """Return a table as a value for the platform."""
+    cells = [
+        [start, length, *series, *_numbers(cell)]
+        for (start, length), rows in sorted(table.cells.items())
+        for series, cell in sorted(rows.items())
+    ]
+    times = [
+        [*key, histogram.encode().decode()]
+        for key, histogram in sorted(table.times.items())
+    ]
+    return {"cells": cells, "times": times}
+
+
+def from_value(value: dict[str, Any]) -> BurnTable:
+    """Return the table that a value stands for.
+
+    Raises
+    ------
+    ValueError
+        If it stands for none.
+    """
+    table = BurnTable()
+    try:
+        for start, length, profile, customer, *numbers in value["cells"]:
+            cell = table.cell(int(start), int(length), (str(profile), str(customer)))
+            cell.add(_cell(numbers))
+        for profile, objective, encoded in value["times"]:
+            histogram = HdrHistogram.decode(encoded.encode())
+            table.time(str(profile), str(objective)).add(histogram)
+    except Exception as exc:
+        # The histogram library raises errors of many kinds for damaged bytes.
+        raise ValueError(f"got no burn value: {exc!r}") from exc
+    return table
+
+
+def _numbers(cell: Cell) -> list[int]:
+    levels = (cell.whole_in_time, cell.first_token, cell.resume)
+    return [number for each in levels for number in (each.total, each.missed)]
+
+
+def _cell(numbers: list[int]) -> Cell:
+    total, missed, firsts, late, losses, slow = (int(number) for number in numbers)
+    return Cell(Level(total, missed), Level(firsts, late), Level(losses, slow))
+
+
+@dataclass(slots=True, frozen=True)
+class Burn:
+    """How fast one objective's error budget burns.
+
+    Attributes
+    ----------
+    profile, customer, objective
+        What is meant; an empty customer stands for all.
+    rates
+        Share missed over share allowed, by window; None without requests.
+    totals
+        How many were counted, by window.
+    """
+
+    profile: str
+    customer: str
+    objective: str
+    rates: dict[str, float | None]
+    totals: dict[str, int]
+
+
+def _allowed(objectives: Objectives, objective: str) -> float:
+    return 1 - getattr(objectives, objective)
+
+
+def _level(
+    table: BurnTable, profile: str, customer: str, objective: str, since: float
+) -> Level:
+    level = Level()
+    for (start, length), rows in table.cells.items():
+        if start + length <= since:
+            continue
+        for (name, asked_by), cell in rows.items():
+            if name == profile and customer in ("", asked_by):
+                level.add(getattr(cell, objective))
+    return level
+
+
+def rates(
+    table: BurnTable, objectives: dict[str, Objectives], wall: float
+) -> list[Burn]:
+    """Return the burn of each profile as a whole and by customer.
+
+    A rate of 1 uses the error budget up just as it is granted; the window's
+    first cell counts whole.
+    """
+    series = {each for rows in table.cells.values() for each in rows}
+    asked = sorted({(profile, "") for profile, _ in series} | series)
+    found = []
+    for profile, customer in asked:
+        for objective in OBJECTIVES:
+            levels = {
+                name: _level(table, profile, customer, objective, wall - length_s)
+                for name, length_s in WINDOWS_S.items()
+            }
+            allowed = _allowed(objectives.get(profile, Objectives()), objective)
+            burn = {
+                name: level.missed / level.total / allowed if level.total else None
+                for name, level in levels.items()
+            }
+            totals = {name: level.total for name, level in levels.items()}
+            found.append(Burn(profile, customer, objective, burn, totals))
+    return found
+
+
+def keeper(tables: Tables) -> str:
+    """Return the host that saves the counts of this host's data centre."""
+    staying = membership.staying_hosts(tables) or [tables.host]
+    here = [
+        host
+        for host in staying
+        if membership.data_centre_of(tables, host) == tables.data_centre
+    ]
+    return min(here, default=tables.host)
--- a/turmericflow/tables/__init__.py
+++ b/turmericflow/tables/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from turmericflow.tables._all import Tables
+from turmericflow.tables._burn import BurnTable, Cell, Level, Series, new_histogram
 from turmericflow.tables._claims import (
     AttemptStart,
     Claim,
@@ -74,4 +75,10 @@
     "Peer",
     "PeerState",
     "PeerTable",
+    # Service levels
+    "BurnTable",
+    "Cell",
+    "Level",
+    "Series",
+    "new_histogram",
 )
--- /dev/null
+++ b/turmericflow/tables/_burn.py
@@ -0,0 +1,99 @@
+"""Service levels as counted, by minute, profile and customer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_MS = 1
+HIGHEST_MS = 3_600_000
+DIGITS = 2
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of milliseconds."""
+    return HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
+
+
+@dataclass(slots=True)
+class Level:
+    """Counts of one objective: how many, and how many that missed it."""
+
+    total: int = 0
+    missed: int = 0
+
+    def count(self, kept: bool) -> None:
+        """Count one."""
+        self.total += 1
+        self.missed += not kept
+
+    def add(self, other: Level) -> None:
+        """Add another's counts."""
+        self.total += other.total
+        self.missed += other.missed
+
+
+@dataclass(slots=True)
+class Cell:
+    """The three objectives of one profile and customer in some time.
+
+    Attributes
+    ----------
+    whole_in_time
+        Accepted requests, and those not answered whole within the deadline.
+    first_token
+        First tokens, and those that were late.
+    resume
+        Losses, and those after which output went on too late.
+    """
+
+    whole_in_time: Level = field(default_factory=Level)
+    first_token: Level = field(default_factory=Level)
+    resume: Level = field(default_factory=Level)
+
+    def add(self, other: Cell) -> None:
+        """Add another's counts."""
+        self.whole_in_time.add(other.whole_in_time)
+        self.first_token.add(other.first_token)
+        self.resume.add(other.resume)
+
+
+Series = tuple[str, str]
+
+
+@dataclass(slots=True)
+class BurnTable:
+    """Counts by time, and times by profile.
+
+    Attributes
+    ----------
+    cells
+        By start in seconds of the wall clock, length in seconds, and
+        (profile, customer).
+    times
+        Histograms of milliseconds by (profile, objective), since some time
+        ago.
+    """
+
+    cells: dict[tuple[int, int], dict[Series, Cell]] = field(default_factory=dict)
+    times: dict[tuple[str, str], HdrHistogram] = field(default_factory=dict)
+
+    def cell(self, start: int, length: int, series: Series) -> Cell:
+        """Return a cell, made if need be."""
+        return self.cells.setdefault((start, length), {}).setdefault(series, Cell())
+
+    def time(self, profile: str, objective: str) -> HdrHistogram:
+        """Return a histogram, made if need be."""
+        key = (profile, objective)
+        if key not in self.times:
+            self.times[key] = new_histogram()
+        return self.times[key]
+
+    def add(self, other: BurnTable) -> None:
+        """Merge another table in."""
+        for (start, length), rows in other.cells.items():
+            for series, cell in rows.items():
+                self.cell(start, length, series).add(cell)
+        for (profile, objective), histogram in other.times.items():
+            self.time(profile, objective).add(histogram)
--- a/turmericflow/tables/_requests.py
+++ b/turmericflow/tables/_requests.py
@@ -70,6 +70,17 @@
         Host that holds the journal, and the slot epoch in which it got it.
     journaled_attempts
         Attempts that the journal holds.
+    first_committed_at, committed_at
+        Times of the first and the last commit by this host, 0 before it.
+    committed_attempt
+        Attempt in force at the last commit, 0 before it.
+    resumes_s
+        For each loss, the time from the last token before to the first after,
+        in seconds.
+    taken_over
+        Whether another router had committed tokens before.
+    counted_at
+        Time at which its service levels were counted, 0 before that.
     """
 
     request_id: RequestId
@@ -97,12 +108,34 @@
     journal_at: str = ""
     journal_epoch: int = 0
     journaled_attempts: list[AttemptStart] = field(default_factory=list)
+    first_committed_at: float = 0.0
+    committed_at: float = 0.0
+    committed_attempt: int = 0
+    resumes_s: list[float] = field(default_factory=list)
+    counted_at: float = 0.0
+    taken_over: bool = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.taken_over = self.committed > 0
 
     @property
     def attempt(self) -> int:
         """Number of the attempt in force, 0 before the first."""
         return self.attempts[-1].attempt if self.attempts else 0
 
+    def note_commit(self, now: float) -> None:
+        """Note when tokens were committed, for the service levels."""
+        attempt = self.attempt
+        if self.committed_attempt == 0:
+            if self.taken_over:
+                self.resumes_s.append(now - self.accepted_at)
+            else:
+                self.first_committed_at = now
+        elif attempt != self.committed_attempt:
+            self.resumes_s.append(now - self.committed_at)
+        self.committed_attempt = attempt
+        self.committed_at = now
+
     def wake(self) -> None:
         """Wake every listener."""
         for listener in self.listeners:
--- a/turmericflow/tests/test_operations.py
+++ b/turmericflow/tests/test_operations.py
@@ -12,6 +12,7 @@
 
 PROFILE = {"name": "quotation", "service": "redactor", "model": "sable"}
 PROFILE |= {"adapter": "none", "version": "1"}
+CUSTOMERS = {f"customer/{name}": {"name": name} for name in ("norte", "sur")}
 IN_FORCE_S = 10.0
 
 
@@ -21,7 +22,8 @@
     plan = ClusterPlan(
         routers={"entry-1": "north", "entry-2": "south", "entry-3": "west"},
         targets=[EngineSpec("redactor-0", "redactor", "north", args)],
-        objects={"profile/quotation": PROFILE, "customer/norte": {"name": "norte"}},
+        objects={"profile/quotation": PROFILE, **CUSTOMERS},
+        settings={"burn_save_s": 0.2},
     )
     with Cluster(plan) as cluster:
         yield cluster
@@ -90,6 +92,34 @@
     assert json.loads(out)["objects"][0]["value"]["model"] == "sable"
 
 
+@pytest.mark.integration
+def test_report_counts_each_request_once_over_all_routers(run, cluster, tmp_path):
+    def counted():
+        burn = json.loads(run("report", "burn", "--json")[1])["burn"]
+        return {
+            each["objective"]: each["totals"]["3d"]
+            for each in burn
+            if each["customer"] == "sur"
+        }
+
+    cluster.fault(fault="lose_reply")
+    for address in cluster.entries.values():
+        for number in range(4):
+            argv = ("-k", f"burn-{number}", "--max-tokens", 3, "--customer", "sur")
+            assert (
+                run("generate", "quotation", "x", *argv, "--address", address)[0] == 0
+            )
+    # The keys are the same at each address: four requests, not twelve.
+    wait_for(lambda: counted().get("whole_in_time", 0) >= 4)
+    cluster.fault()
+    time.sleep(1.0)
+    assert counted()["whole_in_time"] == counted()["first_token"] == 4
+    page = tmp_path / "burn.html"
+    code, out, _ = run("report", "burn", "--page", page)
+    assert code == 0 and "quotation" in out
+    assert "<svg" in page.read_text()
+
+
 @pytest.mark.integration
 def test_status_says_why_a_target_is_shut_out(run):
     assert run("leave", "redactor-0")[0] == 0
--- a/turmericflow/wire/__init__.py
+++ b/turmericflow/wire/__init__.py
@@ -11,6 +11,8 @@
     Appended,
     AppendEntry,
     Attached,
+    BurnCounts,
+    BurnTaken,
     Claim,
     Compare,
     Demands,
@@ -101,4 +103,7 @@
     "Ping",
     "ProbeFor",
     "Probed",
+    # Service levels
+    "BurnCounts",
+    "BurnTaken",
 )
--- a/turmericflow/wire/_messages.py
+++ b/turmericflow/wire/_messages.py
@@ -402,6 +402,25 @@
     rates: dict[str, float]
 
 
+class BurnCounts(Message, tag="burn_counts"):
+    """Service-level counts of a host, for the host that saves them.
+
+    ``number`` grows with each new batch of counts; a batch is sent again under
+    its number until it is taken.
+    """
+
+    rid: int
+    host: str
+    number: int
+    value: bytes
+
+
+class BurnTaken(Message, tag="burn_taken"):
+    """Acknowledges `BurnCounts`."""
+
+    rid: int
+
+
 AnyMessage = (
     Hello
     | Claim
@@ -434,4 +453,6 @@
     | InFlight
     | Demands
     | Allotments
+    | BurnCounts
+    | BurnTaken
 )
