--- a/turmericflow/services/_config.py
+++ b/turmericflow/services/_config.py
@@ -26,7 +26,7 @@
 from turmericflow.tables import Tables
 
 OBJECT = "object"
-UNSPREAD_KINDS = frozenset({"lease"})
+UNSPREAD_KINDS = frozenset({"burn", "lease"})
 RETRY_S = 0.5
 WATCH_WAIT_S = 2.0
 DUTY_CHECK_S = 0.5
--- a/turmericflow/testing/_cluster.py
+++ b/turmericflow/testing/_cluster.py
@@ -61,6 +61,8 @@
         Folder for the routers' logs, or None for standard error.
     first_fault
         Fault of the platform while the routers start.
+    prepare
+        Called once the platform and the targets run, before the routers start.
     """
 
     routers: dict[str, str]
@@ -72,6 +74,7 @@
     wait_ready: bool = True
     log_folder: Path | None = None
     first_fault: dict[str, object] = field(default_factory=dict)
+    prepare: Callable[[Cluster], None] | None = None
 
 
 @dataclass(slots=True)
@@ -143,6 +146,8 @@
         self.write_hosts()
         for path, value in self.plan.objects.items():
             self.put(path, value)
+        if self.plan.prepare is not None:
+            self.plan.prepare(self)
         self._place_routers()
         self.fault(**self.plan.first_fault)
         for host in self.plan.routers:
