Hold a replaced version until every router has gone over

A host that is about to stop refused under a sealed try, so that the caller's reconnect was refused too.

Change: what was routed to in the last 5 s stays loaded. A stopping host closes its sockets instead of answering, and callers go on elsewhere under their key.

--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -24,7 +24,14 @@
 from turmericflow.services._stats import Stats
 from turmericflow.systems import addresses, status
 from turmericflow.tables import RequestId, Tables
-from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict, not_run
+from turmericflow.verdict import (
+    HTTP_STATUS,
+    ErrorCode,
+    Failure,
+    RequestFailed,
+    Verdict,
+    not_run,
+)
 
 MAX_TOKENS = 1_000_000
 KEEP_ALIVE_S = 75.0
@@ -132,6 +139,7 @@
         if self._tables.stopping and request.transport is not None:
             self._stats.count("entry.closed")
             request.transport.abort()
+            return web.Response(status=HTTP_STATUS[ErrorCode.STOPPING])
         customer = authenticate(request, self._tables)
         key = read_header(request.headers, "Idempotency-Key")
         last_id = read_header(request.headers, "Last-Event-ID")
--- a/turmericflow/systems/_orders.py
+++ b/turmericflow/systems/_orders.py
@@ -11,6 +11,7 @@
 SETTLE_S = 15.0
 MOVE_WAIT_S = 30.0
 BUSY_RATIO = 2.0
+HOLD_S = 5.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -143,6 +144,15 @@
     return None
 
 
+def _in_use(tables: Tables, service: str, now: float) -> set[str]:
+    """Return what this host routes to, or others may still route to."""
+    used = tables.orders.used.setdefault(service, {})
+    used.update(dict.fromkeys(_specs(tables.config.profiles, service), now))
+    for spec in [each for each, at in used.items() if now - at >= HOLD_S]:
+        del used[spec]
+    return set(used)
+
+
 def _plan_service(tables: Tables, service: str, now: float) -> Order | None:
     engines = _engines(tables, service, now)
     declared = _specs(tables.config.declared, service)
@@ -150,7 +160,7 @@
         return None
     if any(each.name in tables.orders.given for each in engines):
         return None
-    needed = declared | _specs(tables.config.profiles, service)
+    needed = declared | _in_use(tables, service, now)
     for spec in sorted(declared):
         if not _holders(engines, spec):
             return _give_missing(spec, engines, declared, needed)
--- a/turmericflow/tables/_orders.py
+++ b/turmericflow/tables/_orders.py
@@ -54,8 +54,12 @@
         Orders that the targets' reports do not show yet, by target.
     moved_at
         Time of the last move that only demand asked for, by service.
+    used
+        Time at which each ``model/adapter/version`` was last routed to by this
+        host, by service.
     """
 
     lease: Lease = field(default_factory=Lease)
     given: dict[str, GivenOrder] = field(default_factory=dict)
     moved_at: dict[str, float] = field(default_factory=dict)
+    used: dict[str, dict[str, float]] = field(default_factory=dict)
