--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -40,6 +40,7 @@
 MANY_CUSTOMERS = 6000
 LETTER = {"hosts": 2000, "targets": 6500, "profiles": 500, "customers": 46_000}
 SETTLE_S = 4.0
+READY_S = 90.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 COST_NAMES = ("cpu_share", "rss_mb", "bytes_s")
 
@@ -92,6 +93,7 @@
         objects=objects,
         platform_args=["--writes-s", "1000000", "--reads-s", "1000000"],
         log_folder=folder,
+        ready_s=READY_S,
     )
 
 
--- a/turmericflow/systems/_scheduling.py
+++ b/turmericflow/systems/_scheduling.py
@@ -92,8 +92,10 @@
         pool.released, pool.measured_at = 0, now
         tables.load.routers = limits.live_routers(tables)
         others = pool.rate_per_s * (tables.load.routers - 1)
+        counted = len(tables.load.heard_at) >= tables.load.routers - 1
         for target in pool.targets:
             target.others_per_s = others / len(pool.targets)
+            target.counted = counted
 
 
 def enqueue(tables: Tables, pool: Pool, work: Work, until: float) -> Waiting:
@@ -128,7 +130,7 @@
     """Give places to waiting work in its fair order, as long as there are any.
 
     Work that may not run on some targets does not hold up what stands behind it.
-    A host whose view is too old gives no places: a target may be leaving.
+    Nothing is placed by a host whose view is too old.
     """
     outcomes: list[Outcome] = []
     if not freshness.may_dispatch(tables, now):
