--- a/turmericflow/testing/_cluster.py
+++ b/turmericflow/testing/_cluster.py
@@ -59,6 +59,8 @@
         Whether the start ends only when all routers are ready.
     log_folder
         Folder for the routers' logs, or None for standard error.
+    ready_s
+        Longest wait for a router to become ready, in seconds.
     first_fault
         Fault of the platform while the routers start.
     prepare
@@ -73,6 +75,7 @@
     platform_args: list[str] = field(default_factory=list)
     wait_ready: bool = True
     log_folder: Path | None = None
+    ready_s: float = READY_S
     first_fault: dict[str, object] = field(default_factory=dict)
     prepare: Callable[[Cluster], None] | None = None
 
@@ -226,7 +229,7 @@
 
     def wait_router(self, host: str) -> None:
         """Wait until a daemon answers and knows its configuration."""
-        until = time.monotonic() + READY_S
+        until = time.monotonic() + self.plan.ready_s
         scheme = "https" if "tls" in self.plan.settings else "http"
         url = f"{scheme}://{self.entries[host]}/v1/status"
         while True:
@@ -236,7 +239,7 @@
             except OSError:
                 pass
             if time.monotonic() > until:
-                raise TimeoutError(f"{host} was not ready within {READY_S} s")
+                raise TimeoutError(f"{host} was not ready within {self.plan.ready_s} s")
             time.sleep(POLL_S)
 
     def kill(self, name: str) -> None:
@@ -286,7 +289,7 @@
         self, done: Callable[[dict], bool], hosts: Iterable[str] | None = None
     ) -> None:
         """Wait until the status of each router, or of some, fits."""
-        until = time.monotonic() + READY_S
+        until = time.monotonic() + self.plan.ready_s
         for host in hosts or self.plan.routers:
             while not self._fits(host, done):
                 if time.monotonic() > until:
