--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -4,6 +4,8 @@
 
 import hashlib
 import secrets
+import time
+from random import Random
 from typing import Annotated
 
 import msgspec
@@ -13,20 +15,21 @@
 from turmericflow.cfg import Settings
 from turmericflow.profile import Profile, ProfileKind
 from turmericflow.services._answer import start_after, stream_answer, whole_answer
-from turmericflow.services._auth import authenticate
+from turmericflow.services._auth import authenticate, is_allowed
 from turmericflow.services._claimant import NewRequest
 from turmericflow.services._headers import read_header, read_try
 from turmericflow.services._http import error_middleware, http_logger, read_body
 from turmericflow.services._runner import Runner
 from turmericflow.services._stats import Stats
-from turmericflow.systems import slots
+from turmericflow.systems import addresses, status
 from turmericflow.tables import RequestId, Tables
 from turmericflow.verdict import ErrorCode, Failure, Verdict, not_run
 
-ADDRESSES_KEEP_S = 5
 MAX_TOKENS = 1_000_000
 KEEP_ALIVE_S = 75.0
 
+FINISH_S = 86_400.0
+
 
 class GenerateBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of ``POST /v1/generate``."""
@@ -49,6 +52,7 @@
         self._run = runner
         self._stats = stats
         self._web: web.AppRunner | None = None
+        self._rng = Random()
 
     def app(self) -> web.Application:
         """Return the HTTP interface."""
@@ -58,6 +62,7 @@
         )
         app.router.add_get("/v1/addresses", self._addresses)
         app.router.add_get("/v1/status", self._status)
+        app.router.add_get("/v1/config", self._config)
         app.router.add_post("/v1/generate", self._generate)
         return app
 
@@ -68,6 +73,7 @@
             access_log=None,
             logger=http_logger(self._stats),
             keepalive_timeout=KEEP_ALIVE_S,
+            shutdown_timeout=FINISH_S,
         )
         await self._web.setup()
         address = self._settings.entry
@@ -77,25 +83,37 @@
         await self._web.cleanup()
 
     async def _addresses(self, request: web.Request) -> web.Response:
-        own = [str(self._settings.entry)]
-        others = [str(peer.entry) for peer in self._tables.peers.rows.values()]
-        return web.json_response(
-            {"addresses": own + others, "keep_s": ADDRESSES_KEEP_S}
+        centre = request.query.get("data_centre", self._tables.data_centre)
+        found = addresses.in_order(
+            self._tables, self._settings.entry, centre, self._rng
         )
-
-    async def _status(self, request: web.Request) -> web.Response:
-        settled = slots.settled(self._tables.slots)
-        ready = bool(settled and self._tables.config.profiles)
         return web.json_response(
             {
-                "host": self._tables.host,
-                "ready": ready,
-                "versions": self._tables.config.versions,
-                "counts": self._stats.counts,
+                "addresses": [str(address) for address in found],
+                "keep_s": self._settings.addresses_keep_s,
             }
         )
 
+    async def _status(self, request: web.Request) -> web.Response:
+        if not is_allowed(request, self._settings.operator_key_hashes):
+            ready = status.is_ready(self._tables)
+            return web.json_response({"host": self._tables.host, "ready": ready})
+        entry, now = str(self._settings.entry), time.monotonic()
+        found = status.describe(self._tables, entry, self._stats.counts, now)
+        return web.Response(
+            body=msgspec.json.encode(found), content_type="application/json"
+        )
+
+    async def _config(self, request: web.Request) -> web.Response:
+        if not is_allowed(request, self._settings.operator_key_hashes):
+            message = "Authorization: expected an operator's key"
+            raise not_run(ErrorCode.UNAUTHORIZED, message)
+        return web.json_response({"objects": status.declarations(self._tables)})
+
     async def _generate(self, request: web.Request) -> web.StreamResponse:
+        if self._tables.stopping:
+            message = f"{self._tables.host} is about to stop; use another address"
+            raise not_run(ErrorCode.STOPPING, message, 0.0)
         customer = authenticate(request, self._tables)
         key = read_header(request.headers, "Idempotency-Key")
         last_id = read_header(request.headers, "Last-Event-ID")
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from turmericflow.systems import (
+    _addresses as addresses,
     _admission as admission,
     _backup as backup,
     _breakers as breakers,
@@ -24,6 +25,8 @@
     _scheduling as scheduling,
     _sharing as sharing,
     _slots as slots,
+    _spread as spread,
+    _status as status,
 )
 from turmericflow.systems._convert import (
     to_attempts,
@@ -34,6 +37,7 @@
 
 __all__ = (
     # Decisions, one module each
+    "addresses",
     "admission",
     "backup",
     "breakers",
@@ -55,6 +59,8 @@
     "scheduling",
     "sharing",
     "slots",
+    "spread",
+    "status",
     # Conversions
     "to_attempts",
     "to_failure",
--- a/turmericflow/testing/__init__.py
+++ b/turmericflow/testing/__init__.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from turmericflow.testing._answers import AnswerCheck, check_answer
-from turmericflow.testing._cluster import Cluster, ClusterPlan, EngineSpec
+from turmericflow.testing._cluster import (
+    Cluster,
+    ClusterPlan,
+    EngineSpec,
+    member_states,
+)
 from turmericflow.testing._load import load_profile, load_tables, load_work
 
 __all__ = (
@@ -11,6 +16,7 @@
     "Cluster",
     "ClusterPlan",
     "EngineSpec",
+    "member_states",
     # Tables
     "load_profile",
     "load_tables",
