Send all messages of a loop's turn to a peer in one write

Cause: a profile put 11% of a router's time into one write a message, 6% into conversions of decoded lists and 5% into a wait with a timeout for each batch. Change: frames are msgpack binaries, decoded by one typed decoder; messages of a turn share a write; a call's timeout is a timer.

--- a/turmericflow/services/_peers.py
+++ b/turmericflow/services/_peers.py
@@ -37,6 +37,7 @@
         self._on_lost = on_lost
         self._stats = stats
         self._decoder = wire.Decoder()
+        self._frames: list[bytes] = []
         self.transport: asyncio.Transport | None = None
         self.lost = False
 
@@ -59,7 +60,19 @@
         self._on_lost(self)
 
     def send(self, msg: wire.Message) -> None:
-        data = wire.encode(msg)
+        """Send a message, in one write with all others of this loop's turn."""
+        if not self._frames:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._frames.append(wire.encode(msg))
+
+    def close(self) -> None:
+        """Send what waits, and close."""
+        self._flush()
+        self.transport.close()
+
+    def _flush(self) -> None:
+        data = b"".join(self._frames)
+        self._frames.clear()
         self._stats.count("peer.bytes_out", len(data))
         if not self.transport.is_closing():
             self.transport.write(data)
@@ -122,7 +135,7 @@
         self._stopping = True
         self._server.close()
         for stream in [*self._accepted, *self._streams.values()]:
-            stream.transport.close()
+            stream.close()
         for task in [*self._connecting.values(), *self._tasks]:
             task.cancel()
 
@@ -136,18 +149,19 @@
         PeerUnreachable
             If no reply came in time; the message may have taken effect.
         """
-        fut = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        fut = loop.create_future()
 
         def resolve(reply: wire.AnyMessage | None) -> None:
             if not fut.done():
                 fut.set_result(reply)
 
         await self.send(host, msg, resolve)
+        timer = loop.call_later(timeout_s, resolve, None)
         try:
-            reply = await asyncio.wait_for(fut, timeout_s)
-        except TimeoutError:
-            reply = None
+            reply = await fut
         finally:
+            timer.cancel()
             self.forget(host, msg.rid)
         if reply is None:
             raise PeerUnreachable(f"{host}: no reply to {type(msg).__name__}")
--- a/turmericflow/tests/test_fuzz.py
+++ b/turmericflow/tests/test_fuzz.py
@@ -38,7 +38,8 @@
     max_leaves=8,
 )
 TAGS = st.sampled_from(["hello", "claim", "append", "granted", "rumours", "seal"])
-FRAME = st.builds(lambda tag, rest: msgpack.packb([tag, *rest]), TAGS, st.lists(VALUE))
+BODY = st.builds(lambda tag, rest: msgpack.packb([tag, *rest]), TAGS, st.lists(VALUE))
+FRAME = BODY | BODY.map(msgpack.packb)
 NAMES = ["name", "service", "kind", "weight", "wait_s", "objectives", "key_hashes"]
 OBJECT = st.dictionaries(st.sampled_from(NAMES) | st.text(max_size=5), VALUE)
 FIELDS = ["host", "data_centre", "entry", "peer", "platform", "peers", "log", "tls"]
@@ -66,6 +67,11 @@
         msgpack.packb(["unknown", 1]),
         msgpack.packb({"hello": 1}),
         msgpack.packb(["hello", 1, 2, 3]),
+        msgpack.packb(msgpack.packb(["hello"])),
+        msgpack.packb(msgpack.packb(["unknown", 1])),
+        msgpack.packb(msgpack.packb({"hello": 1})),
+        msgpack.packb(msgpack.packb(["hello", 1, 2, 3])),
+        msgpack.packb(b"\xa1\xff"),
         b"\xa1\xff",
     ],
 )
--- a/turmericflow/wire/_codec.py
+++ b/turmericflow/wire/_codec.py
@@ -14,9 +14,19 @@
     """Raised when bytes from a peer are not a valid message."""
 
 
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(AnyMessage)
+
+
 def encode(message: Message) -> bytes:
-    """Return a message as msgpack bytes."""
-    return msgspec.msgpack.encode(message)
+    """Return a message as a frame: a msgpack binary that holds msgpack."""
+    return msgpack.packb(_ENCODER.encode(message))
+
+
+def _decode(frame: object) -> AnyMessage:
+    if not isinstance(frame, bytes):
+        raise ValueError(f"expected a binary frame, got {type(frame).__name__}")
+    return _DECODER.decode(frame)
 
 
 class Decoder:
@@ -38,6 +48,6 @@
         """Take bytes in and return the messages that are now whole."""
         try:
             self._unpacker.feed(data)
-            return [msgspec.convert(raw, AnyMessage) for raw in self._unpacker]
+            return [_decode(frame) for frame in self._unpacker]
         except (msgpack.exceptions.UnpackException, ValueError) as exc:
             raise WireError(f"got invalid message bytes: {exc}") from exc
