Detect lost engines by silence and resume on them by one cost model

Cause: only a reset ended an attempt; a silent engine held its callers until the deadline, and a request whose router was lost always started a new attempt. Attempt numbers repeated over runner epochs. Change: streams are a table; a pure detection judges the silence of all streams of an engine together, or of one stream alone, against the gaps that the engine showed; one cost model keyed by urgency decides when a resume starts. Attempts race for the next token and the loser is cancelled. A new runner attaches to the running stream first. Token gaps and malformed lines end an attempt; only 409, 429 and 503 count as a target's refusal. Deadlines end a request with the verdict that is true by then. Before: no detection of silence.

--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -21,6 +21,7 @@
 from turmericflow.services._platform import PlatformClient
 from turmericflow.services._runner import Runner
 from turmericflow.services._stats import Stats
+from turmericflow.services._watch import ListeningClock, Watch
 from turmericflow.tables import Peer, Tables
 
 TARGET_CONNECT_TIMEOUT_S = 1.0
@@ -55,18 +56,21 @@
         platform = PlatformClient(self._session, self.settings.platform)
         peers = Peers(self.settings, self.tables, self.stats)
         Owner(self.tables, peers, self.stats)
+        clock = ListeningClock()
         runner = Runner(
             self.tables,
             Claimant(self.tables, peers, self.stats),
             EngineClient(self._session),
             Journal(self.tables, peers, self.stats),
             Dispatch(self.tables, self.stats, Random(secrets.randbits(64))),
+            clock,
             self.stats,
         )
+        watch = Watch(self.tables, runner, clock, self.stats)
         config = Config(self.settings, self.tables, platform, self.stats)
         gossip = Gossip(self.tables, peers, self.stats)
         entry = Entry(self.settings, self.tables, runner, self.stats)
-        for service in (peers, gossip, config, entry):
+        for service in (peers, gossip, config, watch, entry):
             await self.add_runtime_dependency(service)
 
     async def on_shutdown(self) -> None:
--- a/turmericflow/services/_dispatch.py
+++ b/turmericflow/services/_dispatch.py
@@ -31,16 +31,22 @@
         return None
 
     async def place(
-        self, row: RequestRow, exclude: frozenset[str] = frozenset()
+        self,
+        row: RequestRow,
+        exclude: frozenset[str] = frozenset(),
+        resume: bool = False,
     ) -> Target:
         """Wait for a place on a target and take it.
 
+        Work that is resumed waits from now, new work from its acceptance.
+
         Raises
         ------
         RequestFailed
             If no target can run the request in time.
         """
-        until = row.accepted_at + row.profile.wait_s
+        start = time.monotonic() if resume else row.accepted_at
+        until = start + row.profile.wait_s
         while True:
             now = time.monotonic()
             target = routing.choose(
--- a/turmericflow/services/_engine.py
+++ b/turmericflow/services/_engine.py
@@ -11,6 +11,8 @@
 from turmericflow.cfg import Address
 from turmericflow.verdict import Verdict
 
+REFUSED_STATUSES = frozenset({409, 429, 503})
+
 
 class TargetFailed(Exception):
     """Raised when a target refuses or is lost.
@@ -18,13 +20,16 @@
     Attributes
     ----------
     verdict
-        ``NOT_RUN`` if the target refused before running, else
-        ``MAY_HAVE_RUN``.
+        ``NOT_RUN`` if no byte left or the target states that it refused,
+        else ``MAY_HAVE_RUN``.
+    lost
+        Whether the connection to the target failed.
     """
 
-    def __init__(self, verdict: Verdict, message: str) -> None:
+    def __init__(self, verdict: Verdict, message: str, lost: bool = False) -> None:
         super().__init__(message)
         self.verdict = verdict
+        self.lost = lost
 
 
 class EngineRequest(msgspec.Struct, omit_defaults=True):
@@ -60,33 +65,57 @@
 _DECODER = msgspec.json.Decoder(_Line)
 
 
-def _parse(data: bytes) -> EngineOutput:
-    start = -1
+def _invalid(message: str) -> TargetFailed:
+    return TargetFailed(Verdict.MAY_HAVE_RUN, message)
+
+
+def _parse(data: bytes, expected: int) -> EngineOutput:
+    """Return the tokens of whole lines, the first of which is ``expected``."""
     texts: list[str] = []
-    for line in _DECODER.decode_lines(data):
+    try:
+        lines = _DECODER.decode_lines(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise _invalid(f"got an invalid line: {exc}") from exc
+    for line in lines:
         if line.error:
-            raise TargetFailed(Verdict.MAY_HAVE_RUN, line.error)
+            raise _invalid(line.error)
+        index = expected + len(texts)
         if line.done >= 0:
-            return EngineOutput(max(start, 0) if texts else line.done, texts, True)
-        if start < 0:
-            start = line.i
+            if line.done != index:
+                raise _invalid(f"output ends at {line.done}, expected {index}")
+            return EngineOutput(expected, texts, True)
+        if line.i != index:
+            raise _invalid(f"got token {line.i}, expected {index}")
         texts.append(line.t)
-    return EngineOutput(start, texts, False)
+    return EngineOutput(expected, texts, False)
 
 
-async def _read(resp: aiohttp.ClientResponse) -> AsyncIterator[EngineOutput]:
+async def _read(
+    resp: aiohttp.ClientResponse, expected: int
+) -> AsyncIterator[EngineOutput]:
     rest = b""
     async for data in resp.content.iter_any():
         end = data.rfind(b"\n") + 1
         if not end:
             rest += data
             continue
-        output = _parse(rest + data[:end])
+        output = _parse(rest + data[:end], expected)
         rest = data[end:]
+        expected += len(output.texts)
         yield output
         if output.done:
             return
-    raise TargetFailed(Verdict.MAY_HAVE_RUN, "stream ended before the output did")
+    message = "stream ended before the output did"
+    raise TargetFailed(Verdict.MAY_HAVE_RUN, message, lost=True)
+
+
+def failure_of(exc: Exception) -> TargetFailed:
+    """Return what a client error says of a request that was being sent."""
+    match exc:
+        case aiohttp.ClientConnectorError() | aiohttp.ConnectionTimeoutError():
+            return TargetFailed(Verdict.NOT_RUN, repr(exc), lost=True)
+        case _:
+            return TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc), lost=True)
 
 
 class EngineClient:
@@ -108,7 +137,9 @@
             If the engine refuses, or is lost before the output ends.
         """
         url = f"{address.url}/v1/generate"
-        async for output in self._stream("POST", url, msgspec.json.encode(request)):
+        body = msgspec.json.encode(request)
+        stream = self._stream("POST", url, body, len(request.prefix))
+        async for output in stream:
             yield output
 
     async def attach(
@@ -116,7 +147,7 @@
     ) -> AsyncIterator[EngineOutput]:
         """Yield the output of a running generation from an index on."""
         url = f"{address.url}/v1/streams/{generation}?from={start}"
-        async for output in self._stream("GET", url, None):
+        async for output in self._stream("GET", url, None, start):
             yield output
 
     async def cancel(self, address: Address, generation: str, attempt: int) -> None:
@@ -125,20 +156,20 @@
         try:
             async with self._session.delete(url):
                 return
-        except aiohttp.ClientError:
+        except (aiohttp.ClientError, OSError):
             return
 
     async def _stream(
-        self, method: str, url: str, body: bytes | None
+        self, method: str, url: str, body: bytes | None, start: int
     ) -> AsyncIterator[EngineOutput]:
         try:
             async with self._session.request(method, url, data=body) as resp:
                 if resp.status != 200:
-                    text = await resp.text()
-                    raise TargetFailed(Verdict.NOT_RUN, f"{resp.status}: {text}")
-                async for output in _read(resp):
+                    text = await resp.text(errors="replace")
+                    refused = resp.status in REFUSED_STATUSES
+                    verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
+                    raise TargetFailed(verdict, f"{resp.status}: {text[:200]}")
+                async for output in _read(resp, start):
                     yield output
-        except aiohttp.ClientConnectorError as exc:
-            raise TargetFailed(Verdict.NOT_RUN, str(exc)) from exc
         except (aiohttp.ClientError, OSError) as exc:
-            raise TargetFailed(Verdict.MAY_HAVE_RUN, str(exc)) from exc
+            raise failure_of(exc) from exc
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -3,24 +3,41 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any
 
 from turmericflow.profile import Urgency
 from turmericflow.services._claimant import Claimant, NewRequest
+from turmericflow.services._course import Attempt, Course, Done, Lost, Suspected
 from turmericflow.services._dispatch import Dispatch
-from turmericflow.services._engine import EngineClient, EngineRequest, TargetFailed
+from turmericflow.services._engine import (
+    EngineClient,
+    EngineOutput,
+    EngineRequest,
+    TargetFailed,
+)
 from turmericflow.services._journal import Journal
 from turmericflow.services._stats import Stats
-from turmericflow.tables import AttemptStart, RequestRow, Tables, Target
-from turmericflow.verdict import RequestFailed
+from turmericflow.services._watch import ListeningClock
+from turmericflow.systems import detection, routing
+from turmericflow.tables import (
+    RequestId,
+    RequestRow,
+    StreamRow,
+    Tables,
+    Target,
+    TargetStreams,
+)
+from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
 
 PRIORITY = {Urgency.URGENT: 0, Urgency.NORMAL: 1, Urgency.THRIFTY: 2}
+MAX_ATTEMPTS_AT_ONCE = 3
+REFUSED_WAIT_S = 0.05
+KEEP_ENDED_S = 5.0
 
 
-def _begin_attempt(row: RequestRow, target: Target) -> EngineRequest:
-    number = row.attempt + 1
-    row.attempts.append(AttemptStart(number, len(row.tokens), target.name))
-    row.target = target.name
-    row.dispatched = True
+def _engine_request(row: RequestRow, number: int) -> EngineRequest:
     return EngineRequest(
         row.generation,
         number,
@@ -44,6 +61,7 @@
         engines: EngineClient,
         journal: Journal,
         dispatch: Dispatch,
+        clock: ListeningClock,
         stats: Stats,
     ) -> None:
         self._tables = tables
@@ -51,52 +69,310 @@
         self._engines = engines
         self._journal = journal
         self._dispatch = dispatch
+        self._clock = clock
         self._stats = stats
         self._tasks: set[asyncio.Task] = set()
+        self._courses: dict[RequestId, Course] = {}
+        self._submitting: dict[RequestId, asyncio.Task] = {}
 
     async def submit(self, new: NewRequest) -> RequestRow:
         """Claim a request and start to run it, or follow its runner.
 
+        Copies that reach this host together are claimed one after another,
+        and a claim goes on when its caller leaves.
+
         Raises
         ------
         RequestFailed
             If the claim is refused.
         """
-        present = self._tables.requests.rows.get(new.request_id)
-        if present is not None and not present.ended:
-            return present
+        while True:
+            present = self._tables.requests.rows.get(new.request_id)
+            if present is not None and not present.ended and _same(present, new):
+                return present
+            earlier = self._submitting.get(new.request_id)
+            if earlier is None:
+                break
+            await asyncio.wait([earlier])
+        task = self._spawn(self._submit(new))
+        self._submitting[new.request_id] = task
+        task.add_done_callback(lambda _: self._submitting.pop(new.request_id))
+        return await asyncio.shield(task)
+
+    async def _submit(self, new: NewRequest) -> RequestRow:
         refusal = self._dispatch.admit(new)
         if refusal is not None:
             raise RequestFailed(refusal)
         row = await self._claimant.claim(new)
         if self._tables.requests.rows.get(new.request_id) is row:
-            task = asyncio.ensure_future(self._run(row))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            course = Course(row)
+            self._courses[new.request_id] = course
+            course.task = self._spawn(self._run(course))
         return row
 
-    async def _run(self, row: RequestRow) -> None:
-        while not row.complete and not row.ended:
-            try:
-                target = await self._dispatch.place(row)
-            except RequestFailed as exc:
-                await self._claimant.fail(row, exc.failure)
-                return
-            await self._attempt(row, target)
-
-    async def _attempt(self, row: RequestRow, target: Target) -> None:
-        request = _begin_attempt(row, target)
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def suspect(self, stream: StreamRow) -> None:
+        """Take in that a stream has been silent for too long."""
+        course = self._courses.get(stream.request_id)
+        if course is not None:
+            course.post(Suspected(stream))
+
+    def stop(self, request_id: RequestId, failure: Failure) -> bool:
+        """End a request that runs here; return whether there was one."""
+        course = self._courses.get(request_id)
+        if course is None or course.over:
+            return False
+        course.stopped_by = failure
+        course.task.cancel()
+        return True
+
+    def sweep(self, now: float) -> None:
+        """End courses that were replaced, and forget requests that ended."""
+        for course in list(self._courses.values()):
+            if course.row.ended and not course.row.complete:
+                course.task.cancel()
+        rows = self._tables.requests.rows
+        for row in [row for row in rows.values() if row.ended]:
+            if row.ended_at is None:
+                row.ended_at = now
+            if now - row.ended_at > KEEP_ENDED_S and not row.listeners:
+                del rows[row.request_id]
+
+    async def _run(self, course: Course) -> None:
+        row = course.row
+        deadline = asyncio.get_running_loop().time() + row.profile.deadline_s
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self._start(course)
+                while not course.over:
+                    await self._react(course, await course.next_event())
+        except TimeoutError:
+            message = f"no whole answer within {row.profile.deadline_s} s"
+            failure = course.failure(ErrorCode.DEADLINE, message)
+            await self._fail(course, failure)
+        except RequestFailed as exc:
+            await self._fail(course, exc.failure)
+        except asyncio.CancelledError:
+            if course.stopped_by is not None:
+                await self._fail(course, course.stopped_by)
+        finally:
+            self._close(course)
+
+    def _close(self, course: Course) -> None:
+        for attempt in list(course.attempts):
+            course.drop(attempt)
+            attempt.task.cancel()
+        if self._courses.get(course.row.request_id) is course:
+            del self._courses[course.row.request_id]
+
+    async def _fail(self, course: Course, failure: Failure) -> None:
+        row = course.row
+        if course.over:
+            return
+        for attempt in list(course.attempts):
+            self._abandon(course, attempt)
+        self._stats.count(f"runner.failed.{failure.code}")
+        if failure.verdict is not Verdict.NOT_RUN:
+            row.failure = failure
+            row.ended = True
+            row.wake()
+        await self._claimant.fail(row, failure)
+
+    async def _start(self, course: Course) -> None:
+        """Go on with a running stream if there is one, else start or resume."""
+        row = course.row
+        last = row.attempts[-1].target if row.attempts else ""
+        target = self._tables.targets.rows.get(last)
+        if target is None:
+            await self._resume(course)
+            return
+        self._stats.count("runner.attached")
+        target.in_flight += 1
+        attempt = self._attempt(course, row.attempt, target)
+        stream = self._engines.attach(target.address, row.generation, len(row.tokens))
+        self._launch(course, attempt, stream)
+
+    async def _resume(self, course: Course) -> None:
+        """Start an attempt with all tokens so far as its prefix."""
+        row = course.row
+        self._check_may_run(course)
+        again = bool(row.attempts)
+        exclude = frozenset(course.refused_by)
+        now = time.monotonic()
+        if not routing.candidates(self._tables.targets, row.profile, now, exclude):
+            exclude = frozenset()
+        target = await self._dispatch.place(row, exclude, resume=again)
+        if again:
+            self._stats.count("runner.resumed")
+        self._begin(course, target)
+
+    def _check_may_run(self, course: Course) -> None:
+        """Raise unless another attempt is the same run or cannot be a second.
+
+        Work that is not idempotent is resumed only with a prefix: the engine
+        that began it is gone, and what it gave is kept.
+        """
+        row = course.row
+        if row.profile.idempotent or not course.may_have_run or row.tokens:
+            return
+        message = "the target was lost before its first output, and may have run this"
+        raise RequestFailed(course.failure(ErrorCode.TARGET_FAILED, message))
+
+    def _begin(self, course: Course, target: Target) -> None:
+        row = course.row
+        row.dispatched = True
         self._stats.count("runner.attempts")
-        lost = False
+        attempt = self._attempt(course, course.next_number(), target)
+        request = _engine_request(row, attempt.number)
+        self._launch(course, attempt, self._engines.generate(target.address, request))
+
+    def _attempt(self, course: Course, number: int, target: Target) -> Attempt:
+        row = course.row
+        tokens = detection.prompt_tokens(row.prompt) + len(row.tokens)
+        now = self._clock.now()
+        stream = StreamRow(
+            row.request_id,
+            number,
+            target.name,
+            row.profile.urgency,
+            now,
+            detection.prefill_s(self._tables.targets, target.name, tokens),
+            tokens,
+            now,
+        )
+        return Attempt(number, target, len(row.tokens), stream)
+
+    def _launch(
+        self, course: Course, attempt: Attempt, outputs: AsyncIterator[EngineOutput]
+    ) -> None:
+        course.add(attempt)
+        self._journal.changed(course.row)
+        view = detection.open_stream(self._tables.streams, attempt.stream)
+        attempt.task = self._spawn(self._listen(course, attempt, view, outputs))
+        attempt.task.add_done_callback(lambda _: self._left(course, attempt))
+
+    def _left(self, course: Course, attempt: Attempt) -> None:
+        detection.close_stream(self._tables.streams, attempt.stream)
+        self._dispatch.release(course.row, attempt.target, attempt.lost)
+
+    async def _listen(
+        self,
+        course: Course,
+        attempt: Attempt,
+        view: TargetStreams,
+        outputs: AsyncIterator[EngineOutput],
+    ) -> None:
+        """Take an attempt's output until it ends, fails or counts no more."""
         try:
-            async for output in self._engines.generate(target.address, request):
-                if row.ended:
+            async for output in outputs:
+                if not attempt.live:
                     return
-                row.tokens.extend(output.texts)
-                row.complete = output.done
-                self._journal.changed(row)
-        except TargetFailed:
-            lost = True
-            self._stats.count("runner.target_failed")
-        finally:
-            self._dispatch.release(row, target, lost)
+                now = self._clock.now()
+                detection.heard(view, attempt.stream, len(output.texts), now)
+                self._take(course, attempt, output)
+                if output.done:
+                    return
+        except TargetFailed as exc:
+            attempt.lost = exc.lost
+            if attempt.live:
+                self._stats.count("runner.target_failed")
+                course.post(Lost(attempt, exc))
+
+    def _take(self, course: Course, attempt: Attempt, output: EngineOutput) -> None:
+        row = course.row
+        row.tokens.extend(output.texts)
+        attempt.next_index += len(output.texts)
+        if len(course.attempts) > 1:
+            self._win(course, attempt)
+        if course.failing_since is not None:
+            course.failing_since = None
+            course.refused_by.clear()
+        if output.done:
+            row.complete = True
+            course.post(Done())
+        self._journal.changed(row)
+
+    def _win(self, course: Course, winner: Attempt) -> None:
+        """Keep the first attempt that gave the next token, and drop the rest."""
+        for attempt in list(course.attempts):
+            if attempt is not winner:
+                self._abandon(course, attempt)
+        row = course.row
+        if row.attempt != winner.number:
+            self._stats.count("runner.hedge_won")
+        course.put_in_force(winner)
+
+    def _abandon(self, course: Course, attempt: Attempt) -> None:
+        """Drop an attempt and free its place on the target."""
+        course.drop(attempt)
+        course.may_have_run = True
+        attempt.task.cancel()
+        self._spawn(self._cancel(course.row, attempt))
+
+    async def _cancel(self, row: RequestRow, attempt: Attempt) -> None:
+        address = attempt.target.address
+        await self._engines.cancel(address, row.generation, attempt.number)
+
+    async def _react(self, course: Course, event: Lost | Suspected | Done) -> None:
+        match event:
+            case Lost(attempt=attempt, failure=failure):
+                await self._on_lost(course, attempt, failure)
+            case Suspected(stream=stream):
+                await self._hedge(course, stream)
+            case Done():
+                pass
+
+    async def _on_lost(
+        self, course: Course, attempt: Attempt, failure: TargetFailed
+    ) -> None:
+        course.drop(attempt)
+        row = course.row
+        if failure.verdict is not Verdict.NOT_RUN:
+            course.may_have_run = True
+        if failure.verdict is not Verdict.NOT_RUN:
+            self._spawn(self._cancel(row, attempt))
+        if course.attempts:
+            return
+        row.dispatched = course.may_have_run
+        self._check_time_left(course, failure)
+        if attempt.target.name in course.refused_by:
+            await asyncio.sleep(REFUSED_WAIT_S)
+        course.refused_by.add(attempt.target.name)
+        await self._resume(course)
+
+    def _check_time_left(self, course: Course, failure: TargetFailed) -> None:
+        """Raise if all attempts failed for as long as a caller waits."""
+        now = time.monotonic()
+        if course.failing_since is None:
+            course.failing_since = now
+        if now - course.failing_since > course.row.profile.wait_s:
+            message = f"no target gave output, the last one said: {failure}"
+            raise RequestFailed(course.failure(ErrorCode.TARGET_FAILED, message))
+
+    async def _hedge(self, course: Course, stream: StreamRow) -> None:
+        """Start a second attempt while still listening to the silent one."""
+        attempt = course.find(stream)
+        if attempt is None or not stream.suspected or not course.row.profile.idempotent:
+            return
+        if len(course.attempts) >= MAX_ATTEMPTS_AT_ONCE:
+            return
+        row = course.row
+        exclude = frozenset(each.target.name for each in course.attempts)
+        try:
+            target = await self._dispatch.place(row, exclude, resume=True)
+        except RequestFailed:
+            return
+        if course.over or not attempt.live or not stream.suspected:
+            self._dispatch.release(row, target, False)
+            return
+        self._stats.count("runner.hedged")
+        self._begin(course, target)
+
+
+def _same(row: RequestRow, new: NewRequest) -> bool:
+    return not new.body or row.body == new.body
--- /dev/null
+++ b/turmericflow/services/_watch.py
@@ -0,0 +1,82 @@
+"""Watches the streams from targets, and the requests that run here."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from mode import Service
+
+from turmericflow.services._stats import Stats
+from turmericflow.systems import detection
+from turmericflow.tables import Tables
+
+if TYPE_CHECKING:
+    from turmericflow.services._runner import Runner
+
+TICK_S = 0.02
+TICKS_PER_SWEEP = 10
+LAG_S = 0.03
+SHUT_OUT_S = 1.0
+
+
+class ListeningClock:
+    """A clock that does not run while this process stands still."""
+
+    __slots__ = ("_lag_s",)
+
+    def __init__(self) -> None:
+        self._lag_s = 0.0
+
+    def now(self) -> float:
+        """Return the time in seconds."""
+        return time.monotonic() - self._lag_s
+
+    def stood_still(self, seconds: float) -> None:
+        """Take time out in which nothing could be heard."""
+        self._lag_s += seconds
+
+
+class Watch(Service):
+    """Runs the loss detection each tick, and a slower sweep over requests."""
+
+    def __init__(
+        self, tables: Tables, runner: Runner, clock: ListeningClock, stats: Stats
+    ) -> None:
+        super().__init__()
+        self._tables = tables
+        self._runner = runner
+        self._clock = clock
+        self._stats = stats
+
+    @Service.task
+    async def _ticks(self) -> None:
+        number = 0
+        before = time.monotonic()
+        while not self.should_stop:
+            await self.sleep(TICK_S)
+            now = time.monotonic()
+            late = now - before - TICK_S
+            before = now
+            if late > LAG_S:
+                self._clock.stood_still(late)
+                self._stats.count("watch.late")
+                continue
+            number += 1
+            sweep = number % TICKS_PER_SWEEP == 0
+            self._scan(each_stream=sweep)
+            if sweep:
+                self._runner.sweep(now)
+
+    def _scan(self, each_stream: bool) -> None:
+        tables = self._tables
+        found = detection.scan(
+            tables.streams, tables.targets, self._clock.now(), each_stream
+        )
+        until = time.monotonic() + SHUT_OUT_S
+        for suspicion in found:
+            self._stats.count(f"detection.{suspicion.fault}")
+            target = tables.targets.rows.get(suspicion.stream.target)
+            if target is not None and suspicion.fault is detection.Fault.TARGET:
+                target.suspect_until = max(target.suspect_until, until)
+            self._runner.suspect(suspicion.stream)
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from turmericflow.systems import _claims as claims, _routing as routing
+from turmericflow.systems import (
+    _claims as claims,
+    _detection as detection,
+    _resume as resume,
+    _routing as routing,
+)
 from turmericflow.systems._convert import (
     to_attempts,
     to_failure,
@@ -13,6 +18,8 @@
 __all__ = (
     # Decisions, one module each
     "claims",
+    "detection",
+    "resume",
     "routing",
     # Conversions
     "to_attempts",
--- a/turmericflow/tables/__init__.py
+++ b/turmericflow/tables/__init__.py
@@ -8,6 +8,12 @@
 from turmericflow.tables._peers import Peer, PeerState, PeerTable
 from turmericflow.tables._requests import Listener, RequestRow, RequestTable
 from turmericflow.tables._slots import RequestId, SlotEntry, SlotTable
+from turmericflow.tables._streams import (
+    StreamId,
+    StreamRow,
+    StreamTable,
+    TargetStreams,
+)
 from turmericflow.tables._targets import LoadReport, Target, TargetKind, TargetTable
 
 __all__ = (
@@ -25,6 +31,11 @@
     # Slots
     "SlotEntry",
     "SlotTable",
+    # Streams
+    "StreamId",
+    "StreamRow",
+    "StreamTable",
+    "TargetStreams",
     # Targets
     "LoadReport",
     "Target",
--- a/turmericflow/tables/_all.py
+++ b/turmericflow/tables/_all.py
@@ -9,6 +9,7 @@
 from turmericflow.tables._peers import PeerTable
 from turmericflow.tables._requests import RequestTable
 from turmericflow.tables._slots import SlotTable
+from turmericflow.tables._streams import StreamTable
 from turmericflow.tables._targets import TargetTable
 
 
@@ -28,5 +29,6 @@
     claims: ClaimTable = field(default_factory=ClaimTable)
     slots: SlotTable = field(default_factory=SlotTable)
     targets: TargetTable = field(default_factory=TargetTable)
+    streams: StreamTable = field(default_factory=StreamTable)
     peers: PeerTable = field(default_factory=PeerTable)
     config: ConfigTable = field(default_factory=ConfigTable)
--- a/turmericflow/tables/_requests.py
+++ b/turmericflow/tables/_requests.py
@@ -60,6 +60,9 @@
         Why the request failed.
     listeners
         Those who receive the committed tokens.
+    ended_at
+        Time at which the request was seen to have ended, in seconds of the
+        host's clock.
     """
 
     request_id: RequestId
@@ -80,6 +83,7 @@
     ended: bool = False
     failure: Failure | None = None
     listeners: list[Listener] = field(default_factory=list)
+    ended_at: float | None = None
 
     @property
     def attempt(self) -> int:
--- a/turmericflow/testing/_batch.py
+++ b/turmericflow/testing/_batch.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from turmericflow.services._course import ATTEMPTS_PER_EPOCH
 from turmericflow.testing._sampling import next_token, run_of
 
 BLOCK_TOKENS = 16
@@ -53,6 +54,7 @@
     blocks: list[str]
     arrival: int
     cancelled: bool = False
+    fault: tuple[str, int] | None = None
     on_change: list = field(default_factory=list)
 
     @property
@@ -114,6 +116,16 @@
     return min(max_tokens, int(found[1])) if found else max_tokens
 
 
+def planned_fault(prompt: str, attempt: int) -> tuple[str, int] | None:
+    """Return the fault that a prompt plans, such as ``die_at=3``.
+
+    Only a first attempt fails, so that each prompt costs one engine.
+    """
+    found = re.search(r"\b(die|silent)_at=(\d+)\b", prompt)
+    first = attempt % ATTEMPTS_PER_EPOCH == 1
+    return (found[1], int(found[2])) if found and first else None
+
+
 class Batch:
     """The streams of one engine.
 
@@ -162,6 +174,7 @@
             blocks,
             self._arrivals,
         )
+        stream.fault = planned_fault(prompt, attempt)
         self.streams[generation] = stream
         self.queue.append(stream)
         self.queue.sort(key=lambda each: (each.priority, each.arrival))
--- a/turmericflow/testing/engine.py
+++ b/turmericflow/testing/engine.py
@@ -16,6 +16,8 @@
 from turmericflow.testing._serve import serve
 
 CACHE_EVENT_KEEP = 10_000
+FAULT_DELAY_S = 0.005
+EXIT_CRASHED = 139
 
 
 class Order(msgspec.Struct):
@@ -105,7 +107,7 @@
         if self.models and wanted not in self.models:
             return web.Response(status=409, text=f"{wanted} is not loaded")
         if "crash=1" in body.prompt.split():
-            os._exit(139)
+            os._exit(EXIT_CRASHED)
         stream = self.batch.add(
             body.generation,
             body.attempt,
@@ -135,6 +137,8 @@
         try:
             while not stream.cancelled:
                 fresh = stream.tokens[sent:]
+                if stream.fault is not None and len(stream.tokens) >= stream.fault[1]:
+                    await self._fail(resp, stream, sent)
                 lines = [
                     b'{"i":%d,"t":"%b"}\n' % (sent + number, text.encode())
                     for number, text in enumerate(fresh)
@@ -155,6 +159,17 @@
         finally:
             stream.on_change.remove(event.set)
 
+    async def _fail(self, resp: web.StreamResponse, stream: Stream, sent: int) -> None:
+        """Send the tokens due before a planned fault, then fail."""
+        for index in range(sent, stream.fault[1]):
+            text = stream.tokens[index].encode()
+            await resp.write(b'{"i":%d,"t":"%b"}\n' % (index, text))
+        await asyncio.sleep(FAULT_DELAY_S)
+        if stream.fault[0] == "die":
+            os._exit(EXIT_CRASHED)
+        self.silent = True
+        await asyncio.Event().wait()
+
     async def _cancel(self, request: web.Request) -> web.Response:
         stream = self.batch.streams.get(request.match_info["generation"])
         attempt = int(request.query.get("attempt", "0"))
--- /dev/null
+++ b/turmericflow/tests/test_detection.py
@@ -0,0 +1,132 @@
+"""Tests of the detection of lost targets, over tables alone."""
+
+from __future__ import annotations
+
+import pytest
+
+from turmericflow.profile import Urgency
+from turmericflow.systems import detection, resume
+from turmericflow.tables import RequestId, StreamRow, StreamTable, TargetTable
+
+STEP_S = 0.02
+
+
+@pytest.fixture
+def table():
+    return StreamTable()
+
+
+def open_streams(table, number, urgency=Urgency.URGENT, target="e1", prefill_s=0.0):
+    rows = []
+    for index in range(number):
+        request_id = RequestId("norte", f"{target}-{urgency}-{index}")
+        row = StreamRow(request_id, 1, target, urgency, 0.0, prefill_s, 500, 0.0)
+        detection.open_stream(table, row)
+        rows.append(row)
+    return rows
+
+
+def speak(table, rows, start, end, step_s=STEP_S):
+    """Let streams speak each step; return the time of the last output."""
+    now = start
+    while now < end:
+        for row in rows:
+            detection.heard(table.targets[row.target], row, 1, now)
+        now += step_s
+    return now - step_s
+
+
+def first_suspicion(table, after, until, targets=None):
+    """Return when the first suspicion comes, in seconds, and all found then."""
+    now = after
+    while now < until:
+        found = detection.scan(table, targets or TargetTable(), now, True)
+        if found:
+            return now - after, found
+        now += 0.01
+    return None, []
+
+
+def test_live_engine_is_never_suspected(table):
+    rows = open_streams(table, 4)
+    now = speak(table, rows, 0.0, 2.0)
+    assert first_suspicion(table, now, now + 5 * STEP_S) == (None, [])
+
+
+@pytest.mark.parametrize(
+    ("urgency", "bound_s"), [(Urgency.URGENT, 0.8), (Urgency.THRIFTY, 2.0)]
+)
+def test_silent_engine_is_suspected_within_the_target(table, urgency, bound_s):
+    rows = open_streams(table, 2, urgency)
+    now = speak(table, rows, 0.0, 2.0)
+    after, found = first_suspicion(table, now, now + 10)
+    assert after < bound_s
+    assert {each.fault for each in found} == {detection.Fault.TARGET}
+    assert len(found) == 2
+
+
+def test_urgent_work_is_resumed_before_thrifty(table):
+    urgent = open_streams(table, 1, Urgency.URGENT)
+    thrifty = open_streams(table, 1, Urgency.THRIFTY)
+    now = speak(table, urgent + thrifty, 0.0, 2.0)
+    _, found = first_suspicion(table, now, now + 10)
+    assert [each.stream for each in found] == urgent
+
+
+def test_more_silent_streams_are_suspected_sooner(table):
+    few = open_streams(table, 1, target="e1")
+    many = open_streams(table, 16, target="e2")
+    now = speak(table, few + many, 0.0, 2.0)
+    _, found = first_suspicion(table, now, now + 10)
+    assert {each.stream.target for each in found} == {"e2"}
+
+
+def test_gaps_learned_under_load_delay_suspicion(table):
+    steady = open_streams(table, 2, target="e1")
+    loaded = open_streams(table, 2, target="e2")
+    now = 0.0
+    for number in range(61):
+        now = number * 0.1
+        speak(table, steady, now, now + 0.1)
+        if number % 3 == 0:
+            speak(table, loaded, now, now + 0.01)
+    _, found = first_suspicion(table, now, now + 10)
+    assert {each.stream.target for each in found} == {"e1"}
+
+
+def test_one_silent_stream_among_live_ones_is_its_own_fault(table):
+    rows = open_streams(table, 4)
+    speak(table, rows, 0.0, 2.0)
+    now = 2.0
+    while True:
+        speak(table, rows[1:], now, now + STEP_S / 2)
+        found = detection.scan(table, TargetTable(), now, True)
+        if found:
+            break
+        now += STEP_S
+        assert now < 10
+    assert [(each.stream, each.fault) for each in found] == [
+        (rows[0], detection.Fault.STREAM)
+    ]
+
+
+def test_prefill_is_not_silence(table):
+    rows = open_streams(table, 1, prefill_s=3.0)
+    assert first_suspicion(table, 0.0, 3.0)[0] is None
+    assert first_suspicion(table, 3.0, 30.0)[0] is not None
+    assert rows[0].suspected
+
+
+def test_silence_is_reported_once(table):
+    rows = open_streams(table, 1)
+    now = speak(table, rows, 0.0, 2.0)
+    _, found = first_suspicion(table, now, now + 10)
+    assert len(found) == 1
+    assert detection.scan(table, TargetTable(), now + 20, True) == []
+
+
+def test_dearer_prefix_waits_for_more_evidence():
+    weight = resume.LATENESS_WEIGHT[Urgency.NORMAL]
+    silence = resume.Silence(0.6, STEP_S, 0.01, 1)
+    assert resume.should_resume(silence, 0.02, weight)
+    assert not resume.should_resume(silence, 0.25, weight)
