--- a/turmericflow/services/_course.py
+++ b/turmericflow/services/_course.py
@@ -29,9 +29,21 @@
         Whether its output still counts.
     lost
         Whether its target failed it.
+    placed
+        Whether it holds a place that is to be given back.
     """
 
-    __slots__ = ("live", "lost", "next_index", "number", "stream", "target", "task")
+    __slots__ = (
+        "live",
+        "lost",
+        "next_index",
+        "number",
+        "placed",
+        "stream",
+        "target",
+        "task",
+        "unheard_since",
+    )
 
     def __init__(
         self, number: int, target: Target, next_index: int, stream: StreamRow
@@ -42,6 +54,7 @@
         self.stream = stream
         self.live = True
         self.lost = False
+        self.placed = True
         self.task: asyncio.Task | None = None
 
 
@@ -72,6 +85,8 @@
     ----------
     row
         The request.
+    content
+        Fingerprint of its content.
     attempts
         Attempts whose output still counts, oldest first.
     may_have_run
@@ -80,32 +95,40 @@
         Targets that refused or could not be reached since the last output.
     failing_since
         Time of the first loss since the last output, or None.
+    ending
+        Whether its runner is ending it with a failure.
     stopped_by
         Failure with which the request is to be ended from outside, or None.
+    unheard_since
+        Time since which nobody has listened, or None.
     """
 
     __slots__ = (
         "_events",
         "_started",
         "attempts",
+        "content",
+        "ending",
         "failing_since",
-        "idle_since",
         "may_have_run",
         "refused_by",
         "row",
         "stopped_by",
         "task",
+        "unheard_since",
     )
 
-    def __init__(self, row: RequestRow) -> None:
+    def __init__(self, row: RequestRow, content: str) -> None:
         self.row = row
+        self.content = content
         self.attempts: list[Attempt] = []
-        self.may_have_run = bool(row.attempts) or row.runner_epoch > 1
+        self.may_have_run = row.dispatched or bool(row.attempts)
         self.refused_by: set[str] = set()
+        self.ending = False
         self.failing_since: float | None = None
         self.stopped_by: Failure | None = None
         self.task: asyncio.Task | None = None
-        self.idle_since: float | None = None
+        self.unheard_since: float | None = None
         self._events: asyncio.Queue[Lost | Suspected | Done] = asyncio.Queue()
         self._started = 0
 
--- a/turmericflow/services/_peers.py
+++ b/turmericflow/services/_peers.py
@@ -10,6 +10,7 @@
 from mode import Service
 
 from turmericflow import wire
+from turmericflow._certificates import Contexts
 from turmericflow.cfg import Settings
 from turmericflow.services._stats import Stats
 from turmericflow.tables import Tables
@@ -37,6 +38,7 @@
         self._stats = stats
         self._decoder = wire.Decoder()
         self.transport: asyncio.Transport | None = None
+        self.lost = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -53,6 +55,7 @@
             self._on_message(self, msg)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
         self._on_lost(self)
 
     def send(self, msg: wire.Message) -> None:
@@ -68,9 +71,16 @@
     A call to this host itself is handled in place, without a connection.
     """
 
-    def __init__(self, settings: Settings, tables: Tables, stats: Stats) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        tables: Tables,
+        stats: Stats,
+        tls: Contexts | None = None,
+    ) -> None:
         super().__init__()
         self._settings = settings
+        self._tls = tls
         self._tables = tables
         self._stats = stats
         self._handlers: dict[type, Handler] = {}
@@ -81,12 +91,18 @@
         self._connecting: dict[str, asyncio.Task] = {}
         self._accepted: set[_Stream] = set()
         self._tasks: set[asyncio.Task] = set()
+        self._stopping = False
+        self._lost_listeners: list[Callable[[str], None]] = []
         self._server: asyncio.Server | None = None
 
     def handle(self, kind: type, handler: Handler) -> None:
         """Register the handler of a message type; it replies by a callable."""
         self._handlers[kind] = handler
 
+    def on_lost(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with the name of each host whose stream is lost."""
+        self._lost_listeners.append(listener)
+
     def next_rid(self) -> int:
         """Return a number for a new call."""
         return next(self._rids)
@@ -95,10 +111,15 @@
         address = self._settings.peer
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._accept, address.ip, address.port, reuse_address=True
+            self._accept,
+            address.ip,
+            address.port,
+            reuse_address=True,
+            ssl=self._tls and self._tls.peer_server,
         )
 
     async def on_stop(self) -> None:
+        self._stopping = True
         self._server.close()
         for stream in [*self._accepted, *self._streams.values()]:
             stream.transport.close()
@@ -154,6 +175,17 @@
         self._rids_of.setdefault(host, set()).add(msg.rid)
         stream.send(msg)
 
+    async def post(self, host: str, msg: wire.Message) -> None:
+        """Send a message to another host that gets no reply.
+
+        Raises
+        ------
+        PeerUnreachable
+            If there is no connection and none can be made.
+        """
+        stream = self._streams.get(host) or await self._connect(host)
+        stream.send(msg)
+
     def forget(self, host: str, rid: int) -> None:
         """Take no more replies to a message."""
         self._waiting.pop(rid, None)
@@ -180,14 +212,29 @@
             self._resolve(msg)
 
         def on_lost(stream: _Stream) -> None:
-            self._lost(host)
+            if self._streams.get(host) is stream:
+                self._lost(host)
 
         def make() -> _Stream:
             return _Stream(on_message, on_lost, self._stats)
 
-        connecting = loop.create_connection(make, peer.peer.ip, peer.peer.port)
+        connecting = loop.create_connection(
+            make,
+            peer.peer.ip,
+            peer.peer.port,
+            ssl=self._tls and self._tls.peer_client,
+            local_addr=(self._settings.peer.ip, 0),
+        )
         _, stream = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
-        stream.send(wire.Hello(self._tables.host, self._tables.data_centre, 0))
+        if stream.lost:
+            raise OSError(f"{host} closed the connection at once")
+        stream.send(
+            wire.Hello(
+                self._tables.host,
+                self._tables.data_centre,
+                self._tables.peers.incarnation,
+            )
+        )
         self._streams[host] = stream
         return stream
 
@@ -197,6 +244,10 @@
             resolve = self._waiting.pop(rid, None)
             if resolve is not None:
                 resolve(None)
+        if self._stopping:
+            return
+        for listener in self._lost_listeners:
+            listener(host)
 
     def _resolve(self, msg: wire.AnyMessage) -> None:
         resolve = self._waiting.get(msg.rid)
--- /dev/null
+++ b/turmericflow/services/_restore.py
@@ -0,0 +1,40 @@
+"""Rebuilding of a request from the body that its owner keeps."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+from turmericflow.profile import Profile, ProfileKind
+from turmericflow.tables import RequestRow
+from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
+
+
+class _Body(msgspec.Struct):
+    profile: str
+    prompt: str = ""
+    max_tokens: int = 256
+    payload: msgspec.Raw = msgspec.Raw(b"")
+
+
+def restore(row: RequestRow, profiles: dict[str, Profile]) -> None:
+    """Fill in what a row's caller once sent.
+
+    Raises
+    ------
+    RequestFailed
+        If the profile is no longer declared.
+    """
+    body = msgspec.json.decode(row.body, type=_Body)
+    profile = profiles.get(body.profile)
+    if profile is None:
+        message = f"profile: got {body.profile!r}, which is no longer declared"
+        failure = Failure(ErrorCode.UNKNOWN_PROFILE, Verdict.MAY_HAVE_RUN, message)
+        raise RequestFailed(failure)
+    row.profile = profile
+    row.fingerprint = hashlib.sha256(row.body).hexdigest()
+    if profile.kind is ProfileKind.CALL:
+        row.prompt, row.max_tokens = bytes(body.payload).decode(), 1
+    else:
+        row.prompt, row.max_tokens = body.prompt, body.max_tokens
--- /dev/null
+++ b/turmericflow/services/_tls.py
@@ -0,0 +1,60 @@
+"""TLS of callers' and routers' connections, with certificates reloaded."""
+
+from __future__ import annotations
+
+import structlog
+from mode import Service
+
+from turmericflow._certificates import Contexts, changed_at, load_contexts
+from turmericflow.cfg import Settings, TlsSettings
+from turmericflow.services._stats import Stats
+
+log = structlog.get_logger()
+
+
+class Tls(Service):
+    """Reloads certificates whose files have changed, without a restart.
+
+    Attributes
+    ----------
+    contexts
+        The TLS contexts in use.
+    """
+
+    def __init__(self, files: TlsSettings, stats: Stats) -> None:
+        super().__init__()
+        self._files = files
+        self._stats = stats
+        self._changed_at = changed_at(files)
+        self._failed_at: tuple[int, ...] = ()
+        self.contexts: Contexts = load_contexts(files)
+
+    @classmethod
+    def from_settings(cls, settings: Settings, stats: Stats) -> Tls | None:
+        """Build from a daemon's settings; None where they name no files."""
+        return None if settings.tls is None else cls(settings.tls, stats)
+
+    @Service.task
+    async def _watch_files(self) -> None:
+        while not self.should_stop:
+            await self.sleep(self._files.reload_s)
+            self._reload()
+
+    def _reload(self) -> None:
+        changed = self._changed_at
+        try:
+            changed = changed_at(self._files)
+            if changed in (self._changed_at, self._failed_at):
+                return
+            # A pair that does not fit must not reach the contexts in use.
+            load_contexts(self._files)
+            self.contexts.load_cert(self._files)
+        except OSError as exc:
+            self._stats.count("tls.reload_failed")
+            if changed != self._failed_at:
+                log.warning("tls_reload_failed", cert=self._files.cert, error=str(exc))
+            self._failed_at = changed
+            return
+        self._changed_at = changed
+        self._stats.count("tls.reloaded")
+        log.info("tls_reloaded", cert=self._files.cert)
--- a/turmericflow/tables/__init__.py
+++ b/turmericflow/tables/__init__.py
@@ -3,8 +3,26 @@
 from __future__ import annotations
 
 from turmericflow.tables._all import Tables
-from turmericflow.tables._claims import AttemptStart, Claim, ClaimState, ClaimTable
+from turmericflow.tables._claims import (
+    AttemptStart,
+    Claim,
+    ClaimState,
+    ClaimTable,
+    PendingClaim,
+)
 from turmericflow.tables._config import ConfigTable
+from turmericflow.tables._crashers import Loss, Suspect, SuspectTable
+from turmericflow.tables._facts import FactTable
+from turmericflow.tables._load import (
+    Budget,
+    Demand,
+    Flow,
+    LoadTable,
+    Pool,
+    RateBucket,
+    Waiting,
+    Work,
+)
 from turmericflow.tables._peers import Peer, PeerState, PeerTable
 from turmericflow.tables._requests import Listener, RequestRow, RequestTable
 from turmericflow.tables._slots import RequestId, SlotEntry, SlotTable
@@ -14,7 +32,15 @@
     StreamTable,
     TargetStreams,
 )
-from turmericflow.tables._targets import LoadReport, Target, TargetKind, TargetTable
+from turmericflow.tables._targets import (
+    Breaker,
+    BreakerState,
+    LoadReport,
+    StepFit,
+    Target,
+    TargetKind,
+    TargetTable,
+)
 
 __all__ = (
     # All tables of one host
@@ -25,24 +51,42 @@
     "ClaimState",
     "ClaimTable",
     "Listener",
+    "PendingClaim",
     "RequestId",
     "RequestRow",
     "RequestTable",
     # Slots
     "SlotEntry",
     "SlotTable",
+    # Crashers
+    "Loss",
+    "Suspect",
+    "SuspectTable",
     # Streams
     "StreamId",
     "StreamRow",
     "StreamTable",
     "TargetStreams",
+    # Load
+    "Budget",
+    "Demand",
+    "Flow",
+    "LoadTable",
+    "Pool",
+    "RateBucket",
+    "Waiting",
+    "Work",
     # Targets
+    "Breaker",
+    "BreakerState",
     "LoadReport",
+    "StepFit",
     "Target",
     "TargetKind",
     "TargetTable",
     # Peers and configuration
     "ConfigTable",
+    "FactTable",
     "Peer",
     "PeerState",
     "PeerTable",
--- a/turmericflow/tables/_all.py
+++ b/turmericflow/tables/_all.py
@@ -6,6 +6,8 @@
 
 from turmericflow.tables._claims import ClaimTable
 from turmericflow.tables._config import ConfigTable
+from turmericflow.tables._crashers import SuspectTable
+from turmericflow.tables._load import LoadTable
 from turmericflow.tables._peers import PeerTable
 from turmericflow.tables._requests import RequestTable
 from turmericflow.tables._slots import SlotTable
@@ -21,6 +23,9 @@
     ----------
     host, data_centre
         Name of this host and where it is.
+    stopping
+        Whether this host takes no new requests any more, for it is about to
+        stop; ``peers.leaving`` says earlier that it is to be given none.
     """
 
     host: str
@@ -30,5 +35,8 @@
     slots: SlotTable = field(default_factory=SlotTable)
     targets: TargetTable = field(default_factory=TargetTable)
     streams: StreamTable = field(default_factory=StreamTable)
+    suspects: SuspectTable = field(default_factory=SuspectTable)
     peers: PeerTable = field(default_factory=PeerTable)
     config: ConfigTable = field(default_factory=ConfigTable)
+    stopping: bool = False
+    load: LoadTable = field(default_factory=LoadTable)
--- a/turmericflow/tables/_requests.py
+++ b/turmericflow/tables/_requests.py
@@ -63,6 +63,16 @@
     ended_at
         Time at which the request was seen to have ended, in seconds of the
         host's clock.
+    try_no, fingerprint
+        Number of the caller's try and digest of its body.
+    keyed
+        Whether the caller chose the key, so that it can send a copy.
+    slot
+        Slot that the request hashes to.
+    journal_at, journal_epoch
+        Host that holds the journal, and the slot epoch in which it got it.
+    journaled_attempts
+        Attempts that the journal holds.
     """
 
     request_id: RequestId
@@ -84,6 +94,13 @@
     failure: Failure | None = None
     listeners: list[Listener] = field(default_factory=list)
     ended_at: float | None = None
+    try_no: int = 1
+    fingerprint: str = ""
+    keyed: bool = True
+    slot: int = -1
+    journal_at: str = ""
+    journal_epoch: int = 0
+    journaled_attempts: list[AttemptStart] = field(default_factory=list)
 
     @property
     def attempt(self) -> int:
