--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -19,8 +19,10 @@
 from turmericflow.services._answer import start_after, stream_answer, whole_answer
 from turmericflow.services._auth import authenticate, is_allowed
 from turmericflow.services._claimant import NewRequest
+from turmericflow.services._entry_requests import RequestRoutes
 from turmericflow.services._headers import read_header, read_try
 from turmericflow.services._http import error_middleware, http_logger, read_body
+from turmericflow.services._peers import Peers
 from turmericflow.services._runner import Runner
 from turmericflow.services._stats import Stats
 from turmericflow.systems import addresses, status
@@ -60,8 +62,10 @@
         runner: Runner,
         stats: Stats,
         tls: Contexts | None = None,
+        peers: Peers | None = None,
     ) -> None:
         super().__init__()
+        self._peers = peers
         self._tls = tls
         self._settings = settings
         self._tables = tables
@@ -80,6 +84,9 @@
         app.router.add_get("/v1/status", self._status)
         app.router.add_get("/v1/config", self._config)
         app.router.add_post("/v1/generate", self._generate)
+        if self._peers is not None:
+            routes = RequestRoutes(self._tables, self._run, self._peers, self._profile)
+            routes.add_to(app)
         return app
 
     async def on_start(self) -> None:
@@ -90,6 +97,7 @@
             logger=http_logger(self._stats),
             keepalive_timeout=KEEP_ALIVE_S,
             shutdown_timeout=FINISH_S,
+            handler_cancellation=True,
         )
         await self._web.setup()
         address = self._settings.entry
--- /dev/null
+++ b/turmericflow/systems/_crashers.py
@@ -0,0 +1,164 @@
+"""Suspicion and conviction of contents that crash their targets.
+
+A loss puts suspicion on every content that ran on the target.  Suspects are
+resumed apart from each other, so that a crasher meets different neighbours
+each time: the third loss that a content was part of convicts it.
+"""
+
+from __future__ import annotations
+
+import xxhash
+
+from turmericflow.profile import Profile
+from turmericflow.tables import Loss, Suspect, SuspectTable
+
+LOSSES_TO_CONVICT = 3
+SAME_LOSS_S = 2.0
+LOST_LATELY_S = 2.0
+MAX_APART = 100
+SUSPECT_S = 60.0
+CONVICTED_S = 600.0
+HOLD_ONCE_LOST_S = 1.0
+HOLD_TWICE_LOST_S = 10.0
+
+
+def fingerprint(profile: Profile, prompt: str) -> str:
+    """Return the name of a content, the same under every key."""
+    loaded = f"{profile.model}\0{profile.adapter}\0{profile.version}\0{prompt}"
+    return xxhash.xxh3_128_hexdigest(loaded.encode())
+
+
+def _counted(row: Suspect, now: float) -> list[Loss]:
+    first = max(row.cleared_at, now - SUSPECT_S)
+    return [loss for loss in row.losses if loss.at > first]
+
+
+def count(table: SuspectTable, content: str, now: float) -> int:
+    """Return how many losses a content was part of lately."""
+    row = table.rows.get(content)
+    return 0 if row is None else len(_counted(row, now))
+
+
+def note_loss(table: SuspectTable, loss: Loss, contents: list[str], now: float) -> None:
+    """Take in that a target was lost while some contents ran there.
+
+    Reports of one loss from several routers count once.
+    """
+    for content in contents:
+        row = table.rows.setdefault(content, Suspect())
+        known = [
+            each
+            for each in row.losses
+            if each.target == loss.target and abs(each.at - loss.at) < SAME_LOSS_S
+        ]
+        if known:
+            continue
+        row.losses.append(loss)
+        if len(_counted(row, now)) >= LOSSES_TO_CONVICT and row.convicted_at is None:
+            row.convicted_at = now
+
+
+def clear(table: SuspectTable, content: str, now: float) -> None:
+    """Take suspicion off a content whose whole answer has come."""
+    row = table.rows.get(content)
+    if row is not None:
+        row.cleared_at = max(row.cleared_at, now)
+        row.convicted_at = None
+
+
+def is_convicted(table: SuspectTable, content: str, now: float) -> bool:
+    """Return whether a content is refused now."""
+    row = table.rows.get(content)
+    if row is None or row.convicted_at is None:
+        return False
+    return now - row.convicted_at < CONVICTED_S
+
+
+def held_until(table: SuspectTable, content: str, now: float) -> float:
+    """Return until when new copies of a suspect wait for its outcome."""
+    row = table.rows.get(content)
+    counted = [] if row is None else _counted(row, now)
+    if not counted:
+        return now
+    hold = HOLD_ONCE_LOST_S if len(counted) == 1 else HOLD_TWICE_LOST_S
+    return max(now, counted[-1].at + hold)
+
+
+def apart(
+    table: SuspectTable,
+    running: dict[str, list[str]],
+    targets: list[str],
+    content: str,
+    now: float,
+) -> frozenset[str]:
+    """Return the targets that a suspect is to be kept away from.
+
+    Parameters
+    ----------
+    table
+        The suspects.
+    running
+        Contents that run here, by target.
+    targets
+        Targets that could run the content.
+    content
+        The suspect.
+    now
+        Time in seconds of the shared clock.
+
+    Returns
+    -------
+    frozenset of str
+        Targets that run more suspects than the others; none in a storm, when
+        most of what runs is under suspicion.
+    """
+    if not targets or len(table.rows) > MAX_APART or not count(table, content, now):
+        return frozenset()
+    met = {
+        target: sum(
+            1
+            for other in running.get(target, [])
+            if other != content and count(table, other, now)
+        )
+        for target in targets
+    }
+    least = min(met.values())
+    return frozenset(target for target, number in met.items() if number > least)
+
+
+def lost_lately(table: SuspectTable, now: float) -> frozenset[str]:
+    """Return the targets that any suspect was lost with a moment ago."""
+    return frozenset(
+        loss.target
+        for row in table.rows.values()
+        for loss in row.losses
+        if now - loss.at < LOST_LATELY_S
+    )
+
+
+def turn(
+    table: SuspectTable, content: str, targets: list[str], now: float
+) -> str | None:
+    """Return the target kept for a content that two losses point to.
+
+    Every router that knows the same suspects comes to the same answer, so
+    that no two of them meet.  None if there are more suspects than targets;
+    the content then waits for its turn.
+    """
+    suspects = sorted(
+        name
+        for name, row in table.rows.items()
+        if row.convicted_at is None and len(_counted(row, now)) > 1
+    )
+    rank = suspects.index(content)
+    return sorted(targets)[rank] if rank < len(targets) else None
+
+
+def expire(table: SuspectTable, now: float) -> None:
+    """Forget what no longer counts."""
+    for name, row in list(table.rows.items()):
+        row.losses = _counted(row, now)
+        if row.convicted_at is not None and now - row.convicted_at >= CONVICTED_S:
+            row.convicted_at = None
+        if not row.losses and row.convicted_at is None:
+            del table.rows[name]
--- a/turmericflow/wire/__init__.py
+++ b/turmericflow/wire/__init__.py
@@ -13,6 +13,8 @@
     Attached,
     BurnCounts,
     BurnTaken,
+    Cancel,
+    Cancelled,
     Claim,
     Compare,
     Demands,
@@ -84,6 +86,9 @@
     "Appended",
     "End",
     "Ended",
+    # Cancelling
+    "Cancel",
+    "Cancelled",
     # Followers
     "Follow",
     "Followed",
