--- a/turmericflow/profile.py
+++ b/turmericflow/profile.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import re
 from typing import Annotated
 
 from pydantic import ConfigDict, Field, Strict, TypeAdapter
@@ -10,7 +11,8 @@
 
 _CONFIG = ConfigDict(extra="forbid")
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}$"
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 Text = Annotated[str, Field(max_length=256)]
 Flag = Annotated[bool, Strict()]
 Int = Annotated[int, Strict()]
@@ -20,6 +22,11 @@
 KeyHash = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 
 
+def is_name(text: str) -> bool:
+    """Whether a text has the form of a declared object's name."""
+    return re.fullmatch(NAME_PATTERN, text) is not None
+
+
 class ProfileKind(enum.StrEnum):
     """Whether a profile's work is a generation or a call to a plain service."""
 
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import secrets
 from random import Random
 
@@ -15,6 +16,7 @@
 from turmericflow.services._engine import EngineClient
 from turmericflow.services._entry import Entry
 from turmericflow.services._gossip import Gossip
+from turmericflow.services._hosts import Hosts
 from turmericflow.services._journal import Journal
 from turmericflow.services._membership import Membership
 from turmericflow.services._owner import Owner
@@ -22,12 +24,16 @@
 from turmericflow.services._platform import PlatformClient
 from turmericflow.services._reports import Reports
 from turmericflow.services._runner import Runner
+from turmericflow.services._sharing import Sharing
 from turmericflow.services._slots import SlotService
 from turmericflow.services._stats import Stats
+from turmericflow.services._tls import Tls
 from turmericflow.systems import policies
 from turmericflow.tables import Peer, Tables
 
 TARGET_CONNECT_TIMEOUT_S = 1.0
+LEAVE_MARGIN_S = 1.0
+FINISH_CHECK_S = 0.05
 
 
 class Daemon(Service):
@@ -57,7 +63,9 @@
         connector = aiohttp.TCPConnector(limit=0)
         self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
         platform = PlatformClient(self._session, self.settings.platform)
-        peers = Peers(self.settings, self.tables, self.stats)
+        tls = Tls.from_settings(self.settings, self.stats)
+        contexts = tls and tls.contexts
+        peers = Peers(self.settings, self.tables, self.stats, contexts)
         Owner(self.tables, peers, self.stats)
         engines = EngineClient(self._session)
         journal = Journal(self.tables, peers, self.stats)
@@ -75,31 +83,49 @@
             dispatch,
             self.stats,
         )
-        config = Config(self.settings, self.tables, platform, self.stats)
+        rng = Random(secrets.randbits(64))
         gossip = Gossip(self.tables, peers, self.stats)
+        self.membership = Membership(
+            self.settings, self.tables, peers, gossip, self.stats, rng
+        )
+        config = Config(self.settings, self.tables, platform, gossip, self.stats, rng)
+        hosts = Hosts(
+            self.tables, platform, gossip, config, self.membership, self.stats, rng
+        )
         self.slots = SlotService(
             self.settings, self.tables, peers, gossip, platform, self.stats
         )
         self.slots.on_change(journal.slots_changed)
-        rng = Random(secrets.randbits(64))
-        self.membership = Membership(
-            self.settings, self.tables, peers, gossip, self.stats, rng
-        )
-        entry = Entry(self.settings, self.tables, runner, self.stats)
+        entry = Entry(self.settings, self.tables, runner, self.stats, contexts)
         reports = Reports(self.tables, engines, self.stats)
         services = (
             peers,
             gossip,
             self.membership,
             config,
+            hosts,
             self.slots,
             reports,
             dispatch,
+            Sharing(self.tables, peers, self.stats),
             entry,
         )
-        for service in services:
+        for service in services if tls is None else (tls, *services):
             await self.add_runtime_dependency(service)
 
+    async def finish(self) -> None:
+        """Leave without cutting off a request: the first part of a planned stop.
+
+        New requests are served for as long as callers may keep this host's
+        address; then those that run are finished.
+        """
+        self.membership.leave_for_good()
+        await asyncio.sleep(self.settings.addresses_keep_s + LEAVE_MARGIN_S)
+        self.tables.stopping = True
+        while any(not row.ended for row in self.tables.requests.rows.values()):
+            await asyncio.sleep(FINISH_CHECK_S)
+        await self.slots.hand_over()
+
     async def on_shutdown(self) -> None:
         if self._session is not None:
             await self._session.close()
--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -5,14 +5,17 @@
 import hashlib
 import secrets
 import time
+from random import Random
 from typing import Annotated
 
 import msgspec
+import structlog
 from aiohttp import web
 from mode import Service
 
+from turmericflow._certificates import Contexts
 from turmericflow.cfg import Settings
-from turmericflow.profile import Profile, ProfileKind
+from turmericflow.profile import Profile, ProfileKind, is_name
 from turmericflow.services._answer import start_after, stream_answer, whole_answer
 from turmericflow.services._auth import authenticate, is_allowed
 from turmericflow.services._claimant import NewRequest
@@ -20,13 +23,15 @@
 from turmericflow.services._http import error_middleware, http_logger, read_body
 from turmericflow.services._runner import Runner
 from turmericflow.services._stats import Stats
-from turmericflow.systems import status
+from turmericflow.systems import addresses, status
 from turmericflow.tables import RequestId, Tables
-from turmericflow.verdict import ErrorCode, Failure, Verdict, not_run
+from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict, not_run
 
-ADDRESSES_KEEP_S = 5
 MAX_TOKENS = 1_000_000
 KEEP_ALIVE_S = 75.0
+UNKNOWN_SERVICE = "unknown"
+
+FINISH_S = 86_400.0
 
 
 class GenerateBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -42,14 +47,21 @@
     """Takes requests from callers and gives them their answers."""
 
     def __init__(
-        self, settings: Settings, tables: Tables, runner: Runner, stats: Stats
+        self,
+        settings: Settings,
+        tables: Tables,
+        runner: Runner,
+        stats: Stats,
+        tls: Contexts | None = None,
     ) -> None:
         super().__init__()
+        self._tls = tls
         self._settings = settings
         self._tables = tables
         self._run = runner
         self._stats = stats
         self._web: web.AppRunner | None = None
+        self._rng = Random()
 
     def app(self) -> web.Application:
         """Return the HTTP interface."""
@@ -70,19 +82,26 @@
             access_log=None,
             logger=http_logger(self._stats),
             keepalive_timeout=KEEP_ALIVE_S,
+            shutdown_timeout=FINISH_S,
         )
         await self._web.setup()
         address = self._settings.entry
-        await web.TCPSite(self._web, address.ip, address.port).start()
+        tls = self._tls and self._tls.entry
+        await web.TCPSite(self._web, address.ip, address.port, ssl_context=tls).start()
 
     async def on_stop(self) -> None:
         await self._web.cleanup()
 
     async def _addresses(self, request: web.Request) -> web.Response:
-        own = [str(self._settings.entry)]
-        others = [str(peer.entry) for peer in self._tables.peers.rows.values()]
+        centre = request.query.get("data_centre", self._tables.data_centre)
+        found = addresses.in_order(
+            self._tables, self._settings.entry, centre, self._rng
+        )
         return web.json_response(
-            {"addresses": own + others, "keep_s": ADDRESSES_KEEP_S}
+            {
+                "addresses": [str(address) for address in found],
+                "keep_s": self._settings.addresses_keep_s,
+            }
         )
 
     async def _status(self, request: web.Request) -> web.Response:
@@ -102,13 +121,17 @@
         return web.json_response({"objects": status.declarations(self._tables)})
 
     async def _generate(self, request: web.Request) -> web.StreamResponse:
+        if self._tables.stopping:
+            message = f"{self._tables.host} is about to stop; use another address"
+            raise not_run(ErrorCode.STOPPING, message, 0.0)
         customer = authenticate(request, self._tables)
         key = read_header(request.headers, "Idempotency-Key")
         last_id = read_header(request.headers, "Last-Event-ID")
         try_no = read_try(request)
         raw, body = await read_body(request, GenerateBody)
-        profile = self._profile(body.profile, ProfileKind.GENERATION)
-        if key is None and not profile.idempotent:
+        profile, refusal = self._profile(body.profile, ProfileKind.GENERATION)
+        refusal = refusal or _refusal(profile, body)
+        if key is None and refusal is None and not profile.idempotent:
             message = f"Idempotency-Key: got none, profile {profile.name!r} expects one"
             raise not_run(ErrorCode.KEY_REQUIRED, message)
         new = NewRequest(
@@ -121,18 +144,26 @@
             try_no,
             bool(key),
         )
-        row = await self._run.submit(new, _refusal(profile, body))
+        structlog.contextvars.bind_contextvars(
+            customer=customer.name, request=new.request_id.key
+        )
+        row = await self._run.submit(new, refusal)
         self._stats.count("entry.accepted")
         if not body.stream:
             return await whole_answer(row)
         return await stream_answer(request, row, start_after(last_id, row))
 
-    def _profile(self, name: str, kind: ProfileKind) -> Profile:
+    def _profile(self, name: str, kind: ProfileKind) -> tuple[Profile, Failure | None]:
+        """Return a declared profile, or one to seal a request under and why."""
         profile = self._tables.config.profiles.get(name)
-        if profile is None or profile.kind is not kind:
-            message = f"profile: got {name!r}, expected a declared one of kind {kind}"
-            raise not_run(ErrorCode.UNKNOWN_PROFILE, message)
-        return profile
+        if profile is not None and profile.kind is kind:
+            return profile, None
+        message = f"profile: got {name!r}, expected a declared one of kind {kind}"
+        refusal = Failure(ErrorCode.UNKNOWN_PROFILE, Verdict.NOT_RUN, message)
+        if not is_name(name):
+            raise RequestFailed(refusal)
+        # Another router may know the profile already, so the refusal is sealed.
+        return Profile(name, UNKNOWN_SERVICE, kind, idempotent=False), refusal
 
 
 def _refusal(profile: Profile, body: GenerateBody) -> Failure | None:
--- a/turmericflow/services/_peers.py
+++ b/turmericflow/services/_peers.py
@@ -10,6 +10,7 @@
 from mode import Service
 
 from turmericflow import wire
+from turmericflow._certificates import Contexts
 from turmericflow.cfg import Settings
 from turmericflow.services._stats import Stats
 from turmericflow.tables import Tables
@@ -70,9 +71,16 @@
     A call to this host itself is handled in place, without a connection.
     """
 
-    def __init__(self, settings: Settings, tables: Tables, stats: Stats) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        tables: Tables,
+        stats: Stats,
+        tls: Contexts | None = None,
+    ) -> None:
         super().__init__()
         self._settings = settings
+        self._tls = tls
         self._tables = tables
         self._stats = stats
         self._handlers: dict[type, Handler] = {}
@@ -103,7 +111,11 @@
         address = self._settings.peer
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._accept, address.ip, address.port, reuse_address=True
+            self._accept,
+            address.ip,
+            address.port,
+            reuse_address=True,
+            ssl=self._tls and self._tls.peer_server,
         )
 
     async def on_stop(self) -> None:
@@ -206,7 +218,13 @@
         def make() -> _Stream:
             return _Stream(on_message, on_lost, self._stats)
 
-        connecting = loop.create_connection(make, peer.peer.ip, peer.peer.port)
+        connecting = loop.create_connection(
+            make,
+            peer.peer.ip,
+            peer.peer.port,
+            ssl=self._tls and self._tls.peer_client,
+            local_addr=(self._settings.peer.ip, 0),
+        )
         _, stream = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
         if stream.lost:
             raise OSError(f"{host} closed the connection at once")
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from turmericflow.systems import (
+    _addresses as addresses,
     _admission as admission,
     _backup as backup,
     _breakers as breakers,
@@ -22,7 +23,9 @@
     _records as records,
     _routing as routing,
     _scheduling as scheduling,
+    _sharing as sharing,
     _slots as slots,
+    _spread as spread,
     _status as status,
 )
 from turmericflow.systems._convert import (
@@ -34,6 +37,7 @@
 
 __all__ = (
     # Decisions, one module each
+    "addresses",
     "admission",
     "backup",
     "breakers",
@@ -53,7 +57,9 @@
     "records",
     "routing",
     "scheduling",
+    "sharing",
     "slots",
+    "spread",
     "status",
     # Conversions
     "to_attempts",
--- a/turmericflow/tests/test_claims_model.py
+++ b/turmericflow/tests/test_claims_model.py
@@ -336,6 +336,20 @@
         self.deliver_all()
         self.show(pick % 2, pick)
 
+    @rule(host=HOSTS)
+    def ask_and_run(self, host):
+        self.ask_whole(host, 1)
+        self.dispatch(0)
+
+    @rule()
+    def run_all(self):
+        """Let every runner go on, also those replaced; show the newest one's."""
+        for number in range(len(self.runs)):
+            self.dispatch(number)
+            self.output(number, False)
+            self.deliver_all()
+        self.show(0, len(self.runs) - 1)
+
     @rule()
     def go_on_as_lost(self):
         """Let every waiting copy claim again, and learn of a runner first."""
@@ -369,6 +383,13 @@
             self.transfer(host)
         self.deliver_all(paused)
 
+    @rule()
+    def replace_owner(self):
+        """Let the backup take over from an owner that learns nothing of it."""
+        owner = self.map[1][0].owner
+        self.doubt_owner()
+        self.repair(owner)
+
     @rule()
     def lose_both(self):
         entry = self.map[1][0]
@@ -682,19 +703,18 @@
     steps: tuple[str, ...]
 
 
-ASK_A, ASK_B, ASK_C = (("ask_whole", host, 1) for host in CENTRES)
 BREAKS = {
     "grants without backup": Break(
         claims,
         "_change",
         _applied_at_once,
-        (ASK_A, "dispatch", "doubt_owner", ("repair", "a"), ASK_B),
+        ("ask_and_run", "replace_owner"),
     ),
     "backup does not fence": Break(
         backup,
         "store",
         _always_accepted,
-        ("doubt_owner", ("repair", "a"), ASK_B, "dispatch", ASK_A),
+        ("ask_and_run", "replace_owner"),
     ),
     "late store overwrites": Break(
         backup,
@@ -706,25 +726,25 @@
         journal,
         "append",
         _any_runner,
-        ("replace_runner", "run_on", "output", "deliver_all", "show"),
+        ("replace_runner", "run_all"),
     ),
     "runner epochs repeat": Break(
         claims,
         "_first_runner_epoch",
         _always(1),
-        (ASK_C, "doubt_backup", "doubt_owner", "replace_runner"),
+        ("ask_whole", "doubt_backup", "doubt_owner", "replace_runner"),
     ),
     "orders are regranted": Break(
         claims, "_regrant", _regrants_orders, ("replace_runner", "dispatch")
     ),
     "no retention": Break(
-        slots, "RETENTION_S", lambda real: 0.0, ("ask_whole", "dispatch", "lose_both")
+        slots, "lost_for_s", _always(0.0), ("ask_whole", "dispatch", "lose_both")
     ),
     "seals after take-over alone": Break(
         claims,
         "_may_be_granted_elsewhere",
         _always(False),
-        (("grant_alone", "a"), "doubt_owner", ("repair", "a"), "refuse_whole"),
+        (("grant_alone", "a"), "replace_owner", "refuse_whole"),
     ),
     "restarted host serves": Break(
         slots, "same_life", _always(True), ("ask_whole", "dispatch", "restart_known")
@@ -739,7 +759,7 @@
         claims,
         "end",
         _one_runner_only,
-        (ASK_C, "dispatch", "replace_runner", "fail", ("deliver_all",)),
+        ("ask_and_run", "replace_runner", "fail", ("deliver_all",)),
     ),
 }
 
