--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -10,6 +10,7 @@
 from mode import Service
 
 from turmericflow.cfg import Settings
+from turmericflow.services._burn import Burn
 from turmericflow.services._claimant import Claimant
 from turmericflow.services._config import Config
 from turmericflow.services._dispatch import Dispatch
@@ -19,6 +20,7 @@
 from turmericflow.services._hosts import Hosts
 from turmericflow.services._journal import Journal
 from turmericflow.services._membership import Membership
+from turmericflow.services._orders import Orders
 from turmericflow.services._owner import Owner
 from turmericflow.services._peers import Peers
 from turmericflow.services._platform import PlatformClient
@@ -62,12 +64,12 @@
         )
         connector = aiohttp.TCPConnector(limit=0)
         self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
-        platform = PlatformClient(self._session, self.settings.platform)
+        platform = PlatformClient(self._session, self.settings.platform, self.stats)
         tls = Tls.from_settings(self.settings, self.stats)
         contexts = tls and tls.contexts
         peers = Peers(self.settings, self.tables, self.stats, contexts)
         Owner(self.tables, peers, self.stats)
-        engines = EngineClient(self._session)
+        engines = EngineClient(self._session, self.stats)
         journal = Journal(self.tables, peers, self.stats)
         dispatch = Dispatch(
             self.tables,
@@ -96,8 +98,10 @@
             self.settings, self.tables, peers, gossip, platform, self.stats
         )
         self.slots.on_change(journal.slots_changed)
-        entry = Entry(self.settings, self.tables, runner, self.stats, contexts)
+        self.entry = Entry(self.settings, self.tables, runner, self.stats, contexts)
+        orders = Orders(self.settings, self.tables, platform, engines, self.stats)
         reports = Reports(self.tables, engines, self.stats)
+        self.burn = Burn(self.settings, self.tables, peers, platform, self.stats)
         services = (
             peers,
             gossip,
@@ -105,10 +109,12 @@
             config,
             hosts,
             self.slots,
+            orders,
             reports,
             dispatch,
             Sharing(self.tables, peers, self.stats),
-            entry,
+            self.burn,
+            self.entry,
         )
         for service in services if tls is None else (tls, *services):
             await self.add_runtime_dependency(service)
@@ -122,9 +128,11 @@
         self.membership.leave_for_good()
         await asyncio.sleep(self.settings.addresses_keep_s + LEAVE_MARGIN_S)
         self.tables.stopping = True
+        await self.entry.close_to_callers()
         while any(not row.ended for row in self.tables.requests.rows.values()):
             await asyncio.sleep(FINISH_CHECK_S)
         await self.slots.hand_over()
+        await self.burn.save()
 
     async def on_shutdown(self) -> None:
         if self._session is not None:
--- a/turmericflow/testing/_cluster.py
+++ b/turmericflow/testing/_cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import signal
 import socket
@@ -11,9 +12,10 @@
 import tempfile
 import time
 import urllib.request
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import IO
 
 import yaml
 
@@ -55,8 +57,14 @@
         Arguments of the platform's stand-in.
     wait_ready
         Whether the start ends only when all routers are ready.
+    log_folder
+        Folder for the routers' logs, or None for standard error.
+    ready_s
+        Longest wait for a router to become ready, in seconds.
     first_fault
         Fault of the platform while the routers start.
+    prepare
+        Called once the platform and the targets run, before the routers start.
     """
 
     routers: dict[str, str]
@@ -66,7 +74,10 @@
     peer_delay_s: float = 0.0
     platform_args: list[str] = field(default_factory=list)
     wait_ready: bool = True
+    log_folder: Path | None = None
+    ready_s: float = READY_S
     first_fault: dict[str, object] = field(default_factory=dict)
+    prepare: Callable[[Cluster], None] | None = None
 
 
 @dataclass(slots=True)
@@ -138,6 +149,8 @@
         self.write_hosts()
         for path, value in self.plan.objects.items():
             self.put(path, value)
+        if self.plan.prepare is not None:
+            self.plan.prepare(self)
         self._place_routers()
         self.fault(**self.plan.first_fault)
         for host in self.plan.routers:
@@ -202,12 +215,21 @@
         path.write_text(yaml.safe_dump(self._settings(host)), "utf-8")
         ip, port = self.entries[host].rsplit(":", 1)
         argv = ["-m", "turmericflow.services.main", "--config", str(path)]
-        process = subprocess.Popen([sys.executable, *argv])
+        with self._log(host) as log:
+            process = subprocess.Popen([sys.executable, *argv], stderr=log)
         self.processes[host] = Running(process, ip, [int(port)])
 
+    @contextlib.contextmanager
+    def _log(self, host: str) -> Iterator[IO | None]:
+        if self.plan.log_folder is None:
+            yield None
+            return
+        with open(self.plan.log_folder / f"{host}.log", "ab") as log:
+            yield log
+
     def wait_router(self, host: str) -> None:
         """Wait until a daemon answers and knows its configuration."""
-        until = time.monotonic() + READY_S
+        until = time.monotonic() + self.plan.ready_s
         scheme = "https" if "tls" in self.plan.settings else "http"
         url = f"{scheme}://{self.entries[host]}/v1/status"
         while True:
@@ -217,7 +239,7 @@
             except OSError:
                 pass
             if time.monotonic() > until:
-                raise TimeoutError(f"{host} was not ready within {READY_S} s")
+                raise TimeoutError(f"{host} was not ready within {self.plan.ready_s} s")
             time.sleep(POLL_S)
 
     def kill(self, name: str) -> None:
@@ -267,7 +289,7 @@
         self, done: Callable[[dict], bool], hosts: Iterable[str] | None = None
     ) -> None:
         """Wait until the status of each router, or of some, fits."""
-        until = time.monotonic() + READY_S
+        until = time.monotonic() + self.plan.ready_s
         for host in hosts or self.plan.routers:
             while not self._fits(host, done):
                 if time.monotonic() > until:
