--- a/turmericflow/systems/_slots.py
+++ b/turmericflow/systems/_slots.py
@@ -7,6 +7,7 @@
 
 CREATED_EPOCH = 2
 RETENTION_S = 600.0
+IDEMPOTENT_RETENTION_S = 30.0
 
 
 def to_wire_slot(slot: int, entry: SlotEntry) -> wire.WireSlot:
@@ -97,6 +98,18 @@
     tables.slots.retention_until[slot] = now + RETENTION_S
 
 
+def lost_for_s(tables: Tables, slot: int, idempotent: bool, now: float) -> float:
+    """Return for how long keys that are not known may have run, in seconds.
+
+    Idempotent work may be run again, so that only a copy of a try that was
+    refused has to be waited for.
+    """
+    left = tables.slots.retention_until.get(slot, now) - now
+    if idempotent:
+        left -= RETENTION_S - IDEMPOTENT_RETENTION_S
+    return max(0.0, left)
+
+
 def put_entry(tables: Tables, slot: int, entry: SlotEntry, now: float) -> bool:
     """Put a slot's entry in force if it is newer.
 
--- a/turmericflow/tests/test_claims.py
+++ b/turmericflow/tests/test_claims.py
@@ -247,6 +247,20 @@
     assert isinstance(answer, wire.Granted)
 
 
+@pytest.mark.parametrize(
+    ("idempotent", "window_s"),
+    [(True, slots.IDEMPOTENT_RETENTION_S), (False, slots.RETENTION_S)],
+)
+def test_owner_of_lost_records_waits_for_late_copies(idempotent, window_s):
+    tables = make_tables("entry-3", SlotEntry("entry-1", "entry-2", 2))
+    slots.put_entry(tables, 0, SlotEntry("entry-3", "", 4, 4, 4), 0.0)
+    msg = make_claim(idempotent=idempotent, slot_epoch=4)
+    answer = claims.claim(tables, msg, window_s - 1.0)
+    assert answer.failure.code == ErrorCode.RETENTION
+    assert answer.failure.retry_after_s == pytest.approx(1.0)
+    assert isinstance(claims.claim(tables, msg, window_s + 1.0), wire.Granted)
+
+
 def make_end(epoch):
     return wire.End(7, "norte", "k", epoch, to_wire_failure(OVERLOADED))
 
