--- a/turmericflow/cli/_callers.py
+++ b/turmericflow/cli/_callers.py
@@ -102,19 +102,27 @@
 async def _attach(args: argparse.Namespace) -> Exit:
     on_token = None if args.json else _show_token
     async with open_caller(args) as caller:
-        answer = await caller.attach(args.key, args.last_event_id, on_token)
+        try:
+            answer = await caller.attach(args.key, args.last_event_id, on_token)
+        except (ValueError, IndexError) as exc:
+            message = f"--last-event-id: got {args.last_event_id!r}, expected an id"
+            raise CommandError(message, Exit.USAGE) from exc
     return _report_answer(answer, args.key, args.json)
 
 
 async def _cancel(args: argparse.Namespace) -> Exit:
     async with open_caller(args) as caller:
-        failure = await caller.cancel(args.key)
-    if failure is not None:
-        return _report_failure(failure, args.json)
+        answer = await caller.cancel(args.key)
+    if answer.failure is not None:
+        return _report_failure(answer.failure, args.json)
+    cancelled = bool(answer.body.get("cancelled"))
     if args.json:
-        print_json({"key": args.key, "cancelled": True})
-    else:
+        print_json({"key": args.key, "cancelled": cancelled})
+    elif cancelled:
         print(f"{args.key} cancelled")
+    if not cancelled:
+        print_error(f"no request with key {args.key!r} runs")
+        return Exit.FAILED
     return Exit.OK
 
 
--- a/turmericflow/client/_answer.py
+++ b/turmericflow/client/_answer.py
@@ -50,6 +50,10 @@
         How often the caller went on at another address.
     lost_at
         Number of tokens that the caller had each time it did so.
+    start
+        Index of the first token, above 0 if the caller came for the rest.
+    body
+        The JSON body of an answer that is not a stream.
     """
 
     tokens: list[Token] = field(default_factory=list)
@@ -58,6 +62,21 @@
     failure: Failure | None = None
     reconnects: int = 0
     lost_at: list[int] = field(default_factory=list)
+    start: int = 0
+    body: dict = field(default_factory=dict)
+
+    @classmethod
+    def from_last_id(cls, last_id: str) -> Answer:
+        """Return the rest of an answer after an event.
+
+        Raises
+        ------
+        ValueError
+            If the event's id is out of form.
+        """
+        if not last_id:
+            return cls()
+        return cls(last_id=last_id, start=int(last_id.split(".")[2]) + 1)
 
     @property
     def text(self) -> str:
@@ -146,10 +165,12 @@
                     self._on_token(token)
 
     def _end(self, data: dict) -> None:
-        digest = hashlib.sha256(self._answer.text.encode()).hexdigest()
-        count = len(self._answer.tokens)
-        if digest == data["digest"] and count == data["count"]:
-            self._answer.whole = True
+        answer = self._answer
+        digest = hashlib.sha256(answer.text.encode()).hexdigest()
+        count = answer.start + len(answer.tokens)
+        known = answer.start > 0 or digest == data["digest"]
+        if known and count == data["count"]:
+            answer.whole = True
             return
         message = f"got {count} tokens, expected {data['count']} of another digest"
-        self._answer.failure = Failure(ErrorCode.INTERNAL, Verdict.RAN, message)
+        answer.failure = Failure(ErrorCode.INTERNAL, Verdict.RAN, message)
--- a/turmericflow/client/_caller.py
+++ b/turmericflow/client/_caller.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from urllib.parse import quote
 
 import aiohttp
 
@@ -137,9 +138,15 @@
     async def attach(
         self, key: str, last_id: str = "", on_token: OnToken | None = None
     ) -> Answer:
-        """Receive the rest of a request that runs, or its recorded answer."""
-        answer = Answer(last_id=last_id)
-        exchange = _Exchange("GET", f"/v1/requests/{key}", key)
+        """Receive the rest of a request that runs, or its recorded answer.
+
+        Raises
+        ------
+        ValueError
+            If ``last_id`` is out of form.
+        """
+        answer = Answer.from_last_id(last_id)
+        exchange = _Exchange("GET", _request_path(key), key)
         return await self._run(exchange, on_token, answer)
 
     async def call(self, profile: str, payload: object, key: str) -> Answer:
@@ -147,11 +154,9 @@
         body = {"profile": profile, "payload": payload}
         return await self._run(_Exchange("POST", "/v1/call", key, body))
 
-    async def cancel(self, key: str) -> Failure | None:
-        """Cancel a request; return why it could not be, or None."""
-        answer = Answer()
-        await self._run(_Exchange("DELETE", f"/v1/requests/{key}", key), None, answer)
-        return answer.failure
+    async def cancel(self, key: str) -> Answer:
+        """Cancel a request; the answer's body says whether there was one."""
+        return await self._run(_Exchange("DELETE", _request_path(key), key))
 
     async def _run(
         self,
@@ -238,6 +243,10 @@
         self._addresses.append(self._addresses.pop(0))
 
 
+def _request_path(key: str) -> str:
+    return f"/v1/requests/{quote(key, safe='')}"
+
+
 def _headers(exchange: _Exchange, answer: Answer) -> dict[str, str]:
     headers = {}
     if exchange.method == "POST":
@@ -249,7 +258,9 @@
 
 
 def _take_whole(body: object, answer: Answer) -> None:
-    text = body.get("text", "") if isinstance(body, dict) else ""
-    if text and not answer.tokens:
-        answer.tokens.append(Token(0, text, time.monotonic()))
+    if not isinstance(body, dict):
+        raise BadReply(f"got {type(body).__name__}, expected an object")
+    answer.body = body
+    if "text" in body and not answer.tokens:
+        answer.tokens.append(Token(0, body["text"], time.monotonic()))
     answer.whole = True
