--- a/turmericflow/services/_entry.py
+++ b/turmericflow/services/_entry.py
@@ -25,7 +25,14 @@
 from turmericflow.services._stats import Stats
 from turmericflow.systems import addresses, status
 from turmericflow.tables import RequestId, Tables
-from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict, not_run
+from turmericflow.verdict import (
+    HTTP_STATUS,
+    ErrorCode,
+    Failure,
+    RequestFailed,
+    Verdict,
+    not_run,
+)
 
 MAX_TOKENS = 1_000_000
 KEEP_ALIVE_S = 75.0
@@ -120,10 +127,20 @@
             raise not_run(ErrorCode.UNAUTHORIZED, message)
         return web.json_response({"objects": status.declarations(self._tables)})
 
+    async def close_to_callers(self) -> None:
+        """Take no new connections, and no requests on those that stand.
+
+        A caller finds them closed without an answer, and goes on elsewhere
+        under the same key.
+        """
+        for site in list(self._web.sites):
+            await site.stop()
+
     async def _generate(self, request: web.Request) -> web.StreamResponse:
-        if self._tables.stopping:
-            message = f"{self._tables.host} is about to stop; use another address"
-            raise not_run(ErrorCode.STOPPING, message, 0.0)
+        if self._tables.stopping and request.transport is not None:
+            self._stats.count("entry.closed")
+            request.transport.abort()
+            return web.Response(status=HTTP_STATUS[ErrorCode.STOPPING])
         customer = authenticate(request, self._tables)
         key = read_header(request.headers, "Idempotency-Key")
         last_id = read_header(request.headers, "Last-Event-ID")
