Test callers that vanish, nonsense on the wire and a paused router

None of these had a test with real processes.

Ten lost callers, half bodies and ten connections without HTTP leave no open connection and no traceback; a caller whose router is paused in the middle goes on at another and has every token. The first form of the test counted all sockets of the router, connections kept to engines included, and failed for that; it now counts callers' connections.

--- a/turmericflow/tests/test_operations.py
+++ b/turmericflow/tests/test_operations.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import socket
 import time
+from pathlib import Path
 
+import aiohttp
 import pytest
 
 from turmericflow.cli.main import main
+from turmericflow.client import Caller
 from turmericflow.testing import Cluster, ClusterPlan, EngineSpec, check_answer
 
 PROFILE = {"name": "quotation", "service": "redactor", "model": "sable"}
 PROFILE |= {"adapter": "none", "version": "1"}
 CUSTOMERS = {f"customer/{name}": {"name": name} for name in ("norte", "sur")}
 IN_FORCE_S = 10.0
+# Established, and closed by the caller only.
+HELD_STATES = ("01", "08")
 
 
 @pytest.fixture(scope="module")
@@ -52,6 +59,14 @@
         time.sleep(0.05)
 
 
+def open_connections(cluster, host):
+    """Return how many connections of callers a router holds open."""
+    ip, port = cluster.entries[host].rsplit(":", 1)
+    local = f"{socket.inet_aton(ip)[::-1].hex()}:{int(port):04x}".upper()
+    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()]
+    return sum(1 for row in rows if row[1] == local and row[3] in HELD_STATES)
+
+
 @pytest.mark.integration
 def test_generate_prints_whole_text(run):
     code, out, errors = run("generate", "quotation", "fascia", "--max-tokens", 20)
@@ -120,6 +135,47 @@
     assert "<svg" in page.read_text()
 
 
+@pytest.mark.integration
+def test_caller_leaves_a_paused_router(cluster):
+    async def work():
+        async with aiohttp.ClientSession() as session:
+            hosts = [cluster.entries[host] for host in ("entry-3", "entry-2")]
+            caller = Caller(session, hosts, "norte")
+            first = asyncio.Event()
+            answer = asyncio.ensure_future(
+                caller.generate(
+                    "quotation", "long", "paused", 800, lambda _: first.set()
+                )
+            )
+            await first.wait()
+            cluster.pause("entry-3")
+            return await answer
+
+    try:
+        answer = asyncio.run(work())
+    finally:
+        cluster.resume("entry-3")
+    assert answer.whole and answer.reconnects >= 1
+    assert check_answer([token.text for token in answer.tokens], 800).ok
+
+
+@pytest.mark.integration
+def test_callers_that_vanish_or_talk_nonsense_leave_no_trace(cluster, capfd):
+    ip, port = cluster.entries["entry-1"].rsplit(":", 1)
+    body = json.dumps({"profile": "quotation", "prompt": "x", "max_tokens": 900})
+    head = f"POST /v1/generate HTTP/1.1\r\nHost: {ip}\r\nX-Customer: norte\r\n"
+    whole = f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode()
+    before = open_connections(cluster, "entry-1")
+    half = f"{head}Content-Length: 5000\r\n\r\n{body}".encode()
+    for data in [whole, half, b"\x16\x03\x01 not HTTP\r\n\r\n", b"G" * 20_000] * 5:
+        with socket.create_connection((ip, int(port)), timeout=5) as conn:
+            conn.sendall(data)
+            if data is whole:
+                assert conn.recv(100).startswith(b"HTTP/1.1 200")
+    wait_for(lambda: open_connections(cluster, "entry-1") <= before)
+    assert "Traceback" not in capfd.readouterr().err
+
+
 @pytest.mark.integration
 def test_status_says_why_a_target_is_shut_out(run):
     assert run("leave", "redactor-0")[0] == 0
