Test racing operators and the replacement of a leaked key

Two operators at once and a leaked key had no test with real processes.

Two conditional writes on one version, with and without lost replies: one is applied, the other raced, one version is written. The demo asks with a key too.

--- a/turmericflow/testing/_deployments.py
+++ b/turmericflow/testing/_deployments.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from turmericflow.client import Access
 from turmericflow.testing._cluster import Cluster, ClusterPlan, EngineSpec, http_json
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
@@ -28,7 +29,7 @@
     generate, call
         Profiles of its generations and of its non-idempotent calls.
     customers
-        Customers that ask.
+        Customers that ask, with their keys.
     prompt
         Start of each prompt.
     first_seed
@@ -42,7 +43,7 @@
     model: str
     generate: tuple[str, ...]
     call: str
-    customers: tuple[str, ...]
+    customers: tuple[Access, ...]
     prompt: str
     first_seed: int
 
@@ -86,7 +87,11 @@
     "sable/rotulos/1",
     ("quotation", "proof-text"),
     "cut-order",
-    ("franquicia-norte", "mostrador-centro"),
+    (
+        Access("franquicia-norte"),
+        Access("mostrador-centro"),
+        Access("agrimensores", "rotulos-example-key"),
+    ),
     "Fascia sign of three metres, acrylic letters, site notes",
     100,
 )
@@ -98,7 +103,7 @@
     "sable/khayl/1",
     ("welfare-report", "rider-progress"),
     "booking",
-    ("head-office", "arena-west"),
+    (Access("head-office"), Access("arena-west")),
     "Welfare report for the bay mare, lesson notes",
     200,
 )
--- a/turmericflow/tests/test_cli.py
+++ b/turmericflow/tests/test_cli.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from pathlib import Path
 
+import aiohttp
 import pytest
 
+from turmericflow.cfg import Address
 from turmericflow.cli.main import main
+from turmericflow.declare import apply_change, compare, read_declarations
+from turmericflow.services._platform import PlatformClient
 from turmericflow.testing import Cluster, ClusterPlan
 from turmericflow.testing._cluster import http_json
 
@@ -162,6 +167,31 @@
     assert stored()["value"]["max_tokens"] == 700
 
 
+@pytest.mark.parametrize("fault", ["", "lose_reply"])
+def test_one_of_two_racing_operators_wins(run, cluster, file, stored, fault):
+    run("apply", file(100))
+    before = stored()["version"]
+    address = Address.from_text(cluster.processes["platform"].address)
+
+    async def race():
+        async with aiohttp.ClientSession() as session:
+            platform = PlatformClient(session, address)
+            changes = []
+            for tokens in (501, 502):
+                (declared,), _ = read_declarations([file(tokens)])
+                present = await platform.get("profile", "quotation")
+                changes.append(compare(declared, present))
+            cluster.fault(fault=fault)
+            return await asyncio.gather(*(apply_change(platform, c) for c in changes))
+
+    results = asyncio.run(race())
+    assert sorted(each.outcome for each in results) == ["applied", "raced"]
+    winner = next(each for each in results if each.outcome == "applied")
+    now = stored()
+    assert now["version"] == before + 1
+    assert now["value"] == winner.change.declaration.value
+
+
 def test_platform_outage_changes_nothing(run, cluster, file, stored):
     run("apply", file(100))
     cluster.fault(fault="outage")
--- a/turmericflow/tests/test_operations.py
+++ b/turmericflow/tests/test_operations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import json
 import socket
 import time
@@ -135,6 +136,35 @@
     assert "<svg" in page.read_text()
 
 
+def declare_keys(run, path, *keys):
+    hashes = [hashlib.sha256(key.encode()).hexdigest() for key in keys]
+    customer = {"name": "large", "weight": 9, "key_hashes": hashes}
+    path.write_text(json.dumps({"customers": [customer]}))
+    assert run("apply", path)[0] == 0
+
+
+@pytest.mark.integration
+def test_leaked_key_is_replaced_while_requests_run(run, cluster, tmp_path, monkeypatch):
+    def code(key, name, address):
+        monkeypatch.setenv("TURMERICFLOW_KEY", key)
+        argv = ("generate", "quotation", "x", "--max-tokens", 5, "-k", name)
+        return run(*argv, "--customer", "large", "--address", address)[0]
+
+    def codes(key, name):
+        return {code(key, name, each) for each in cluster.entries.values()}
+
+    path = tmp_path / "large.yaml"
+    declare_keys(run, path, "old")
+    wait_for(lambda: codes("old", "large-1") == {0})
+    declare_keys(run, path, "old", "new")
+    wait_for(lambda: codes("new", "large-1") == {0})
+    assert codes("old", "large-1") == {0}
+    declare_keys(run, path, "new")
+    # The leaked key is told nothing of the request that ran.
+    wait_for(lambda: codes("old", "large-1") == {4})
+    assert codes("new", "large-1") == {0}
+
+
 @pytest.mark.integration
 def test_caller_leaves_a_paused_router(cluster):
     async def work():
