Decode peer messages by a typed decoder

Cause: each message was unpacked and then converted to the union of all message types, which is worked out anew for each call.

Change: one pass over the stream finds where a message ends; a decoder that is built once reads it.

--- a/turmericflow/wire/_codec.py
+++ b/turmericflow/wire/_codec.py
@@ -9,6 +9,8 @@
 
 MAX_MESSAGE_BYTES = 4_000_000
 
+_DECODER = msgspec.msgpack.Decoder(AnyMessage)
+
 
 class WireError(Exception):
     """Raised when bytes from a peer are not a valid message."""
@@ -22,6 +24,9 @@
 class Decoder:
     """Turns a stream of bytes into messages.
 
+    One pass finds where each message ends, and a typed decoder reads it: this is
+    far cheaper than to unpack a message and convert it to its type.
+
     Raises
     ------
     WireError
@@ -29,15 +34,38 @@
         be closed.
     """
 
-    __slots__ = ("_unpacker",)
+    __slots__ = ("_rest", "_start", "_unpacker")
 
     def __init__(self) -> None:
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+        self._rest = b""
+        self._start = 0
 
     def feed(self, data: bytes) -> list[AnyMessage]:
         """Take bytes in and return the messages that are now whole."""
+        self._rest = self._rest + data if self._rest else bytes(data)
         try:
             self._unpacker.feed(data)
-            return [msgspec.convert(raw, AnyMessage) for raw in self._unpacker]
-        except (msgpack.exceptions.UnpackException, ValueError) as exc:
+            return self._take_whole()
+        except (
+            msgpack.exceptions.UnpackException,
+            msgspec.MsgspecError,
+            ValueError,
+        ) as exc:
             raise WireError(f"got invalid message bytes: {exc}") from exc
+
+    def _take_whole(self) -> list[AnyMessage]:
+        view = memoryview(self._rest)
+        found: list[AnyMessage] = []
+        begin = 0
+        while True:
+            try:
+                self._unpacker.skip()
+            except msgpack.OutOfData:
+                break
+            end = self._unpacker.tell() - self._start
+            found.append(_DECODER.decode(view[begin:end]))
+            begin = end
+        self._start += begin
+        self._rest = self._rest[begin:]
+        return found
