--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -166,6 +166,8 @@
     operator_key_hashes
         SHA-256 hex digests of the keys that open the status details; empty
         means that no key is asked for.
+    burn_save_s
+        Time between saves of the service-level counts, in seconds.
     policy
         Policy that chooses among the targets that may run some work.
     orders_lease_s
@@ -190,9 +192,10 @@
     tls: TlsSettings | None = None
     insecure_bind: Flag = False
     operator_key_hashes: list[KeyHash] = Field(default_factory=list)
+    burn_save_s: Annotated[Number, Field(ge=0.1, le=3600)] = 60.0
     policy: Annotated[str, Field(pattern="^(random|sq|lew|mc|fpi|ours)$")] = "ours"
-    orders_lease_s: Annotated[float, Field(ge=0.5, le=600)] = 30.0
-    addresses_keep_s: Annotated[float, Field(ge=0.1, le=300)] = 5.0
+    orders_lease_s: Annotated[Number, Field(ge=0.5, le=600)] = 30.0
+    addresses_keep_s: Annotated[Number, Field(ge=0.1, le=300)] = 5.0
 
     @classmethod
     def from_file(cls, path: Path) -> Settings:
--- a/turmericflow/testing/_cluster.py
+++ b/turmericflow/testing/_cluster.py
@@ -63,6 +63,8 @@
         Longest wait for a router to become ready, in seconds.
     first_fault
         Fault of the platform while the routers start.
+    prepare
+        Called once the platform and the targets run, before the routers start.
     """
 
     routers: dict[str, str]
@@ -75,6 +77,7 @@
     log_folder: Path | None = None
     ready_s: float = READY_S
     first_fault: dict[str, object] = field(default_factory=dict)
+    prepare: Callable[[Cluster], None] | None = None
 
 
 @dataclass(slots=True)
@@ -146,6 +149,8 @@
         self.write_hosts()
         for path, value in self.plan.objects.items():
             self.put(path, value)
+        if self.plan.prepare is not None:
+            self.plan.prepare(self)
         self._place_routers()
         self.fault(**self.plan.first_fault)
         for host in self.plan.routers:
