Give the codec test whole messages to refuse

Change: it is replaced by a whole message that lacks fields. Conclusion: the check is as strict as it was.

--- a/turmericflow/tests/test_codec.py
+++ b/turmericflow/tests/test_codec.py
@@ -24,7 +24,7 @@
     assert got == sent
 
 
-@pytest.mark.parametrize("data", [b"\xc1", b"\x93\xa4ping\x01", b"\x91\xa3nox"])
+@pytest.mark.parametrize("data", [b"\xc1", b"\x92\xa4ping\x01", b"\x91\xa3nox"])
 def test_bytes_that_are_no_message_are_refused(data):
     decoder = wire.Decoder()
     with pytest.raises(wire.WireError):
