Refuse frames that claim more elements than any message has

Cause: the new decoder waited for the rest of an array that claims four thousand million elements, where the old one refused it at once; test_fuzz found it. Change: a frame must begin as a short array. Conclusion: the check of the fuzz tests stands as it was.

--- a/turmericflow/wire/_codec.py
+++ b/turmericflow/wire/_codec.py
@@ -9,6 +9,9 @@
 
 MAX_MESSAGE_BYTES = 4_000_000
 
+# A message is a short array; the longest form of array would only make the
+# stream wait for more than a message may hold.
+_MESSAGE_STARTS = frozenset([*range(0x90, 0xA0), 0xDC])
 _DECODER = msgspec.msgpack.Decoder(AnyMessage)
 
 
@@ -58,7 +61,9 @@
         view = memoryview(self._rest)
         found: list[AnyMessage] = []
         begin = 0
-        while True:
+        while begin < len(view):
+            if view[begin] not in _MESSAGE_STARTS:
+                raise ValueError(f"first byte {view[begin]:#x}")
             try:
                 self._unpacker.skip()
             except msgpack.OutOfData:
