Bound what membership and the host list cost by size

Cause: suspects and rankings were looked for among all hosts several times a second, and each poll of the host list carried all of it.

Change: suspects are kept as a set, rankings until membership changes; a large host list is polled less often, at 4 KB a second at most for each host.

--- a/turmericflow/services/_hosts.py
+++ b/turmericflow/services/_hosts.py
@@ -70,7 +70,8 @@
                 self._stats.count("platform.errors")
             else:
                 self._compare(entries, asked_at_ms)
-            await self.sleep(spread.poll_wait_s(self._tables, self._rng))
+            size = self._platform.hosts_bytes
+            await self.sleep(spread.poll_wait_s(self._tables, self._rng, size))
 
     def _compare(self, entries: list[HostEntry], asked_at_ms: int) -> None:
         missing = self._names - {entry.name for entry in entries}
--- a/turmericflow/services/_platform.py
+++ b/turmericflow/services/_platform.py
@@ -57,9 +57,15 @@
 
 
 class PlatformClient:
-    """Client of the platform's object API and host list."""
+    """Client of the platform's object API and host list.
 
-    __slots__ = ("_base", "_session", "_stats")
+    Attributes
+    ----------
+    hosts_bytes
+        Size of the last host list, in bytes.
+    """
+
+    __slots__ = ("_base", "_session", "_stats", "hosts_bytes")
 
     def __init__(
         self,
@@ -69,6 +75,7 @@
     ) -> None:
         self._session = session
         self._stats = stats
+        self.hosts_bytes = 0
         self._base = address.url
 
     async def _call(self, method: str, path: str, **kwargs: Any) -> tuple[int, bytes]:
@@ -141,4 +148,5 @@
     async def hosts(self) -> list[HostEntry]:
         """Return the host list, which lags."""
         _, body = await self._call("GET", "/v1/hosts")
+        self.hosts_bytes = len(body)
         return msgspec.json.decode(body, type=list[HostEntry])
--- a/turmericflow/systems/_membership.py
+++ b/turmericflow/systems/_membership.py
@@ -77,6 +77,10 @@
     row.data_centre, row.entry, row.peer = info.data_centre, info.entry, info.peer
     row.incarnation, row.revision, row.state = incarnation, revision, state
     row.changed_at = now
+    if state is PeerState.SUSPECT:
+        tables.peers.suspects.add(host)
+    else:
+        tables.peers.suspects.discard(host)
     tables.peers.changes += 1
     return True
 
@@ -136,10 +140,11 @@
 
 def expired(tables: Tables, now: float) -> list[tuple[str, int]]:
     """Return the suspects whose time to refute is over, as dead."""
+    rows = (tables.peers.rows[host] for host in sorted(tables.peers.suspects))
     return [
         (row.host, pack_version(row.incarnation, row.revision, PeerState.DEAD))
-        for row in tables.peers.rows.values()
-        if row.state is PeerState.SUSPECT and now - row.changed_at >= SUSPECT_S
+        for row in rows
+        if now - row.changed_at >= SUSPECT_S
     ]
 
 
--- a/turmericflow/systems/_overlay.py
+++ b/turmericflow/systems/_overlay.py
@@ -58,12 +58,20 @@
 
 def ranked(tables: Tables, duty: str, data_centre: str) -> list[str]:
     """Return a data centre's staying hosts in the order in which a duty falls."""
-    hosts = [
-        host
-        for host in membership.staying_hosts(tables)
-        if membership.data_centre_of(tables, host) == data_centre
-    ]
-    return sorted(hosts, key=lambda host: _place(duty, host))
+    peers = tables.peers
+    if peers.rankings_at != peers.changes:
+        peers.rankings.clear()
+        peers.rankings_at = peers.changes
+    found = peers.rankings.get((duty, data_centre))
+    if found is None:
+        hosts = [
+            host
+            for host in membership.staying_hosts(tables)
+            if membership.data_centre_of(tables, host) == data_centre
+        ]
+        found = sorted(hosts, key=lambda host: _place(duty, host))
+        peers.rankings[duty, data_centre] = found
+    return found
 
 
 def is_watcher(tables: Tables) -> bool:
--- a/turmericflow/systems/_spread.py
+++ b/turmericflow/systems/_spread.py
@@ -4,12 +4,12 @@
 
 from random import Random
 
-from turmericflow.systems import _membership as membership
 from turmericflow.tables import Tables
 
 FLEET_POLLS_S = 2.0
 MIN_POLL_S = 0.5
 POLL_JITTER = 0.2
+POLL_BYTES_S = 4_000.0
 LOST_SHARE = 0.5
 
 
@@ -34,15 +34,17 @@
     return True
 
 
-def poll_wait_s(tables: Tables, rng: Random) -> float:
+def poll_wait_s(tables: Tables, rng: Random, answer_bytes: int = 0) -> float:
     """Return the time until this host's next turn to poll the platform.
 
     The hosts take turns, so that the platform is polled at one rate whatever
-    the fleet's size.
+    the fleet's size.  Large answers are asked for less often, so that they take
+    no more than a set rate of bytes.
     """
-    hosts = len(membership.live_hosts(tables))
+    hosts = len(tables.peers.rows) + 1
     spread = rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
-    return max(MIN_POLL_S, hosts / FLEET_POLLS_S) * spread
+    by_bytes = answer_bytes / POLL_BYTES_S
+    return max(MIN_POLL_S, hosts / FLEET_POLLS_S, by_bytes) * spread
 
 
 def is_plausible(known: int, missing: int) -> bool:
--- a/turmericflow/tables/_peers.py
+++ b/turmericflow/tables/_peers.py
@@ -70,6 +70,11 @@
         Whether this host has said that it leaves.
     changes
         Number of changes of membership so far.
+    suspects
+        Hosts that are suspected now.
+    rankings, rankings_at
+        Hosts in the order in which a duty falls, and the value of ``changes``
+        for which that was worked out.
     contacts
         Hosts to probe and to send facts to, by `systems.overlay`.
     contacts_at
@@ -81,5 +86,8 @@
     revision: int = 0
     leaving: bool = False
     changes: int = 0
+    suspects: set[str] = field(default_factory=set)
+    rankings: dict[tuple[str, str], list[str]] = field(default_factory=dict)
+    rankings_at: int = -1
     contacts: list[str] = field(default_factory=list)
     contacts_at: int = -1
