Keep standing queues short and places for customers within their share

Change: admission counts the rate at which a customer's queue is served; a queue that does not empty is kept short; while some want more than their share up to a tenth of the places are kept for the others; routers tell each other how much waits, and those with more of their work running yield.

--- a/turmericflow/services/_sharing.py
+++ b/turmericflow/services/_sharing.py
@@ -45,6 +45,7 @@
     @Service.task
     async def _share(self) -> None:
         told: dict[str, int] = {}
+        last: dict[str, tuple[int, float]] = {}
         full_at = float("-inf")
         while not self.should_stop:
             now = time.monotonic()
@@ -53,8 +54,10 @@
             counts = sharing.changes(self._tables, told, full)
             if full:
                 full_at = now
-            if counts or full:
-                msg = wire.InFlight(self._tables.host, full, counts)
+            waiting = sharing.waiting(self._tables)
+            if counts or full or waiting != last:
+                last = waiting
+                msg = wire.InFlight(self._tables.host, full, counts, waiting)
                 for host in sharing.group(self._tables):
                     self._start(f"share {host}", self._post(host, msg))
             await self.sleep(sharing.SHARE_S)
@@ -68,6 +71,7 @@
     def _on_in_flight(self, msg: wire.InFlight, reply: Reply) -> None:
         now = time.monotonic()
         sharing.learn(self._tables, msg.host, msg.counts, msg.full, now)
+        sharing.learn_waiting(self._tables, msg.host, msg.waiting)
 
     @Service.task
     async def _ask_allotments(self) -> None:
--- a/turmericflow/systems/_admission.py
+++ b/turmericflow/systems/_admission.py
@@ -15,7 +15,12 @@
 from turmericflow.tables import Pool, Tables, TargetKind, Work
 from turmericflow.verdict import ErrorCode, Failure, Verdict
 
-WAIT_SHARE = 0.5
+WAIT_SHARE = 0.25
+STANDING_S = 2.0
+STANDING_SHARE = 0.1
+OVERTAKEN = 3.0
+SMALLEST_SHARE = 0.1
+SMALLEST_RATE_PER_S = 1e-6
 ADMITTED_KEEP_S = 2.0
 SHORTEST_RETRY_S = 1.0
 LONGEST_RETRY_S = 60.0
@@ -33,39 +38,70 @@
     return row.weight if row is not None else 1.0
 
 
+def part_per_s(pool: Pool, routers: int) -> float:
+    """Return this host's equal part of the rate at which places come free."""
+    hold = pool.hold_s or estimates.DEFAULT_HOLD_S
+    return max(SMALLEST_RATE_PER_S, pool.slots / hold / max(1, routers))
+
+
 def rate_per_s(pool: Pool, routers: int) -> float:
     """Return the rate at which places come free for this host."""
-    hold = pool.hold_s or estimates.DEFAULT_HOLD_S
-    return max(pool.rate_per_s, pool.slots / hold / max(1, routers), 1e-6)
+    part = part_per_s(pool, routers)
+    if fairness.waiting(pool):
+        return max(pool.rate_per_s, SMALLEST_SHARE * part)
+    return max(pool.rate_per_s, part)
 
 
-def wait_s(tables: Tables, pool: Pool, work: Work, routers: int) -> float:
-    """Return the wait in this host's queue that some work can count on.
+def _ahead(pool: Pool, work: Work) -> tuple[int, int, int]:
+    """Return the work before some work: of lower ranks, of its own, its customer's.
 
-    It holds even if every customer that has work in the queue brings more: a
-    customer's own queue is served at its weighted share at least.
+    What was accepted and is not yet in the queue counts as well.
     """
     rank = fairness.rank_of(work)
-    promised = len(pool.admitted)
-    if pool.free - promised > fairness.waiting(pool):
-        return 0.0
     before = sum(number for each, number in pool.depth.items() if each < rank)
-    before += sum(1 for _, each in pool.admitted.values() if each < rank)
-    same = pool.depth.get(rank, 0) + sum(
-        1 for _, each in pool.admitted.values() if each == rank
-    )
+    same = pool.depth.get(rank, 0)
+    flow = pool.flows.get((work.profile.name, work.request_id.customer))
+    own = flow.queued if flow is not None else 0
+    for name, (_, each) in pool.admitted.items():
+        before += each < rank
+        same += each == rank
+        own += name.customer == work.request_id.customer
+    return before, same, own
+
+
+def _flow_rate(tables: Tables, pool: Pool, work: Work, rate: float) -> float:
+    """Return the rate at which a customer's work of a class can be served.
+
+    It is what the classes before leave over, shared by weight between the
+    customers that have work in the queue, or more if it was served faster.
+    """
+    rank = fairness.rank_of(work)
+    before = sum(each for number, each in pool.rank_rates.items() if number < rank)
+    left = max(SMALLEST_SHARE * rate, rate - before)
     name = (work.profile.name, work.request_id.customer)
-    own_weight = weight_of(tables, work.request_id.customer)
-    weights, own = own_weight, 0
+    own = weights = weight_of(tables, work.request_id.customer)
     for each, flow in pool.flows.items():
-        if each == name:
-            own = flow.queued
-        elif flow.queued:
+        if flow.queued and each != name:
             weights += weight_of(tables, each[1])
-    own += sum(1 for each in pool.admitted if each.customer == work.request_id.customer)
-    fair = (own + 1) * weights / own_weight
-    ahead = before + min(same + 1, fair)
-    return max(0.0, ahead - max(0, pool.free)) / rate_per_s(pool, routers)
+    flow = pool.flows.get(name)
+    served = flow.rate_per_s if flow is not None else 0.0
+    return max(served, left * own / weights)
+
+
+def wait_s(tables: Tables, pool: Pool, work: Work, routers: int) -> float:
+    """Return the wait in this host's queue that some work must expect.
+
+    Later work of other customers may go before it, so that what counts is its
+    customer's own queue, and the rate at which that is served.
+    """
+    if pool.free - len(pool.admitted) > fairness.waiting(pool):
+        return 0.0
+    before, same, own = _ahead(pool, work)
+    rate = rate_per_s(pool, routers)
+    if not own:
+        return (fairness.before(pool, work) + 1) / rate
+    fair = (own + 1) / _flow_rate(tables, pool, work, rate)
+    return before / rate + min(fair, OVERTAKEN * (same + 1) / rate)
 
 
 def _deadline(
@@ -104,6 +140,19 @@
     return _refuse(ErrorCode.RATE_LIMITED, message, later)
 
 
+def _longest_wait_s(pool: Pool, work: Work, now: float) -> float:
+    """Return the longest expected wait with which work is still accepted.
+
+    A queue that does not empty adds to the wait and to the time of recovery,
+    and serves nobody; so it is kept short, but for customers with nothing in it.
+    """
+    flow = pool.flows.get((work.profile.name, work.request_id.customer))
+    standing = now - pool.empty_at > STANDING_S
+    if standing and flow is not None and flow.queued:
+        return work.profile.wait_s * STANDING_SHARE
+    return work.profile.wait_s * WAIT_SHARE
+
+
 def _overloaded(
     tables: Tables, pool: Pool, work: Work, routers: int, now: float, rng: Random
 ) -> Failure | None:
@@ -114,7 +163,7 @@
         message = f"no target of service {work.profile.service!r} can run this now"
         return _refuse(ErrorCode.NO_TARGET, message, SHORTEST_RETRY_S)
     wait = wait_s(tables, pool, work, routers)
-    longest = work.profile.wait_s * WAIT_SHARE
+    longest = _longest_wait_s(pool, work, now)
     if wait > longest:
         message = f"wait: {wait:.1f} s is expected, the profile allows {longest:g}"
         return _refuse(ErrorCode.OVERLOADED, message, wait - longest)
@@ -133,6 +182,7 @@
         None if it is accepted.
     """
     customer = tables.config.customers.get(work.request_id.customer)
+    fairness.flow_of(pool, work).asked += 1
     refusal = _limited(tables, customer, now)
     if refusal is not None:
         return refusal
--- a/turmericflow/systems/_fairness.py
+++ b/turmericflow/systems/_fairness.py
@@ -3,10 +3,20 @@
 from __future__ import annotations
 
 import heapq
+import math
+from collections.abc import Callable
 
 from turmericflow.profile import Urgency
 from turmericflow.tables import Flow, LoadTable, Pool, Waiting, Work
 
+FLOW_GAIN = 0.1
+RANK_GAIN = 0.3
+IDLE_PER_S = 0.01
+WITHIN = 1.3
+SELDOM = 0.01
+UNSEEN_S = 0.2
+LARGEST_RATIO = 0.8
+LARGEST_HEADROOM = 0.1
 RESUME_RANK = 0
 RANKS = {Urgency.URGENT: 1, Urgency.NORMAL: 2, Urgency.THRIFTY: 3}
 
@@ -53,16 +63,21 @@
     return entry
 
 
+def before(pool: Pool, work: Work) -> int:
+    """Return how many waiting entries would go before some work."""
+    rank = rank_of(work)
+    start = max(pool.virtual.get(rank, 0.0), flow_of(pool, work).finish_tag)
+    place = (rank, start)
+    return sum(1 for each in pool.heap if each[:2] <= place and not each[3].gone)
+
+
 def leave(pool: Pool, entry: Waiting) -> None:
     """Take an entry out, whether it was served or given up."""
     if entry.gone:
         return
     entry.gone = True
     pool.depth[entry.rank] -= 1
-    flow = flow_of(pool, entry.work)
-    flow.queued -= 1
-    if not flow.queued and flow.finish_tag <= pool.virtual.get(entry.rank, 0.0):
-        del pool.flows[(entry.work.profile.name, entry.work.request_id.customer)]
+    flow_of(pool, entry.work).queued -= 1
 
 
 def head(pool: Pool) -> Waiting | None:
@@ -87,6 +102,8 @@
     """Take the next entry out to be run."""
     start = max(pool.virtual.get(entry.rank, 0.0), entry.start_tag)
     pool.virtual[entry.rank] = start
+    pool.served[entry.rank] = pool.served.get(entry.rank, 0) + 1
+    flow_of(pool, entry.work).served += 1
     leave(pool, entry)
 
 
@@ -95,13 +112,52 @@
     return sum(pool.depth.values())
 
 
-def trim(pool: Pool) -> None:
-    """Forget flows that have nothing queued and nothing owed."""
-    served = min(pool.virtual.values(), default=0.0)
-    idle = [
-        name
-        for name, flow in pool.flows.items()
-        if not flow.queued and flow.finish_tag <= served
-    ]
-    for name in idle:
-        del pool.flows[name]
+def judge(
+    pool: Pool, weight_of: Callable[[str], float], rate_per_s: float, routers: int
+) -> None:
+    """Judge who wants more than its share, and what to keep for the others.
+
+    Places come free at some rate, and customers within their share take them at
+    a lower one.  So many are kept for them that they seldom find none; none are
+    kept while all together want no more than there is.
+    """
+    flows = pool.flows
+    weights = sum(weight_of(name[1]) for name in flows) or 1.0
+    unit = WITHIN * rate_per_s / weights
+    over = {n for n, each in flows.items() if each.asked_per_s > unit * weight_of(n[1])}
+    inside = sum(each.asked_per_s for name, each in flows.items() if name not in over)
+    wanted = sum(each.asked_per_s for each in flows.values())
+    pool.over = over if wanted > rate_per_s else set()
+    pool.inside_per_s = inside if pool.over else 0.0
+    total = pool.inside_per_s + sum(pool.others_inside.values())
+    if not total:
+        pool.headroom = 0
+        return
+    ratio = min(LARGEST_RATIO, total / (rate_per_s * routers))
+    places = math.log(SELDOM) / math.log(ratio) + total * UNSEEN_S
+    pool.headroom = min(int(LARGEST_HEADROOM * pool.slots), math.ceil(places))
+
+
+def within_share(pool: Pool, entry: Waiting) -> bool:
+    """Return whether an entry's customer asks for no more than its share."""
+    name = (entry.work.profile.name, entry.work.request_id.customer)
+    return name not in pool.over
+
+
+def measure(pool: Pool, elapsed_s: float) -> None:
+    """Measure at which rates flows and ranks are served, over some seconds.
+
+    Flows that have nothing queued and were not served for a while are dropped.
+    """
+    for rank in pool.depth:
+        before = pool.rank_rates.get(rank, 0.0)
+        rate = pool.served.pop(rank, 0) / elapsed_s
+        pool.rank_rates[rank] = before + RANK_GAIN * (rate - before)
+    for name, flow in list(pool.flows.items()):
+        rate = flow.served / elapsed_s
+        flow.rate_per_s += FLOW_GAIN * (rate - flow.rate_per_s)
+        asked = flow.asked / elapsed_s
+        flow.asked_per_s += FLOW_GAIN * (asked - flow.asked_per_s)
+        flow.served = flow.asked = 0
+        if not flow.queued and flow.asked_per_s < IDLE_PER_S:
+            del pool.flows[name]
--- a/turmericflow/systems/_scheduling.py
+++ b/turmericflow/systems/_scheduling.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 
 from turmericflow.systems import (
@@ -19,9 +20,10 @@
 )
 from turmericflow.tables import Pool, Tables, Target, TargetKind, Waiting, Work
 
+YIELD_FACTOR = 1.1
 RATE_GAIN = 0.3
 RATE_S = 0.5
-HOLD_GAIN = 0.05
+HOLD_GAIN = 0.02
 
 
 @dataclass(slots=True, frozen=True)
@@ -73,6 +75,9 @@
     usable = [each for each in pool.targets if routing.available(tables, each, now)]
     engines = [each for each in usable if each.kind is TargetKind.ENGINE]
     pool.reserve = _reserve(pool, engines, pool.profile.objectives.resume_s)
+    pool.in_flight = sum(each.in_flight for each in pool.targets)
+    known = sum(each.known for each in pool.targets)
+    pool.others_in_flight = known - pool.in_flight
     pool.slots = pool.free = 0
     for each in usable:
         slots = max(0, estimates.slots_of(each) - pool.reserve)
@@ -83,10 +88,16 @@
 def refresh(tables: Tables, pool: Pool, now: float) -> None:
     """Bring a pool up to date; called each tick for each pool."""
     _count(tables, pool, now)
+    if not fairness.waiting(pool):
+        pool.empty_at = now
     admission.forget_admitted(pool, now)
-    fairness.trim(pool)
     elapsed = now - pool.measured_at
     if elapsed >= RATE_S:
+        fairness.measure(pool, elapsed)
+        routers = tables.load.routers
+        rate = admission.part_per_s(pool, routers)
+        weight_of = partial(admission.weight_of, tables)
+        fairness.judge(pool, weight_of, rate, routers)
         rate = pool.released / elapsed
         pool.rate_per_s += RATE_GAIN * (rate - pool.rate_per_s)
         pool.released, pool.measured_at = 0, now
@@ -122,6 +133,27 @@
     target.work_tokens += work.expected_tokens
     breakers.on_sent(target, now)
     pool.free -= 1
+    pool.in_flight += 1
+
+
+def _yields(pool: Pool) -> bool:
+    """Return whether other routers' waiting work comes before this one's.
+
+    Each router should have the same share of its work running.
+    """
+    others = sum(pool.others_waiting.values())
+    if not others:
+        return False
+    own = pool.in_flight + fairness.waiting(pool)
+    theirs = pool.others_in_flight + others
+    return pool.in_flight * theirs > YIELD_FACTOR * pool.others_in_flight * own
+
+
+def _held_back(pool: Pool, entry: Waiting) -> bool:
+    """Return whether an entry must leave places to other customers or routers."""
+    if entry.work.resume or fairness.within_share(pool, entry):
+        return False
+    return pool.free <= pool.headroom or _yields(pool)
 
 
 def pump(
@@ -141,6 +173,9 @@
             fairness.leave(pool, entry)
             outcomes.append(GivenUp(entry))
             continue
+        if _held_back(pool, entry):
+            passed.append(fairness.set_aside(pool))
+            continue
         target = routing.choose(tables, pool, policy, entry.work, now, rng)
         if target is not None:
             fairness.serve(pool, entry)
@@ -177,6 +212,7 @@
     target.classes[estimates.class_of(work.expected_tokens)] -= 1
     target.work_tokens = max(0.0, target.work_tokens - work.expected_tokens)
     pool.free += 1
+    pool.in_flight -= 1
     pool.released += 1
     if lost:
         breakers.on_lost(target, now)
--- a/turmericflow/systems/_sharing.py
+++ b/turmericflow/systems/_sharing.py
@@ -7,7 +7,11 @@
 
 from __future__ import annotations
 
-from turmericflow.systems import _estimates as estimates, _overlay as overlay
+from turmericflow.systems import (
+    _estimates as estimates,
+    _fairness as fairness,
+    _overlay as overlay,
+)
 from turmericflow.tables import PeerState, Tables
 
 SHARE_S = 0.1
@@ -40,6 +44,26 @@
     return found
 
 
+def waiting(tables: Tables) -> dict[str, tuple[int, float]]:
+    """Return by pool how much work waits here, and what is asked within shares."""
+    found = {}
+    for name, pool in tables.load.pools.items():
+        number, inside = fairness.waiting(pool), round(pool.inside_per_s, 1)
+        if number or inside:
+            found[name] = (number, inside)
+    return found
+
+
+def learn_waiting(
+    tables: Tables, host: str, told: dict[str, tuple[int, float]]
+) -> None:
+    """Take in how much work waits at another router."""
+    for name, pool in tables.load.pools.items():
+        number, inside = told.get(name, (0, 0.0))
+        pool.others_waiting[host] = number
+        pool.others_inside[host] = inside
+
+
 def learn(
     tables: Tables, host: str, counts: dict[str, int], full: bool, now: float
 ) -> None:
@@ -68,5 +92,8 @@
     heard = tables.load.heard_at
     for host in [each for each in heard if now - heard[each] > HEARD_S]:
         del heard[host]
+        for pool in tables.load.pools.values():
+            pool.others_waiting.pop(host, None)
+            pool.others_inside.pop(host, None)
         for target in tables.targets.rows.values():
             estimates.rebase(target, -target.others.pop(host, 0))
--- a/turmericflow/tables/_load.py
+++ b/turmericflow/tables/_load.py
@@ -85,10 +85,20 @@
         Tag at which its last work ends in the fair order.
     queued
         Work that it has in the queue.
+    served
+        Work served since the last measurement of the rate.
+    rate_per_s
+        Rate at which its work is served.
+    asked, asked_per_s
+        The same of what it asks for, refused requests included.
     """
 
     finish_tag: float = 0.0
     queued: int = 0
+    served: int = 0
+    rate_per_s: float = 0.0
+    asked: int = 0
+    asked_per_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -117,8 +127,23 @@
         Number of waiting entries by rank.
     flows
         Customers within profiles, by ``(profile, customer)``.
+    in_flight, others_in_flight
+        Requests of this host and of others on the targets.
+    others_waiting
+        Waiting work that other hosts have told of, by host.
+    over
+        Customers within profiles that want more than their share.
+    inside_per_s, others_inside
+        What all other customers ask for here, and at other hosts.
+    headroom
+        Places kept for customers within their share, while others are over it.
+    empty_at
+        When the queue was last seen empty, in seconds of the host's clock.
     virtual
         Virtual time of the fair order, by rank.
+    served, rank_rates
+        Work served since the last measurement of the rate, and the rate, by
+        rank.
     admitted
         Requests accepted whose first attempt is not yet in the queue, with
         the time of acceptance and their rank.
@@ -136,7 +161,17 @@
     heap: list[tuple[int, float, int, Waiting]] = field(default_factory=list)
     depth: dict[int, int] = field(default_factory=dict)
     flows: dict[tuple[str, str], Flow] = field(default_factory=dict)
+    in_flight: int = 0
+    others_in_flight: int = 0
+    others_waiting: dict[str, int] = field(default_factory=dict)
+    over: set[tuple[str, str]] = field(default_factory=set)
+    inside_per_s: float = 0.0
+    others_inside: dict[str, float] = field(default_factory=dict)
+    headroom: int = 0
+    empty_at: float = float("-inf")
     virtual: dict[int, float] = field(default_factory=dict)
+    served: dict[int, int] = field(default_factory=dict)
+    rank_rates: dict[int, float] = field(default_factory=dict)
     admitted: dict[RequestId, tuple[float, int]] = field(default_factory=dict)
 
 
--- a/turmericflow/wire/_messages.py
+++ b/turmericflow/wire/_messages.py
@@ -378,13 +378,15 @@
 class InFlight(Message, tag="in_flight"):
     """Tell how many requests a router has running on targets.
 
-    ``full`` says that it has none on the targets that are not named; otherwise
-    nothing has changed there.
+    ``waiting`` tells how many it has in the queue of each pool, and what
+    customers within their share ask for per second.  ``full`` says that it has
+    none on targets that are not named; otherwise nothing has changed there.
     """
 
     host: str
     full: bool
     counts: dict[str, int]
+    waiting: dict[str, tuple[int, float]]
 
 
 class Demands(Message, tag="demands"):
