--- a/turmericflow/cfg.py
+++ b/turmericflow/cfg.py
@@ -16,6 +16,7 @@
 )
 from pydantic.dataclasses import dataclass
 
+from turmericflow._certificates import load_contexts
 from turmericflow._problems import Problem, find_problems
 from turmericflow._yaml import Document, YamlError, parse
 from turmericflow.profile import Flag, Int, KeyHash, Name, Number
@@ -165,8 +166,12 @@
     operator_key_hashes
         SHA-256 hex digests of the keys that open the status details; empty
         means that no key is asked for.
+    burn_save_s
+        Time between saves of the service-level counts, in seconds.
     policy
         Policy that chooses among the targets that may run some work.
+    orders_lease_s
+        Term of the lease under which a data centre's orders are given.
     addresses_keep_s
         How long callers may keep the addresses that they are told, in seconds;
         a daemon that is to stop serves new requests for as long.
@@ -187,8 +192,10 @@
     tls: TlsSettings | None = None
     insecure_bind: Flag = False
     operator_key_hashes: list[KeyHash] = Field(default_factory=list)
+    burn_save_s: Annotated[Number, Field(ge=0.1, le=3600)] = 60.0
     policy: Annotated[str, Field(pattern="^(random|sq|lew|mc|fpi|ours)$")] = "ours"
-    addresses_keep_s: Annotated[float, Field(ge=0.1, le=300)] = 5.0
+    orders_lease_s: Annotated[Number, Field(ge=0.5, le=600)] = 30.0
+    addresses_keep_s: Annotated[Number, Field(ge=0.1, le=300)] = 5.0
 
     @classmethod
     def from_file(cls, path: Path) -> Settings:
@@ -215,7 +222,8 @@
         except ValidationError as exc:
             problem = find_problems(_ADAPTER, exc)[0]
             raise _error(path, document, problem) from None
-        for problem in (_find_equal(settings), _find_open(settings)):
+        checks = (_find_equal, _find_open, _find_unusable)
+        for problem in (check(settings) for check in checks):
             if problem is not None:
                 raise _error(path, document, problem)
         return settings
@@ -276,3 +284,14 @@
             expected = "a loopback address, or tls, or insecure_bind: true"
             return Problem((field,), f"{address} without tls", expected)
     return None
+
+
+def _find_unusable(settings: Settings) -> Problem | None:
+    if settings.tls is None:
+        return None
+    try:
+        load_contexts(settings.tls)
+    except OSError as exc:
+        got = f"{settings.tls.cert!r}, {settings.tls.key!r}, {settings.tls.ca!r}"
+        return Problem(("tls",), got, f"usable PEM files: {exc}")
+    return None
--- a/turmericflow/services/main.py
+++ b/turmericflow/services/main.py
@@ -14,6 +14,8 @@
 from turmericflow.services._daemon import Daemon
 from turmericflow.services._log import set_up_log
 
+EXIT_OK = 0
+EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 EXIT_CRASHED = 3
 CRASH_CHECK_S = 0.5
@@ -35,7 +37,12 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    await daemon.start()
+    try:
+        await daemon.start()
+    except OSError as exc:
+        await daemon.stop()
+        print(f"turmericflowd: {exc.strerror or exc}", file=sys.stderr)
+        return EXIT_FAILED
     log.info("started", host=settings.host, entry=str(settings.entry))
     await _wait(daemon, stop)
     if daemon.crashed:
@@ -44,7 +51,7 @@
     await daemon.finish()
     await daemon.stop()
     log.info("stopped", host=settings.host)
-    return 0
+    return EXIT_OK
 
 
 def main(argv: list[str] | None = None) -> int:
