--- a/turmericflow/services/_dispatch.py
+++ b/turmericflow/services/_dispatch.py
@@ -102,7 +102,9 @@
         return refusal
 
     async def place(
-        self, row: RequestRow, exclude: frozenset[str] = frozenset()
+        self,
+        row: RequestRow,
+        exclude: frozenset[str] = frozenset(),
     ) -> Target:
         """Wait for a place on a target and take it.
 
