Let an accepted request go on when its customer is over its rate

Cause: the demo lost an answer: a caller whose router was killed came back at a router where its customer was over its rate; the refusal found the request running, could not follow the dead runner, and was told as MAY_HAVE_RUN. Change: a refusal that finds the request accepted claims it, and this host runs it; a rate's Retry-After ends with the allotment's lapse.

--- a/turmericflow/services/_claimant.py
+++ b/turmericflow/services/_claimant.py
@@ -343,7 +343,8 @@
         -------
         RequestRow
             The row to listen to, if the request turns out to run or to have
-            ended already.
+            ended already.  What was accepted once is not refused again: if
+            its runner is lost, this host claims it.
 
         Raises
         ------
@@ -365,9 +366,7 @@
             case wire.Recorded():
                 return _recorded(answer, new)
             case wire.Attached():
-                row, following = await self._attach(new, answer)
-                if following is _Following.YES:
-                    return row
+                return await self.claim(new)
         self._stats.count("claimant.seal_unconfirmed")
         raise RequestFailed(_doubtful(failure))
 
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -117,8 +117,9 @@
         refusal = refusal or await self._held(new, content)
         refusal = refusal or self._dispatch.admit(new)
         if refusal is not None:
-            return await self._claimant.seal(new, refusal)
-        row = await self._claimant.claim(new)
+            row = await self._claimant.seal(new, refusal)
+        else:
+            row = await self._claimant.claim(new)
         self._take_up(row, content)
         return row
 
--- a/turmericflow/systems/_limits.py
+++ b/turmericflow/systems/_limits.py
@@ -79,7 +79,10 @@
     if bucket.tokens >= 1.0:
         bucket.tokens -= 1.0
         return 0.0
-    return (1.0 - bucket.tokens) / max(1e-6, bucket.rate_per_s)
+    missing = 1.0 - bucket.tokens
+    lapses_in_s = max(0.0, bucket.until - now)
+    after_lapse_s = lapses_in_s + missing * known / customer.rate_per_s
+    return min(missing / max(1e-6, bucket.rate_per_s), after_lapse_s)
 
 
 def give_back(load: LoadTable, customer: str) -> None:
--- a/turmericflow/testing/_routers.py
+++ b/turmericflow/testing/_routers.py
@@ -19,6 +19,7 @@
 )
 
 CUSTOMER = "norte"
+LIMITED = "sur"
 CENTRES = ("mvd-cordon", "mvd-aguada", "mvd-carrasco")
 WAIT_S = 20.0
 _KEYS = itertools.count()
@@ -43,6 +44,11 @@
                 "wait_s": 0.5,
             },
             f"customer/{CUSTOMER}": {"name": CUSTOMER},
+            f"customer/{LIMITED}": {
+                "name": LIMITED,
+                "rate_per_s": 0.01,
+                "burst": routers,
+            },
         },
         peer_delay_s=peer_delay_s,
     )
@@ -116,12 +122,12 @@
         self._session = session
 
     def start(
-        self, hosts: list[str], key: str, tokens: int = 60, profile: str = "quotation"
+        self, hosts: list[str], key: str, tokens: int = 60, customer: str = CUSTOMER
     ) -> asyncio.Task[Answer]:
         """Start a generation at the first host, the others as alternatives."""
         addresses = [self.cluster.entries[host] for host in hosts]
-        caller = Caller(self._session, addresses, CUSTOMER)
-        work = caller.generate(profile, f"site notes {key}", key, tokens)
+        caller = Caller(self._session, addresses, customer)
+        work = caller.generate("quotation", f"site notes {key}", key, tokens)
         return asyncio.ensure_future(work)
 
     async def post(
--- a/turmericflow/tests/test_owner_loss.py
+++ b/turmericflow/tests/test_owner_loss.py
@@ -71,6 +71,19 @@
         assert answer.reconnects >= 1
 
 
+def test_accepted_request_goes_on_over_its_customers_rate(cluster):
+    async def work(bench):
+        limited = routers.LIMITED
+        first = bench.start(["entry-4", "entry-1"], "accepted", TOKENS, limited)
+        await bench.start(["entry-1"], "uses-the-rate", 1, limited)
+        refused = await bench.start(["entry-1"], "over-the-rate", 1, limited)
+        assert refused.failure.code is ErrorCode.RATE_LIMITED
+        cluster.kill("entry-4")
+        return await first
+
+    check_whole(run(cluster, work))
+
+
 def test_runner_and_owner_killed(cluster):
     async def work(bench):
         keys = [routers.find_key(cluster, "entry-2") for _ in range(4)]
