--- a/turmericflow/systems/_fairness.py
+++ b/turmericflow/systems/_fairness.py
@@ -154,10 +154,10 @@
         rate = pool.served.pop(rank, 0) / elapsed_s
         pool.rank_rates[rank] = before + RANK_GAIN * (rate - before)
     for name, flow in list(pool.flows.items()):
-        rate = flow.served / elapsed_s
-        flow.rate_per_s += FLOW_GAIN * (rate - flow.rate_per_s)
-        asked = flow.asked / elapsed_s
-        flow.asked_per_s += FLOW_GAIN * (asked - flow.asked_per_s)
+        flow.measured += 1
+        gain = max(FLOW_GAIN, 1.0 / flow.measured)
+        flow.rate_per_s += gain * (flow.served / elapsed_s - flow.rate_per_s)
+        flow.asked_per_s += gain * (flow.asked / elapsed_s - flow.asked_per_s)
         flow.served = flow.asked = 0
         if not flow.queued and flow.asked_per_s < IDLE_PER_S:
             del pool.flows[name]
--- a/turmericflow/systems/_routing.py
+++ b/turmericflow/systems/_routing.py
@@ -65,7 +65,7 @@
 
 
 def _room(target: Target, pool: Pool, work: Work, now: float) -> bool:
-    kept = 0 if work.resume else pool.reserve
+    kept = 0 if work.resume else pool.reserve + work.spare
     return estimates.occupied(target, now) < estimates.slots_of(target) - kept
 
 
--- a/turmericflow/systems/_scheduling.py
+++ b/turmericflow/systems/_scheduling.py
@@ -149,11 +149,13 @@
     return pool.in_flight * theirs > YIELD_FACTOR * pool.others_in_flight * own
 
 
-def _held_back(pool: Pool, entry: Waiting) -> bool:
-    """Return whether an entry must leave places to other customers or routers."""
+def _set_spare(pool: Pool, entry: Waiting) -> bool:
+    """Set what an entry must leave to other customers; return if it leaves any."""
     if entry.work.resume or fairness.within_share(pool, entry):
+        entry.work.spare = 0
         return False
-    return pool.free <= pool.headroom or _yields(pool)
+    entry.work.spare = -(-pool.headroom // max(1, len(pool.targets)))
+    return True
 
 
 def pump(
@@ -173,15 +175,15 @@
             fairness.leave(pool, entry)
             outcomes.append(GivenUp(entry))
             continue
-        if _held_back(pool, entry):
-            passed.append(fairness.set_aside(pool))
-            continue
-        target = routing.choose(tables, pool, policy, entry.work, now, rng)
+        over = _set_spare(pool, entry)
+        target = None
+        if not over or not _yields(pool):
+            target = routing.choose(tables, pool, policy, entry.work, now, rng)
         if target is not None:
             fairness.serve(pool, entry)
             _sent(tables, pool, target, entry.work, now)
             outcomes.append(Placed(entry, target))
-        elif entry.work.exclude:
+        elif over or entry.work.exclude:
             passed.append(fairness.set_aside(pool))
         else:
             break
--- a/turmericflow/tables/_load.py
+++ b/turmericflow/tables/_load.py
@@ -31,6 +31,8 @@
         Whether the attempt goes on with output that was taken before.
     exclude
         Targets that must not run it.
+    spare
+        Places that it must leave free on a target.
     """
 
     request_id: RequestId
@@ -42,6 +44,7 @@
     expected_tokens: float = 0.0
     resume: bool = False
     exclude: frozenset[str] = frozenset()
+    spare: int = 0
 
     @property
     def pool(self) -> str:
@@ -91,6 +94,8 @@
         Rate at which its work is served.
     asked, asked_per_s
         The same of what it asks for, refused requests included.
+    measured
+        How often the rates were measured.
     """
 
     finish_tag: float = 0.0
@@ -99,6 +104,7 @@
     rate_per_s: float = 0.0
     asked: int = 0
     asked_per_s: float = 0.0
+    measured: int = 0
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/turmericflow/tests/test_admission.py
@@ -0,0 +1,140 @@
+"""Tests of admission, and of what is known of prefix caches."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from benchmarks._virtual import Cluster, Fleet
+from turmericflow.cfg import Address
+from turmericflow.load import Workload, WorkloadError, arrivals
+from turmericflow.profile import Mark
+from turmericflow.systems import admission, policies, prefixes, scheduling, sharing
+from turmericflow.tables import Peer, PeerState
+from turmericflow.testing import load_profile, load_tables, load_work
+from turmericflow.testing._batch import EngineSpeed
+from turmericflow.verdict import ErrorCode, Verdict
+
+WORKLOAD = {
+    "name": "small",
+    "profiles": [{"name": "quotation", "service": "redactor", "wait_s": 3.0}],
+    "customers": [{"name": "norte"}, {"name": "sur"}],
+    "streams": [
+        {"profile": "quotation", "customer": "norte", "share": 3, "shared_words": 32},
+        {"profile": "quotation", "customer": "sur", "share": 1, "shared_words": 32},
+    ],
+    "phases": [{"length_s": 6, "load": 2.0}],
+}
+FLEET = Fleet(2, 2, EngineSpeed(20.0, 0.01, 4, 20_000.0, 256))
+
+
+def admit(tables, work, now=1.0):
+    pool = scheduling.pool_of(tables, work, now)
+    return admission.admit(tables, pool, work, 1, now, Random(1))
+
+
+def fill(tables, number):
+    for count in range(number):
+        work = load_work(f"fill-{count}")
+        pool = scheduling.pool_of(tables, work, 1.0)
+        scheduling.enqueue(tables, pool, work, 1e9)
+        scheduling.pump(tables, pool, policies.Ours(), 1.0, Random(1))
+    scheduling.refresh(tables, pool, 1.0)
+    pool.hold_s = 2.0
+    return pool
+
+
+def test_work_that_would_wait_too_long_is_refused_with_the_time_to_come_back():
+    tables = load_tables(1, 2)
+    fill(tables, 2)
+    assert admit(tables, load_work("a", profile=load_profile(wait_s=30.0))) is None
+    fill(tables, 30)
+    refusal = admit(tables, load_work("b"))
+    assert (refusal.code, refusal.verdict) == (ErrorCode.OVERLOADED, Verdict.NOT_RUN)
+    assert refusal.retry_after_s >= 1.0
+
+
+def test_work_that_cannot_end_by_its_deadline_is_refused():
+    tables = load_tables(1, 2)
+    profile = load_profile(deadline_s=1.0)
+    refusal = admit(tables, load_work(profile=profile, max_tokens=100))
+    assert refusal.code is ErrorCode.DEADLINE
+    assert admit(tables, load_work(profile=profile, max_tokens=20)) is None
+
+
+def test_accepted_work_counts_before_it_stands_in_the_queue():
+    tables = load_tables(1, 2)
+    fill(tables, 2)
+    answers = [admit(tables, load_work(f"a{number}")) for number in range(20)]
+    assert answers[0] is None and answers[-1] is not None
+
+
+def test_no_target_and_old_view_are_refused_at_once():
+    tables = load_tables(1)
+    tables.config.marks["redactor-0"] = Mark("redactor-0")
+    assert admit(tables, load_work()).code is ErrorCode.NO_TARGET
+    tables = load_tables(1)
+    tables.config.confirmed_at = float("-inf")
+    for host in ("entry-2", "entry-3"):
+        address = Address("127.0.0.1", 1)
+        state = PeerState.DEAD
+        tables.peers.rows[host] = Peer(host, "north", address, address, state)
+    assert admit(tables, load_work()).code is ErrorCode.STALE_VIEW
+
+
+def test_gap_in_cache_events_is_asked_for_again_then_passed_over():
+    tables = load_tables(1)
+    target, load = tables.targets.rows["redactor-0"], tables.load
+    prefixes.learn(load, target, 2, [(1, "add", "a"), (2, "add", "b")], 1.0)
+    assert target.cache_seq == 2
+    prefixes.learn(load, target, 4, [(4, "add", "d")], 2.0)
+    assert target.cache_seq == 2
+    prefixes.learn(load, target, 4, [(3, "drop", "a"), (4, "add", "d")], 3.0)
+    assert target.cache_seq == 4 and "a" not in load.warm
+    for _ in range(prefixes.MAX_GAP_REPAIRS + 1):
+        prefixes.learn(load, target, 6, [(6, "add", "f")], 4.0)
+    assert target.cache_seq == 6 and set(load.warm) == {"f"}
+
+
+def test_old_knowledge_of_a_cache_counts_for_less():
+    load = load_tables(1).load
+    blocks = prefixes.block_names(["w"] * 32)
+    prefixes.expect(load, "redactor-0", blocks, 0.0)
+    fresh = prefixes.cached_tokens(load, "redactor-0", blocks, 0.0)
+    half = prefixes.cached_tokens(load, "redactor-0", blocks, prefixes.TRUST_S / 2)
+    gone = prefixes.cached_tokens(load, "redactor-0", blocks, prefixes.TRUST_S)
+    assert (fresh, half, gone) == (32.0, 16.0, 0.0)
+
+
+def test_counts_of_a_router_that_falls_silent_are_forgotten():
+    tables = load_tables(1)
+    target = tables.targets.rows["redactor-0"]
+    sharing.learn(tables, "entry-2", {"redactor-0": 3}, True, 1.0)
+    sharing.learn(tables, "entry-2", {"redactor-0": 5}, False, 1.1)
+    assert target.known == 5
+    sharing.expire(tables, 1.2 + sharing.HEARD_S)
+    assert target.known == 0 and not target.others
+
+
+def test_arrivals_and_decisions_repeat_with_the_seed(tmp_path):
+    path = tmp_path / "small.yaml"
+    path.write_text(repr(WORKLOAD))
+    workload = Workload.from_file(path)
+    assert arrivals(workload, 9.0, 1) == arrivals(workload, 9.0, 1)
+    assert arrivals(workload, 9.0, 1) != arrivals(workload, 9.0, 2)
+    runs = [Cluster(workload, policies.Ours(), FLEET, 1).drive() for _ in range(2)]
+    assert runs[0].decisions == runs[1].decisions
+    for run in runs:
+        ended = [each.good or each.failure is not None for each in run.outcomes]
+        assert all(ended)
+        assert all(
+            each.failure.verdict == "NOT_RUN" for each in run.outcomes if not each.good
+        )
+
+
+def test_wrong_workload_is_named(tmp_path):
+    path = tmp_path / "wrong.yaml"
+    path.write_text(repr({**WORKLOAD, "burst": 4}))
+    with pytest.raises(WorkloadError, match="burst: got 4"):
+        Workload.from_file(path)
--- /dev/null
+++ b/turmericflow/tests/test_limits.py
@@ -0,0 +1,110 @@
+"""Tests of customers' rates that routers share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+
+from turmericflow.profile import Customer
+from turmericflow.systems import limits
+from turmericflow.tables import LoadTable
+
+NORTE = Customer("norte", 1.0, 100.0, 10.0)
+STEP_S = 0.01
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Routers' tables, and which of them reach each other."""
+
+    sides: list[list[str]]
+    loads: dict[str, LoadTable] = field(default_factory=dict)
+    known: int = 6
+    rng: Random = field(default_factory=lambda: Random(5))
+
+    def load(self, host):
+        return self.loads.setdefault(host, LoadTable())
+
+    def ask(self, now):
+        for side in self.sides:
+            keeper = limits.keeper_of("norte", side)
+            for host in side:
+                rate = limits.demands(self.load(host), limits.ASK_S).get("norte")
+                if rate is not None:
+                    part = limits.allot(
+                        self.load(keeper), NORTE, host, rate, len(side), self.known, now
+                    )
+                    bucket = self.load(host).buckets["norte"]
+                    limits.on_allotment(bucket, part, now)
+
+    def run(self, start, seconds, hosts, offered_per_s):
+        """Offer requests to some hosts; return how many were let through."""
+        passed = 0
+        for step in range(int(seconds / STEP_S)):
+            now = start + step * STEP_S
+            if step % int(limits.ASK_S / STEP_S) == 0:
+                self.ask(now)
+            for host in hosts:
+                if self.rng.random() < offered_per_s * STEP_S / len(hosts):
+                    passed += not limits.take(self.load(host), NORTE, self.known, now)
+        return passed
+
+
+HOSTS = [f"entry-{number}" for number in range(6)]
+
+
+def bound(seconds, changes=0):
+    """The stated error: one burst, and one allotment's life for each change."""
+    life = limits.ALLOTMENT_S + limits.ASK_S
+    return NORTE.rate_per_s * (seconds + life * changes) + NORTE.burst + len(HOSTS)
+
+
+def test_limit_holds_and_is_used_whole_wherever_the_demand_is():
+    fleet = Fleet([HOSTS])
+    fleet.run(0.0, 5.0, HOSTS, 300.0)
+    passed = fleet.run(5.0, 10.0, HOSTS, 300.0)
+    assert 0.9 * NORTE.rate_per_s * 10 <= passed <= bound(10.0)
+
+
+def test_demand_at_one_router_gets_most_of_the_limit():
+    fleet = Fleet([HOSTS])
+    fleet.run(0.0, 5.0, HOSTS[:1], 300.0)
+    assert fleet.run(5.0, 10.0, HOSTS[:1], 300.0) >= 0.8 * NORTE.rate_per_s * 10
+
+
+@pytest.mark.parametrize("cut", [1, 3])
+def test_sides_of_a_partition_keep_to_the_limit_together(cut):
+    fleet = Fleet([HOSTS])
+    fleet.run(0.0, 5.0, HOSTS, 300.0)
+    fleet.sides = [HOSTS[:cut], HOSTS[cut:]]
+    assert fleet.run(5.0, 20.0, HOSTS, 600.0) <= bound(20.0, 1)
+    fleet.sides = [HOSTS]
+    assert fleet.run(25.0, 10.0, HOSTS, 600.0) <= bound(10.0, 1)
+
+
+def test_keeper_that_dies_and_returns_costs_one_allotments_life_each():
+    fleet = Fleet([HOSTS])
+    fleet.run(0.0, 5.0, HOSTS, 600.0)
+    keeper = limits.keeper_of("norte", HOSTS)
+    rest = [host for host in HOSTS if host != keeper]
+    fleet.sides = [rest]
+    assert fleet.run(5.0, 10.0, rest, 600.0) <= bound(10.0, 1)
+    fleet.sides, fleet.loads[keeper] = [HOSTS], LoadTable()
+    assert fleet.run(15.0, 10.0, HOSTS, 600.0) <= bound(10.0, 1)
+
+
+def test_router_without_its_keeper_goes_on_with_an_equal_part():
+    load = LoadTable()
+    steps = range(2000)
+    passed = sum(not limits.take(load, NORTE, 5, step * STEP_S) for step in steps)
+    equal = NORTE.rate_per_s / 5 * 20
+    assert 0.95 * equal <= passed <= equal + NORTE.burst
+
+
+def test_refusal_says_when_the_next_request_may_come():
+    load = LoadTable()
+    while not (wait := limits.take(load, NORTE, 1, 0.0)):
+        pass
+    assert limits.take(load, NORTE, 1, wait + 1e-6) == 0.0
