--- /dev/null
+++ b/turmericflow/services/_suspects.py
@@ -0,0 +1,99 @@
+"""Suspicion of contents, shared by all routers."""
+
+from __future__ import annotations
+
+import itertools
+import time
+
+import msgspec
+import structlog
+
+from turmericflow import wire
+from turmericflow.services._gossip import Gossip
+from turmericflow.services._stats import Stats
+from turmericflow.systems import crashers
+from turmericflow.tables import Loss, Suspect, Tables
+
+LOSS = "loss"
+CLEARED = "cleared"
+CONVICTED = "convicted"
+
+log = structlog.get_logger()
+
+
+class _LossFact(msgspec.Struct, array_like=True):
+    target: str
+    at: float
+    contents: list[str]
+
+
+class Suspects:
+    """Connects the decisions on crashers with what other routers know."""
+
+    __slots__ = ("_gossip", "_numbers", "_reported", "_stats", "_tables")
+
+    def __init__(self, tables: Tables, gossip: Gossip, stats: Stats) -> None:
+        self._tables = tables
+        self._gossip = gossip
+        self._stats = stats
+        self._numbers = itertools.count()
+        self._reported: dict[str, float] = {}
+        gossip.subscribe(LOSS, self._on_loss)
+        gossip.subscribe(CLEARED, self._on_cleared)
+        gossip.subscribe(CONVICTED, self._on_convicted)
+
+    async def lost(self, target: str, contents: list[str]) -> None:
+        """Take in that a target was lost while some contents ran there."""
+        now = time.time()
+        if now - self._reported.get(target, 0.0) < crashers.SAME_LOSS_S:
+            return
+        self._reported[target] = now
+        self._stats.count("suspects.losses")
+        value = msgspec.msgpack.encode(_LossFact(target, now, contents))
+        name = f"{self._tables.host}/{target}/{next(self._numbers)}-{now}"
+        await self._gossip.publish(LOSS, name, 1, value, crashers.SUSPECT_S)
+
+    async def answered(self, content: str) -> None:
+        """Take in that the whole answer of a content has come."""
+        now = time.time()
+        if crashers.count(self._tables.suspects, content, now):
+            version = round(now * 1000)
+            value = msgspec.msgpack.encode(now)
+            await self._gossip.publish(
+                CLEARED, content, version, value, crashers.SUSPECT_S
+            )
+
+    def sweep(self) -> None:
+        """Forget what no longer counts."""
+        now = time.time()
+        crashers.expire(self._tables.suspects, now)
+        for target, at in list(self._reported.items()):
+            if now - at > crashers.SUSPECT_S:
+                del self._reported[target]
+
+    def _on_loss(self, rumour: wire.Rumour) -> None:
+        fact = msgspec.msgpack.decode(rumour.value, type=_LossFact)
+        table, now = self._tables.suspects, time.time()
+        crashers.note_loss(table, Loss(fact.target, fact.at), fact.contents, now)
+        for content in fact.contents:
+            if crashers.is_convicted(table, content, now):
+                self._convicted(content, now)
+
+    def _convicted(self, content: str, now: float) -> None:
+        """Tell routers that were not there, or start later."""
+        self._stats.count("suspects.convicted")
+        log.warning("content_convicted", content=content)
+        value = msgspec.msgpack.encode(now)
+        rumour = wire.Rumour(
+            CONVICTED, content, round(now), value, crashers.CONVICTED_S
+        )
+        self._gossip.spread(rumour)
+
+    def _on_cleared(self, rumour: wire.Rumour) -> None:
+        at = msgspec.msgpack.decode(rumour.value, type=float)
+        crashers.clear(self._tables.suspects, rumour.name, at)
+
+    def _on_convicted(self, rumour: wire.Rumour) -> None:
+        at = msgspec.msgpack.decode(rumour.value, type=float)
+        row = self._tables.suspects.rows.setdefault(rumour.name, Suspect())
+        row.convicted_at = at if row.convicted_at is None else row.convicted_at
--- a/turmericflow/tables/_all.py
+++ b/turmericflow/tables/_all.py
@@ -6,11 +6,13 @@
 
 from turmericflow.tables._claims import ClaimTable
 from turmericflow.tables._config import ConfigTable
+from turmericflow.tables._crashers import SuspectTable
 from turmericflow.tables._load import LoadTable
 from turmericflow.tables._orders import OrderTable
 from turmericflow.tables._peers import PeerTable
 from turmericflow.tables._requests import RequestTable
 from turmericflow.tables._slots import SlotTable
+from turmericflow.tables._streams import StreamTable
 from turmericflow.tables._targets import TargetTable
 
 
@@ -33,6 +35,8 @@
     claims: ClaimTable = field(default_factory=ClaimTable)
     slots: SlotTable = field(default_factory=SlotTable)
     targets: TargetTable = field(default_factory=TargetTable)
+    streams: StreamTable = field(default_factory=StreamTable)
+    suspects: SuspectTable = field(default_factory=SuspectTable)
     peers: PeerTable = field(default_factory=PeerTable)
     config: ConfigTable = field(default_factory=ConfigTable)
     stopping: bool = False
--- a/turmericflow/tables/_requests.py
+++ b/turmericflow/tables/_requests.py
@@ -60,6 +60,9 @@
         Why the request failed.
     listeners
         Those who receive the committed tokens.
+    ended_at
+        Time at which the request was seen to have ended, in seconds of the
+        host's clock.
     try_no, fingerprint
         Number of the caller's try and digest of its body.
     keyed
@@ -101,6 +104,7 @@
     ended: bool = False
     failure: Failure | None = None
     listeners: list[Listener] = field(default_factory=list)
+    ended_at: float | None = None
     try_no: int = 1
     fingerprint: str = ""
     keyed: bool = True
--- a/turmericflow/wire/_messages.py
+++ b/turmericflow/wire/_messages.py
@@ -423,6 +423,21 @@
     rid: int
 
 
+class Cancel(Message, tag="cancel"):
+    """Ask a runner to end a request that its caller no longer wants."""
+
+    rid: int
+    customer: str
+    key: str
+
+
+class Cancelled(Message, tag="cancelled"):
+    """Answers `Cancel`; ``found`` says whether the request still ran."""
+
+    rid: int
+    found: bool
+
+
 AnyMessage = (
     Hello
     | Claim
@@ -457,4 +472,6 @@
     | Allotments
     | BurnCounts
     | BurnTaken
+    | Cancel
+    | Cancelled
 )
