Learn further addresses from the router that is asked

With one address given, a caller whose router died had nowhere to go on.

The client asks for the addresses when it is told to learn, keeps them for as long as the router says, and puts those that are no longer named last. The tool does so always; the library on request, since tests reach routers through proxies.

--- a/turmericflow/cli/_access.py
+++ b/turmericflow/cli/_access.py
@@ -106,7 +106,9 @@
 @contextlib.asynccontextmanager
 async def open_caller(args: argparse.Namespace) -> AsyncIterator[Caller]:
     """Yield a caller, as the options say."""
-    access = Access(customer_of(args), key_of(args), tls_of(args), max_tries=args.tries)
+    access = Access(
+        customer_of(args), key_of(args), tls_of(args), max_tries=args.tries, learns=True
+    )
     async with aiohttp.ClientSession() as session:
         yield Caller(session, addresses_of(args), access)
 
--- a/turmericflow/client/_caller.py
+++ b/turmericflow/client/_caller.py
@@ -57,6 +57,8 @@
         Deliberate tries of a request that is refused for a while.
     idle_s
         Silence after which another address is taken, in seconds.
+    learns
+        Whether further addresses are learned from the routers.
     """
 
     customer: str
@@ -64,6 +66,7 @@
     tls: ssl.SSLContext | None = None
     max_tries: int = 1
     idle_s: float = IDLE_S
+    learns: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -99,6 +102,7 @@
         self._session = session
         self._addresses = list(addresses)
         self._access = Access(access) if isinstance(access, str) else access
+        self._known_until = float("-inf")
 
     async def addresses(self) -> dict:
         """Return the addresses to use and how long to keep them.
@@ -117,6 +121,24 @@
                 self._next_address()
         raise BadReply(f"none of {', '.join(self._addresses)} answered")
 
+    async def learn(self) -> None:
+        """Learn the addresses to use, if what is known is no longer to be kept.
+
+        Addresses that are no longer named are kept for the worst case.
+        """
+        if not self._access.learns or time.monotonic() < self._known_until:
+            return
+        try:
+            found = await self.addresses()
+            named, keep_s = list(found["addresses"]), float(found["keep_s"])
+        except (BadReply, KeyError, TypeError, ValueError):
+            return
+        self._known_until = time.monotonic() + keep_s
+        first = [each for each in self._addresses if each in named]
+        last = [each for each in self._addresses if each not in named]
+        others = [each for each in named if each not in first]
+        self._addresses = [*first, *others, *last]
+
     async def generate(
         self,
         profile: str,
@@ -165,6 +187,7 @@
         answer: Answer | None = None,
     ) -> Answer:
         answer = answer or Answer()
+        await self.learn()
         sent = False
         until = time.monotonic() + GIVE_UP_S
         while not answer.ended and time.monotonic() < until:
