--- a/turmericflow/services/_claimant.py
+++ b/turmericflow/services/_claimant.py
@@ -371,6 +371,17 @@
         self._stats.count("claimant.seal_unconfirmed")
         raise RequestFailed(_doubtful(failure))
 
+    async def look_up(self, new: NewRequest) -> wire.AnyMessage | None:
+        """Ask the owner where a request runs, without a claim on it."""
+        grant = secrets.token_hex(8)
+        return await self._ask_until(
+            new.request_id,
+            lambda rid, epoch: self._make_claim(
+                new, rid, epoch, grant, NO_EPOCH, False
+            ),
+            SEAL_WAIT_S,
+        )
+
     async def _ask_until(
         self,
         request_id: RequestId,
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -23,13 +23,16 @@
 from turmericflow.services._orders import Orders
 from turmericflow.services._owner import Owner
 from turmericflow.services._peers import Peers
+from turmericflow.services._plain import PlainClient
 from turmericflow.services._platform import PlatformClient
 from turmericflow.services._reports import Reports
 from turmericflow.services._runner import Runner
 from turmericflow.services._sharing import Sharing
 from turmericflow.services._slots import SlotService
 from turmericflow.services._stats import Stats
+from turmericflow.services._suspects import Suspects
 from turmericflow.services._tls import Tls
+from turmericflow.services._watch import ListeningClock, Watch
 from turmericflow.systems import policies
 from turmericflow.tables import Peer, Tables
 
@@ -47,6 +50,7 @@
         self.tables = Tables(settings.host, settings.data_centre)
         self.stats = Stats.from_settings(settings)
         self._session: aiohttp.ClientSession | None = None
+        self._plain_session: aiohttp.ClientSession | None = None
 
     @classmethod
     def from_settings(cls, settings: Settings) -> Daemon:
@@ -64,6 +68,10 @@
         )
         connector = aiohttp.TCPConnector(limit=0)
         self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        self._plain_session = aiohttp.ClientSession(
+            connector=connector, timeout=timeout
+        )
         platform = PlatformClient(self._session, self.settings.platform, self.stats)
         tls = Tls.from_settings(self.settings, self.stats)
         contexts = tls and tls.contexts
@@ -77,16 +85,22 @@
             Random(secrets.randbits(64)),
             policies.policy_of(self.settings.policy),
         )
+        gossip = Gossip(self.tables, peers, self.stats)
+        suspects = Suspects(self.tables, gossip, self.stats)
+        clock = ListeningClock()
         runner = Runner(
             self.tables,
             Claimant(self.tables, peers, self.stats),
             engines,
+            PlainClient(self._plain_session),
+            suspects,
             journal,
             dispatch,
+            clock,
             self.stats,
         )
+        watch = Watch(self.tables, runner, clock, self.stats)
         rng = Random(secrets.randbits(64))
-        gossip = Gossip(self.tables, peers, self.stats)
         self.membership = Membership(
             self.settings, self.tables, peers, gossip, self.stats, rng
         )
@@ -98,7 +112,9 @@
             self.settings, self.tables, peers, gossip, platform, self.stats
         )
         self.slots.on_change(journal.slots_changed)
-        self.entry = Entry(self.settings, self.tables, runner, self.stats, contexts)
+        self.entry = Entry(
+            self.settings, self.tables, runner, self.stats, contexts, peers
+        )
         orders = Orders(self.settings, self.tables, platform, engines, self.stats)
         reports = Reports(self.tables, engines, self.stats)
         self.burn = Burn(self.settings, self.tables, peers, platform, self.stats)
@@ -112,6 +128,7 @@
             orders,
             reports,
             dispatch,
+            watch,
             Sharing(self.tables, peers, self.stats),
             self.burn,
             self.entry,
@@ -135,5 +152,6 @@
         await self.burn.save()
 
     async def on_shutdown(self) -> None:
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._session, self._plain_session):
+            if session is not None:
+                await session.close()
