Call, attach and cancel from the tool, and calls in the demo

Calls, attaching and cancelling are served by routers now, and the tool's side had run against none.

The tool prints a call's answer; keys in paths are checked like those in headers. Tests over three routers: a call that may not repeat runs once for three copies, attaching gives the recorded answer or its rest, cancelling ends a request at another router, and a customer is told of another's key what it is told of one never used. The demo makes 12 non-idempotent calls for each deployment.

--- a/turmericflow/cli/_callers.py
+++ b/turmericflow/cli/_callers.py
@@ -96,6 +96,8 @@
         raise CommandError(f"payload: expected JSON: {exc}", Exit.USAGE) from exc
     async with open_caller(args) as caller:
         answer = await caller.call(args.profile, payload, key)
+    if answer.whole and not args.json:
+        sys.stdout.write(answer.text)
     return _report_answer(answer, key, args.json)
 
 
--- a/turmericflow/services/_entry_requests.py
+++ b/turmericflow/services/_entry_requests.py
@@ -15,7 +15,7 @@
 from turmericflow.services._answer import start_after, stream_answer, whole_answer
 from turmericflow.services._auth import authenticate
 from turmericflow.services._claimant import NewRequest
-from turmericflow.services._headers import read_header, read_try
+from turmericflow.services._headers import read_header, read_path_key, read_try
 from turmericflow.services._http import read_body
 from turmericflow.services._peers import Peers, PeerUnreachable, Reply
 from turmericflow.services._runner import Runner
@@ -78,7 +78,7 @@
 
     def _named(self, request: web.Request) -> RequestId:
         customer = authenticate(request, self._tables)
-        return RequestId(customer.name, request.match_info["key"])
+        return RequestId(customer.name, read_path_key(request))
 
     async def _attach(self, request: web.Request) -> web.StreamResponse:
         request_id = self._named(request)
--- a/turmericflow/services/_headers.py
+++ b/turmericflow/services/_headers.py
@@ -42,6 +42,22 @@
     raise not_run(ErrorCode.BAD_REQUEST, f"{name}: got {got}, expected {expected}")
 
 
+def read_path_key(request: web.Request) -> str:
+    """Return the idempotency key that a path names.
+
+    Raises
+    ------
+    RequestFailed
+        If it is out of form.
+    """
+    key = request.match_info["key"]
+    form, expected = _FORMS["Idempotency-Key"]
+    if not re.fullmatch(form, key):
+        message = f"key in the path: got {ascii(key[:80])}, expected {expected}"
+        raise not_run(ErrorCode.BAD_REQUEST, message)
+    return key
+
+
 def read_try(request: web.Request) -> int:
     """Return the number of the caller's deliberate try, from 1."""
     value = read_header(request.headers, "X-Try")
--- a/turmericflow/testing/demo.py
+++ b/turmericflow/testing/demo.py
@@ -24,7 +24,7 @@
 
 ENGINES = 4
 GENERATIONS = 18
-CALLS = 0
+CALLS = 12
 TOKENS = 150
 SHOWN_TOKENS = 12
 ENGINE_KILL_S = 0.9
@@ -134,7 +134,7 @@
     async def _call(self, number: int) -> Answer:
         payload = {"order": number}
         key = f"call-{number}"
-        await asyncio.sleep(ENGINE_KILL_S * number / max(1, CALLS))
+        await asyncio.sleep(ENGINE_KILL_S * number / CALLS)
         return await self._caller(number).call(self._deployment.call, payload, key)
 
     async def run(self) -> Outcome:
--- a/turmericflow/tests/test_operations.py
+++ b/turmericflow/tests/test_operations.py
@@ -15,10 +15,13 @@
 from turmericflow.cli.main import main
 from turmericflow.client import Access, Caller
 from turmericflow.testing import Cluster, ClusterPlan, EngineSpec, check_answer
+from turmericflow.testing._cluster import http_json
 
 PROFILE = {"name": "quotation", "service": "redactor", "model": "sable"}
 PROFILE |= {"adapter": "none", "version": "1"}
-CUSTOMERS = {f"customer/{name}": {"name": name} for name in ("norte", "sur")}
+ORDER = {"name": "order", "service": "mostrador", "kind": "call"}
+ORDER |= {"idempotent": False}
+CUSTOMERS = {f"customer/{name}": {"name": name} for name in ("norte", "sur", "este")}
 IN_FORCE_S = 10.0
 # Established, and closed by the caller only.
 HELD_STATES = ("01", "08")
@@ -29,8 +32,11 @@
     args = ["--model", "sable/none/1", "--step-ms", "2"]
     plan = ClusterPlan(
         routers={"entry-1": "north", "entry-2": "south", "entry-3": "west"},
-        targets=[EngineSpec("redactor-0", "redactor", "north", args)],
-        objects={"profile/quotation": PROFILE, **CUSTOMERS},
+        targets=[
+            EngineSpec("redactor-0", "redactor", "north", args),
+            EngineSpec("mostrador-0", "mostrador", "north", role="service"),
+        ],
+        objects={"profile/quotation": PROFILE, "profile/order": ORDER, **CUSTOMERS},
         settings={"burn_save_s": 0.2},
     )
     with Cluster(plan) as cluster:
@@ -95,6 +101,70 @@
     assert "NOT_RUN: unknown_profile: profile: got 'unknown'" in errors
 
 
+@pytest.mark.integration
+def test_call_that_may_not_repeat_runs_once(run, cluster):
+    answers = {
+        run("call", "order", '{"letters": 9}', "-k", "o-1", "--address", address)[:2]
+        for address in cluster.entries.values()
+    }
+    assert answers == {(0, '{"letters": 9}\n')}
+    address = cluster.processes["mostrador-0"].address
+    assert http_json("GET", f"http://{address}/v1/runs")["o-1"] == 1
+    assert run("call", "order", "{", "-k", "o-2")[0] == 2
+
+
+@pytest.mark.integration
+def test_attach_gives_the_recorded_answer_or_its_rest(run):
+    key = "a/1?%"
+    argv = ("generate", "quotation", "x", "-k", key, "--max-tokens", 6, "--json")
+    whole = json.loads(run(*argv)[1])
+    assert json.loads(run("attach", key, "--json")[1])["text"] == whole["text"]
+    generation, attempt, _ = whole["last_event_id"].split(".")
+    middle = f"{generation}.{attempt}.3"
+    code, out, _ = run("attach", key, "--last-event-id", middle, "--json")
+    assert code == 0 and json.loads(out)["count"] == 2
+    assert whole["text"].endswith(json.loads(out)["text"])
+    assert run("attach", key, "--last-event-id", f"other.{attempt}.3")[0] == 5
+    assert run("attach", key, "--last-event-id", "nonsense")[0] == 2
+
+
+@pytest.mark.integration
+def test_cancel_ends_a_request_everywhere(run, cluster):
+    async def work():
+        async with aiohttp.ClientSession() as session:
+            hosts = list(cluster.entries.values())
+            first = asyncio.Event()
+            owner = Caller(session, hosts, "norte")
+            answer = asyncio.ensure_future(
+                owner.generate("quotation", "x", "c-1", 3000, lambda _: first.set())
+            )
+            await first.wait()
+            stranger = await Caller(session, hosts, "sur").cancel("c-1")
+            ended = await Caller(session, hosts[1:], "norte").cancel("c-1")
+            return stranger, ended, await answer
+
+    stranger, ended, answer = asyncio.run(work())
+    assert stranger.failure.code == "not_found"
+    assert ended.body == {"cancelled": True}
+    assert answer.failure.code == "cancelled" and 0 < len(answer.tokens) < 3000
+    assert run("cancel", "c-1")[0] == 1
+
+
+@pytest.mark.integration
+def test_customers_learn_nothing_of_each_other(run):
+    assert run("generate", "quotation", "x", "-k", "mine", "--max-tokens", 3)[0] == 0
+    for command in ("attach", "cancel"):
+        told = []
+        for key in ("mine", "none"):
+            code, out, errors = run(command, key, "--customer", "sur", "--json")
+            told.append((code, (out + errors).replace(key, "KEY")))
+        assert told[0] == told[1]
+    assert run("attach", "k" * 201)[0] == run("cancel", "é")[0] == 3
+    # The same key under another customer names another request.
+    argv = ("-k", "mine", "--max-tokens", 4, "--customer", "sur", "--json")
+    assert json.loads(run("generate", "quotation", "y", *argv)[1])["count"] == 4
+
+
 @pytest.mark.integration
 def test_status_and_get_work_without_the_platform(run, cluster):
     cluster.fault(fault="outage")
@@ -115,13 +185,13 @@
         return {
             each["objective"]: each["totals"]["3d"]
             for each in burn
-            if each["customer"] == "sur"
+            if each["customer"] == "este"
         }
 
     cluster.fault(fault="lose_reply")
     for address in cluster.entries.values():
         for number in range(4):
-            argv = ("-k", f"burn-{number}", "--max-tokens", 3, "--customer", "sur")
+            argv = ("-k", f"burn-{number}", "--max-tokens", 3, "--customer", "este")
             assert (
                 run("generate", "quotation", "x", *argv, "--address", address)[0] == 0
             )
@@ -211,7 +281,7 @@
     assert run("leave", "redactor-0")[0] == 0
     wait_for(lambda: "shut out: marked as leaving" in run("status")[1])
     assert run("leave", "redactor-0", "--undo")[0] == 0
-    wait_for(lambda: "1 targets, 0 shut out somewhere" in run("status")[1])
+    wait_for(lambda: "2 targets, 0 shut out somewhere" in run("status")[1])
 
 
 @pytest.mark.integration
