--- a/turmericflow/tables/__init__.py
+++ b/turmericflow/tables/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from turmericflow.tables._all import Tables
+from turmericflow.tables._burn import BurnTable, Cell, Level, Series, new_histogram
 from turmericflow.tables._claims import (
     AttemptStart,
     Claim,
@@ -23,6 +24,7 @@
     Waiting,
     Work,
 )
+from turmericflow.tables._orders import GivenOrder, Lease, OrderTable
 from turmericflow.tables._peers import Peer, PeerState, PeerTable
 from turmericflow.tables._requests import Listener, RequestRow, RequestTable
 from turmericflow.tables._slots import RequestId, SlotEntry, SlotTable
@@ -84,10 +86,20 @@
     "Target",
     "TargetKind",
     "TargetTable",
+    # Orders
+    "GivenOrder",
+    "Lease",
+    "OrderTable",
     # Peers and configuration
     "ConfigTable",
     "FactTable",
     "Peer",
     "PeerState",
     "PeerTable",
+    # Service levels
+    "BurnTable",
+    "Cell",
+    "Level",
+    "Series",
+    "new_histogram",
 )
--- a/turmericflow/tables/_all.py
+++ b/turmericflow/tables/_all.py
@@ -8,6 +8,7 @@
 from turmericflow.tables._config import ConfigTable
 from turmericflow.tables._crashers import SuspectTable
 from turmericflow.tables._load import LoadTable
+from turmericflow.tables._orders import OrderTable
 from turmericflow.tables._peers import PeerTable
 from turmericflow.tables._requests import RequestTable
 from turmericflow.tables._slots import SlotTable
@@ -39,4 +40,5 @@
     peers: PeerTable = field(default_factory=PeerTable)
     config: ConfigTable = field(default_factory=ConfigTable)
     stopping: bool = False
+    orders: OrderTable = field(default_factory=OrderTable)
     load: LoadTable = field(default_factory=LoadTable)
--- a/turmericflow/wire/__init__.py
+++ b/turmericflow/wire/__init__.py
@@ -5,15 +5,19 @@
 from turmericflow.wire._codec import MAX_MESSAGE_BYTES, Decoder, WireError, encode
 from turmericflow.wire._messages import (
     Ack,
+    Allotments,
     AnyMessage,
     Append,
     Appended,
     AppendEntry,
     Attached,
+    BurnCounts,
+    BurnTaken,
     Cancel,
     Cancelled,
     Claim,
     Compare,
+    Demands,
     Differences,
     End,
     Ended,
@@ -23,6 +27,7 @@
     Followed,
     Granted,
     Hello,
+    InFlight,
     Message,
     Moved,
     Ping,
@@ -94,9 +99,16 @@
     "Fetch",
     "Rumour",
     "Rumours",
+    # Load
+    "Allotments",
+    "Demands",
+    "InFlight",
     # Membership
     "Ack",
     "Ping",
     "ProbeFor",
     "Probed",
+    # Service levels
+    "BurnCounts",
+    "BurnTaken",
 )
--- a/turmericflow/wire/_messages.py
+++ b/turmericflow/wire/_messages.py
@@ -390,6 +390,52 @@
     found: bool
 
 
+class InFlight(Message, tag="in_flight"):
+    """Tell how many requests a router has running on targets.
+
+    ``full`` says that it has none on the targets that are not named; otherwise
+    nothing has changed there.
+    """
+
+    host: str
+    full: bool
+    counts: dict[str, int]
+
+
+class Demands(Message, tag="demands"):
+    """Tell the keeper of customers' limits what a router saw, per second."""
+
+    rid: int
+    host: str
+    rates: dict[str, float]
+
+
+class Allotments(Message, tag="allotments"):
+    """Answers `Demands`: the router's parts of the limits, per second."""
+
+    rid: int
+    rates: dict[str, float]
+
+
+class BurnCounts(Message, tag="burn_counts"):
+    """Service-level counts of a host, for the host that saves them.
+
+    ``number`` grows with each new batch of counts; a batch is sent again under
+    its number until it is taken.
+    """
+
+    rid: int
+    host: str
+    number: int
+    value: bytes
+
+
+class BurnTaken(Message, tag="burn_taken"):
+    """Acknowledges `BurnCounts`."""
+
+    rid: int
+
+
 AnyMessage = (
     Hello
     | Claim
@@ -421,4 +467,9 @@
     | Fetch
     | Cancel
     | Cancelled
+    | InFlight
+    | Demands
+    | Allotments
+    | BurnCounts
+    | BurnTaken
 )
