--- /dev/null
+++ b/turmericflow/services/_quarantine.py
@@ -0,0 +1,94 @@
+"""Placement of requests whose content may crash its target."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from turmericflow.services._claimant import NewRequest
+from turmericflow.services._course import Course
+from turmericflow.services._dispatch import Dispatch
+from turmericflow.systems import crashers, routing
+from turmericflow.tables import RequestId, RequestRow, Tables, Target
+from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
+
+HOLD_CHECK_S = 0.05
+SUSPECTS_SPREAD_S = 0.1
+TURN_WAIT_S = 1.0
+
+
+class Quarantine:
+    """Keeps suspects apart from each other, and their copies waiting."""
+
+    __slots__ = ("_courses", "_dispatch", "_tables")
+
+    def __init__(
+        self, tables: Tables, dispatch: Dispatch, courses: dict[RequestId, Course]
+    ) -> None:
+        self._tables = tables
+        self._dispatch = dispatch
+        self._courses = courses
+
+    async def held(self, new: NewRequest, content: str) -> Failure | None:
+        """Hold a suspect's copy back for a while; return why it is refused."""
+        table = self._tables.suspects
+        until = time.time() + new.profile.wait_s
+        while new.request_id not in self._courses:
+            now = time.time()
+            if crashers.is_convicted(table, content, now):
+                message = "content that was lost with several targets is refused"
+                return Failure(ErrorCode.SUSPECT_CONTENT, Verdict.NOT_RUN, message)
+            held_until = crashers.held_until(table, content, now)
+            if held_until <= now:
+                return None
+            if now >= until:
+                message = "content that was lost with a target is under suspicion"
+                wait_s = held_until - now
+                return Failure(
+                    ErrorCode.SUSPECT_CONTENT, Verdict.NOT_RUN, message, wait_s
+                )
+            await asyncio.sleep(HOLD_CHECK_S)
+        return None
+
+    async def place(self, course: Course) -> Target:
+        """Wait for a place, apart from other suspects if the request is one."""
+        row, table = course.row, self._tables.suspects
+        while crashers.count(table, course.content, time.time()) > 1:
+            await asyncio.sleep(SUSPECTS_SPREAD_S)
+            now = time.time()
+            if crashers.is_convicted(table, course.content, now):
+                message = "the content was lost with several targets"
+                raise RequestFailed(course.failure(ErrorCode.SUSPECT_CONTENT, message))
+            names = self._names(row, crashers.lost_lately(table, now))
+            kept = crashers.turn(table, course.content, names, now)
+            if kept is None:
+                continue
+            others = frozenset(self._tables.targets.rows) - {kept}
+            try:
+                async with asyncio.timeout(TURN_WAIT_S):
+                    return await self._dispatch.place(row, others)
+            except TimeoutError:
+                continue
+        names = self._names(row, frozenset(course.refused_by))
+        running = self._contents() if table.rows else {}
+        now = time.time()
+        avoid = crashers.apart(table, running, names, course.content, now)
+        exclude = avoid | course.refused_by if names else frozenset()
+        return await self._dispatch.place(row, exclude)
+
+    def _names(self, row: RequestRow, exclude: frozenset[str]) -> list[str]:
+        targets, now = self._tables.targets, time.monotonic()
+        found = routing.candidates(targets, row.profile, now, exclude)
+        return [target.name for target in found]
+
+    def _contents(self) -> dict[str, list[str]]:
+        """Return the contents that run here, by target."""
+        return {
+            target: self.contents_on(target) for target in self._tables.streams.targets
+        }
+
+    def contents_on(self, target: str) -> list[str]:
+        """Return the contents that run here on a target."""
+        view = self._tables.streams.targets.get(target)
+        ids = {request_id for request_id, _ in view.rows} if view else set()
+        return [self._courses[each].content for each in ids if each in self._courses]
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -20,11 +20,12 @@
 )
 from turmericflow.services._journal import Journal
 from turmericflow.services._plain import PlainClient
+from turmericflow.services._quarantine import Quarantine
 from turmericflow.services._restore import restore
 from turmericflow.services._stats import Stats
 from turmericflow.services._suspects import Suspects
 from turmericflow.services._watch import ListeningClock
-from turmericflow.systems import crashers, detection, routing, to_failure
+from turmericflow.systems import crashers, detection, to_failure
 from turmericflow.tables import (
     RequestId,
     RequestRow,
@@ -37,9 +38,6 @@
 
 PRIORITY = {Urgency.URGENT: 0, Urgency.NORMAL: 1, Urgency.THRIFTY: 2}
 MAX_ATTEMPTS_AT_ONCE = 3
-HOLD_CHECK_S = 0.05
-SUSPECTS_SPREAD_S = 0.1
-TURN_WAIT_S = 1.0
 REFUSED_WAIT_S = 0.05
 KEEP_ENDED_S = 5.0
 
@@ -90,6 +88,7 @@
         self._stats = stats
         self._tasks: set[asyncio.Task] = set()
         self._courses: dict[RequestId, Course] = {}
+        self._quarantine = Quarantine(tables, dispatch, self._courses)
 
     async def submit(
         self, new: NewRequest, refusal: Failure | None = None
@@ -109,7 +108,7 @@
 
     async def _submit(self, new: NewRequest, refusal: Failure | None) -> RequestRow:
         content = crashers.fingerprint(new.profile, new.prompt)
-        refusal = refusal or await self._held(new, content)
+        refusal = refusal or await self._quarantine.held(new, content)
         refusal = refusal or self._dispatch.admit(new)
         if refusal is not None:
             return await self._claimant.seal(new, refusal)
@@ -117,27 +116,6 @@
         self._take_up(row, content)
         return row
 
-    async def _held(self, new: NewRequest, content: str) -> Failure | None:
-        """Hold a suspect's copy back for a while; return why it is refused."""
-        table = self._tables.suspects
-        until = time.time() + new.profile.wait_s
-        while new.request_id not in self._courses:
-            now = time.time()
-            if crashers.is_convicted(table, content, now):
-                message = "content that was lost with several targets is refused"
-                return Failure(ErrorCode.SUSPECT_CONTENT, Verdict.NOT_RUN, message)
-            held_until = crashers.held_until(table, content, now)
-            if held_until <= now:
-                return None
-            if now >= until:
-                message = "content that was lost with a target is under suspicion"
-                wait_s = held_until - now
-                return Failure(
-                    ErrorCode.SUSPECT_CONTENT, Verdict.NOT_RUN, message, wait_s
-                )
-            await asyncio.sleep(HOLD_CHECK_S)
-        return None
-
     def _take_up(self, row: RequestRow, content: str) -> None:
         """Run a row if it was granted to this host and does not run yet."""
         present = self._tables.requests.rows.get(row.request_id)
@@ -291,53 +269,11 @@
     async def _resume(self, course: Course) -> None:
         """Start an attempt with all tokens so far as its prefix."""
         self._check_may_run(course)
-        target = await self._place(course)
+        target = await self._quarantine.place(course)
         if course.row.attempts:
             self._stats.count("runner.resumed")
         self._begin(course, target)
 
-    async def _place(self, course: Course) -> Target:
-        """Wait for a place, apart from other suspects if the request is one."""
-        row, table = course.row, self._tables.suspects
-        while crashers.count(table, course.content, time.time()) > 1:
-            await asyncio.sleep(SUSPECTS_SPREAD_S)
-            now = time.time()
-            if crashers.is_convicted(table, course.content, now):
-                message = "the content was lost with several targets"
-                raise RequestFailed(course.failure(ErrorCode.SUSPECT_CONTENT, message))
-            names = self._names(row, crashers.lost_lately(table, now))
-            kept = crashers.turn(table, course.content, names, now)
-            if kept is None:
-                continue
-            others = frozenset(self._tables.targets.rows) - {kept}
-            try:
-                async with asyncio.timeout(TURN_WAIT_S):
-                    return await self._dispatch.place(row, others)
-            except TimeoutError:
-                continue
-        names = self._names(row, frozenset(course.refused_by))
-        running = self._contents() if table.rows else {}
-        now = time.time()
-        avoid = crashers.apart(table, running, names, course.content, now)
-        exclude = avoid | course.refused_by if names else frozenset()
-        return await self._dispatch.place(row, exclude)
-
-    def _names(self, row: RequestRow, exclude: frozenset[str]) -> list[str]:
-        targets, now = self._tables.targets, time.monotonic()
-        found = routing.candidates(targets, row.profile, now, exclude)
-        return [target.name for target in found]
-
-    def _contents(self) -> dict[str, list[str]]:
-        """Return the contents that run here, by target."""
-        return {
-            target: self._contents_on(target) for target in self._tables.streams.targets
-        }
-
-    def _contents_on(self, target: str) -> list[str]:
-        view = self._tables.streams.targets.get(target)
-        ids = {request_id for request_id, _ in view.rows} if view else set()
-        return [self._courses[each].content for each in ids if each in self._courses]
-
     def _check_may_run(self, course: Course) -> None:
         """Raise unless another attempt is the same run or cannot be a second.
 
@@ -426,7 +362,7 @@
         """Put suspicion on all that ran on a target when its connections broke."""
         name = attempt.target.name
         if course.row.profile.kind is ProfileKind.GENERATION:
-            contents = {course.content, *self._contents_on(name)}
+            contents = {course.content, *self._quarantine.contents_on(name)}
             await self._suspects.lost(name, sorted(contents))
 
     def _take(self, course: Course, attempt: Attempt, output: EngineOutput) -> None:
@@ -510,13 +446,14 @@
             return
         if len(course.attempts) >= MAX_ATTEMPTS_AT_ONCE:
             return
-        if crashers.count(self._tables.suspects, course.content, time.time()):
+        if crashers.count(self._tables.suspects, course.content, time.time()) > 1:
             return
         row = course.row
         exclude = frozenset(each.target.name for each in course.attempts)
         try:
             target = await self._dispatch.place(row, exclude)
         except RequestFailed:
+            stream.suspected = False
             return
         if course.over or not (attempt.live and stream.suspected):
             self._dispatch.release(row, target, False)
--- a/turmericflow/testing/_batch.py
+++ b/turmericflow/testing/_batch.py
@@ -4,7 +4,7 @@
 
 import re
 import time
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 from random import Random
 
@@ -53,6 +53,7 @@
     arrival: int
     cancelled: bool = False
     fault: tuple[str, int] | None = None
+    label: str = ""
     on_change: list = field(default_factory=list)
 
     @property
@@ -114,6 +115,12 @@
     return (found[1], int(found[2])) if found and first else None
 
 
+def label_of(prompt: str) -> str:
+    """Return the name that a prompt gives itself by ``id=NAME``, or nothing."""
+    found = re.search(r"\bid=(\S+)", prompt)
+    return found[1] if found else ""
+
+
 class Batch:
     """The streams of one engine.
 
@@ -130,6 +137,7 @@
         self.running: list[Stream] = []
         self.prefilled = 0.0
         self.generated = 0
+        self.fresh: Counter[str] = Counter()
         self._rng = Random(seed)
         self._arrivals = 0
 
@@ -163,6 +171,9 @@
             self._arrivals,
         )
         stream.fault = planned_fault(prompt, attempt)
+        stream.label = label_of(prompt)
+        if stream.label and not prefix:
+            self.fresh[stream.label] += 1
         self.streams[generation] = stream
         self.queue.append(stream)
         self.queue.sort(key=lambda each: (each.priority, each.arrival))
--- a/turmericflow/testing/_cluster.py
+++ b/turmericflow/testing/_cluster.py
@@ -162,7 +162,7 @@
     def start_platform(self) -> None:
         """Start the platform's stand-in."""
         module = "turmericflow.testing.platform"
-        self._start_stand_in("platform", module, "127.0.0.1", self.plan.platform_args)
+        self.start_stand_in("platform", module, "127.0.0.1", self.plan.platform_args)
 
     def start_target(self, spec: EngineSpec, port: int = 0) -> None:
         """Start an engine or a plain service."""
@@ -353,7 +353,7 @@
             "peer": f"{ip}:{port}",
         }
 
-    def _start_stand_in(
+    def start_stand_in(
         self, name: str, module: str, ip: str, args: list[str]
     ) -> Running:
         self._spawn(name, module, ip, args)
--- a/turmericflow/testing/engine.py
+++ b/turmericflow/testing/engine.py
@@ -67,6 +67,7 @@
         app.router.add_post("/v1/orders", self._order)
         app.router.add_get("/v1/totals", self._totals)
         app.router.add_post("/admin/silent", self._set_silent)
+        app.router.add_post("/admin/lose", self._lose)
         app.on_startup.append(self._start)
         return app
 
@@ -133,11 +134,11 @@
         self, request: web.Request, stream: Stream, start: int
     ) -> web.StreamResponse:
         resp = web.StreamResponse(headers={"X-Attempt": str(stream.attempt)})
-        await resp.prepare(request)
         event = asyncio.Event()
         stream.on_change.append(event.set)
         sent = start
         try:
+            await resp.prepare(request)
             while not stream.cancelled:
                 fresh = stream.tokens[sent:]
                 if stream.fault is not None and len(stream.tokens) >= stream.fault[1]:
@@ -214,14 +215,25 @@
         self.role = order.role
 
     async def _totals(self, request: web.Request) -> web.Response:
-        return web.json_response(
-            {
-                "prefilled": self.batch.prefilled,
-                "generated": self.batch.generated,
-                "last_start": self.last_start,
-                "stale_orders": self.stale_orders,
-            }
-        )
+        return web.json_response(self._counts())
+
+    def _counts(self) -> dict:
+        return {
+            "prefilled": self.batch.prefilled,
+            "generated": self.batch.generated,
+            "fresh": self.batch.fresh,
+            "last_start": self.last_start,
+            "stale_orders": self.stale_orders,
+        }
+
+    async def _lose(self, request: web.Request) -> web.Response:
+        """Fall silent or die, and tell what ran until then."""
+        self.silent = True
+        running = [stream.label for stream in self.batch.running]
+        if (await request.json())["how"] == "die":
+            loop = asyncio.get_running_loop()
+            loop.call_later(FAULT_DELAY_S, os._exit, EXIT_CRASHED)
+        return web.json_response({"running": running, **self._counts()})
 
     async def _set_silent(self, request: web.Request) -> web.Response:
         self.silent = (await request.json())["silent"]
