--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
 from typing import Any
 
 from turmericflow import wire
@@ -16,6 +17,7 @@
     EngineClient,
     EngineOutput,
     EngineRequest,
+    TakeOutput,
     TargetFailed,
 )
 from turmericflow.services._journal import Journal
@@ -62,6 +64,9 @@
     return NewRequest(request_id, profile, "", 1, b"", "", 1, True)
 
 
+Work = Callable[[TakeOutput], Awaitable[None]]
+
+
 class Runner:
     """Runs requests on targets, and resumes them when a target is lost."""
 
@@ -111,8 +116,9 @@
         refusal = refusal or await self._quarantine.held(new, content)
         refusal = refusal or self._dispatch.admit(new)
         if refusal is not None:
-            return await self._claimant.seal(new, refusal)
-        row = await self._claimant.claim(new)
+            row = await self._claimant.seal(new, refusal)
+        else:
+            row = await self._claimant.claim(new)
         self._take_up(row, content)
         return row
 
@@ -263,8 +269,10 @@
         self._stats.count("runner.attached")
         attempt = self._attempt(course, row.attempt, target)
         attempt.placed = False
-        stream = self._engines.attach(target.address, row.generation, len(row.tokens))
-        self._launch(course, attempt, stream)
+        work = partial(
+            self._engines.attach, target.address, row.generation, len(row.tokens)
+        )
+        self._launch(course, attempt, work)
 
     async def _resume(self, course: Course) -> None:
         """Start an attempt with all tokens so far as its prefix."""
@@ -294,11 +302,11 @@
         match row.profile.kind:
             case ProfileKind.CALL:
                 key = row.request_id.key
-                outputs = self._plain.call(target.address, key, row.prompt)
+                work = partial(self._plain.call, target.address, key, row.prompt)
             case ProfileKind.GENERATION:
                 request = _engine_request(row, attempt.number)
-                outputs = self._engines.generate(target.address, request)
-        self._launch(course, attempt, outputs)
+                work = partial(self._engines.generate, target.address, request)
+        self._launch(course, attempt, work)
 
     def _attempt(self, course: Course, number: int, target: Target) -> Attempt:
         row = course.row
@@ -319,13 +327,11 @@
         )
         return Attempt(number, target, len(row.tokens), stream)
 
-    def _launch(
-        self, course: Course, attempt: Attempt, outputs: AsyncIterator[EngineOutput]
-    ) -> None:
+    def _launch(self, course: Course, attempt: Attempt, work: Work) -> None:
         course.add(attempt)
         self._journal.changed(course.row)
         view = detection.open_stream(self._tables.streams, attempt.stream)
-        attempt.task = self._spawn(self._listen(course, attempt, view, outputs))
+        attempt.task = self._spawn(self._listen(course, attempt, view, work))
         attempt.task.add_done_callback(lambda _: self._left(course, attempt))
 
     def _left(self, course: Course, attempt: Attempt) -> None:
@@ -338,18 +344,19 @@
         course: Course,
         attempt: Attempt,
         view: TargetStreams,
-        outputs: AsyncIterator[EngineOutput],
+        work: Work,
     ) -> None:
         """Take an attempt's output until it ends, fails or counts no more."""
-        try:
-            async for output in outputs:
-                if not attempt.live:
-                    return
+
+        def take(output: EngineOutput) -> bool:
+            if attempt.live:
                 now = self._clock.now()
                 detection.heard(view, attempt.stream, len(output.texts), now)
                 self._take(course, attempt, output)
-                if output.done:
-                    return
+            return attempt.live
+
+        try:
+            await work(take)
         except TargetFailed as exc:
             attempt.lost = exc.lost
             if exc.lost and exc.verdict is Verdict.MAY_HAVE_RUN:
--- a/turmericflow/systems/_claims.py
+++ b/turmericflow/systems/_claims.py
@@ -251,10 +251,10 @@
 def _not_known(
     tables: Tables, slot: int, msg: wire.Claim, now: float
 ) -> Failure | None:
-    lost = now < tables.slots.retention_until.get(slot, now)
-    if lost and not msg.idempotent:
+    wait_s = slots_system.lost_for_s(tables, slot, msg.idempotent, now)
+    if wait_s > 0:
         message = "the records of this key's slot were lost: it may have run"
-        return Failure(ErrorCode.RETENTION, Verdict.MAY_HAVE_RUN, message)
+        return Failure(ErrorCode.RETENTION, Verdict.MAY_HAVE_RUN, message, wait_s)
     if not msg.body:
         message = f"no request with key {msg.key!r} is known"
         return Failure(ErrorCode.NOT_FOUND, Verdict.MAY_HAVE_RUN, message)
--- a/turmericflow/systems/_journal.py
+++ b/turmericflow/systems/_journal.py
@@ -102,7 +102,7 @@
 def _keep_s(row: Claim) -> float:
     if not row.ended:
         return RUNNING_KEEP_S
-    if row.idempotent and row.state is not ClaimState.SEALED and not row.regranted:
+    if row.idempotent and not row.regranted:
         return IDEMPOTENT_KEEP_S
     return KEEP_S
 
