--- a/benchmarks/resume.py
+++ b/benchmarks/resume.py
@@ -9,13 +9,23 @@
 import time
 import urllib.request
 from dataclasses import dataclass, replace
+from pathlib import Path
 
+from benchmarks._curve import draw
 from benchmarks._losses import Load, LossyLoad, Outcome, faults
 from turmericflow.testing import Cluster, ClusterPlan, EngineSpec
 from turmericflow.testing._fleet import counter
 
 MODEL = "sable/none/1"
 PREFILL_SAMPLES = 8
+COUNTERS = (
+    "runner.hedged",
+    "runner.resumed",
+    "detection.target",
+    "detection.stream",
+    "watch.late",
+)
+PLOT = Path("docs/img/resume.png")
 
 
 @dataclass(slots=True, frozen=True)
@@ -169,15 +179,17 @@
     entries = list(cluster.entries.values())
     ours = await LossyLoad(cluster, entries, load).run("ours", seed)
     prefill_ms = await asyncio.to_thread(_prefill_ms, cluster, ours, load.tokens)
-    hedged = counter(cluster, "runner.hedged")
+    before = {name: counter(cluster, name) for name in COUNTERS}
     calm = replace(load, lossy=False, orders=0)
     idle = await LossyLoad(cluster, entries, calm).run("idle", seed)
-    hedged_idle = counter(cluster, "runner.hedged") - hedged
+    calm_counts = {
+        f"idle_{name}": counter(cluster, name) - before[name] for name in COUNTERS
+    }
     address = cluster.processes["naive"].address
     plain = replace(load, orders=0)
     naive = await LossyLoad(cluster, [address], plain).run("naive", seed)
     figures = _figures(deployment, ours, idle, naive, prefill_ms)
-    return {**figures, "hedged": hedged, "hedged_idle": hedged_idle}
+    return {**figures, **before, **calm_counts}
 
 
 def run(deployment: Deployment, seed: int) -> dict:
@@ -196,7 +208,11 @@
     parser.add_argument("--quick", action="store_true", help="a fifth of the load")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--only", choices=[each.name for each in DEPLOYMENTS])
+    parser.add_argument("--plot", action="store_true", help=f"draw {PLOT} only")
     args = parser.parse_args(argv)
+    if args.plot:
+        draw(PLOT)
+        return 0
     found = {}
     for deployment in DEPLOYMENTS:
         if args.only not in (None, deployment.name):
--- a/turmericflow/systems/_resume.py
+++ b/turmericflow/systems/_resume.py
@@ -23,9 +23,9 @@
 MIN_PREFILL_S = 0.02
 
 LATENESS_WEIGHT: dict[Urgency, float] = {
-    Urgency.URGENT: 20.0,
-    Urgency.NORMAL: 1.5,
-    Urgency.THRIFTY: 0.1,
+    Urgency.URGENT: 3.0,
+    Urgency.NORMAL: 0.5,
+    Urgency.THRIFTY: 0.02,
 }
 """Seconds of an engine's work that one second of lateness is worth."""
 
--- a/turmericflow/testing/engine.py
+++ b/turmericflow/testing/engine.py
@@ -229,7 +229,7 @@
     async def _lose(self, request: web.Request) -> web.Response:
         """Fall silent or die, and tell what ran until then."""
         self.silent = True
-        running = [stream.label for stream in self.batch.running]
+        running = {each.label: len(each.tokens) for each in self.batch.running}
         if (await request.json())["how"] == "die":
             loop = asyncio.get_running_loop()
             loop.call_later(FAULT_DELAY_S, os._exit, EXIT_CRASHED)
