--- a/turmericflow/services/_engine.py
+++ b/turmericflow/services/_engine.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import aiohttp
 import msgspec
 
 from turmericflow.cfg import Address
+from turmericflow.services._feeds import Feeds
 from turmericflow.services._stats import Stats
 from turmericflow.verdict import Verdict
 
@@ -101,6 +102,8 @@
     done: bool
 
 
+TakeOutput = Callable[[EngineOutput], bool]
+
 _DECODER = msgspec.json.Decoder(_Line)
 
 
@@ -129,23 +132,34 @@
     return EngineOutput(expected, texts, False)
 
 
-async def _read(
-    resp: aiohttp.ClientResponse, expected: int
-) -> AsyncIterator[EngineOutput]:
-    rest = b""
-    async for data in resp.content.iter_any():
+class _Lines:
+    """Turns the bytes of a body into output and hands it on.
+
+    Attributes
+    ----------
+    ended
+        Whether the output has ended, or is needed no more.
+    """
+
+    __slots__ = ("_expected", "_rest", "_take", "ended")
+
+    def __init__(self, expected: int, take: TakeOutput) -> None:
+        self._expected = expected
+        self._rest = b""
+        self._take = take
+        self.ended = False
+
+    def feed(self, data: bytes) -> bool:
+        """Take bytes in; return whether the output has ended."""
+        if self._rest:
+            data = self._rest + data
         end = data.rfind(b"\n") + 1
-        if not end:
-            rest += data
-            continue
-        output = _parse(rest + data[:end], expected)
-        rest = data[end:]
-        expected += len(output.texts)
-        yield output
-        if output.done:
-            return
-    message = "stream ended before the output did"
-    raise TargetFailed(Verdict.MAY_HAVE_RUN, message, lost=True)
+        self._rest = data[end:]
+        if end:
+            output = _parse(data[:end], self._expected)
+            self._expected += len(output.texts)
+            self.ended = not self._take(output) or output.done
+        return self.ended
 
 
 def failure_of(exc: Exception) -> TargetFailed:
@@ -160,18 +174,29 @@
 class EngineClient:
     """Client of the engines' HTTP interface."""
 
-    __slots__ = ("_session", "_stats")
+    __slots__ = ("_feeds", "_session", "_stats")
 
     def __init__(
         self, session: aiohttp.ClientSession, stats: Stats | None = None
     ) -> None:
         self._session = session
         self._stats = stats
+        self._feeds = Feeds()
 
     async def generate(
-        self, address: Address, request: EngineRequest
-    ) -> AsyncIterator[EngineOutput]:
-        """Start or resume a generation and yield its output.
+        self, address: Address, request: EngineRequest, take: TakeOutput
+    ) -> None:
+        """Start or resume a generation and hand its output to ``take``.
+
+        Parameters
+        ----------
+        address
+            Where the engine listens.
+        request
+            What it is to generate.
+        take
+            Called with the output as it comes; returns False when it needs no
+            more.
 
         Raises
         ------
@@ -180,17 +205,14 @@
         """
         url = f"{address.url}/v1/generate"
         body = msgspec.json.encode(request)
-        stream = self._stream("POST", url, body, len(request.prefix))
-        async for output in stream:
-            yield output
+        await self._stream("POST", url, body, len(request.prefix), take)
 
     async def attach(
-        self, address: Address, generation: str, start: int
-    ) -> AsyncIterator[EngineOutput]:
-        """Yield the output of a running generation from an index on."""
+        self, address: Address, generation: str, start: int, take: TakeOutput
+    ) -> None:
+        """Hand on the output of a running generation from an index on."""
         url = f"{address.url}/v1/streams/{generation}?from={start}"
-        async for output in self._stream("GET", url, None, start):
-            yield output
+        await self._stream("GET", url, None, start, take)
 
     async def cancel(self, address: Address, generation: str, attempt: int) -> None:
         """Cancel an attempt; an engine that cannot be reached is left alone."""
@@ -246,8 +268,9 @@
             raise TargetFailed(Verdict.NOT_RUN, f"{url}: {exc}") from exc
 
     async def _stream(
-        self, method: str, url: str, body: bytes | None, start: int
-    ) -> AsyncIterator[EngineOutput]:
+        self, method: str, url: str, body: bytes | None, start: int, take: TakeOutput
+    ) -> None:
+        lines = _Lines(start, take)
         try:
             async with self._session.request(method, url, data=body) as resp:
                 if resp.status != 200:
@@ -255,7 +278,9 @@
                     refused = resp.status in REFUSED_STATUSES
                     verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
                     raise TargetFailed(verdict, f"{resp.status}: {text[:200]}")
-                async for output in _read(resp, start):
-                    yield output
+                await self._feeds.read(resp.content, lines.feed)
         except (aiohttp.ClientError, OSError) as exc:
             raise failure_of(exc) from exc
+        if not lines.ended:
+            message = "stream ended before the output did"
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, message, lost=True)
