Give tests a small cluster plan of their own

The demo's plan, which tests of configuration and of the daemon had borrowed, went when the demo came to run both deployments: seven tests could not be set up.

--- a/turmericflow/testing/__init__.py
+++ b/turmericflow/testing/__init__.py
@@ -9,6 +9,7 @@
     EngineSpec,
     member_states,
 )
+from turmericflow.testing._deployments import small_plan
 from turmericflow.testing._load import load_profile, load_tables, load_work
 
 __all__ = (
@@ -17,6 +18,7 @@
     "ClusterPlan",
     "EngineSpec",
     "member_states",
+    "small_plan",
     # Tables
     "load_profile",
     "load_tables",
