--- a/turmericflow/testing/_routers.py
+++ b/turmericflow/testing/_routers.py
@@ -55,17 +55,6 @@
     )
 
 
-def small_plan() -> ClusterPlan:
-    """Return a plan of three routers, three engines and one profile."""
-    plan = router_plan(routers=3)
-    kept = ("profile/quotation", f"customer/{CUSTOMER}")
-    plan.objects = {path: plan.objects[path] for path in kept}
-    plan.targets.append(
-        EngineSpec("redactor-2", "redactor", CENTRES[2], plan.targets[0].args)
-    )
-    return plan
-
-
 def read_map(cluster: Cluster) -> list[SlotEntry]:
     """Return the owner map's entries as the platform has them."""
     url = f"http://{cluster.processes['platform'].address}/v1/objects/owners/map"
--- a/turmericflow/tests/conftest.py
+++ b/turmericflow/tests/conftest.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from turmericflow.testing import Cluster, _routers as routers
+from turmericflow.testing import Cluster, small_plan
 
 # Small systems of equations are solved faster without threads.
 os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")
@@ -34,7 +34,7 @@
 @pytest.fixture
 def cluster() -> Iterator[Cluster]:
     """Run three routers, in as many data centres."""
-    plan = routers.small_plan()
+    plan = small_plan()
     plan.settings["addresses_keep_s"] = 0.5
     with Cluster(plan) as running:
         yield running
