Poll the platform's objects only when nobody heard from it

The host list's bytes came in polls too far apart to be sampled, which gave negative slopes.

Change: a host that does not watch polls objects only when its view is older than ten seconds.

--- a/benchmarks/_unit_costs.py
+++ b/benchmarks/_unit_costs.py
@@ -14,7 +14,15 @@
 from turmericflow.profile import CUSTOMER_ADAPTER, PROFILE_ADAPTER
 from turmericflow.systems import membership, overlay
 from turmericflow.systems._membership import MemberInfo, pack_version
-from turmericflow.tables import FactTable, PeerState, Tables, Target, TargetKind
+from turmericflow.tables import (
+    Claim,
+    FactTable,
+    PeerState,
+    RequestId,
+    Tables,
+    Target,
+    TargetKind,
+)
 
 ROUNDS = 2000
 ROWS = 4000
@@ -116,6 +124,22 @@
     return size / len(tables.peers.rows)
 
 
+def _claim_costs() -> dict[str, float]:
+    def claim(tokens: int) -> Callable[[int], object]:
+        def make(number: int) -> object:
+            texts = [f"{number}.{index:04d}.00000000 " for index in range(tokens)]
+            request_id = RequestId("norte", f"key-{number}")
+            row = Claim(request_id, 1, "f" * 64, "g" * 16, "quotation", True, "e", 1)
+            row.body = bytes(400)
+            row.tokens = texts
+            return row
+
+        return make
+
+    none, some = _row_bytes(claim(0)), _row_bytes(claim(50))
+    return {"claim_bytes": none, "claim_token_bytes": (some - none) / 50}
+
+
 def measure() -> dict[str, float]:
     """Return unit costs: microseconds of a core, and bytes."""
     ping_us, ping_bytes = _both_ways(wire.Ping(1, "entry-0001", 1 << 60, 1 << 60))
@@ -145,4 +169,5 @@
         "validate_customer_us": _us(lambda: CUSTOMER_ADAPTER.validate_python(value)),
         "contacts_at_2000_us": _us(contacts, 50),
         **_memory(),
+        **_claim_costs(),
     }
--- a/turmericflow/services/_config.py
+++ b/turmericflow/services/_config.py
@@ -22,7 +22,7 @@
     PlatformObject,
 )
 from turmericflow.services._stats import Stats
-from turmericflow.systems import orders, overlay, owner_map, slots, spread
+from turmericflow.systems import freshness, orders, overlay, owner_map, slots, spread
 from turmericflow.tables import Tables
 
 OBJECT = "object"
@@ -31,6 +31,7 @@
 WATCH_WAIT_S = 2.0
 DUTY_CHECK_S = 0.5
 HELD_BACK_S = 0.2
+STALE_S = 10.0
 JOIN_S = 2.0
 YIELD_OBJECTS = 500
 
@@ -41,7 +42,8 @@
     """Keeps the configuration in force as new as the fleet's.
 
     A data centre's watchers wait on the platform's watch and pass on what is
-    new; all other hosts learn from peers, and poll when their turn comes.
+    new; all other hosts learn from peers, and poll in turn when they have heard
+    nothing of the platform for some time.
     """
 
     def __init__(
@@ -90,9 +92,14 @@
     async def _poll(self) -> None:
         while not self.should_stop:
             await self.sleep(spread.poll_wait_s(self._tables, self._rng))
-            if self._held is None and not overlay.is_watcher(self._tables):
+            if self._held is None and self._is_stale():
                 await self._ask_platform(0.0)
 
+    def _is_stale(self) -> bool:
+        """Whether neither this host nor its peers have heard from the platform."""
+        age_s = freshness.age_s(self._tables, time.monotonic())
+        return age_s > STALE_S and not overlay.is_watcher(self._tables)
+
     async def _join(self) -> None:
         """Learn from peers and the platform before anything is put in force."""
         contacts = list(overlay.contacts(self._tables))
--- a/turmericflow/services/_platform.py
+++ b/turmericflow/services/_platform.py
@@ -149,4 +149,6 @@
         """Return the host list, which lags."""
         _, body = await self._call("GET", "/v1/hosts")
         self.hosts_bytes = len(body)
+        if self._stats is not None:
+            self._stats.count("platform.host_list_bytes", len(body))
         return msgspec.json.decode(body, type=list[HostEntry])
