--- a/turmericflow/client/_caller.py
+++ b/turmericflow/client/_caller.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from urllib.parse import quote
 
 import aiohttp
 
@@ -56,6 +57,8 @@
         Deliberate tries of a request that is refused for a while.
     idle_s
         Silence after which another address is taken, in seconds.
+    learns
+        Whether further addresses are learned from the routers.
     """
 
     customer: str
@@ -63,6 +66,7 @@
     tls: ssl.SSLContext | None = None
     max_tries: int = 1
     idle_s: float = IDLE_S
+    learns: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -98,6 +102,7 @@
         self._session = session
         self._addresses = list(addresses)
         self._access = Access(access) if isinstance(access, str) else access
+        self._known_until = float("-inf")
 
     async def addresses(self) -> dict:
         """Return the addresses to use and how long to keep them.
@@ -116,6 +121,24 @@
                 self._next_address()
         raise BadReply(f"none of {', '.join(self._addresses)} answered")
 
+    async def learn(self) -> None:
+        """Learn the addresses to use, if what is known is no longer to be kept.
+
+        Addresses that are no longer named are kept for the worst case.
+        """
+        if not self._access.learns or time.monotonic() < self._known_until:
+            return
+        try:
+            found = await self.addresses()
+            named, keep_s = list(found["addresses"]), float(found["keep_s"])
+        except (BadReply, KeyError, TypeError, ValueError):
+            return
+        self._known_until = time.monotonic() + keep_s
+        first = [each for each in self._addresses if each in named]
+        last = [each for each in self._addresses if each not in named]
+        others = [each for each in named if each not in first]
+        self._addresses = [*first, *others, *last]
+
     async def generate(
         self,
         profile: str,
@@ -137,9 +160,15 @@
     async def attach(
         self, key: str, last_id: str = "", on_token: OnToken | None = None
     ) -> Answer:
-        """Receive the rest of a request that runs, or its recorded answer."""
-        answer = Answer(last_id=last_id)
-        exchange = _Exchange("GET", f"/v1/requests/{key}", key)
+        """Receive the rest of a request that runs, or its recorded answer.
+
+        Raises
+        ------
+        ValueError
+            If ``last_id`` is out of form.
+        """
+        answer = Answer.from_last_id(last_id)
+        exchange = _Exchange("GET", _request_path(key), key)
         return await self._run(exchange, on_token, answer)
 
     async def call(self, profile: str, payload: object, key: str) -> Answer:
@@ -147,11 +176,9 @@
         body = {"profile": profile, "payload": payload}
         return await self._run(_Exchange("POST", "/v1/call", key, body))
 
-    async def cancel(self, key: str) -> Failure | None:
-        """Cancel a request; return why it could not be, or None."""
-        answer = Answer()
-        await self._run(_Exchange("DELETE", f"/v1/requests/{key}", key), None, answer)
-        return answer.failure
+    async def cancel(self, key: str) -> Answer:
+        """Cancel a request; the answer's body says whether there was one."""
+        return await self._run(_Exchange("DELETE", _request_path(key), key))
 
     async def _run(
         self,
@@ -160,6 +187,7 @@
         answer: Answer | None = None,
     ) -> Answer:
         answer = answer or Answer()
+        await self.learn()
         sent = False
         until = time.monotonic() + GIVE_UP_S
         while not answer.ended and time.monotonic() < until:
@@ -238,6 +266,10 @@
         self._addresses.append(self._addresses.pop(0))
 
 
+def _request_path(key: str) -> str:
+    return f"/v1/requests/{quote(key, safe='')}"
+
+
 def _headers(exchange: _Exchange, answer: Answer) -> dict[str, str]:
     headers = {}
     if exchange.method == "POST":
@@ -249,7 +281,9 @@
 
 
 def _take_whole(body: object, answer: Answer) -> None:
-    text = body.get("text", "") if isinstance(body, dict) else ""
-    if text and not answer.tokens:
-        answer.tokens.append(Token(0, text, time.monotonic()))
+    if not isinstance(body, dict):
+        raise BadReply(f"got {type(body).__name__}, expected an object")
+    answer.body = body
+    if "text" in body and not answer.tokens:
+        answer.tokens.append(Token(0, body["text"], time.monotonic()))
     answer.whole = True
--- a/turmericflow/services/_claimant.py
+++ b/turmericflow/services/_claimant.py
@@ -343,7 +343,8 @@
         -------
         RequestRow
             The row to listen to, if the request turns out to run or to have
-            ended already.
+            ended already.  What was accepted once is not refused again: if
+            its runner is lost, this host claims it.
 
         Raises
         ------
@@ -365,12 +366,21 @@
             case wire.Recorded():
                 return _recorded(answer, new)
             case wire.Attached():
-                row, following = await self._attach(new, answer)
-                if following is _Following.YES:
-                    return row
+                return await self.claim(new)
         self._stats.count("claimant.seal_unconfirmed")
         raise RequestFailed(_doubtful(failure))
 
+    async def look_up(self, new: NewRequest) -> wire.AnyMessage | None:
+        """Ask the owner where a request runs, without a claim on it."""
+        grant = secrets.token_hex(8)
+        return await self._ask_until(
+            new.request_id,
+            lambda rid, epoch: self._make_claim(
+                new, rid, epoch, grant, NO_EPOCH, False
+            ),
+            SEAL_WAIT_S,
+        )
+
     async def _ask_until(
         self,
         request_id: RequestId,
--- a/turmericflow/services/_engine.py
+++ b/turmericflow/services/_engine.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import aiohttp
 import msgspec
 
 from turmericflow.cfg import Address
+from turmericflow.services._feeds import Feeds
 from turmericflow.services._stats import Stats
 from turmericflow.verdict import Verdict
 
+REFUSED_STATUSES = frozenset({409, 429, 503})
 REPORT_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 
 
@@ -21,13 +23,16 @@
     Attributes
     ----------
     verdict
-        ``NOT_RUN`` if the target refused before running, else
-        ``MAY_HAVE_RUN``.
+        ``NOT_RUN`` if no byte left or the target states that it refused,
+        else ``MAY_HAVE_RUN``.
+    lost
+        Whether the connection to the target failed.
     """
 
-    def __init__(self, verdict: Verdict, message: str) -> None:
+    def __init__(self, verdict: Verdict, message: str, lost: bool = False) -> None:
         super().__init__(message)
         self.verdict = verdict
+        self.lost = lost
 
 
 class StaleFence(TargetFailed):
@@ -97,53 +102,101 @@
     done: bool
 
 
+TakeOutput = Callable[[EngineOutput], bool]
+
 _DECODER = msgspec.json.Decoder(_Line)
 
 
-def _parse(data: bytes) -> EngineOutput:
-    start = -1
+def _invalid(message: str) -> TargetFailed:
+    return TargetFailed(Verdict.MAY_HAVE_RUN, message)
+
+
+def _parse(data: bytes, expected: int) -> EngineOutput:
+    """Return the tokens of whole lines, the first of which is ``expected``."""
     texts: list[str] = []
-    for line in _DECODER.decode_lines(data):
+    try:
+        lines = _DECODER.decode_lines(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise _invalid(f"got an invalid line: {exc}") from exc
+    for line in lines:
         if line.error:
-            raise TargetFailed(Verdict.MAY_HAVE_RUN, line.error)
+            raise _invalid(line.error)
+        index = expected + len(texts)
         if line.done >= 0:
-            return EngineOutput(max(start, 0) if texts else line.done, texts, True)
-        if start < 0:
-            start = line.i
+            if line.done != index:
+                raise _invalid(f"output ends at {line.done}, expected {index}")
+            return EngineOutput(expected, texts, True)
+        if line.i != index:
+            raise _invalid(f"got token {line.i}, expected {index}")
         texts.append(line.t)
-    return EngineOutput(start, texts, False)
+    return EngineOutput(expected, texts, False)
+
+
+class _Lines:
+    """Turns the bytes of a body into output and hands it on.
+
+    Attributes
+    ----------
+    ended
+        Whether the output has ended, or is needed no more.
+    """
+
+    __slots__ = ("_expected", "_rest", "_take", "ended")
 
+    def __init__(self, expected: int, take: TakeOutput) -> None:
+        self._expected = expected
+        self._rest = b""
+        self._take = take
+        self.ended = False
 
-async def _read(resp: aiohttp.ClientResponse) -> AsyncIterator[EngineOutput]:
-    rest = b""
-    async for data in resp.content.iter_any():
+    def feed(self, data: bytes) -> bool:
+        """Take bytes in; return whether the output has ended."""
+        if self._rest:
+            data = self._rest + data
         end = data.rfind(b"\n") + 1
-        if not end:
-            rest += data
-            continue
-        output = _parse(rest + data[:end])
-        rest = data[end:]
-        yield output
-        if output.done:
-            return
-    raise TargetFailed(Verdict.MAY_HAVE_RUN, "stream ended before the output did")
+        self._rest = data[end:]
+        if end:
+            output = _parse(data[:end], self._expected)
+            self._expected += len(output.texts)
+            self.ended = not self._take(output) or output.done
+        return self.ended
+
+
+def failure_of(exc: Exception) -> TargetFailed:
+    """Return what a client error says of a request that was being sent."""
+    match exc:
+        case aiohttp.ClientConnectorError() | aiohttp.ConnectionTimeoutError():
+            return TargetFailed(Verdict.NOT_RUN, repr(exc), lost=True)
+        case _:
+            return TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc), lost=True)
 
 
 class EngineClient:
     """Client of the engines' HTTP interface."""
 
-    __slots__ = ("_session", "_stats")
+    __slots__ = ("_feeds", "_session", "_stats")
 
     def __init__(
         self, session: aiohttp.ClientSession, stats: Stats | None = None
     ) -> None:
         self._session = session
         self._stats = stats
+        self._feeds = Feeds()
 
     async def generate(
-        self, address: Address, request: EngineRequest
-    ) -> AsyncIterator[EngineOutput]:
-        """Start or resume a generation and yield its output.
+        self, address: Address, request: EngineRequest, take: TakeOutput
+    ) -> None:
+        """Start or resume a generation and hand its output to ``take``.
+
+        Parameters
+        ----------
+        address
+            Where the engine listens.
+        request
+            What it is to generate.
+        take
+            Called with the output as it comes; returns False when it needs no
+            more.
 
         Raises
         ------
@@ -151,16 +204,15 @@
             If the engine refuses, or is lost before the output ends.
         """
         url = f"{address.url}/v1/generate"
-        async for output in self._stream("POST", url, msgspec.json.encode(request)):
-            yield output
+        body = msgspec.json.encode(request)
+        await self._stream("POST", url, body, len(request.prefix), take)
 
     async def attach(
-        self, address: Address, generation: str, start: int
-    ) -> AsyncIterator[EngineOutput]:
-        """Yield the output of a running generation from an index on."""
+        self, address: Address, generation: str, start: int, take: TakeOutput
+    ) -> None:
+        """Hand on the output of a running generation from an index on."""
         url = f"{address.url}/v1/streams/{generation}?from={start}"
-        async for output in self._stream("GET", url, None):
-            yield output
+        await self._stream("GET", url, None, start, take)
 
     async def cancel(self, address: Address, generation: str, attempt: int) -> None:
         """Cancel an attempt; an engine that cannot be reached is left alone."""
@@ -168,7 +220,7 @@
         try:
             async with self._session.delete(url):
                 return
-        except aiohttp.ClientError:
+        except (aiohttp.ClientError, OSError):
             return
 
     async def load(self, address: Address) -> EngineLoad:
@@ -216,16 +268,19 @@
             raise TargetFailed(Verdict.NOT_RUN, f"{url}: {exc}") from exc
 
     async def _stream(
-        self, method: str, url: str, body: bytes | None
-    ) -> AsyncIterator[EngineOutput]:
+        self, method: str, url: str, body: bytes | None, start: int, take: TakeOutput
+    ) -> None:
+        lines = _Lines(start, take)
         try:
             async with self._session.request(method, url, data=body) as resp:
                 if resp.status != 200:
-                    text = await resp.text()
-                    raise TargetFailed(Verdict.NOT_RUN, f"{resp.status}: {text}")
-                async for output in _read(resp):
-                    yield output
-        except aiohttp.ClientConnectorError as exc:
-            raise TargetFailed(Verdict.NOT_RUN, str(exc)) from exc
+                    text = await resp.text(errors="replace")
+                    refused = resp.status in REFUSED_STATUSES
+                    verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
+                    raise TargetFailed(verdict, f"{resp.status}: {text[:200]}")
+                await self._feeds.read(resp.content, lines.feed)
         except (aiohttp.ClientError, OSError) as exc:
-            raise TargetFailed(Verdict.MAY_HAVE_RUN, str(exc)) from exc
+            raise failure_of(exc) from exc
+        if not lines.ended:
+            message = "stream ended before the output did"
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, message, lost=True)
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -3,24 +3,50 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
+from typing import Any
 
-from turmericflow.profile import Urgency
+from turmericflow import wire
+from turmericflow.profile import Profile, ProfileKind, Urgency
 from turmericflow.services._claimant import Claimant, NewRequest
+from turmericflow.services._course import Attempt, Course, Done, Lost, Suspected
 from turmericflow.services._dispatch import Dispatch
-from turmericflow.services._engine import EngineClient, EngineRequest, TargetFailed
+from turmericflow.services._engine import (
+    EngineClient,
+    EngineOutput,
+    EngineRequest,
+    TakeOutput,
+    TargetFailed,
+)
 from turmericflow.services._journal import Journal
+from turmericflow.services._plain import PlainClient
+from turmericflow.services._restore import restore
 from turmericflow.services._stats import Stats
-from turmericflow.tables import AttemptStart, RequestRow, Tables, Target
-from turmericflow.verdict import Failure, RequestFailed
+from turmericflow.services._suspects import Suspects
+from turmericflow.services._watch import ListeningClock
+from turmericflow.systems import crashers, detection, routing, to_failure
+from turmericflow.tables import (
+    RequestId,
+    RequestRow,
+    StreamRow,
+    Tables,
+    Target,
+    TargetStreams,
+)
+from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
 
 PRIORITY = {Urgency.URGENT: 0, Urgency.NORMAL: 1, Urgency.THRIFTY: 2}
+MAX_ATTEMPTS_AT_ONCE = 3
+HOLD_CHECK_S = 0.05
+SUSPECTS_SPREAD_S = 0.1
+TURN_WAIT_S = 1.0
+REFUSED_WAIT_S = 0.05
+KEEP_ENDED_S = 5.0
 
 
-def _begin_attempt(row: RequestRow, target: Target) -> EngineRequest:
-    number = row.attempt + 1
-    row.attempts.append(AttemptStart(number, len(row.tokens), target.name))
-    row.target = target.name
-    row.dispatched = True
+def _engine_request(row: RequestRow, number: int) -> EngineRequest:
     return EngineRequest(
         row.generation,
         number,
@@ -34,6 +60,15 @@
     )
 
 
+def _unnamed(request_id: RequestId) -> NewRequest:
+    """Return a request of which only the key is known."""
+    profile = Profile("unknown", "unknown", idempotent=False)
+    return NewRequest(request_id, profile, "", 1, b"", "", 1, True)
+
+
+Work = Callable[[TakeOutput], Awaitable[None]]
+
+
 class Runner:
     """Runs requests on targets, and resumes them when a target is lost."""
 
@@ -42,17 +77,24 @@
         tables: Tables,
         claimant: Claimant,
         engines: EngineClient,
+        plain: PlainClient,
+        suspects: Suspects,
         journal: Journal,
         dispatch: Dispatch,
+        clock: ListeningClock,
         stats: Stats,
     ) -> None:
         self._tables = tables
         self._claimant = claimant
         self._engines = engines
+        self._plain = plain
+        self._suspects = suspects
         self._journal = journal
         self._dispatch = dispatch
+        self._clock = clock
         self._stats = stats
         self._tasks: set[asyncio.Task] = set()
+        self._courses: dict[RequestId, Course] = {}
 
     async def submit(
         self, new: NewRequest, refusal: Failure | None = None
@@ -60,47 +102,431 @@
         """Claim a request and start to run it, or follow its runner.
 
         ``refusal`` says why it is not to be run if it is new.
+        The claim goes on when its caller leaves.
 
         Raises
         ------
         RequestFailed
             If the claim is refused.
         """
-        present = self._tables.requests.rows.get(new.request_id)
-        if present is not None and not present.ended:
-            return present
+        task = self._spawn(self._submit(new, refusal))
+        return await asyncio.shield(task)
+
+    async def _submit(self, new: NewRequest, refusal: Failure | None) -> RequestRow:
+        content = crashers.fingerprint(new.profile, new.prompt)
+        refusal = refusal or await self._held(new, content)
         refusal = refusal or self._dispatch.admit(new)
         if refusal is not None:
-            return await self._claimant.seal(new, refusal)
-        row = await self._claimant.claim(new)
-        if self._tables.requests.rows.get(new.request_id) is row:
-            task = asyncio.ensure_future(self._run(row))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            row = await self._claimant.seal(new, refusal)
+        else:
+            row = await self._claimant.claim(new)
+        self._take_up(row, content)
+        return row
+
+    async def _held(self, new: NewRequest, content: str) -> Failure | None:
+        """Hold a suspect's copy back for a while; return why it is refused."""
+        table = self._tables.suspects
+        until = time.time() + new.profile.wait_s
+        while new.request_id not in self._courses:
+            now = time.time()
+            if crashers.is_convicted(table, content, now):
+                message = "content that was lost with several targets is refused"
+                return Failure(ErrorCode.SUSPECT_CONTENT, Verdict.NOT_RUN, message)
+            held_until = crashers.held_until(table, content, now)
+            if held_until <= now:
+                return None
+            if now >= until:
+                message = "content that was lost with a target is under suspicion"
+                wait_s = held_until - now
+                return Failure(
+                    ErrorCode.SUSPECT_CONTENT, Verdict.NOT_RUN, message, wait_s
+                )
+            await asyncio.sleep(HOLD_CHECK_S)
+        return None
+
+    def _take_up(self, row: RequestRow, content: str) -> None:
+        """Run a row if it was granted to this host and does not run yet."""
+        present = self._tables.requests.rows.get(row.request_id)
+        course = self._courses.get(row.request_id)
+        if present is row and (course is None or course.row is not row):
+            course = Course(row, content)
+            self._courses[row.request_id] = course
+            course.task = self._spawn(self._run(course))
+
+    async def attach(self, request_id: RequestId) -> RequestRow:
+        """Follow a known request, or run it on if its runner was lost.
+
+        Raises
+        ------
+        RequestFailed
+            If no such request is known, or it cannot go on.
+        """
+        return await asyncio.shield(self._spawn(self._attach(request_id)))
+
+    async def _attach(self, request_id: RequestId) -> RequestRow:
+        row = await self._claimant.claim(_unnamed(request_id))
+        if self._tables.requests.rows.get(request_id) is row and row.body:
+            restore(row, self._tables.config.profiles)
+            self._take_up(row, crashers.fingerprint(row.profile, row.prompt))
         return row
 
-    async def _run(self, row: RequestRow) -> None:
-        while not row.complete and not row.ended:
+    async def runner_of(self, request_id: RequestId) -> str | None:
+        """Return the host that runs a request, or None if it has ended.
+
+        Raises
+        ------
+        RequestFailed
+            If no such request is known.
+        """
+        if request_id in self._courses:
+            return self._tables.host
+        match await self._claimant.look_up(_unnamed(request_id)):
+            case wire.Attached(runner=runner):
+                return runner
+            case wire.Refused(failure=failure):
+                failure = to_failure(failure)
+                if failure.code in (ErrorCode.NOT_FOUND, ErrorCode.RETENTION):
+                    raise RequestFailed(failure)
+        return None
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def suspect(self, stream: StreamRow) -> None:
+        """Take in that a stream has been silent for too long."""
+        course = self._courses.get(stream.request_id)
+        if course is not None:
+            course.post(Suspected(stream))
+
+    def stop(self, request_id: RequestId, code: ErrorCode, message: str) -> bool:
+        """End a request that runs here; return whether there was one."""
+        course = self._courses.get(request_id)
+        if course is None or course.over or course.ending:
+            return False
+        course.stopped_by = course.failure(code, message)
+        course.task.cancel()
+        return True
+
+    def sweep(self, now: float) -> None:
+        """End what was replaced or left, and forget requests that ended."""
+        for course in list(self._courses.values()):
+            if course.row.ended and not course.ending:
+                course.task.cancel()
+            elif not course.over:
+                self._check_heard(course, now)
+        rows = self._tables.requests.rows
+        for row in [row for row in rows.values() if row.ended]:
+            if row.ended_at is None:
+                row.ended_at = now
+            if now - row.ended_at > KEEP_ENDED_S and not row.listeners:
+                del rows[row.request_id]
+        self._suspects.sweep()
+
+    def _check_heard(self, course: Course, now: float) -> None:
+        """Stop idempotent work that nobody has listened to for long."""
+        row = course.row
+        if row.listeners or not row.profile.idempotent:
+            course.unheard_since = None
+        elif course.unheard_since is None:
+            course.unheard_since = now
+        elif now - course.unheard_since > row.profile.wait_s:
+            message = f"nobody listened for {row.profile.wait_s} s"
+            self._stats.count("runner.unheard")
+            self.stop(row.request_id, ErrorCode.CANCELLED, message)
+
+    async def _run(self, course: Course) -> None:
+        row = course.row
+        deadline = asyncio.get_running_loop().time() + row.profile.deadline_s
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self._start(course)
+                while not course.over:
+                    await self._react(course, await course.next_event())
+            if row.complete:
+                await self._suspects.answered(course.content)
+        except TimeoutError:
+            message = f"no whole answer within {row.profile.deadline_s} s"
+            failure = course.failure(ErrorCode.DEADLINE, message)
+            await self._fail(course, failure)
+        except RequestFailed as exc:
+            await self._fail(course, exc.failure)
+        except asyncio.CancelledError:
+            if course.stopped_by is not None:
+                await self._fail(course, course.stopped_by)
+        finally:
+            self._close(course)
+
+    def _close(self, course: Course) -> None:
+        for attempt in list(course.attempts):
+            course.drop(attempt)
+            attempt.task.cancel()
+        if self._courses.get(course.row.request_id) is course:
+            del self._courses[course.row.request_id]
+
+    async def _fail(self, course: Course, failure: Failure) -> None:
+        row = course.row
+        if course.over:
+            return
+        course.ending = True
+        for attempt in list(course.attempts):
+            self._abandon(course, attempt)
+        self._stats.count(f"runner.failed.{failure.code}")
+        if failure.verdict is not Verdict.NOT_RUN:
+            row.failure = failure
+            row.ended = True
+            row.wake()
+        await self._claimant.fail(row, failure)
+
+    async def _start(self, course: Course) -> None:
+        """Go on with a running stream if there is one, else start or resume."""
+        row = course.row
+        last = row.attempts[-1].target if row.attempts else ""
+        target = self._tables.targets.rows.get(last)
+        if target is None:
+            await self._resume(course)
+            return
+        self._stats.count("runner.attached")
+        attempt = self._attempt(course, row.attempt, target)
+        attempt.placed = False
+        work = partial(
+            self._engines.attach, target.address, row.generation, len(row.tokens)
+        )
+        self._launch(course, attempt, work)
+
+    async def _resume(self, course: Course) -> None:
+        """Start an attempt with all tokens so far as its prefix."""
+        self._check_may_run(course)
+        target = await self._place(course)
+        if course.row.attempts:
+            self._stats.count("runner.resumed")
+        self._begin(course, target)
+
+    async def _place(self, course: Course) -> Target:
+        """Wait for a place, apart from other suspects if the request is one."""
+        row, table = course.row, self._tables.suspects
+        while crashers.count(table, course.content, time.time()) > 1:
+            await asyncio.sleep(SUSPECTS_SPREAD_S)
+            now = time.time()
+            if crashers.is_convicted(table, course.content, now):
+                message = "the content was lost with several targets"
+                raise RequestFailed(course.failure(ErrorCode.SUSPECT_CONTENT, message))
+            names = self._names(row, crashers.lost_lately(table, now))
+            kept = crashers.turn(table, course.content, names, now)
+            if kept is None:
+                continue
+            others = frozenset(self._tables.targets.rows) - {kept}
             try:
-                target = await self._dispatch.place(row)
-            except RequestFailed as exc:
-                await self._claimant.fail(row, exc.failure)
-                return
-            await self._attempt(row, target)
-
-    async def _attempt(self, row: RequestRow, target: Target) -> None:
-        request = _begin_attempt(row, target)
+                async with asyncio.timeout(TURN_WAIT_S):
+                    return await self._dispatch.place(row, others)
+            except TimeoutError:
+                continue
+        names = self._names(row, frozenset(course.refused_by))
+        running = self._contents() if table.rows else {}
+        now = time.time()
+        avoid = crashers.apart(table, running, names, course.content, now)
+        exclude = avoid | course.refused_by if names else frozenset()
+        return await self._dispatch.place(row, exclude)
+
+    def _names(self, row: RequestRow, exclude: frozenset[str]) -> list[str]:
+        targets, now = self._tables.targets, time.monotonic()
+        found = routing.candidates(targets, row.profile, now, exclude)
+        return [target.name for target in found]
+
+    def _contents(self) -> dict[str, list[str]]:
+        """Return the contents that run here, by target."""
+        return {
+            target: self._contents_on(target) for target in self._tables.streams.targets
+        }
+
+    def _contents_on(self, target: str) -> list[str]:
+        view = self._tables.streams.targets.get(target)
+        ids = {request_id for request_id, _ in view.rows} if view else set()
+        return [self._courses[each].content for each in ids if each in self._courses]
+
+    def _check_may_run(self, course: Course) -> None:
+        """Raise unless another attempt is the same run or cannot be a second.
+
+        Work that is not idempotent is resumed only with a prefix: the engine
+        that began it is gone, and what it gave is kept.
+        """
+        row = course.row
+        if row.profile.idempotent or not course.may_have_run or row.tokens:
+            return
+        message = "the target was lost before its first output, and may have run this"
+        raise RequestFailed(course.failure(ErrorCode.TARGET_FAILED, message))
+
+    def _begin(self, course: Course, target: Target) -> None:
+        row = course.row
+        row.dispatched = True
         self._stats.count("runner.attempts")
-        lost = False
+        attempt = self._attempt(course, course.next_number(), target)
+        match row.profile.kind:
+            case ProfileKind.CALL:
+                key = row.request_id.key
+                work = partial(self._plain.call, target.address, key, row.prompt)
+            case ProfileKind.GENERATION:
+                request = _engine_request(row, attempt.number)
+                work = partial(self._engines.generate, target.address, request)
+        self._launch(course, attempt, work)
+
+    def _attempt(self, course: Course, number: int, target: Target) -> Attempt:
+        row = course.row
+        tokens = detection.prompt_tokens(row.prompt) + len(row.tokens)
+        now = self._clock.now()
+        work_s = detection.prefill_s(self._tables.targets, target.name, tokens)
+        if row.profile.kind is ProfileKind.CALL:
+            work_s = row.profile.deadline_s
+        stream = StreamRow(
+            row.request_id,
+            number,
+            target.name,
+            row.profile.urgency,
+            now,
+            work_s,
+            tokens,
+            now,
+        )
+        return Attempt(number, target, len(row.tokens), stream)
+
+    def _launch(self, course: Course, attempt: Attempt, work: Work) -> None:
+        course.add(attempt)
+        self._journal.changed(course.row)
+        view = detection.open_stream(self._tables.streams, attempt.stream)
+        attempt.task = self._spawn(self._listen(course, attempt, view, work))
+        attempt.task.add_done_callback(lambda _: self._left(course, attempt))
+
+    def _left(self, course: Course, attempt: Attempt) -> None:
+        detection.close_stream(self._tables.streams, attempt.stream)
+        if attempt.placed:
+            self._dispatch.release(course.row, attempt.target, attempt.lost)
+
+    async def _listen(
+        self,
+        course: Course,
+        attempt: Attempt,
+        view: TargetStreams,
+        work: Work,
+    ) -> None:
+        """Take an attempt's output until it ends, fails or counts no more."""
+
+        def take(output: EngineOutput) -> bool:
+            if attempt.live:
+                now = self._clock.now()
+                detection.heard(view, attempt.stream, len(output.texts), now)
+                self._take(course, attempt, output)
+            return attempt.live
+
         try:
-            async for output in self._engines.generate(target.address, request):
-                if row.ended:
-                    return
-                row.tokens.extend(output.texts)
-                row.complete = output.done
-                self._journal.changed(row)
-        except TargetFailed:
-            lost = True
-            self._stats.count("runner.target_failed")
-        finally:
-            self._dispatch.release(row, target, lost)
+            await work(take)
+        except TargetFailed as exc:
+            attempt.lost = exc.lost
+            if exc.lost and exc.verdict is Verdict.MAY_HAVE_RUN:
+                await self._suspect_contents(course, attempt)
+            if attempt.live:
+                self._stats.count("runner.target_failed")
+                course.post(Lost(attempt, exc))
+
+    async def _suspect_contents(self, course: Course, attempt: Attempt) -> None:
+        """Put suspicion on all that ran on a target when its connections broke."""
+        name = attempt.target.name
+        if course.row.profile.kind is ProfileKind.GENERATION:
+            contents = {course.content, *self._contents_on(name)}
+            await self._suspects.lost(name, sorted(contents))
+
+    def _take(self, course: Course, attempt: Attempt, output: EngineOutput) -> None:
+        row = course.row
+        row.tokens.extend(output.texts)
+        attempt.next_index += len(output.texts)
+        if len(course.attempts) > 1:
+            self._win(course, attempt)
+        if course.failing_since is not None:
+            course.failing_since = None
+            course.refused_by.clear()
+        if output.done:
+            row.complete = True
+            course.post(Done())
+        self._journal.changed(row)
+
+    def _win(self, course: Course, winner: Attempt) -> None:
+        """Keep the first attempt that gave the next token, and drop the rest."""
+        for attempt in list(course.attempts):
+            if attempt is not winner:
+                self._abandon(course, attempt)
+        row = course.row
+        if row.attempt != winner.number:
+            self._stats.count("runner.hedge_won")
+        course.put_in_force(winner)
+
+    def _abandon(self, course: Course, attempt: Attempt) -> None:
+        """Drop an attempt and free its place on the target."""
+        course.drop(attempt)
+        course.may_have_run = True
+        attempt.task.cancel()
+        self._spawn(self._cancel(course.row, attempt))
+
+    async def _cancel(self, row: RequestRow, attempt: Attempt) -> None:
+        address = attempt.target.address
+        await self._engines.cancel(address, row.generation, attempt.number)
+
+    async def _react(self, course: Course, event: Lost | Suspected | Done) -> None:
+        match event:
+            case Lost(attempt=attempt, failure=failure):
+                await self._on_lost(course, attempt, failure)
+            case Suspected(stream=stream):
+                await self._hedge(course, stream)
+            case Done():
+                pass
+
+    async def _on_lost(
+        self, course: Course, attempt: Attempt, failure: TargetFailed
+    ) -> None:
+        course.drop(attempt)
+        row = course.row
+        if failure.verdict is Verdict.RAN:
+            answer = Failure(ErrorCode.TARGET_REFUSED, Verdict.RAN, str(failure))
+            raise RequestFailed(answer)
+        if failure.verdict is not Verdict.NOT_RUN:
+            course.may_have_run = True
+        if failure.verdict is not Verdict.NOT_RUN:
+            self._spawn(self._cancel(row, attempt))
+        if course.attempts:
+            return
+        row.dispatched = course.may_have_run
+        self._check_time_left(course, failure)
+        if attempt.target.name in course.refused_by:
+            await asyncio.sleep(REFUSED_WAIT_S)
+        course.refused_by.add(attempt.target.name)
+        await self._resume(course)
+
+    def _check_time_left(self, course: Course, failure: TargetFailed) -> None:
+        """Raise if all attempts failed for as long as a caller waits."""
+        now = time.monotonic()
+        if course.failing_since is None:
+            course.failing_since = now
+        if now - course.failing_since > course.row.profile.wait_s:
+            message = f"no target gave output, the last one said: {failure}"
+            raise RequestFailed(course.failure(ErrorCode.TARGET_FAILED, message))
+
+    async def _hedge(self, course: Course, stream: StreamRow) -> None:
+        """Start a second attempt while still listening to the silent one."""
+        attempt = course.find(stream)
+        if attempt is None or not stream.suspected or not course.row.profile.idempotent:
+            return
+        if len(course.attempts) >= MAX_ATTEMPTS_AT_ONCE:
+            return
+        if crashers.count(self._tables.suspects, course.content, time.time()):
+            return
+        row = course.row
+        exclude = frozenset(each.target.name for each in course.attempts)
+        try:
+            target = await self._dispatch.place(row, exclude)
+        except RequestFailed:
+            return
+        if course.over or not (attempt.live and stream.suspected):
+            self._dispatch.release(row, target, False)
+            return
+        self._stats.count("runner.hedged")
+        self._begin(course, target)
--- a/turmericflow/tables/__init__.py
+++ b/turmericflow/tables/__init__.py
@@ -12,6 +12,7 @@
     PendingClaim,
 )
 from turmericflow.tables._config import ConfigTable
+from turmericflow.tables._crashers import Loss, Suspect, SuspectTable
 from turmericflow.tables._facts import FactTable
 from turmericflow.tables._load import (
     Budget,
@@ -27,6 +28,12 @@
 from turmericflow.tables._peers import Peer, PeerState, PeerTable
 from turmericflow.tables._requests import Listener, RequestRow, RequestTable
 from turmericflow.tables._slots import RequestId, SlotEntry, SlotTable
+from turmericflow.tables._streams import (
+    StreamId,
+    StreamRow,
+    StreamTable,
+    TargetStreams,
+)
 from turmericflow.tables._targets import (
     Breaker,
     BreakerState,
@@ -53,6 +60,15 @@
     # Slots
     "SlotEntry",
     "SlotTable",
+    # Crashers
+    "Loss",
+    "Suspect",
+    "SuspectTable",
+    # Streams
+    "StreamId",
+    "StreamRow",
+    "StreamTable",
+    "TargetStreams",
     # Load
     "Budget",
     "Demand",
--- /dev/null
+++ b/turmericflow/tests/test_crashers.py
@@ -0,0 +1,101 @@
+"""Tests of suspicion and conviction, over tables alone."""
+
+from __future__ import annotations
+
+import pytest
+
+from turmericflow.systems import crashers
+from turmericflow.tables import Loss, SuspectTable
+
+
+@pytest.fixture
+def table():
+    return SuspectTable()
+
+
+def lose(table, target, at, *contents):
+    crashers.note_loss(table, Loss(target, at), list(contents), at)
+
+
+def test_third_loss_convicts(table):
+    for number in range(3):
+        assert not crashers.is_convicted(table, "bad", number * 5.0)
+        lose(table, f"e{number}", number * 5.0, "bad", f"neighbour-{number}")
+    assert crashers.is_convicted(table, "bad", 11.0)
+    assert not any(
+        crashers.is_convicted(table, f"neighbour-{number}", 11.0) for number in range(3)
+    )
+
+
+def test_reports_of_one_loss_count_once(table):
+    lose(table, "e1", 1.0, "a")
+    lose(table, "e1", 1.2, "a")
+    assert crashers.count(table, "a", 2.0) == 1
+
+
+def test_answered_content_is_cleared(table):
+    lose(table, "e1", 1.0, "a")
+    crashers.clear(table, "a", 2.0)
+    assert crashers.count(table, "a", 2.0) == 0
+    assert crashers.held_until(table, "a", 2.0) == 2.0
+
+
+def test_losses_far_apart_do_not_convict(table):
+    for number in range(6):
+        lose(table, f"e{number}", number * crashers.SUSPECT_S, "a")
+    assert not crashers.is_convicted(table, "a", 6 * crashers.SUSPECT_S)
+
+
+def test_conviction_is_forgotten(table):
+    for number in range(3):
+        lose(table, f"e{number}", number * 5.0, "bad")
+    later = 11.0 + crashers.CONVICTED_S
+    crashers.expire(table, later)
+    assert not crashers.is_convicted(table, "bad", later)
+    assert table.rows == {}
+
+
+def test_copies_of_a_suspect_are_held_back(table):
+    lose(table, "e1", 1.0, "a")
+    assert crashers.held_until(table, "a", 1.5) > 1.5
+    assert crashers.held_until(table, "other", 1.5) == 1.5
+
+
+def test_suspects_are_kept_apart(table):
+    lose(table, "e1", 1.0, "a", "b")
+    running = {"e2": ["b"], "e3": ["c"]}
+    assert crashers.apart(table, running, ["e2", "e3"], "a", 1.5) == {"e2"}
+    assert crashers.apart(table, running, ["e2", "e3"], "c", 1.5) == frozenset()
+    assert crashers.apart(table, running, ["e2"], "a", 1.5) == frozenset()
+
+
+def test_twice_lost_suspects_get_a_target_each(table):
+    for at, target in ((1.0, "e1"), (5.0, "e2")):
+        lose(table, target, at, "a", "b", "c")
+    kept = [crashers.turn(table, name, ["e4", "e3"], 6.0) for name in ("a", "b", "c")]
+    assert kept == ["e3", "e4", None]
+
+
+def test_bystanders_never_meet_a_crasher_three_times(table):
+    """Resume a crasher's neighbours by the rules until it is convicted."""
+    contents = [f"bystander-{number}" for number in range(20)] + ["bad"]
+    targets = [f"e{number}" for number in range(8)]
+    running = {"e0": list(contents)}
+    now = 0.0
+    for loss in range(crashers.LOSSES_TO_CONVICT):
+        now += 5.0
+        lost = next(name for name, found in running.items() if "bad" in found)
+        moved = running.pop(lost)
+        targets.remove(lost)
+        lose(table, lost, now, *moved)
+        for content in moved:
+            if crashers.is_convicted(table, content, now):
+                continue
+            if crashers.count(table, content, now) > 1:
+                target = crashers.turn(table, content, targets, now) or targets[0]
+            else:
+                avoid = crashers.apart(table, running, targets, content, now)
+                target = next(name for name in targets if name not in avoid)
+            running.setdefault(target, []).append(content)
+    convicted = [each for each in contents if crashers.is_convicted(table, each, now)]
+    assert convicted == ["bad"]
