--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -120,7 +120,6 @@
         """Return the number of the platform's calls so far."""
         url = f"http://{self.processes['platform'].address}/admin/calls"
         found = http_json("GET", url)
-        print(found, file=sys.stderr)
         return found.get("read", 0) + found.get("write", 0)
 
 
@@ -283,13 +282,15 @@
     """Go from the base to each slope's lower run, and on along the slope.
 
     The polls of targets and of the host list are bounded by rate, which is
-    reached below the lower run of the targets' slope.
+    reached below the lower run of the targets' slope.  A slope below zero counts
+    as none.
     """
     value = base.costs[cost]
     for name, size in LETTER.items():
         start = lower[name]
         value += start.costs[cost] - base.costs[cost]
-        value += slopes[name][cost] * (size - getattr(start.size, name))
+        slope = max(0.0, slopes[name][cost])
+        value += slope * (size - getattr(start.size, name))
     return value
 
 
