Let the stand-in engine send a step's tokens together

Cause: the stand-in woke a task for each reader of a step, which spread a step's 50 tokens over 5 ms; an engine sends them at once. Change: tokens go to the readers' transports as the step ends.

--- a/turmericflow/testing/engine.py
+++ b/turmericflow/testing/engine.py
@@ -28,6 +28,55 @@
     role: str = "any"
 
 
+class _Sender:
+    """Writes a stream's tokens to one reader, all readers of a step at once.
+
+    Attributes
+    ----------
+    direct
+        Whether tokens go to the transport as they come; the handler's task
+        sends the first ones, the end and errors.
+    """
+
+    __slots__ = ("_stream", "_transport", "direct", "event", "sent")
+
+    def __init__(
+        self, transport: asyncio.Transport, stream: Stream, start: int
+    ) -> None:
+        self._transport = transport
+        self._stream = stream
+        self.sent = start
+        self.event = asyncio.Event()
+        self.direct = False
+
+    def changed(self) -> None:
+        """Take in that the stream has changed."""
+        stream = self._stream
+        if not self.direct or stream.done or stream.cancelled or self.fault_due():
+            self.event.set()
+            return
+        lines = self.take_lines()
+        if lines and not self._transport.is_closing():
+            self._transport.write(b"%x\r\n%b\r\n" % (len(lines), lines))
+
+    def fault_due(self) -> bool:
+        """Return whether the stream has come to its planned fault."""
+        fault = self._stream.fault
+        return fault is not None and len(self._stream.tokens) >= fault[1]
+
+    def take_lines(self) -> bytes:
+        """Return the lines of all tokens that are not yet sent."""
+        stream = self._stream
+        lines = [
+            b'{"i":%d,"t":"%b"}\n' % (index, stream.tokens[index].encode())
+            for index in range(self.sent, len(stream.tokens))
+        ]
+        self.sent = len(stream.tokens)
+        if stream.done:
+            lines.append(b'{"done":%d}\n' % self.sent)
+        return b"".join(lines)
+
+
 class EngineStandIn:
     """A model engine with continuous batching, a prefix cache and orders."""
 
@@ -134,34 +183,27 @@
         self, request: web.Request, stream: Stream, start: int
     ) -> web.StreamResponse:
         resp = web.StreamResponse(headers={"X-Attempt": str(stream.attempt)})
-        event = asyncio.Event()
-        stream.on_change.append(event.set)
-        sent = start
+        sender = _Sender(request.transport, stream, start)
+        stream.on_change.append(sender.changed)
         try:
             await resp.prepare(request)
             while not stream.cancelled:
-                fresh = stream.tokens[sent:]
-                if stream.fault is not None and len(stream.tokens) >= stream.fault[1]:
-                    await self._fail(resp, stream, sent)
-                lines = [
-                    b'{"i":%d,"t":"%b"}\n' % (sent + number, text.encode())
-                    for number, text in enumerate(fresh)
-                ]
-                sent += len(fresh)
-                if stream.done:
-                    lines.append(b'{"done":%d}\n' % sent)
+                if sender.fault_due():
+                    await self._fail(resp, stream, sender.sent)
+                lines = sender.take_lines()
                 if lines:
-                    await resp.write(b"".join(lines))
+                    await resp.write(lines)
+                    sender.direct = True
                 if stream.done:
                     return resp
-                await event.wait()
-                event.clear()
+                await sender.event.wait()
+                sender.event.clear()
             await resp.write(b'{"error":"cancelled"}\n')
             return resp
         except ConnectionError:
             return resp
         finally:
-            stream.on_change.remove(event.set)
+            stream.on_change.remove(sender.changed)
 
     async def _fail(self, resp: web.StreamResponse, stream: Stream, sent: int) -> None:
         """Send the tokens due before a planned fault, then fail."""
