Count the size of an ended claim once

Change: a claim keeps its size once it has ended. Result: the claims' tests pass; the cost at that size was reckoned, not measured.

--- a/turmericflow/systems/_journal.py
+++ b/turmericflow/systems/_journal.py
@@ -108,7 +108,9 @@
 
 
 def _size(row: Claim) -> int:
-    return sum(map(len, row.tokens)) + len(row.body)
+    if row.kept_bytes < 0:
+        row.kept_bytes = sum(map(len, row.tokens)) + len(row.body)
+    return row.kept_bytes
 
 
 def sweep(tables: Tables, now: float, max_bytes: int = MAX_ENDED_BYTES) -> int:
--- a/turmericflow/tables/_claims.py
+++ b/turmericflow/tables/_claims.py
@@ -74,6 +74,8 @@
         Whether a runner was replaced, which may have dispatched.
     refused_before
         Why an earlier try was refused, when one was.
+    kept_bytes
+        Size of an ended claim's tokens and body, -1 before it was counted.
     """
 
     request_id: RequestId
@@ -96,6 +98,7 @@
     seq: int = 0
     regranted: bool = False
     refused_before: Failure | None = None
+    kept_bytes: int = -1
 
     @property
     def ended(self) -> bool:
