--- a/turmericflow/services/_plain.py
+++ b/turmericflow/services/_plain.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-
 import aiohttp
 
 from turmericflow.cfg import Address
-from turmericflow.services._engine import EngineOutput, TargetFailed, failure_of
+from turmericflow.services._engine import (
+    EngineOutput,
+    TakeOutput,
+    TargetFailed,
+    failure_of,
+)
 from turmericflow.verdict import Verdict
 
 REFUSED_STATUSES = frozenset({429, 503})
@@ -37,9 +40,9 @@
         self._session = session
 
     async def call(
-        self, address: Address, key: str, payload: str
-    ) -> AsyncIterator[EngineOutput]:
-        """Make a call and yield its result as the one token of an output.
+        self, address: Address, key: str, payload: str, take: TakeOutput
+    ) -> None:
+        """Make a call and hand on its result as the one token of an output.
 
         Raises
         ------
@@ -57,4 +60,4 @@
                 _check_status(resp.status, body)
         except (aiohttp.ClientError, OSError) as exc:
             raise failure_of(exc) from exc
-        yield EngineOutput(0, [body.decode(errors="replace")], True)
+        take(EngineOutput(0, [body.decode(errors="replace")], True))
--- a/turmericflow/testing/_routers.py
+++ b/turmericflow/testing/_routers.py
@@ -19,8 +19,10 @@
 )
 
 CUSTOMER = "norte"
+LIMITED = "sur"
 CENTRES = ("mvd-cordon", "mvd-aguada", "mvd-carrasco")
 WAIT_S = 20.0
+MAX_KEYS = 10_000
 _KEYS = itertools.count()
 
 
@@ -44,6 +46,11 @@
                 "wait_s": 0.5,
             },
             f"customer/{CUSTOMER}": {"name": CUSTOMER},
+            f"customer/{LIMITED}": {
+                "name": LIMITED,
+                "rate_per_s": 0.01,
+                "burst": routers,
+            },
         },
         peer_delay_s=peer_delay_s,
     )
@@ -63,12 +70,12 @@
 def find_key(cluster: Cluster, owner: str, backup: str = "") -> str:
     """Return a fresh key whose slot has that owner, and that backup if named."""
     table = SlotTable(entries=read_map(cluster))
-    for number in _KEYS:
-        key = f"key-{number}"
+    for _ in range(MAX_KEYS):
+        key = f"key-{next(_KEYS)}"
         entry = table.entry_of(RequestId(CUSTOMER, key))
         if entry.owner == owner and backup in ("", entry.backup):
             return key
-    raise AssertionError("unreachable")
+    raise LookupError(f"no slot of owner {owner!r} and backup {backup!r}")
 
 
 def counts(cluster: Cluster, host: str) -> dict[str, int]:
@@ -122,11 +129,16 @@
         self._session = session
 
     def start(
-        self, hosts: list[str], key: str, tokens: int = 60, profile: str = "quotation"
+        self,
+        hosts: list[str],
+        key: str,
+        tokens: int = 60,
+        customer: str = CUSTOMER,
+        profile: str = "quotation",
     ) -> asyncio.Task[Answer]:
         """Start a generation at the first host, the others as alternatives."""
         addresses = [self.cluster.entries[host] for host in hosts]
-        caller = Caller(self._session, addresses, CUSTOMER)
+        caller = Caller(self._session, addresses, customer)
         work = caller.generate(profile, f"site notes {key}", key, tokens)
         return asyncio.ensure_future(work)
 
