--- a/turmericflow/testing/_routers.py
+++ b/turmericflow/testing/_routers.py
@@ -133,8 +133,8 @@
         hosts: list[str],
         key: str,
         tokens: int = 60,
-        customer: str = CUSTOMER,
         profile: str = "quotation",
+        customer: str = CUSTOMER,
     ) -> asyncio.Task[Answer]:
         """Start a generation at the first host, the others as alternatives."""
         addresses = [self.cluster.entries[host] for host in hosts]
