Take over from a lost owner while the platform is down

Cause: take-over without the platform was shown in one process only. Change: a test with real processes cuts the platform off, kills an owner, and expects the running and a new idempotent request to end whole, an order to be refused as no_owner with MAY_HAVE_RUN, and the same order to run once the platform is back. Before: no test. Conclusion: no change of code was needed.

--- a/turmericflow/tests/test_owner_loss.py
+++ b/turmericflow/tests/test_owner_loss.py
@@ -58,6 +58,29 @@
         assert answer.reconnects == 0
 
 
+def test_owner_killed_while_platform_is_down(cluster):
+    async def work(bench):
+        keys = [routers.find_key(cluster, "entry-2") for _ in range(3)]
+        running = bench.start(["entry-1"], keys[0])
+        await asyncio.sleep(MIDDLE_S)
+        cluster.fault(fault="outage")
+        try:
+            cluster.kill("entry-2")
+            answers = await asyncio.gather(running, bench.start(["entry-3"], keys[1]))
+            order = await bench.post("entry-3", keys[2], "order")
+        finally:
+            cluster.fault(fault="")
+        routers.wait_without(cluster, "entry-2")
+        return answers, order, await bench.post("entry-3", keys[2], "order")
+
+    answers, (_, order), (status, _) = run(cluster, work)
+    for answer in answers:
+        check_whole(answer)
+    assert order["error"]["code"] == "no_owner"
+    assert order["error"]["verdict"] == "MAY_HAVE_RUN"
+    assert status == 200
+
+
 def test_runner_killed(cluster):
     async def work(bench):
         keys = [routers.find_key(cluster, f"entry-{n}") for n in (1, 2, 3, 5)]
