--- a/turmericflow/services/_claimant.py
+++ b/turmericflow/services/_claimant.py
@@ -145,7 +145,7 @@
         self._tables = tables
         self._peers = peers
         self._stats = stats
-        self._claiming: dict[RequestId, asyncio.Task] = {}
+        self._claiming: dict[tuple[RequestId, str], asyncio.Task] = {}
         peers.handle(wire.Follow, self._on_follow)
 
     async def claim(self, new: NewRequest) -> RequestRow:
@@ -162,18 +162,24 @@
         RequestFailed
             If the claim is refused.
         """
-        request_id = new.request_id
-        task = self._claiming.get(request_id)
+        name = (new.request_id, new.fingerprint)
+        task = self._claiming.get(name)
         if task is None:
             task = asyncio.ensure_future(self._claim(new))
-            self._claiming[request_id] = task
-            task.add_done_callback(lambda _: self._claiming.pop(request_id))
-        row = await asyncio.shield(task)
-        if row.fingerprint != new.fingerprint and new.fingerprint:
-            message = f"key {request_id.key!r} is in use with another body"
-            failure = Failure(ErrorCode.KEY_CONFLICT, Verdict.NOT_RUN, message)
-            raise RequestFailed(failure)
-        return row
+            self._claiming[name] = task
+            task.add_done_callback(lambda _: self._claiming.pop(name))
+        return await asyncio.shield(task)
+
+    async def _wait_for_others(self, request_id: RequestId) -> None:
+        """Wait for this host's other claims of a request to be answered."""
+        present = asyncio.current_task()
+        others = [
+            task
+            for (claimed, _), task in self._claiming.items()
+            if claimed == request_id and task is not present
+        ]
+        if others:
+            await asyncio.wait(others, timeout=FOLLOW_TIMEOUT_S / 2)
 
     async def _claim(self, new: NewRequest) -> RequestRow:
         grant = secrets.token_hex(8)
@@ -263,6 +269,8 @@
         self, new: NewRequest, answer: wire.Attached
     ) -> tuple[RequestRow, _Following]:
         if answer.runner == self._tables.host:
+            if new.request_id not in self._tables.requests.rows:
+                await self._wait_for_others(new.request_id)
             row = self._tables.requests.rows.get(new.request_id)
             if row is not None and row.runner_epoch == answer.runner_epoch:
                 return row, _Following.YES
@@ -297,9 +305,8 @@
 
     async def _on_follow(self, msg: wire.Follow, reply: Reply) -> None:
         request_id = RequestId(msg.customer, msg.key)
-        claiming = self._claiming.get(request_id)
-        if claiming is not None:
-            await asyncio.wait([claiming], timeout=FOLLOW_TIMEOUT_S / 2)
+        if request_id not in self._tables.requests.rows:
+            await self._wait_for_others(request_id)
         row = self._tables.requests.rows.get(request_id)
         if row is None:
             message = "this router does not run the request"
--- a/turmericflow/testing/_routers.py
+++ b/turmericflow/testing/_routers.py
@@ -22,6 +22,7 @@
 LIMITED = "sur"
 CENTRES = ("mvd-cordon", "mvd-aguada", "mvd-carrasco")
 WAIT_S = 20.0
+MAX_KEYS = 10_000
 _KEYS = itertools.count()
 
 
@@ -69,12 +70,12 @@
 def find_key(cluster: Cluster, owner: str, backup: str = "") -> str:
     """Return a fresh key whose slot has that owner, and that backup if named."""
     table = SlotTable(entries=read_map(cluster))
-    for number in _KEYS:
-        key = f"key-{number}"
+    for _ in range(MAX_KEYS):
+        key = f"key-{next(_KEYS)}"
         entry = table.entry_of(RequestId(CUSTOMER, key))
         if entry.owner == owner and backup in ("", entry.backup):
             return key
-    raise AssertionError("unreachable")
+    raise LookupError(f"no slot of owner {owner!r} and backup {backup!r}")
 
 
 def counts(cluster: Cluster, host: str) -> dict[str, int]:
