--- a/turmericflow/testing/__init__.py
+++ b/turmericflow/testing/__init__.py
@@ -9,8 +9,8 @@
     EngineSpec,
     member_states,
 )
+from turmericflow.testing._deployments import small_plan
 from turmericflow.testing._load import load_profile, load_tables, load_work
-from turmericflow.testing._routers import small_plan
 
 __all__ = (
     # Processes
