--- a/turmericflow/testing/__init__.py
+++ b/turmericflow/testing/__init__.py
@@ -10,6 +10,7 @@
     member_states,
 )
 from turmericflow.testing._load import load_profile, load_tables, load_work
+from turmericflow.testing._plans import small_plan
 
 __all__ = (
     # Processes
@@ -17,6 +18,7 @@
     "ClusterPlan",
     "EngineSpec",
     "member_states",
+    "small_plan",
     # Tables
     "load_profile",
     "load_tables",
--- a/turmericflow/tests/conftest.py
+++ b/turmericflow/tests/conftest.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from turmericflow.testing import Cluster, demo
+from turmericflow.testing import Cluster, small_plan
 
 KNOWN_RED = Path(__file__).parents[2] / "KNOWN-RED.txt"
 
@@ -30,7 +30,7 @@
 @pytest.fixture
 def cluster() -> Iterator[Cluster]:
     """Run the demo's cluster: three routers in as many data centres."""
-    plan = demo.plan()
+    plan = small_plan()
     plan.settings["addresses_keep_s"] = 0.5
     with Cluster(plan) as running:
         yield running
--- a/turmericflow/tests/test_config.py
+++ b/turmericflow/tests/test_config.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from turmericflow.testing import Cluster, demo, member_states
+from turmericflow.testing import Cluster, member_states, small_plan
 
 QUOTATION = "profile/quotation"
 ENTRIES = ("entry-1", "entry-2", "entry-3")
@@ -63,7 +63,7 @@
 
 @pytest.mark.integration
 def test_start_while_the_platform_is_down_and_then_loses_replies():
-    plan = demo.plan()
+    plan = small_plan()
     plan.wait_ready = False
     plan.first_fault = {"fault": "outage"}
     with Cluster(plan) as cluster:
--- a/turmericflow/tests/test_daemon.py
+++ b/turmericflow/tests/test_daemon.py
@@ -13,6 +13,7 @@
 from turmericflow.testing._cluster import http_json
 
 TOKENS = 40
+CALLERS = 4
 IDLE_LOOKS = 10
 IDLE_LOOK_S = 0.1
 ENTRIES = ("entry-1", "entry-2", "entry-3")
@@ -21,8 +22,9 @@
 class _Load:
     """Callers that ask for addresses, keep them for a while, and generate."""
 
-    def __init__(self, cluster) -> None:
+    def __init__(self, cluster, name: str) -> None:
         self._cluster = cluster
+        self._name = name
         self.stopped = False
         self.answers: list[Answer] = []
 
@@ -42,16 +44,16 @@
         while not self.stopped:
             found = await asyncio.to_thread(self._addresses, number)
             caller = Caller(session, found, "norte")
-            key = f"stop-{number}-{turn}"
+            key = f"{self._name}-{number}-{turn}"
             answer = await caller.generate("quotation", f"notes {key}", key, TOKENS)
             self.answers.append(answer)
             turn += 1
 
 
-async def _under_load(cluster, work, callers: int = 4) -> list[Answer]:
-    load = _Load(cluster)
+async def _under_load(cluster, work, name: str) -> list[Answer]:
+    load = _Load(cluster, name)
     async with aiohttp.ClientSession() as session:
-        running = asyncio.gather(*(load.caller(session, n) for n in range(callers)))
+        running = asyncio.gather(*(load.caller(session, n) for n in range(CALLERS)))
         await asyncio.sleep(1.0)
         await asyncio.to_thread(work)
         load.stopped = True
@@ -92,7 +94,7 @@
             cluster.wait_router(host)
             cluster.wait_all(lambda s: set(member_states(s).values()) == {"alive"})
 
-    answers = await _under_load(cluster, replace_all)
+    answers = await _under_load(cluster, replace_all, "stop")
     assert len(answers) >= 8
     _check_whole(answers)
 
@@ -113,10 +115,10 @@
         _wait_idle(f"http://{cluster.processes[name].address}")
         before["tokens"] = generated()
 
-    answers = await _under_load(cluster, mark)
+    answers = await _under_load(cluster, mark, "before")
     cluster.heal()
     assert before["tokens"] > 0
-    more = await _under_load(cluster, lambda: None)
+    more = await _under_load(cluster, lambda: None, "after")
     assert generated() == before["tokens"]
     assert more
     for answer in [*answers, *more]:
