--- /dev/null
+++ b/turmericflow/tests/test_naive.py
@@ -0,0 +1,40 @@
+"""Differential test: the naive router and ours, when nothing fails."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from turmericflow.client import Caller
+from turmericflow.testing import Cluster
+from turmericflow.testing._fleet import MODEL, fleet_plan, profile, revive
+
+pytestmark = pytest.mark.integration
+
+PROMPTS = {f"same-{n}": f"stall {n} len={n}" for n in (1, 2, 7, 30)}
+
+
+async def ask_in_turn(addresses):
+    """Return the texts of the answers, one request after another."""
+    texts = []
+    async with aiohttp.ClientSession() as session:
+        caller = Caller(session, addresses, "academy")
+        for key, prompt in PROMPTS.items():
+            answer = await caller.generate("report", prompt, key, 40)
+            assert answer.whole
+            texts.append(answer.text)
+    return texts
+
+
+def test_same_requests_get_the_same_answers():
+    with Cluster(fleet_plan(1, [profile("report")])) as cluster:
+        ours = asyncio.run(ask_in_turn(list(cluster.entries.values())))
+        cluster.kill("engine-0")
+        revive(cluster)
+        platform = cluster.processes["platform"].address
+        args = ["--platform", platform, "--model", MODEL]
+        cluster.start_stand_in("naive", "benchmarks.naive", "127.0.0.1", args)
+        naive = asyncio.run(ask_in_turn([cluster.processes["naive"].address]))
+    assert ours == naive
