--- a/turmericflow/systems/_fairness.py
+++ b/turmericflow/systems/_fairness.py
@@ -13,6 +13,7 @@
 RANK_GAIN = 0.3
 IDLE_PER_S = 0.01
 WITHIN = 1.3
+CONTENDED_S = 3.0
 SELDOM = 0.01
 OVERDUE_SHARE = 0.5
 UNSEEN_S = 0.2
@@ -126,21 +127,24 @@
 
 
 def judge(
-    pool: Pool, weight_of: Callable[[str], float], rate_per_s: float, routers: int
+    pool: Pool,
+    weight_of: Callable[[str], float],
+    rate_per_s: float,
+    routers: int,
+    now: float,
 ) -> None:
     """Judge who wants more than its share, and what to keep for the others.
 
     Places come free at some rate, and customers within their share take them at
     a lower one.  So many are kept for them that they seldom find none; none are
-    kept while all together want no more than there is.
+    kept while there are places for all.
     """
     flows = pool.flows
     weights = sum(weight_of(name[1]) for name in flows) or 1.0
     unit = WITHIN * rate_per_s / weights
     over = {n for n, each in flows.items() if each.asked_per_s > unit * weight_of(n[1])}
     inside = sum(each.asked_per_s for name, each in flows.items() if name not in over)
-    wanted = sum(each.asked_per_s for each in flows.values())
-    pool.over = over if wanted > rate_per_s else set()
+    pool.over = over if now - pool.contended_at <= CONTENDED_S else set()
     pool.inside_per_s = inside if pool.over else 0.0
     total = pool.inside_per_s + sum(pool.others_inside.values())
     if not total:
@@ -151,6 +155,13 @@
     pool.headroom = min(int(LARGEST_HEADROOM * pool.slots), math.ceil(places))
 
 
+def note_contention(pool: Pool, now: float) -> None:
+    """Note if work waits anywhere, or few places are free."""
+    few = pool.free <= LARGEST_HEADROOM * pool.slots
+    if few or waiting(pool) or any(pool.others_waiting.values()):
+        pool.contended_at = now
+
+
 def within_share(pool: Pool, entry: Waiting) -> bool:
     """Return whether an entry's customer asks for no more than its share."""
     name = (entry.work.profile.name, entry.work.request_id.customer)
--- a/turmericflow/systems/_routing.py
+++ b/turmericflow/systems/_routing.py
@@ -65,6 +65,8 @@
 
 
 def _room(target: Target, pool: Pool, work: Work, now: float) -> bool:
+    if work.spare and pool.own_turn is not None and target.name not in pool.own_turn:
+        return False
     kept = 0 if work.resume else pool.reserve + work.spare
     return estimates.occupied(target, now) < estimates.slots_of(target) - kept
 
--- a/turmericflow/systems/_scheduling.py
+++ b/turmericflow/systems/_scheduling.py
@@ -20,7 +20,7 @@
 )
 from turmericflow.tables import Pool, Tables, Target, TargetKind, Waiting, Work
 
-YIELD_FACTOR = 1.1
+LAST_SHARE = 0.2
 RATE_GAIN = 0.3
 RATE_S = 0.5
 HOLD_GAIN = 0.02
@@ -78,6 +78,7 @@
     pool.in_flight = sum(each.in_flight for each in pool.targets)
     known = sum(each.known for each in pool.targets)
     pool.others_in_flight = known - pool.in_flight
+    pool.own_turn = _own_turn(tables, pool)
     pool.slots = pool.free = 0
     for each in usable:
         slots = max(0, estimates.slots_of(each) - pool.reserve)
@@ -88,6 +89,7 @@
 def refresh(tables: Tables, pool: Pool, now: float) -> None:
     """Bring a pool up to date; called each tick for each pool."""
     _count(tables, pool, now)
+    fairness.note_contention(pool, now)
     if not fairness.waiting(pool):
         pool.empty_at = now
     admission.forget_admitted(pool, now)
@@ -97,7 +99,7 @@
         routers = tables.load.routers
         rate = admission.part_per_s(pool, routers)
         weight_of = partial(admission.weight_of, tables)
-        fairness.judge(pool, weight_of, rate, routers)
+        fairness.judge(pool, weight_of, rate, routers, now)
         rate = pool.released / elapsed
         pool.rate_per_s += RATE_GAIN * (rate - pool.rate_per_s)
         pool.released, pool.measured_at = 0, now
@@ -136,17 +138,28 @@
     pool.in_flight += 1
 
 
-def _yields(pool: Pool) -> bool:
-    """Return whether other routers' waiting work comes before this one's.
+def _own_turn(tables: Tables, pool: Pool) -> set[str] | None:
+    """Return the targets whose places are this host's to fill.
 
-    Each router should have the same share of its work running.
+    Routers that have work waiting share the targets out by how much waits, so
+    that a place that comes free is not taken by several of them at once.
     """
-    others = sum(pool.others_waiting.values())
-    if not others:
-        return False
-    own = pool.in_flight + fairness.waiting(pool)
-    theirs = pool.others_in_flight + others
-    return pool.in_flight * theirs > YIELD_FACTOR * pool.others_in_flight * own
+    others = {host: n for host, n in pool.others_waiting.items() if n}
+    own = fairness.waiting(pool)
+    if not others or not own:
+        return None
+    numbers = sorted([*others.items(), (tables.host, own)])
+    total = sum(number for _, number in numbers)
+    names = sorted(each.name for each in pool.targets)
+    mine, before = set(), 0
+    for host, number in numbers:
+        if host == tables.host:
+            low, high = before / total, (before + number) / total
+            for place, name in enumerate(names):
+                if low <= (place + 0.5) / len(names) < high:
+                    mine.add(name)
+        before += number
+    return mine
 
 
 def _set_spare(pool: Pool, entry: Waiting) -> bool:
@@ -168,7 +181,8 @@
     """
     outcomes: list[Outcome] = []
     while (entry := fairness.overdue(pool, now)) is not None:
-        entry.work.spare = 0
+        if entry.until - now <= LAST_SHARE * entry.work.profile.wait_s:
+            entry.work.spare = 0
         target = routing.choose(tables, pool, policy, entry.work, now, rng)
         if target is None:
             break
@@ -197,9 +211,7 @@
             outcomes.append(GivenUp(entry))
             continue
         over = _set_spare(pool, entry)
-        target = None
-        if not over or not _yields(pool):
-            target = routing.choose(tables, pool, policy, entry.work, now, rng)
+        target = routing.choose(tables, pool, policy, entry.work, now, rng)
         if target is not None:
             fairness.serve(pool, entry)
             _sent(tables, pool, target, entry.work, now)
@@ -241,5 +253,6 @@
         breakers.on_lost(target, now)
         return
     breakers.on_success(target, sent_at, now)
-    held = now - sent_at
-    pool.hold_s += HOLD_GAIN * (held - pool.hold_s) if pool.hold_s else held
+    pool.held += 1
+    gain = max(HOLD_GAIN, 1.0 / pool.held)
+    pool.hold_s += gain * (now - sent_at - pool.hold_s)
--- a/turmericflow/tables/_load.py
+++ b/turmericflow/tables/_load.py
@@ -122,8 +122,9 @@
         Places free and in all, by last refresh and what was sent since.
     reserve
         Places of each target that are kept for resumes.
-    hold_s
-        Mean time for which a request holds a place, in seconds.
+    hold_s, held
+        Mean time for which a request holds a place, in seconds, and the number
+        of requests that it was learned from.
     rate_per_s
         Rate at which places come free for this host.
     released, measured_at
@@ -144,8 +145,14 @@
         Customers within profiles that want more than their share.
     inside_per_s, others_inside
         What all other customers ask for here, and at other hosts.
+    own_turn
+        Targets whose places are this host's to fill while others wait as well;
+        None if it may use all.
     headroom
         Places kept for customers within their share, while others are over it.
+    contended_at
+        When work last waited or few places were free, in seconds of the host's
+        clock.
     empty_at
         When the queue was last seen empty, in seconds of the host's clock.
     virtual
@@ -164,6 +171,7 @@
     slots: int = 0
     reserve: int = 0
     hold_s: float = 0.0
+    held: int = 0
     rate_per_s: float = 0.0
     released: int = 0
     measured_at: float = float("-inf")
@@ -177,7 +185,9 @@
     over: set[tuple[str, str]] = field(default_factory=set)
     inside_per_s: float = 0.0
     others_inside: dict[str, float] = field(default_factory=dict)
+    own_turn: set[str] | None = None
     headroom: int = 0
+    contended_at: float = float("-inf")
     empty_at: float = float("-inf")
     virtual: dict[int, float] = field(default_factory=dict)
     served: dict[int, int] = field(default_factory=dict)
