Write no owner map from a host that is cut off from most

Cause: after one of three hosts was cut off from its peers and healed, new keys were refused with retention: the host, which still reached the platform, held the others for dead and took their slots as lost; healed, their records were dropped. Change: only a host among most of those it knows changes the map.

--- a/turmericflow/services/_slots.py
+++ b/turmericflow/services/_slots.py
@@ -229,6 +229,8 @@
             return True
         if self._writing is not None and not self._writing.done():
             return True
+        if not placement.may_write(self._tables, now):
+            return True
         changes = self._changes(now)
         if changes:
             self._writing = asyncio.ensure_future(self._write(changes))
--- a/turmericflow/systems/_placement.py
+++ b/turmericflow/systems/_placement.py
@@ -45,6 +45,16 @@
     return hosts.index(tables.host) if tables.host in hosts else len(hosts)
 
 
+def may_write(tables: Tables, now: float) -> bool:
+    """Return whether this host may change the map.
+
+    A host that is cut off from most others would name itself for slots whose
+    parties are well, and their records would be lost once it is heard again.
+    It serves what it took over as a backup, and writes nothing.
+    """
+    return membership.among_most(tables, now)
+
+
 class _Load:
     """Counts of slots by host, and the choice of a backup by them."""
 
