--- a/turmericflow/tests/conftest.py
+++ b/turmericflow/tests/conftest.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from turmericflow.testing import Cluster, demo
+from turmericflow.testing import Cluster, small_plan
 
 # Small systems of equations are solved faster without threads.
 os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")
@@ -33,8 +33,8 @@
 
 @pytest.fixture
 def cluster() -> Iterator[Cluster]:
-    """Run the demo's cluster: three routers in as many data centres."""
-    plan = demo.plan()
+    """Run three routers, in as many data centres."""
+    plan = small_plan()
     plan.settings["addresses_keep_s"] = 0.5
     with Cluster(plan) as running:
         yield running
--- a/turmericflow/tests/test_owner_loss.py
+++ b/turmericflow/tests/test_owner_loss.py
@@ -58,6 +58,29 @@
         assert answer.reconnects == 0
 
 
+def test_owner_killed_while_platform_is_down(cluster):
+    async def work(bench):
+        keys = [routers.find_key(cluster, "entry-2") for _ in range(3)]
+        running = bench.start(["entry-1"], keys[0])
+        await asyncio.sleep(MIDDLE_S)
+        cluster.fault(fault="outage")
+        try:
+            cluster.kill("entry-2")
+            answers = await asyncio.gather(running, bench.start(["entry-3"], keys[1]))
+            order = await bench.post("entry-3", keys[2], "order")
+        finally:
+            cluster.fault(fault="")
+        routers.wait_without(cluster, "entry-2")
+        return answers, order, await bench.post("entry-3", keys[2], "order")
+
+    answers, (_, order), (status, _) = run(cluster, work)
+    for answer in answers:
+        check_whole(answer)
+    assert order["error"]["code"] == "no_owner"
+    assert order["error"]["verdict"] == "MAY_HAVE_RUN"
+    assert status == 200
+
+
 def test_runner_killed(cluster):
     async def work(bench):
         keys = [routers.find_key(cluster, f"entry-{n}") for n in (1, 2, 3, 5)]
@@ -73,10 +96,12 @@
 
 def test_accepted_request_goes_on_over_its_customers_rate(cluster):
     async def work(bench):
-        limited = routers.LIMITED
-        first = bench.start(["entry-4", "entry-1"], "accepted", TOKENS, limited)
-        await bench.start(["entry-1"], "uses-the-rate", 1, limited)
-        refused = await bench.start(["entry-1"], "over-the-rate", 1, limited)
+        def start(hosts, key, tokens):
+            return bench.start(hosts, key, tokens, customer=routers.LIMITED)
+
+        first = start(["entry-4", "entry-1"], "accepted", TOKENS)
+        await start(["entry-1"], "uses-the-rate", 1)
+        refused = await start(["entry-1"], "over-the-rate", 1)
         assert refused.failure.code is ErrorCode.RATE_LIMITED
         cluster.kill("entry-4")
         return await first
@@ -84,24 +109,6 @@
     check_whole(run(cluster, work))
 
 
-def test_runner_and_owner_killed(cluster):
-    async def work(bench):
-        keys = [routers.find_key(cluster, "entry-2") for _ in range(4)]
-        tasks = [bench.start(["entry-3", "entry-1"], key) for key in keys]
-        await asyncio.sleep(MIDDLE_S)
-        cluster.kill("entry-2")
-        cluster.kill("entry-3")
-        return await asyncio.gather(*tasks)
-
-    for answer in run(cluster, work):
-        texts = [token.text for token in answer.tokens]
-        assert check_answer(texts).ok
-        if answer.whole:
-            continue
-        assert answer.failure.code is ErrorCode.GENERATION_MISMATCH
-        assert answer.failure.verdict is Verdict.RAN
-
-
 def test_owner_paused_and_back(cluster):
     async def work(bench):
         keys = [routers.find_key(cluster, "entry-2") for _ in range(3)]
@@ -153,10 +160,10 @@
 
     async def work(bench):
         key = routers.find_key(cluster, "entry-1")
-        task = bench.start(["entry-4", "entry-3"], key, TOKENS, "order")
+        task = bench.start(["entry-4", "entry-3"], key, TOKENS, profile="order")
         await asyncio.sleep(MIDDLE_S)
         cluster.kill("entry-4")
-        copy = bench.start(["entry-2"], key, TOKENS, "order")
+        copy = bench.start(["entry-2"], key, TOKENS, profile="order")
         return await asyncio.gather(task, copy)
 
     for answer in run(cluster, work):
@@ -186,7 +193,7 @@
     async def work(bench):
         key = routers.find_key(cluster, "entry-2")
         cluster.control("proxy-entry-2", drop_down=True, delay_s=0.001)
-        order = bench.start(["entry-1"], key, 5, "order")
+        order = bench.start(["entry-1"], key, 5, profile="order")
         await asyncio.sleep(MIDDLE_S)
         cluster.control("proxy-entry-2", delay_s=0.001, reset=True)
         return await order
@@ -226,3 +233,36 @@
 
     for answer in run(cluster, work):
         check_whole(answer)
+
+
+@pytest.mark.parametrize(
+    ("with_backup", "code", "verdict"),
+    [
+        (False, ErrorCode.GENERATION_MISMATCH, Verdict.RAN),
+        (True, ErrorCode.RETENTION, Verdict.MAY_HAVE_RUN),
+    ],
+)
+def test_runner_and_owner_killed(cluster, with_backup, code, verdict):
+    async def work(bench):
+        entry = routers.read_map(cluster)[0]
+        key = routers.find_key(cluster, entry.owner, entry.backup)
+        others = [
+            host
+            for host, centre in cluster.plan.routers.items()
+            if host not in (entry.owner, entry.backup)
+            and centre != cluster.plan.routers[entry.owner]
+        ]
+        runner = entry.backup if with_backup else others[0]
+        left = next(
+            host for host in cluster.plan.routers if host not in (entry.owner, runner)
+        )
+        task = bench.start([runner, left], key)
+        await asyncio.sleep(MIDDLE_S)
+        cluster.kill(entry.owner)
+        cluster.kill(runner)
+        return await task
+
+    answer = run(cluster, work)
+    assert check_answer([token.text for token in answer.tokens]).ok
+    assert answer.whole or answer.failure.code is code
+    assert answer.whole or answer.failure.verdict is verdict
