--- a/turmericflow/services/_journal.py
+++ b/turmericflow/services/_journal.py
@@ -15,6 +15,7 @@
 FLUSH_S = 0.001
 RETRY_S = 0.1
 UPLOAD_TIMEOUT_S = 1.0
+STALL_S = 4.0
 
 
 class Journal:
@@ -22,10 +23,20 @@
 
     All requests with the same holder share a batch, and a holder has one
     batch under way at a time.  When a slot's parties change, the journals of
-    its requests are uploaded whole before anything more is committed.
+    its requests are uploaded whole before anything more is committed.  A
+    request whose holder stays out of reach is given up here, so that its caller
+    goes on at a router that reaches it.
     """
 
-    __slots__ = ("_dirty", "_peers", "_stats", "_tables", "_tasks", "_uploads")
+    __slots__ = (
+        "_dirty",
+        "_peers",
+        "_stalled",
+        "_stats",
+        "_tables",
+        "_tasks",
+        "_uploads",
+    )
 
     def __init__(self, tables: Tables, peers: Peers, stats: Stats) -> None:
         self._tables = tables
@@ -34,6 +45,7 @@
         self._dirty: dict[str, dict[int, RequestRow]] = {}
         self._tasks: dict[str, asyncio.Task] = {}
         self._uploads: dict[int, asyncio.Task] = {}
+        self._stalled: dict[int, float] = {}
 
     def changed(self, row: RequestRow) -> None:
         """Say that a row has tokens, or its end, that are not yet journaled."""
@@ -90,7 +102,9 @@
             self._stats.count("journal.unreachable")
             await asyncio.sleep(RETRY_S)
             for row in rows:
-                self.changed(row)
+                self._note_stall(row)
+                if not row.ended:
+                    self.changed(row)
             return
         refused, unknown = set(reply.refused), set(reply.unknown)
         for number, row in enumerate(rows):
@@ -107,6 +121,7 @@
     ) -> None:
         if row.ended:
             return
+        self._stalled.pop(id(row), None)
         row.committed = max(row.committed, length)
         row.note_commit(time.monotonic())
         row.journaled_attempts = attempts
@@ -116,10 +131,20 @@
             self._start_upload(row)
 
     def _replaced(self, row: RequestRow) -> None:
-        if row.ended:
-            return
-        self._stats.count("journal.was_replaced")
-        message = "another router now runs this request"
+        if not row.ended:
+            self._stats.count("journal.was_replaced")
+            self._give_up(row, "another router now runs this request")
+
+    def _note_stall(self, row: RequestRow) -> None:
+        """Take in that a journal's holder did not answer."""
+        now = time.monotonic()
+        since = self._stalled.setdefault(id(row), now)
+        if not row.ended and now - since >= STALL_S:
+            self._stats.count("journal.gave_up")
+            self._give_up(row, "this router cannot reach the journal's holder")
+
+    def _give_up(self, row: RequestRow, message: str) -> None:
+        self._stalled.pop(id(row), None)
         row.failure = Failure(ErrorCode.REPLACED, Verdict.MAY_HAVE_RUN, message)
         row.ended = True
         row.wake()
@@ -156,6 +181,7 @@
                 if not row.ended and len(row.tokens) > row.committed:
                     self.changed(row)
                 return
+            self._note_stall(row)
             await asyncio.sleep(RETRY_S)
 
     async def _upload_to(
