--- a/turmericflow/services/_journal.py
+++ b/turmericflow/services/_journal.py
@@ -12,7 +12,6 @@
 from turmericflow.tables import RequestRow, Tables
 from turmericflow.verdict import ErrorCode, Failure, Verdict
 
-FLUSH_S = 0.001
 RETRY_S = 0.1
 UPLOAD_TIMEOUT_S = 1.0
 STALL_S = 4.0
@@ -75,7 +74,7 @@
     async def _pump(self, holder: str) -> None:
         try:
             while self._dirty.get(holder):
-                await asyncio.sleep(FLUSH_S)
+                await asyncio.sleep(0)
                 rows = list(self._dirty.pop(holder).values())
                 due = [row for row in rows if not row.ended]
                 await self._send(
--- a/turmericflow/testing/proxy.py
+++ b/turmericflow/testing/proxy.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import json
+import selectors
 from dataclasses import dataclass
 
 CHUNK_BYTES = 65_536
@@ -141,6 +142,11 @@
         writer.close()
 
 
+def _precise_loop() -> asyncio.AbstractEventLoop:
+    """Return a loop whose waits are not rounded up to whole milliseconds."""
+    return asyncio.SelectorEventLoop(selectors.SelectSelector())
+
+
 async def _serve(args: argparse.Namespace) -> None:
     ip, _, port = args.to.rpartition(":")
     proxy = Proxy(ip, int(port))
@@ -157,7 +163,8 @@
     parser.add_argument("--ip", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--to", required=True, help="IP:PORT of the server")
-    asyncio.run(_serve(parser.parse_args(argv)))
+    with asyncio.Runner(loop_factory=_precise_loop) as runner:
+        runner.run(_serve(parser.parse_args(argv)))
 
 
 if __name__ == "__main__":
