Change the map only after hearing most hosts since the last loss

Cause: a host that is being cut off loses its contacts one after another; between the first and the second it is still among most, named itself for the first one's slots, and their records were lost once it was heard no more. Change: a host writes the map only once most of its live contacts have been heard since the last host was held dead.

--- a/turmericflow/systems/_placement.py
+++ b/turmericflow/systems/_placement.py
@@ -6,9 +6,13 @@
 
 import xxhash
 
-from turmericflow.systems import _membership as membership, _slots as slots_system
+from turmericflow.systems import (
+    _membership as membership,
+    _overlay as overlay,
+    _slots as slots_system,
+)
 from turmericflow.systems._slots import CREATED_EPOCH, alive, holds, is_alone, same_life
-from turmericflow.tables import SlotEntry, Tables
+from turmericflow.tables import PeerState, SlotEntry, Tables
 
 Change = tuple[int, SlotEntry]
 
@@ -45,6 +49,21 @@
     return hosts.index(tables.host) if tables.host in hosts else len(hosts)
 
 
+def _hears_most(tables: Tables) -> bool:
+    """Return whether most contacts were heard since the last one was held dead.
+
+    A host that is being cut off loses its contacts one after another, and each
+    is still held alive for a while after the first.
+    """
+    rows = tables.peers.rows
+    dead = [row for row in rows.values() if row.state is PeerState.DEAD]
+    last = max((row.changed_at for row in dead), default=float("-inf"))
+    contacts = [rows[host] for host in overlay.contacts(tables) if host in rows]
+    live = [row for row in contacts if row.state is not PeerState.DEAD]
+    heard = sum(1 for row in live if row.heard_at > last)
+    return not dead or not live or 2 * heard > len(live)
+
+
 def may_write(tables: Tables, now: float) -> bool:
     """Return whether this host may change the map.
 
@@ -52,7 +71,7 @@
     parties are well, and their records would be lost once it is heard again.
     It serves what it took over as a backup, and writes nothing.
     """
-    return membership.among_most(tables, now)
+    return membership.among_most(tables, now) and _hears_most(tables)
 
 
 class _Load:
--- /dev/null
+++ b/turmericflow/tests/test_placement.py
@@ -0,0 +1,45 @@
+"""Tests of who may change the owner map."""
+
+from __future__ import annotations
+
+import pytest
+
+from turmericflow.cfg import Address
+from turmericflow.systems import placement
+from turmericflow.tables import Peer, PeerState, Tables
+
+
+@pytest.fixture
+def tables():
+    tables = Tables("entry-3", "south")
+    for number in (1, 2):
+        host = f"entry-{number}"
+        address = Address("127.0.0.1", number)
+        row = Peer(host, f"north-{number}", address, address, incarnation=1)
+        row.heard_at = 9.0
+        tables.peers.rows[host] = row
+    tables.peers.changes += 1
+    return tables
+
+
+def lose(tables, host, now):
+    row = tables.peers.rows[host]
+    row.state, row.changed_at = PeerState.DEAD, now
+    tables.peers.changes += 1
+
+
+def test_host_that_hears_all_may_write(tables):
+    assert placement.may_write(tables, 10.0)
+
+
+def test_host_that_is_being_cut_off_may_not_write(tables):
+    lose(tables, "entry-1", 10.0)
+    assert not placement.may_write(tables, 10.1)
+    lose(tables, "entry-2", 10.5)
+    assert not placement.may_write(tables, 20.0)
+
+
+def test_host_may_write_once_it_hears_the_others_after_a_loss(tables):
+    lose(tables, "entry-1", 10.0)
+    tables.peers.rows["entry-2"].heard_at = 10.2
+    assert placement.may_write(tables, 10.3)
