Know no customer only once the configuration was learned

Change: until what peers and the platform know is in force a router answers stale_view, and callers go on at another address; it is not ready until then. Result: the new test fails before and passes after.

--- a/turmericflow/services/_auth.py
+++ b/turmericflow/services/_auth.py
@@ -44,9 +44,13 @@
     Raises
     ------
     RequestFailed
-        If the customer is not declared, or the key is not one of its own.
+        If the customer is not declared, or the key is not one of its own, or
+        if this host has only just started and does not know its customers yet.
     """
     name = read_header(request.headers, "X-Customer")
+    if not (tables.config.joined and tables.config.customers):
+        message = f"{tables.host} has not learned its configuration yet"
+        raise _refused(request, ErrorCode.STALE_VIEW, message)
     customer = tables.config.customers.get(name or "")
     if customer is None:
         message = f"X-Customer: got {name!r}, expected a declared customer"
--- a/turmericflow/services/_config.py
+++ b/turmericflow/services/_config.py
@@ -58,6 +58,7 @@
         super().__init__()
         self._settings = settings
         self._tables = tables
+        self._tables.config.joined = False
         self._platform = platform
         self._gossip = gossip
         self._stats = stats
@@ -113,6 +114,7 @@
             self._on_fact(rumour)
             if number % YIELD_OBJECTS == 0:
                 await asyncio.sleep(0)
+        self._tables.config.joined = True
         log.info("joined", objects=len(self._tables.config.versions))
 
     async def _ask_platform(self, wait_s: float) -> bool:
--- a/turmericflow/systems/_status.py
+++ b/turmericflow/systems/_status.py
@@ -71,7 +71,8 @@
 
 def is_ready(tables: Tables) -> bool:
     """Whether this host knows enough to take requests."""
-    return slots.settled(tables.slots) and bool(tables.config.profiles)
+    config = tables.config
+    return slots.settled(tables.slots) and config.joined and bool(config.profiles)
 
 
 def _members(tables: Tables, entry: str) -> list[MemberStatus]:
--- a/turmericflow/tables/_config.py
+++ b/turmericflow/tables/_config.py
@@ -25,6 +25,8 @@
         this host's clock.
     seen
         Platform version up to which no change is missing from this view.
+    joined
+        Whether what peers and the platform knew at the start is in force.
     """
 
     versions: dict[str, int] = field(default_factory=dict)
@@ -33,4 +35,5 @@
     marks: dict[str, Mark] = field(default_factory=dict)
     confirmed_at: float = float("-inf")
     seen: int = 0
+    joined: bool = True
     declared: dict[str, Profile] = field(default_factory=dict)
--- a/turmericflow/tests/test_entry.py
+++ b/turmericflow/tests/test_entry.py
@@ -116,6 +116,11 @@
     check_error(answer, 401, "unknown_customer", "MAY_HAVE_RUN")
 
 
+def test_host_that_has_just_started_knows_no_customer_yet(app, monkeypatch):
+    monkeypatch.setattr(app.tables.config, "joined", False)
+    check_error(post(app), 503, "stale_view", "MAY_HAVE_RUN")
+
+
 def test_unknown_paths_and_methods(app):
     check_error(app.call("GET", "/nothing"), 404, "not_found")
     check_error(app.call("PUT", "/v1/generate"), 405, "method_not_allowed")
