Build the tool's commands in one place

Cause: callers' and operators' commands set up their parsers by the same nine lines twice; and a benchmark's docstring named an option that it does not have. Change: add_command in cli/_access serves both; the docstring says what there is. The whole suite was not run again.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -1,7 +1,7 @@
 """Policies side by side on declared workloads, and the cost of a decision.
 
 The real decisions are driven against the stand-in engine's batches in virtual
-time.  ``--real`` adds one workload over real processes as a cross-check.
+time.
 """
 
 from __future__ import annotations
--- a/turmericflow/cli/_access.py
+++ b/turmericflow/cli/_access.py
@@ -31,6 +31,20 @@
         raise argparse.ArgumentTypeError(f"got {text!r}, expected {exc}") from None
 
 
+def add_command(commands, name: str, run, summary: str, example: str):
+    """Add a command with its help, an example and ``--json``; return its parser."""
+    parser = commands.add_parser(
+        name,
+        help=summary,
+        description=summary,
+        epilog=f"example:\n  {example}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.set_defaults(run=run)
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    return parser
+
+
 def add_router_options(parser: argparse.ArgumentParser) -> None:
     """Add the options that say how routers are reached."""
     parser.add_argument(
--- a/turmericflow/cli/_callers.py
+++ b/turmericflow/cli/_callers.py
@@ -7,7 +7,12 @@
 import sys
 import uuid
 
-from turmericflow.cli._access import CUSTOMER_ENV, add_router_options, open_caller
+from turmericflow.cli._access import (
+    CUSTOMER_ENV,
+    add_command,
+    add_router_options,
+    open_caller,
+)
 from turmericflow.cli._exit import OF_VERDICT, CommandError, Exit
 from turmericflow.cli._output import print_error, print_json
 from turmericflow.client import Answer, BadReply, Token
@@ -129,15 +134,7 @@
 
 
 def _add(commands, name: str, run, summary: str, example: str):
-    parser = commands.add_parser(
-        name,
-        help=summary,
-        description=summary,
-        epilog=f"example:\n  {example}",
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-    )
-    parser.set_defaults(run=run)
-    parser.add_argument("--json", action="store_true", help="print JSON")
+    parser = add_command(commands, name, run, summary, example)
     add_router_options(parser)
     parser.add_argument(
         "--customer", metavar="NAME", help=f"the customer's name (or {CUSTOMER_ENV})"
--- a/turmericflow/cli/_operators.py
+++ b/turmericflow/cli/_operators.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from turmericflow.cli._access import (
+    add_command,
     add_platform_option,
     add_router_options,
     open_platform,
@@ -252,15 +253,7 @@
 
 
 def _add(commands, name: str, run, summary: str, example: str, platform: bool = True):
-    parser = commands.add_parser(
-        name,
-        help=summary,
-        description=summary,
-        epilog=f"example:\n  {example}",
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-    )
-    parser.set_defaults(run=run)
-    parser.add_argument("--json", action="store_true", help="print JSON")
+    parser = add_command(commands, name, run, summary, example)
     if platform:
         add_platform_option(parser)
     return parser
