Spread the owner map from the host that wrote it

Cause: a host that changed the owner map learned it from the write's answer and told nobody; the others saw it when the platform's watch showed it. While the platform answered old versions, a host that had restarted and been taken over stayed without a settled map, and so not ready, until the outage's end. Change: what a write or its conflict shows is spread to peers like any other object; the newest wins as before. A slot that is opened without its records is counted and logged, since its keys are refused for a while. Before: test_restart_takes_the_newest[False] timed out after 20 s (entry-3 not ready). After: both forms of it passed. One whole run of the suite before this change ended with just that failure.

--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -112,6 +112,7 @@
             self.settings, self.tables, peers, gossip, platform, self.stats
         )
         self.slots.on_change(journal.slots_changed)
+        self.slots.on_map(config.learn)
         self.entry = Entry(
             self.settings, self.tables, runner, self.stats, contexts, peers
         )
--- a/turmericflow/services/_slots.py
+++ b/turmericflow/services/_slots.py
@@ -74,6 +74,8 @@
         self._started_at = time.monotonic()
         self._doubt_since: float | None = None
         self._seen_changes = -1
+        self._seen_empty = 0
+        self._map_listeners: list[Callable[[PlatformObject], None]] = []
         self._listeners: list[Callable[[], None]] = []
         self._transferring: dict[str, asyncio.Task] = {}
         self._writing: asyncio.Task | None = None
@@ -86,6 +88,10 @@
         """Call ``listener`` after each change of an entry."""
         self._listeners.append(listener)
 
+    def on_map(self, listener: Callable[[PlatformObject], None]) -> None:
+        """Call ``listener`` with each map that this host wrote or was shown."""
+        self._map_listeners.append(listener)
+
     async def on_stop(self) -> None:
         for task in [*self._transferring.values(), self._writing]:
             if task is not None:
@@ -157,9 +163,14 @@
         )
 
     def _tell_listeners(self) -> None:
-        changes = self._tables.slots.changes
-        if changes != self._seen_changes:
-            self._seen_changes = changes
+        table = self._tables.slots
+        if table.opened_empty != self._seen_empty:
+            opened = table.opened_empty - self._seen_empty
+            self._seen_empty = table.opened_empty
+            self._stats.count("slots.opened_empty", opened)
+            log.warning("slots_opened_empty", slots=opened, version=table.version)
+        if table.changes != self._seen_changes:
+            self._seen_changes = table.changes
             for listener in self._listeners:
                 listener()
 
@@ -298,6 +309,8 @@
             return
         now = time.monotonic()
         slots.put_map(self._tables, found.version, entries, hosts, now)
+        for listener in self._map_listeners:
+            listener(found)
 
     async def _learn_or_create(self) -> None:
         try:
--- a/turmericflow/systems/_slots.py
+++ b/turmericflow/systems/_slots.py
@@ -96,6 +96,7 @@
 def _open_lost(tables: Tables, slot: int, epoch: int, now: float) -> None:
     tables.slots.held[slot] = epoch
     tables.slots.retention_until[slot] = now + RETENTION_S
+    tables.slots.opened_empty += 1
 
 
 def lost_for_s(tables: Tables, slot: int, idempotent: bool, now: float) -> float:
--- a/turmericflow/tables/_slots.py
+++ b/turmericflow/tables/_slots.py
@@ -62,6 +62,8 @@
     retention_until
         Time until which keys that are not known may have run, since all
         records were lost.
+    opened_empty
+        Number of slots opened so far without their records.
     alone_until
         Time until which a former owner may have granted idempotent work
         without the slot's present holders' knowledge.
@@ -78,6 +80,7 @@
     synced: dict[int, int] = field(default_factory=dict)
     retention_until: dict[int, float] = field(default_factory=dict)
     alone_until: dict[int, float] = field(default_factory=dict)
+    opened_empty: int = 0
 
     def slot_of(self, request_id: RequestId) -> int:
         """Return the slot that a request hashes to."""
--- a/turmericflow/tests/test_config.py
+++ b/turmericflow/tests/test_config.py
@@ -24,12 +24,18 @@
 
 
 @pytest.mark.integration
-def test_restart_takes_the_newest_while_the_platform_answers_old(cluster):
+@pytest.mark.parametrize("taken_over", [False, True])
+def test_restart_takes_the_newest_while_the_platform_answers_old(cluster, taken_over):
     first = cluster.status("entry-1")["versions"][QUOTATION]
     second = _change(cluster, "urgent", first)
     cluster.wait_all(_has(second))
     cluster.fault(fault="old", version=first)
     cluster.kill("entry-3")
+    if taken_over:
+        cluster.wait_all(
+            lambda status: member_states(status)["entry-3"] == "dead",
+            ["entry-1", "entry-2"],
+        )
     cluster.start_router("entry-3")
     cluster.wait_router("entry-3")
     assert cluster.status("entry-3")["versions"][QUOTATION] == second
