Share the polling of load reports among the routers of a group

Cause: every router polled every target, up to 40 calls a second each.

Change: hosts of a data centre (of the whole fleet up to 16 hosts) form groups. In a group each target has two observers by rendezvous hash over the hosts that are heard; they poll, and tell the rest in batches with the age of each report. A host that is silent for 0.9 s is left out, so the next takes its place. A told failure or other models are checked by an own poll, and open no breaker; a target that nobody tells of is polled from here at a lower rate. Cache events stay each router's own, and are seldom asked of engines that ran nothing.

With silence and death left out of account the new test fails.

Conclusion: polls are now bounded for a group and no longer for each host.

--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -116,7 +116,7 @@
             self.settings, self.tables, runner, self.stats, contexts, peers
         )
         orders = Orders(self.settings, self.tables, platform, engines, self.stats)
-        reports = Reports(self.tables, engines, self.stats)
+        reports = Reports(self.tables, engines, peers, self.stats, rng)
         self.burn = Burn(self.settings, self.tables, peers, platform, self.stats)
         services = (
             peers,
--- a/turmericflow/services/_reports.py
+++ b/turmericflow/services/_reports.py
@@ -1,23 +1,24 @@
-"""Polls the targets' load reports and cache events."""
+"""Polls targets' load reports and cache events, and shares what it finds."""
 
 from __future__ import annotations
 
 import asyncio
+import heapq
 import time
+from random import Random
 
 import structlog
 from mode import Service
 
+from turmericflow import wire
 from turmericflow.services._engine import EngineClient, TargetFailed
+from turmericflow.services._peers import Peers, PeerUnreachable, Reply
 from turmericflow.services._stats import Stats
-from turmericflow.systems import breakers, estimates, prefixes
+from turmericflow.systems import observation, prefixes
 from turmericflow.tables import LoadReport, Tables, Target, TargetKind
 
-SHORTEST_POLL_S = 0.25
-POLLS_PER_S = 40.0
-CACHE_POLLS = 4
-FAILURES_TO_OPEN = 2
-WAIT_S = 0.05
+REFRESH_S = 0.25
+SHORTEST_SLEEP_S = 0.02
 
 log = structlog.get_logger()
 
@@ -25,74 +26,143 @@
 class Reports(Service):
     """Keeps what is known of the targets' load and caches fresh.
 
-    The calls per second are bounded, so that reports of a larger fleet come
-    less often rather than cost more.
+    Each target is looked at in turn, and polled if it falls to this host.  What
+    is polled is told to the hosts of the group, in batches.
     """
 
-    def __init__(self, tables: Tables, engines: EngineClient, stats: Stats) -> None:
+    def __init__(
+        self,
+        tables: Tables,
+        engines: EngineClient,
+        peers: Peers,
+        stats: Stats,
+        rng: Random,
+    ) -> None:
         super().__init__()
         self._tables = tables
         self._engines = engines
+        self._peers = peers
         self._stats = stats
-        self._failures: dict[str, int] = {}
-        self._polls: dict[str, int] = {}
-        self._due: dict[str, float] = {}
-        self._tasks: dict[str, asyncio.Task] = {}
-
-    @Service.task
-    async def _poll_all(self) -> None:
-        while not self.should_stop:
-            rows = self._tables.targets.rows
-            now = time.monotonic()
-            wait = max(SHORTEST_POLL_S, len(rows) / POLLS_PER_S)
-            for name in [each for each in self._due if each not in rows]:
-                self._forget(name)
-            for name, target in list(rows.items()):
-                if name not in self._tasks and now >= self._due.get(name, 0.0):
-                    self._due[name] = now + wait
-                    self._start(target)
-            await asyncio.sleep(WAIT_S)
+        self._rng = rng
+        self._due: list[tuple[float, str]] = []
+        self._looks: dict[str, float] = {}
+        self._polls: dict[str, asyncio.Task] = {}
+        self._posts: dict[str, asyncio.Task] = {}
+        self._seen: set[str] = set()
+        self._failed: set[str] = set()
+        self._others: list[str] = []
+        self._wait_s = observation.SHORTEST_POLL_S
+        self._engines_number = 0
+        self._wake = asyncio.Event()
+        peers.handle(wire.Observed, self._on_observed)
 
     async def on_stop(self) -> None:
-        for task in list(self._tasks.values()):
+        for task in [*self._polls.values(), *self._posts.values()]:
             task.cancel()
 
-    def _start(self, target: Target) -> None:
-        task = asyncio.ensure_future(self._poll(target))
-        self._tasks[target.name] = task
-        task.add_done_callback(lambda _: self._tasks.pop(target.name, None))
+    @Service.task
+    async def _look(self) -> None:
+        refresh_at = float("-inf")
+        while not self.should_stop:
+            now = time.monotonic()
+            if now >= refresh_at:
+                self._refresh(now)
+                refresh_at = now + REFRESH_S
+            self._look_at_due(now)
+            next_at = self._due[0][0] if self._due else refresh_at
+            await self._sleep(min(next_at, refresh_at) - now)
+
+    async def _sleep(self, seconds: float) -> None:
+        """Sleep, shorter if a target is to be looked at before."""
+        self._wake.clear()
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(max(SHORTEST_SLEEP_S, seconds), self._wake.set)
+        await self._wake.wait()
+        timer.cancel()
+
+    def _refresh(self, now: float) -> None:
+        """Take in which hosts are heard, and which targets have come and gone."""
+        rows = self._tables.targets.rows
+        self._others = observation.heard(self._tables, now)
+        hosts = len(self._others) + 1
+        self._wait_s = observation.poll_wait_s(len(rows), hosts)
+        for name in self._looks.keys() - rows.keys():
+            self._forget(name)
+        new = sorted(rows.keys() - self._looks.keys())
+        self._rng.shuffle(new)
+        for number, name in enumerate(new):
+            self._look_again(name, now + number / observation.FIRST_POLLS_PER_S)
+        kinds = [row.kind for row in rows.values()]
+        self._engines_number = kinds.count(TargetKind.ENGINE)
 
     def _forget(self, name: str) -> None:
-        del self._due[name]
-        self._failures.pop(name, None)
-        self._polls.pop(name, None)
+        del self._looks[name]
+        self._tables.observation.rows.pop(name, None)
         prefixes.forget(self._tables.load, name)
 
-    async def _poll(self, target: Target) -> None:
+    def _look_again(self, name: str, at: float) -> None:
+        """Set a target's next look; an entry of an earlier one lapses."""
+        self._looks[name] = at
+        heapq.heappush(self._due, (at, name))
+
+    def _look_at_due(self, now: float) -> None:
+        while self._due and self._due[0][0] <= now:
+            at, name = heapq.heappop(self._due)
+            target = self._tables.targets.rows.get(name)
+            if target is None or self._looks.get(name) != at:
+                continue
+            self._look_again(name, now + self._next_wait_s(name))
+            if name not in self._polls:
+                self._look_at(target, now)
+
+    def _next_wait_s(self, name: str) -> float:
+        """Return the time to a target's next look; the first is at any phase."""
+        if name in self._tables.observation.rows:
+            return self._wait_s
+        return self._rng.uniform(0.0, self._wait_s)
+
+    def _look_at(self, target: Target, now: float) -> None:
+        tables = self._tables
+        reason = observation.reason_to_poll(
+            tables, target, self._others, self._wait_s, now
+        )
+        number = self._engines_number
+        is_engine = target.kind is TargetKind.ENGINE
+        cache = is_engine and observation.must_poll_cache(tables, target, number, now)
+        if reason is not None:
+            self._stats.count(f"reports.{reason}")
+        elif not cache:
+            return
+        task = asyncio.ensure_future(self._poll(target, reason is not None, cache))
+        self._polls[target.name] = task
+        task.add_done_callback(lambda _: self._polls.pop(target.name, None))
+
+    async def _poll(self, target: Target, load: bool, cache: bool) -> None:
+        row = self._tables.observation.rows[target.name]
         try:
-            await self._poll_load(target)
-            polls = self._polls[target.name] = self._polls.get(target.name, 0) + 1
-            if target.kind is TargetKind.ENGINE and polls % CACHE_POLLS == 1:
+            if load:
+                row.polled_at = time.monotonic()
+                await self._poll_load(target)
+            if cache:
+                row.cache_polled_at = time.monotonic()
                 await self._poll_cache(target)
         except TargetFailed:
-            self._failed(target)
+            self._on_failure(target)
 
     async def _poll_load(self, target: Target) -> None:
         found = await self._engines.load(target.address)
-        now = time.monotonic()
-        if self._failures.pop(target.name, 0) >= FAILURES_TO_OPEN:
-            breakers.on_return(target, now)
-            log.info("target_reports_again", target=target.name)
         report = LoadReport(
             found.running,
             found.queued,
             found.slots,
             found.step_ms,
             found.prefill_tokens_s,
-            now,
+            time.monotonic(),
         )
-        estimates.learn_report(target, report)
-        target.models = set(found.models)
+        if observation.on_report(self._tables, target, report, found.models):
+            log.info("target_reports_again", target=target.name)
+        self._seen.add(target.name)
+        self._failed.discard(target.name)
 
     async def _poll_cache(self, target: Target) -> None:
         found = await self._engines.cache(target.address, target.cache_seq)
@@ -100,13 +170,53 @@
         now = time.monotonic()
         prefixes.learn(self._tables.load, target, found.seq, events, now)
 
-    def _failed(self, target: Target) -> None:
+    def _on_failure(self, target: Target) -> None:
         self._stats.count("reports.failed")
-        failures = self._failures[target.name] = self._failures.get(target.name, 0) + 1
-        if failures < FAILURES_TO_OPEN:
-            return
-        breakers.on_lost(target, time.monotonic())
-        if failures == FAILURES_TO_OPEN:
+        now = time.monotonic()
+        self._failed.add(target.name)
+        self._seen.discard(target.name)
+        if observation.on_failure(self._tables, target, now):
             prefixes.forget(self._tables.load, target.name)
             target.cache_seq = 0
             log.warning("target_reports_fail", target=target.name)
+        elif self._tables.observation.rows[target.name].failures == 1:
+            self._look_again(target.name, now + observation.SHORTEST_POLL_S)
+
+    @Service.task
+    async def _tell(self) -> None:
+        told_at = float("-inf")
+        while not self.should_stop:
+            now = time.monotonic()
+            waited = now - told_at
+            if self._failed or self._seen or waited >= observation.TELL_S:
+                self._tell_group(now)
+                told_at = now
+            await asyncio.sleep(observation.tell_wait_s(self._wait_s))
+
+    def _tell_group(self, now: float) -> None:
+        rows = self._tables.targets.rows
+        seen = [rows[name] for name in self._seen if name in rows]
+        reports = [observation.to_wire(target, now) for target in seen]
+        msg = wire.Observed(self._tables.host, reports, list(self._failed))
+        self._seen.clear()
+        self._failed.clear()
+        for host in observation.group(self._tables):
+            if host not in self._posts:
+                task = asyncio.ensure_future(self._post(host, msg))
+                self._posts[host] = task
+                task.add_done_callback(lambda _, h=host: self._posts.pop(h, None))
+
+    async def _post(self, host: str, msg: wire.Observed) -> None:
+        try:
+            await self._peers.post(host, msg)
+        except PeerUnreachable:
+            self._stats.count("reports.peer_unreachable")
+
+    def _on_observed(self, msg: wire.Observed, reply: Reply) -> None:
+        now = time.monotonic()
+        self._stats.count("reports.told", len(msg.reports))
+        doubted = observation.learn(self._tables, msg, now)
+        for name in doubted:
+            self._look_again(name, now)
+        if doubted:
+            self._wake.set()
--- a/turmericflow/systems/_estimates.py
+++ b/turmericflow/systems/_estimates.py
@@ -10,7 +10,7 @@
 
 REPORT_LAG_S = 0.2
 REPORT_TRUST_S = 5.0
-HISTORY_S = 2.0
+HISTORY_S = REPORT_TRUST_S + 2 * REPORT_LAG_S
 COUNTED_S = 0.1
 DEFAULT_SLOW_DOWN = 0.01
 DEFAULT_STEP_S = 0.02
--- /dev/null
+++ b/turmericflow/systems/_observation.py
@@ -0,0 +1,247 @@
+"""Who polls which target, and what is believed of what others saw.
+
+The hosts of a data centre, or of the whole fleet while it is small, form groups.
+Within a group each target has two observers, by rendezvous hash over the hosts
+that are heard.  They poll it and tell the others.  A host that falls silent is
+left out, so the next in order takes its place without any message.
+
+What others tell improves this host's knowledge and never takes a target out of
+use: bad news, and news that does not fit, is checked by a poll from here.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import xxhash
+
+from turmericflow import wire
+from turmericflow.systems import _breakers as breakers, _estimates as estimates
+from turmericflow.tables import LoadReport, PeerState, Sighting, Tables, Target
+
+OBSERVERS = 2
+GROUP_HOSTS = 16
+TELL_S = 0.3
+SHORTEST_TELL_S = 0.05
+HEARD_S = 0.9
+SHORTEST_POLL_S = 0.25
+GROUP_POLLS_PER_S = 100.0
+HOST_POLLS_PER_S = 40.0
+STALE_WAITS = 3.0
+SHORTEST_FALLBACK_S = 2.0
+FAILURES_TO_OPEN = 2
+FIRST_POLLS_PER_S = 200.0
+CACHE_S = 1.0
+IDLE_CACHE_S = 10.0
+CACHE_POLLS_PER_S = 10.0
+MODELS_MODULUS = 1 << 32
+LONGEST_STEP_MS = 1e6
+FASTEST_PREFILL_TOKENS_S = 1e9
+
+
+class PollReason(enum.StrEnum):
+    """Why a host polls a target."""
+
+    OBSERVER = "observer"
+    CHECK = "check"
+    UNTOLD = "untold"
+
+
+def _hash(*words: str) -> int:
+    return xxhash.xxh3_64_intdigest("\0".join(words).encode())
+
+
+def group(tables: Tables) -> list[str]:
+    """Return the other hosts that share in this host's polling, heard or not."""
+    rows = tables.peers.rows.values()
+    live = [row for row in rows if row.state is not PeerState.DEAD]
+    if len(live) < GROUP_HOSTS:
+        return [row.host for row in live]
+    near = [row.host for row in live if row.data_centre == tables.data_centre]
+    parts = 1
+    while parts * GROUP_HOSTS < len(near) + 1:
+        parts *= 2
+    own = _hash("group", tables.host) % parts
+    return [host for host in near if _hash("group", host) % parts == own]
+
+
+def heard(tables: Tables, now: float) -> list[str]:
+    """Return the hosts of the group whose word is recent."""
+    heard_at = tables.observation.heard_at
+    found = []
+    for host in group(tables):
+        if now - heard_at.get(host, float("-inf")) <= HEARD_S:
+            found.append(host)
+    return found
+
+
+def is_observer(host: str, others: list[str], target: str) -> bool:
+    """Return whether a host is one of a target's observers.
+
+    Parameters
+    ----------
+    host
+        The host.
+    others
+        The other hosts that may observe it.
+    target
+        Name of the target.
+    """
+    own = _hash(target, host)
+    before = sum(1 for other in others if _hash(target, other) > own)
+    return before < OBSERVERS
+
+
+def poll_wait_s(targets: int, hosts: int) -> float:
+    """Return the time between one observer's polls of one target.
+
+    Polls are bounded for each host and reports for each group, so that those of
+    more targets come less often rather than cost more.
+    """
+    rate = min(GROUP_POLLS_PER_S, hosts * HOST_POLLS_PER_S)
+    return min(OBSERVERS, hosts) * max(SHORTEST_POLL_S, targets / rate)
+
+
+def tell_wait_s(wait_s: float) -> float:
+    """Return the time for which sightings are gathered before they are told."""
+    return min(TELL_S, max(SHORTEST_TELL_S, wait_s / 10))
+
+
+def fallback_s(wait_s: float) -> float:
+    """Return the time between own polls of a target that nobody tells of."""
+    return max(SHORTEST_FALLBACK_S, STALE_WAITS * wait_s)
+
+
+def reason_to_poll(
+    tables: Tables, target: Target, others: list[str], wait_s: float, now: float
+) -> PollReason | None:
+    """Return why this host is to poll a target now, or None if it need not."""
+    row = tables.observation.rows.setdefault(target.name, Sighting())
+    if row.doubted or 0 < row.failures < FAILURES_TO_OPEN:
+        return PollReason.CHECK
+    if is_observer(tables.host, others, target.name):
+        return PollReason.OBSERVER
+    stale = now - target.load.reported_at > STALE_WAITS * wait_s
+    if stale and now - row.polled_at >= fallback_s(wait_s):
+        return PollReason.UNTOLD
+    return None
+
+
+def must_poll_cache(tables: Tables, target: Target, engines: int, now: float) -> bool:
+    """Return whether an engine's cache events are to be asked for.
+
+    The events are many, so each router asks for its own, and seldom for those of
+    an engine that has run nothing since.
+    """
+    polled_at = tables.observation.rows[target.name].cache_polled_at
+    load = target.load
+    busy = load.running + load.queued + target.known > 0
+    if target.history:
+        busy = busy or target.history[-1][0] >= polled_at
+    wait_s = max(CACHE_S if busy else IDLE_CACHE_S, engines / CACHE_POLLS_PER_S)
+    return now - polled_at >= wait_s
+
+
+def on_report(
+    tables: Tables, target: Target, report: LoadReport, models: list[str]
+) -> bool:
+    """Take in a report that this host polled; return whether the target is back."""
+    row = tables.observation.rows.setdefault(target.name, Sighting())
+    back = row.failures >= FAILURES_TO_OPEN
+    row.failures = 0
+    row.doubted = False
+    if back:
+        breakers.on_return(target, report.reported_at)
+    estimates.learn_report(target, report)
+    target.models = set(models)
+    return back
+
+
+def on_failure(tables: Tables, target: Target, now: float) -> bool:
+    """Take in a failed poll of this host's; return whether it is held lost now."""
+    row = tables.observation.rows.setdefault(target.name, Sighting())
+    row.failures += 1
+    row.doubted = False
+    if row.failures < FAILURES_TO_OPEN:
+        return False
+    breakers.on_lost(target, now)
+    return row.failures == FAILURES_TO_OPEN
+
+
+def to_wire(target: Target, now: float) -> wire.Sighted:
+    """Return what is to be told of a target, with the age of its report."""
+    report = target.load
+    step_ms = min(max(0.0, report.step_ms), LONGEST_STEP_MS)
+    prefill = min(max(0.0, report.prefill_tokens_s), FASTEST_PREFILL_TOKENS_S)
+    return wire.Sighted(
+        target.name,
+        max(0, round((now - report.reported_at) * 1000)),
+        max(0, report.running),
+        max(0, report.queued),
+        max(0, report.slots),
+        round(step_ms * 1000),
+        round(prefill),
+        models_digest(target.models),
+    )
+
+
+def models_digest(models: set[str]) -> int:
+    """Return a number that stands for a set of loaded models."""
+    return _hash(*sorted(models)) % MODELS_MODULUS
+
+
+def learn(tables: Tables, msg: wire.Observed, now: float) -> list[str]:
+    """Take in what another host saw.
+
+    Returns
+    -------
+    list of str
+        Targets that this host is to poll at once, to check what was told.
+    """
+    tables.observation.heard_at[msg.host] = now
+    targets = tables.targets.rows
+    doubted = []
+    for sighted in msg.reports:
+        target = targets.get(sighted.target)
+        if target is not None and not _learn_report(tables, target, sighted, now):
+            doubted.append(target.name)
+    for name in msg.failed:
+        target = targets.get(name)
+        if target is not None and not _learn_failure(tables, target, now):
+            doubted.append(name)
+    for name in doubted:
+        tables.observation.rows[name].doubted = True
+    return doubted
+
+
+def _learn_report(
+    tables: Tables, target: Target, sighted: wire.Sighted, now: float
+) -> bool:
+    """Take in another host's report; return whether it needs no check."""
+    row = tables.observation.rows.setdefault(target.name, Sighting())
+    if row.failures or models_digest(target.models) != sighted.models:
+        return now - row.polled_at < SHORTEST_POLL_S
+    reported_at = now - sighted.age_ms / 1000
+    if reported_at > target.load.reported_at:
+        report = LoadReport(
+            sighted.running,
+            sighted.queued,
+            sighted.slots,
+            sighted.step_us / 1000,
+            float(sighted.prefill_tokens_s),
+            reported_at,
+        )
+        estimates.learn_report(target, report)
+    return True
+
+
+def _learn_failure(tables: Tables, target: Target, now: float) -> bool:
+    """Take in another host's failed poll; return whether it needs no check.
+
+    One that agrees with this host's own finding keeps the breaker open.
+    """
+    row = tables.observation.rows.setdefault(target.name, Sighting())
+    if row.failures >= FAILURES_TO_OPEN:
+        breakers.on_lost(target, now)
+        return True
+    return now - row.polled_at < SHORTEST_POLL_S
--- a/turmericflow/tables/__init__.py
+++ b/turmericflow/tables/__init__.py
@@ -24,6 +24,7 @@
     Waiting,
     Work,
 )
+from turmericflow.tables._observation import ObservationTable, Sighting
 from turmericflow.tables._orders import GivenOrder, Lease, OrderTable
 from turmericflow.tables._peers import Peer, PeerState, PeerTable
 from turmericflow.tables._requests import Listener, RequestRow, RequestTable
@@ -78,6 +79,9 @@
     "RateBucket",
     "Waiting",
     "Work",
+    # Observation
+    "ObservationTable",
+    "Sighting",
     # Targets
     "Breaker",
     "BreakerState",
--- a/turmericflow/tables/_all.py
+++ b/turmericflow/tables/_all.py
@@ -8,6 +8,7 @@
 from turmericflow.tables._config import ConfigTable
 from turmericflow.tables._crashers import SuspectTable
 from turmericflow.tables._load import LoadTable
+from turmericflow.tables._observation import ObservationTable
 from turmericflow.tables._orders import OrderTable
 from turmericflow.tables._peers import PeerTable
 from turmericflow.tables._requests import RequestTable
@@ -42,3 +43,4 @@
     stopping: bool = False
     orders: OrderTable = field(default_factory=OrderTable)
     load: LoadTable = field(default_factory=LoadTable)
+    observation: ObservationTable = field(default_factory=ObservationTable)
--- /dev/null
+++ b/turmericflow/tables/_observation.py
@@ -0,0 +1,42 @@
+"""What a router and those that share with it have seen of the targets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Sighting:
+    """This host's own dealings with one target.
+
+    Attributes
+    ----------
+    polled_at, cache_polled_at
+        When this host last asked for its load report and its cache events, in
+        seconds of the host's clock.
+    failures
+        Own polls that failed in a row.
+    doubted
+        Whether another host's word is to be checked by a poll from here.
+    """
+
+    polled_at: float = float("-inf")
+    cache_polled_at: float = float("-inf")
+    failures: int = 0
+    doubted: bool = False
+
+
+@dataclass(slots=True)
+class ObservationTable:
+    """Who shares in the polling of targets, and what came of it.
+
+    Attributes
+    ----------
+    heard_at
+        When each host last told its sightings, in seconds of the host's clock.
+    rows
+        Own dealings by target.
+    """
+
+    heard_at: dict[str, float] = field(default_factory=dict)
+    rows: dict[str, Sighting] = field(default_factory=dict)
--- /dev/null
+++ b/turmericflow/tests/test_observation.py
@@ -0,0 +1,204 @@
+"""Tests of who polls the targets, and of what is believed of what others saw."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from collections import Counter
+
+import pytest
+
+from turmericflow.cfg import Address
+from turmericflow.systems import breakers, membership, observation
+from turmericflow.systems._membership import MemberInfo, pack_version
+from turmericflow.systems._observation import PollReason
+from turmericflow.tables import LoadReport, PeerState, Tables, Target, TargetKind
+from turmericflow.testing import Cluster
+from turmericflow.testing._fleet import fleet_plan, profile
+
+CENTRES = ("mvd-cordon", "mvd-aguada", "mvd-carrasco")
+ADDRESS = Address("10.0.0.1", 8000)
+TARGETS = [f"redactor-{number}" for number in range(600)]
+MODELS = {"sable/none/1"}
+WAIT_S = 0.5
+LOST = ("entry-1", "entry-2")
+TOLD_REPORTS = 20
+END_S = 60.0
+
+
+def _tables(number: int, hosts: int) -> Tables:
+    tables = Tables(f"entry-{number}", CENTRES[number % 3])
+    version = pack_version(100, 0, PeerState.ALIVE)
+    for other in range(hosts):
+        if other != number:
+            info = MemberInfo(CENTRES[other % 3], ADDRESS, ADDRESS)
+            membership.learn(tables, f"entry-{other}", version, info, 0.0)
+    return tables
+
+
+def _hear(tables: Tables, hosts: list[str], now: float) -> list[str]:
+    tables.observation.heard_at.update(dict.fromkeys(hosts, now))
+    return observation.heard(tables, now)
+
+
+def _observers(hosts: list[str], target: str) -> set[str]:
+    found = set()
+    for host in hosts:
+        others = [each for each in hosts if each != host]
+        if observation.is_observer(host, others, target):
+            found.add(host)
+    return found
+
+
+@pytest.fixture
+def target() -> Target:
+    found = Target("redactor-1", TargetKind.ENGINE, "redactor", CENTRES[0], ADDRESS)
+    found.models = set(MODELS)
+    return found
+
+
+@pytest.fixture
+def tables(target: Target) -> Tables:
+    """Return the tables of a host that is no observer of the target."""
+    hosts = [f"entry-{number}" for number in range(7)]
+    observers = _observers(hosts, target.name)
+    host = next(each for each in hosts if each not in observers)
+    found = _tables(int(host[-1]), 7)
+    found.targets.rows[target.name] = target
+    return found
+
+
+def _told(target: Target, running: int, polled_at: float, now: float):
+    seen = Target(target.name, target.kind, target.service, CENTRES[0], ADDRESS)
+    seen.models = set(MODELS)
+    seen.load = LoadReport(running, 0, 32, 2.0, 20_000.0, polled_at)
+    return observation.wire.Observed("entry-9", [observation.to_wire(seen, now)], [])
+
+
+def _reason(tables: Tables, target: Target, now: float) -> PollReason | None:
+    others = _hear(tables, observation.group(tables), now)
+    return observation.reason_to_poll(tables, target, others, WAIT_S, now)
+
+
+def test_each_target_has_two_observers_and_hosts_share_alike():
+    hosts = [f"entry-{number}" for number in range(7)]
+    found = {name: _observers(hosts, name) for name in TARGETS}
+    assert {len(each) for each in found.values()} == {2}
+    shares = Counter(itertools.chain(*found.values()))
+    fair = 2 * len(TARGETS) / len(hosts)
+    assert all(0.7 * fair < shares[host] < 1.3 * fair for host in hosts)
+
+
+def test_only_a_silent_observers_targets_pass_on():
+    tables = _tables(0, 7)
+    hosts = [*observation.group(tables), tables.host]
+    assert len(_hear(tables, hosts, 10.0)) == 6
+    later = 10.0 + 1.1 * observation.HEARD_S
+    rest = _hear(tables, [host for host in hosts if host != "entry-3"], later)
+    assert sorted([*rest, "entry-3", tables.host]) == sorted(hosts)
+    for name in TARGETS:
+        before, after = _observers(hosts, name), _observers([*rest, "entry-0"], name)
+        assert len(after) == 2
+        assert before - {"entry-3"} <= after
+
+
+@pytest.mark.parametrize("hosts", [7, 16, 17, 60, 400])
+def test_groups_are_bounded_and_mutual(hosts):
+    groups = {}
+    for number in range(hosts):
+        tables = _tables(number, hosts)
+        groups[tables.host] = {tables.host, *observation.group(tables)}
+    for found in groups.values():
+        assert len(found) <= 2 * observation.GROUP_HOSTS
+        assert all(groups[other] == found for other in found)
+
+
+def test_report_is_as_old_as_its_poll_and_never_replaces_a_newer_one(tables, target):
+    assert not observation.learn(tables, _told(target, 3, 8.0, 8.4), 10.0)
+    assert target.load.running == 3
+    assert target.load.reported_at == pytest.approx(9.6)
+    assert not observation.learn(tables, _told(target, 5, 7.0, 9.0), 10.1)
+    assert target.load.running == 3
+
+
+def test_told_failure_shuts_nothing_out_until_found_here(tables, target):
+    failed = observation.wire.Observed("entry-9", [], [target.name])
+    assert observation.learn(tables, failed, 10.0) == [target.name]
+    assert breakers.allows(target, 10.0)
+    assert _reason(tables, target, 10.0) is PollReason.CHECK
+    assert not observation.on_failure(tables, target, 10.1)
+    assert _reason(tables, target, 10.2) is PollReason.CHECK
+    assert observation.on_failure(tables, target, 10.3)
+    assert not breakers.allows(target, 10.3)
+    observation.learn(tables, failed, 11.4)
+    assert not breakers.allows(target, 11.5)
+    assert observation.learn(tables, _told(target, 0, 12.0, 12.0), 12.0)
+    report = LoadReport(reported_at=12.1)
+    assert observation.on_report(tables, target, report, list(MODELS))
+    assert breakers.allows(target, 12.1)
+
+
+def test_other_models_than_known_are_looked_at_from_here(tables, target):
+    msg = _told(target, 0, 10.0, 10.0)
+    assert not observation.learn(tables, msg, 10.0)
+    target.models = {"sable/none/2"}
+    assert observation.learn(tables, msg, 11.0) == [target.name]
+    assert _reason(tables, target, 11.0) is PollReason.CHECK
+
+
+def test_target_that_nobody_tells_of_is_polled_at_a_lower_rate(tables, target):
+    observation.learn(tables, _told(target, 0, 10.0, 10.0), 10.0)
+    assert _reason(tables, target, 10.0 + WAIT_S) is None
+    late = 10.1 + observation.STALE_WAITS * WAIT_S
+    assert _reason(tables, target, late) is PollReason.UNTOLD
+    tables.observation.rows[target.name].polled_at = late
+    assert _reason(tables, target, late + WAIT_S) is None
+    later = late + observation.fallback_s(WAIT_S)
+    assert _reason(tables, target, later) is PollReason.UNTOLD
+
+
+def _targets_of(lost: tuple[str, ...], hosts: list[str], most: int) -> list[str]:
+    """Return names of targets whose observers are all lost."""
+    names = (f"engine-{number}" for number in itertools.count())
+    found = (name for name in names if _observers(hosts, name) == set(lost))
+    return list(itertools.islice(found, most))
+
+
+def _told_counts(cluster: Cluster, host: str) -> tuple[int, int]:
+    counts = cluster.status(host)["counts"]
+    return counts.get("reports.told", 0), counts.get("reports.untold", 0)
+
+
+def _wait_told(cluster: Cluster, host: str) -> None:
+    """Wait until a host is told of the targets and need not ask for itself."""
+    until = time.monotonic() + END_S
+    told, untold = _told_counts(cluster, host)
+    while True:
+        now_told, now_untold = _told_counts(cluster, host)
+        if now_untold != untold:
+            told, untold = now_told, now_untold
+        elif now_told - told >= TOLD_REPORTS:
+            return
+        if time.monotonic() > until:
+            raise TimeoutError(f"{host}: {now_told - told} told, {now_untold} untold")
+        time.sleep(0.05)
+
+
+@pytest.mark.integration
+def test_killed_and_paused_observers_are_replaced():
+    plan = fleet_plan(3, [profile("report")], routers=5)
+    hosts = list(plan.routers)
+    for spec, name in zip(plan.targets, _targets_of(LOST, hosts, 3), strict=True):
+        spec.name = name
+    with Cluster(plan) as cluster:
+        rest = [host for host in hosts if host not in LOST]
+        for host in rest:
+            _wait_told(cluster, host)
+        cluster.kill(LOST[0])
+        cluster.pause(LOST[1])
+        observers = [_observers(rest, spec.name) for spec in plan.targets]
+        for host in rest:
+            if any(host not in each for each in observers):
+                _wait_told(cluster, host)
+        cluster.resume(LOST[1])
+        _wait_told(cluster, rest[0])
--- a/turmericflow/wire/_messages.py
+++ b/turmericflow/wire/_messages.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 
@@ -389,6 +391,38 @@
     waiting: dict[str, tuple[int, float]]
 
 
+_Natural = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class Sighted(msgspec.Struct, array_like=True):
+    """A target's load report as an observer polled it.
+
+    ``age_ms`` is the time since the poll, and ``models`` a digest of what the
+    target has loaded.
+    """
+
+    target: str
+    age_ms: _Natural
+    running: _Natural
+    queued: _Natural
+    slots: _Natural
+    step_us: _Natural
+    prefill_tokens_s: _Natural
+    models: _Natural
+
+
+class Observed(Message, tag="observed"):
+    """Tell what a router saw of the targets since it last told.
+
+    ``failed`` names targets that did not answer its poll.  An empty message says
+    that the router still observes.
+    """
+
+    host: str
+    reports: list[Sighted]
+    failed: list[str]
+
+
 class Demands(Message, tag="demands"):
     """Tell the keeper of customers' limits what a router saw, per second."""
 
@@ -468,6 +502,7 @@
     | Differences
     | Fetch
     | InFlight
+    | Observed
     | Demands
     | Allotments
     | BurnCounts
