Wake an idle router less often, and look at busy targets only

Cause: a profile of an idle daemon shows about 400 wake-ups of its event loop a second, and with 1,200 targets most of its time in the sharing of counts, which went over all targets ten times a second and again for each word that came.

Change: the loss detection ticks each 0.1 s while there is no request, the slots while nothing changed there; reports are told when there are some instead of being looked for; counts are made of the busy targets, and a word that is not full touches only the targets that it names. A target's first poll sets its phase at random, for all were polled in one burst.

--- a/turmericflow/services/_reports.py
+++ b/turmericflow/services/_reports.py
@@ -18,6 +18,7 @@
 from turmericflow.tables import LoadReport, Tables, Target, TargetKind
 
 REFRESH_S = 0.25
+COMPARE_S = 2.0
 SHORTEST_SLEEP_S = 0.02
 
 log = structlog.get_logger()
@@ -53,7 +54,9 @@
         self._others: list[str] = []
         self._wait_s = observation.SHORTEST_POLL_S
         self._engines_number = 0
+        self._compared_at = float("-inf")
         self._wake = asyncio.Event()
+        self._news = asyncio.Event()
         peers.handle(wire.Observed, self._on_observed)
 
     async def on_stop(self) -> None:
@@ -82,10 +85,15 @@
 
     def _refresh(self, now: float) -> None:
         """Take in which hosts are heard, and which targets have come and gone."""
-        rows = self._tables.targets.rows
         self._others = observation.heard(self._tables, now)
-        hosts = len(self._others) + 1
-        self._wait_s = observation.poll_wait_s(len(rows), hosts)
+        targets = len(self._tables.targets.rows)
+        self._wait_s = observation.poll_wait_s(targets, len(self._others) + 1)
+        if targets != len(self._looks) or now - self._compared_at >= COMPARE_S:
+            self._compared_at = now
+            self._compare(now)
+
+    def _compare(self, now: float) -> None:
+        rows = self._tables.targets.rows
         for name in self._looks.keys() - rows.keys():
             self._forget(name)
         new = sorted(rows.keys() - self._looks.keys())
@@ -116,10 +124,11 @@
                 self._look_at(target, now)
 
     def _next_wait_s(self, name: str) -> float:
-        """Return the time to a target's next look; the first is at any phase."""
-        if name in self._tables.observation.rows:
-            return self._wait_s
-        return self._rng.uniform(0.0, self._wait_s)
+        """Return the time to a target's next look; at first at any phase."""
+        row = self._tables.observation.rows.get(name)
+        if row is None or row.polled_at == float("-inf"):
+            return self._rng.uniform(0.0, self._wait_s)
+        return self._wait_s
 
     def _look_at(self, target: Target, now: float) -> None:
         tables = self._tables
@@ -163,6 +172,7 @@
             log.info("target_reports_again", target=target.name)
         self._seen.add(target.name)
         self._failed.discard(target.name)
+        self._news.set()
 
     async def _poll_cache(self, target: Target) -> None:
         found = await self._engines.cache(target.address, target.cache_seq)
@@ -175,6 +185,7 @@
         now = time.monotonic()
         self._failed.add(target.name)
         self._seen.discard(target.name)
+        self._news.set()
         if observation.on_failure(self._tables, target, now):
             prefixes.forget(self._tables.load, target.name)
             target.cache_seq = 0
@@ -184,14 +195,18 @@
 
     @Service.task
     async def _tell(self) -> None:
-        told_at = float("-inf")
         while not self.should_stop:
-            now = time.monotonic()
-            waited = now - told_at
-            if self._failed or self._seen or waited >= observation.TELL_S:
-                self._tell_group(now)
-                told_at = now
-            await asyncio.sleep(observation.tell_wait_s(self._wait_s))
+            gather_s = observation.tell_wait_s(self._wait_s)
+            await self._wait_for_news(observation.TELL_S - gather_s)
+            await asyncio.sleep(gather_s)
+            self._tell_group(time.monotonic())
+
+    async def _wait_for_news(self, seconds: float) -> None:
+        """Wait until something is to be told, or it is time to say that one lives."""
+        timer = asyncio.get_running_loop().call_later(seconds, self._news.set)
+        await self._news.wait()
+        timer.cancel()
+        self._news.clear()
 
     def _tell_group(self, now: float) -> None:
         rows = self._tables.targets.rows
--- a/turmericflow/services/_slots.py
+++ b/turmericflow/services/_slots.py
@@ -26,6 +26,7 @@
 from turmericflow.tables import SlotEntry, Tables
 
 TICK_S = 0.05
+QUIET_TICK_S = 0.1
 CHECK_S = 5.0
 SWEEP_S = 1.0
 CREATE_WAIT_S = 2.0
@@ -118,7 +119,8 @@
                 await self._tick()
             else:
                 await self._learn_or_create()
-            await asyncio.sleep(TICK_S)
+            quiet = self._quiet_view is not None
+            await asyncio.sleep(QUIET_TICK_S if quiet else TICK_S)
 
     @Service.task
     async def _sweeps(self) -> None:
--- a/turmericflow/services/_watch.py
+++ b/turmericflow/services/_watch.py
@@ -16,7 +16,8 @@
     from turmericflow.services._runner import Runner
 
 TICK_S = 0.02
-TICKS_PER_SWEEP = 10
+IDLE_TICK_S = 0.1
+SWEEP_S = 0.2
 LAG_S = 0.03
 SHUT_OUT_S = 1.0
 
@@ -39,7 +40,10 @@
 
 
 class Watch(Service):
-    """Runs the loss detection each tick, and a slower sweep over requests."""
+    """Runs the loss detection each tick, and a slower sweep over requests.
+
+    The ticks are further apart while there is no request.
+    """
 
     def __init__(
         self, tables: Tables, runner: Runner, clock: ListeningClock, stats: Stats
@@ -52,21 +56,21 @@
 
     @Service.task
     async def _ticks(self) -> None:
-        number = 0
-        before = time.monotonic()
+        before = swept_at = time.monotonic()
         while not self.should_stop:
-            await asyncio.sleep(TICK_S)
+            tick_s = TICK_S if self._tables.requests.rows else IDLE_TICK_S
+            await asyncio.sleep(tick_s)
             now = time.monotonic()
-            late = now - before - TICK_S
+            late = now - before - tick_s
             before = now
             if late > LAG_S:
                 self._clock.stood_still(late)
                 self._stats.count("watch.late")
                 continue
-            number += 1
-            sweep = number % TICKS_PER_SWEEP == 0
+            sweep = now - swept_at >= SWEEP_S
             self._scan(each_stream=sweep)
             if sweep:
+                swept_at = now
                 self._runner.sweep(now)
 
     def _scan(self, each_stream: bool) -> None:
--- a/turmericflow/systems/_observation.py
+++ b/turmericflow/systems/_observation.py
@@ -22,7 +22,7 @@
 OBSERVERS = 2
 GROUP_HOSTS = 16
 TELL_S = 0.3
-SHORTEST_TELL_S = 0.05
+SHORTEST_TELL_S = 0.1
 HEARD_S = 0.9
 SHORTEST_POLL_S = 0.25
 GROUP_POLLS_PER_S = 100.0
--- a/turmericflow/systems/_sharing.py
+++ b/turmericflow/systems/_sharing.py
@@ -36,11 +36,15 @@
 
 def changes(tables: Tables, told: dict[str, int], full: bool) -> dict[str, int]:
     """Return the counts to tell, and note them in ``told``."""
+    rows = tables.targets.rows.values()
+    busy = {target.name: target.in_flight for target in rows if target.in_flight}
     found = {}
-    for name, target in tables.targets.rows.items():
-        number = target.in_flight
-        if number != told.get(name, 0) or (full and number):
-            found[name] = told[name] = number
+    for name, number in busy.items():
+        if full or number != told.get(name):
+            found[name] = number
+    found.update(dict.fromkeys(told.keys() - busy.keys(), 0))
+    told.clear()
+    told.update(busy)
     return found
 
 
@@ -75,9 +79,14 @@
     if first and not full:
         return
     tables.load.heard_at[host] = now
-    for name, target in tables.targets.rows.items():
+    rows = tables.targets.rows
+    names = set(counts)
+    if full:
+        names.update(row.name for row in rows.values() if host in row.others)
+    for name in sorted(names & rows.keys()):
+        target = rows[name]
         before = target.others.get(host, 0)
-        number = counts.get(name, 0 if full else before)
+        number = counts.get(name, 0)
         if number == before:
             continue
         target.others[host] = number
