Split the messages by subject, and give services their shared parts in one

Change: messages stand in modules by subject behind the same public names; `Asked` and `OfSlot` hold the shared fields, so the order of `Claim`'s fields changes. `services._parts.Parts` holds what the services are built from.

Conclusion: no behaviour is changed; routers of the two versions do not talk to each other, as the order of fields is part of the protocol.

--- a/turmericflow/services/_burn.py
+++ b/turmericflow/services/_burn.py
@@ -9,12 +9,11 @@
 from result import Ok
 
 from turmericflow import wire
-from turmericflow.cfg import Settings
-from turmericflow.services._peers import Peers, PeerUnreachable, Reply
-from turmericflow.services._platform import PlatformClient, PlatformError
-from turmericflow.services._stats import Stats
+from turmericflow.services._parts import Parts
+from turmericflow.services._peers import PeerUnreachable, Reply
+from turmericflow.services._platform import PlatformError
 from turmericflow.systems import burn, requests
-from turmericflow.tables import BurnTable, Tables
+from turmericflow.tables import BurnTable
 
 COLLECT_S = 1.0
 KIND = "burn"
@@ -28,27 +27,20 @@
     are lost with their host.
     """
 
-    def __init__(
-        self,
-        settings: Settings,
-        tables: Tables,
-        peers: Peers,
-        platform: PlatformClient,
-        stats: Stats,
-    ) -> None:
+    def __init__(self, parts: Parts) -> None:
         super().__init__()
-        self._settings = settings
-        self._tables = tables
-        self._peers = peers
-        self._platform = platform
-        self._stats = stats
+        self._settings = parts.settings
+        self._tables = parts.tables
+        self._peers = parts.peers
+        self._platform = parts.platform
+        self._stats = parts.stats
         self._fresh = BurnTable()
         self._sending: bytes | None = None
         self._number = 0
         self._taken: dict[str, int] = {}
         self._unsaved = BurnTable()
         self._writing: tuple[str, BurnTable] | None = None
-        peers.handle(wire.BurnCounts, self._on_counts)
+        self._peers.handle(wire.BurnCounts, self._on_counts)
 
     @Service.task
     async def _collect(self) -> None:
--- a/turmericflow/services/_config.py
+++ b/turmericflow/services/_config.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 from collections.abc import Callable
-from random import Random
 
 import msgspec
 import structlog
@@ -13,17 +12,13 @@
 from pydantic import ValidationError
 
 from turmericflow import wire
-from turmericflow.cfg import Settings
 from turmericflow.profile import CUSTOMER_ADAPTER, MARK_ADAPTER, PROFILE_ADAPTER
-from turmericflow.services._gossip import Gossip
+from turmericflow.services._parts import Parts
 from turmericflow.services._platform import (
-    PlatformClient,
     PlatformError,
     PlatformObject,
 )
-from turmericflow.services._stats import Stats
 from turmericflow.systems import freshness, orders, overlay, owner_map, slots, spread
-from turmericflow.tables import Tables
 
 OBJECT = "object"
 SPREAD_KINDS = frozenset({"customer", "mark", "owners", "profile"})
@@ -46,27 +41,18 @@
     nothing of the platform for some time.
     """
 
-    def __init__(
-        self,
-        settings: Settings,
-        tables: Tables,
-        platform: PlatformClient,
-        gossip: Gossip,
-        stats: Stats,
-        rng: Random,
-    ) -> None:
+    def __init__(self, parts: Parts) -> None:
         super().__init__()
-        self._settings = settings
-        self._tables = tables
+        self._tables = parts.tables
         self._tables.config.joined = False
-        self._platform = platform
-        self._gossip = gossip
-        self._stats = stats
-        self._rng = rng
+        self._platform = parts.platform
+        self._gossip = parts.gossip
+        self._stats = parts.stats
+        self._rng = parts.rng
         self._held_back: set[str] = set()
         self._held: list[wire.Rumour] | None = []
         self._listeners: list[Callable[[str, str], None]] = []
-        gossip.subscribe(OBJECT, self._on_fact)
+        self._gossip.subscribe(OBJECT, self._on_fact)
 
     def on_change(self, listener: Callable[[str, str], None]) -> None:
         """Call ``listener`` with kind and name of each object put in force."""
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -22,6 +22,7 @@
 from turmericflow.services._membership import Membership
 from turmericflow.services._orders import Orders
 from turmericflow.services._owner import Owner
+from turmericflow.services._parts import Parts
 from turmericflow.services._peers import Peers
 from turmericflow.services._plain import PlainClient
 from turmericflow.services._platform import PlatformClient
@@ -101,23 +102,20 @@
         )
         watch = Watch(self.tables, runner, clock, self.stats)
         rng = Random(secrets.randbits(64))
-        self.membership = Membership(
-            self.settings, self.tables, peers, gossip, self.stats, rng
-        )
-        config = Config(self.settings, self.tables, platform, gossip, self.stats, rng)
-        hosts = Hosts(
-            self.tables, platform, gossip, config, self.membership, self.stats, rng
-        )
-        self.slots = SlotService(
-            self.settings, self.tables, peers, gossip, platform, self.stats
+        parts = Parts(
+            self.settings, self.tables, peers, gossip, platform, self.stats, rng
         )
+        self.membership = Membership(parts)
+        config = Config(parts)
+        hosts = Hosts(parts, config, self.membership)
+        self.slots = SlotService(parts)
         self.slots.on_change(journal.slots_changed)
         self.entry = Entry(
             self.settings, self.tables, runner, self.stats, contexts, peers
         )
         orders = Orders(self.settings, self.tables, platform, engines, self.stats)
-        reports = Reports(self.tables, engines, peers, self.stats, rng)
-        self.burn = Burn(self.settings, self.tables, peers, platform, self.stats)
+        reports = Reports(parts, engines)
+        self.burn = Burn(parts)
         services = (
             peers,
             gossip,
--- a/turmericflow/services/_hosts.py
+++ b/turmericflow/services/_hosts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from random import Random
 
 import msgspec
 import structlog
@@ -12,12 +11,11 @@
 from turmericflow import wire
 from turmericflow.cfg import Address
 from turmericflow.services._config import Config
-from turmericflow.services._gossip import Gossip
 from turmericflow.services._membership import Membership
-from turmericflow.services._platform import HostEntry, PlatformClient, PlatformError
-from turmericflow.services._stats import Stats
+from turmericflow.services._parts import Parts
+from turmericflow.services._platform import HostEntry, PlatformError
 from turmericflow.systems import spread
-from turmericflow.tables import Tables, Target, TargetKind
+from turmericflow.tables import Target, TargetKind
 
 LISTED = "listed"
 GONE = "gone"
@@ -37,26 +35,17 @@
     was long under way never undoes a later one.
     """
 
-    def __init__(
-        self,
-        tables: Tables,
-        platform: PlatformClient,
-        gossip: Gossip,
-        config: Config,
-        membership: Membership,
-        stats: Stats,
-        rng: Random,
-    ) -> None:
+    def __init__(self, parts: Parts, config: Config, membership: Membership) -> None:
         super().__init__()
-        self._tables = tables
-        self._platform = platform
-        self._gossip = gossip
+        self._tables = parts.tables
+        self._platform = parts.platform
+        self._gossip = parts.gossip
         self._membership = membership
-        self._stats = stats
-        self._rng = rng
+        self._stats = parts.stats
+        self._rng = parts.rng
         self._listed: dict[str, str] = {}
         self._names: set[str] = set()
-        gossip.subscribe(LISTED, self._on_fact)
+        self._gossip.subscribe(LISTED, self._on_fact)
         config.on_change(self._on_change)
 
     @Service.task
--- a/turmericflow/services/_membership.py
+++ b/turmericflow/services/_membership.py
@@ -4,19 +4,17 @@
 
 import asyncio
 import time
-from random import Random
 
 import msgspec
 import structlog
 from mode import Service
 
 from turmericflow import wire
-from turmericflow.cfg import Address, Settings
-from turmericflow.services._gossip import Gossip
-from turmericflow.services._peers import Peers, PeerUnreachable, Reply
-from turmericflow.services._stats import Stats
+from turmericflow.cfg import Address
+from turmericflow.services._parts import Parts
+from turmericflow.services._peers import PeerUnreachable, Reply
 from turmericflow.systems import freshness, membership, overlay
-from turmericflow.tables import Peer, PeerState, Tables
+from turmericflow.tables import Peer, PeerState
 
 PROBE_S = 0.4
 DEAD_PROBE_S = 1.0
@@ -60,21 +58,14 @@
 class Membership(Service):
     """Keeps `Tables.peers` by probes, and spreads what it finds as facts."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        tables: Tables,
-        peers: Peers,
-        gossip: Gossip,
-        stats: Stats,
-        rng: Random,
-    ) -> None:
+    def __init__(self, parts: Parts) -> None:
         super().__init__()
-        self._tables = tables
-        self._peers = peers
-        self._gossip = gossip
-        self._stats = stats
-        self._rng = rng
+        self._tables = parts.tables
+        self._peers = parts.peers
+        self._gossip = parts.gossip
+        self._stats = parts.stats
+        self._rng = parts.rng
+        settings = parts.settings
         advertised = settings.advertised_peer or settings.peer
         self._info = membership.MemberInfo(
             settings.data_centre, settings.entry, advertised
@@ -85,11 +76,11 @@
         self._unequal: set[str] = set()
         self._probing: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
-        tables.peers.incarnation = int(time.time() * 1000)
-        gossip.subscribe(MEMBER, self._on_fact)
-        peers.on_lost(self._on_lost)
-        peers.handle(wire.Ping, self._on_ping)
-        peers.handle(wire.ProbeFor, self._on_probe_for)
+        self._tables.peers.incarnation = int(time.time() * 1000)
+        self._gossip.subscribe(MEMBER, self._on_fact)
+        self._peers.on_lost(self._on_lost)
+        self._peers.handle(wire.Ping, self._on_ping)
+        self._peers.handle(wire.ProbeFor, self._on_probe_for)
 
     async def on_start(self) -> None:
         self._publish_own()
--- /dev/null
+++ b/turmericflow/services/_parts.py
@@ -0,0 +1,26 @@
+"""What the services of control are built from."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from turmericflow.cfg import Settings
+from turmericflow.services._gossip import Gossip
+from turmericflow.services._peers import Peers
+from turmericflow.services._platform import PlatformClient
+from turmericflow.services._stats import Stats
+from turmericflow.tables import Tables
+
+
+@dataclass(slots=True, frozen=True)
+class Parts:
+    """The parts that one daemon's services share."""
+
+    settings: Settings
+    tables: Tables
+    peers: Peers
+    gossip: Gossip
+    platform: PlatformClient
+    stats: Stats
+    rng: Random
--- a/turmericflow/services/_reports.py
+++ b/turmericflow/services/_reports.py
@@ -5,17 +5,16 @@
 import asyncio
 import heapq
 import time
-from random import Random
 
 import structlog
 from mode import Service
 
 from turmericflow import wire
 from turmericflow.services._engine import EngineClient, TargetFailed
-from turmericflow.services._peers import Peers, PeerUnreachable, Reply
-from turmericflow.services._stats import Stats
+from turmericflow.services._parts import Parts
+from turmericflow.services._peers import PeerUnreachable, Reply
 from turmericflow.systems import observation, prefixes
-from turmericflow.tables import LoadReport, Tables, Target, TargetKind
+from turmericflow.tables import LoadReport, Target, TargetKind
 
 REFRESH_S = 0.25
 COMPARE_S = 2.0
@@ -31,20 +30,13 @@
     is polled is told to the hosts of the group, in batches.
     """
 
-    def __init__(
-        self,
-        tables: Tables,
-        engines: EngineClient,
-        peers: Peers,
-        stats: Stats,
-        rng: Random,
-    ) -> None:
+    def __init__(self, parts: Parts, engines: EngineClient) -> None:
         super().__init__()
-        self._tables = tables
+        self._tables = parts.tables
         self._engines = engines
-        self._peers = peers
-        self._stats = stats
-        self._rng = rng
+        self._peers = parts.peers
+        self._stats = parts.stats
+        self._rng = parts.rng
         self._due: list[tuple[float, str]] = []
         self._looks: dict[str, float] = {}
         self._polls: dict[str, asyncio.Task] = {}
@@ -57,7 +49,7 @@
         self._compared_at = float("-inf")
         self._wake = asyncio.Event()
         self._news = asyncio.Event()
-        peers.handle(wire.Observed, self._on_observed)
+        self._peers.handle(wire.Observed, self._on_observed)
 
     async def on_stop(self) -> None:
         for task in [*self._polls.values(), *self._posts.values()]:
--- a/turmericflow/services/_slots.py
+++ b/turmericflow/services/_slots.py
@@ -13,17 +13,14 @@
 from result import Ok
 
 from turmericflow import wire
-from turmericflow.cfg import Settings
-from turmericflow.services._gossip import Gossip
-from turmericflow.services._peers import Peers, PeerUnreachable
+from turmericflow.services._parts import Parts
+from turmericflow.services._peers import PeerUnreachable
 from turmericflow.services._platform import (
-    PlatformClient,
     PlatformError,
     PlatformObject,
 )
-from turmericflow.services._stats import Stats
 from turmericflow.systems import backup, journal, owner_map, placement, slots
-from turmericflow.tables import SlotEntry, Tables
+from turmericflow.tables import SlotEntry
 
 TICK_S = 0.05
 QUIET_TICK_S = 0.1
@@ -56,22 +53,14 @@
 class SlotService(Service):
     """Carries out what `systems.slots` and `systems.placement` decide."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        tables: Tables,
-        peers: Peers,
-        gossip: Gossip,
-        platform: PlatformClient,
-        stats: Stats,
-    ) -> None:
+    def __init__(self, parts: Parts) -> None:
         super().__init__()
-        self._settings = settings
-        self._tables = tables
-        self._peers = peers
-        self._gossip = gossip
-        self._platform = platform
-        self._stats = stats
+        self._settings = parts.settings
+        self._tables = parts.tables
+        self._peers = parts.peers
+        self._gossip = parts.gossip
+        self._platform = parts.platform
+        self._stats = parts.stats
         self._started_at = time.monotonic()
         self._doubt_since: float | None = None
         self._seen_changes = -1
@@ -81,7 +70,7 @@
         self._write_after = 0.0
         self._quiet_view: _View | None = None
         self._check_at = 0.0
-        gossip.subscribe(TAKE_OVER, self._on_take_over)
+        self._gossip.subscribe(TAKE_OVER, self._on_take_over)
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of an entry."""
--- a/turmericflow/tests/test_claims_model.py
+++ b/turmericflow/tests/test_claims_model.py
@@ -168,10 +168,10 @@
         entry = self._entry(asking.host)
         msg = wire.Claim(
             0,
-            *(KEY.customer, KEY.key, asking.try_no, "f", asking.grant, "work"),
-            self.idempotent,
-            asking.host,
+            *(KEY.customer, KEY.key, asking.try_no, "f", "work", self.idempotent),
             entry.epoch,
+            asking.grant,
+            asking.host,
             lost,
             b"{}",
             gone,
--- a/turmericflow/wire/__init__.py
+++ b/turmericflow/wire/__init__.py
@@ -2,55 +2,42 @@
 
 from __future__ import annotations
 
-from turmericflow.wire._codec import MAX_MESSAGE_BYTES, Decoder, WireError, encode
-from turmericflow.wire._messages import (
-    Ack,
-    Allotments,
-    AnyMessage,
-    Append,
-    Appended,
-    AppendEntry,
+from turmericflow.wire._base import Message, WireAttempt, WireFailure, WireSlot
+from turmericflow.wire._claims import (
     Attached,
-    BurnCounts,
-    BurnTaken,
-    Cancel,
-    Cancelled,
     Claim,
-    Compare,
-    Demands,
-    Differences,
     End,
     Ended,
-    FactVersion,
-    Fetch,
-    Follow,
-    Followed,
     Granted,
-    Hello,
-    InFlight,
-    Message,
     Moved,
-    Observed,
-    Ping,
-    Probed,
-    ProbeFor,
-    Record,
     Recorded,
     Refused,
-    Rumour,
-    Rumours,
     Seal,
     Sealed,
-    Sighted,
-    Store,
-    Stored,
-    Transfer,
-    Upload,
-    Uploaded,
-    WireAttempt,
-    WireFailure,
-    WireSlot,
 )
+from turmericflow.wire._codec import MAX_MESSAGE_BYTES, Decoder, WireError, encode
+from turmericflow.wire._gossip import (
+    Compare,
+    Differences,
+    FactVersion,
+    Fetch,
+    Rumour,
+    Rumours,
+)
+from turmericflow.wire._journal import (
+    Append,
+    Appended,
+    AppendEntry,
+    Cancel,
+    Cancelled,
+    Follow,
+    Followed,
+)
+from turmericflow.wire._levels import BurnCounts, BurnTaken
+from turmericflow.wire._load import Allotments, Demands, InFlight, Observed, Sighted
+from turmericflow.wire._membership import Ack, Hello, Ping, Probed, ProbeFor
+from turmericflow.wire._messages import AnyMessage
+from turmericflow.wire._records import Record, Store, Stored, Transfer, Upload, Uploaded
 
 __all__ = (
     # Streams
--- a/turmericflow/wire/_codec.py
+++ b/turmericflow/wire/_codec.py
@@ -5,7 +5,8 @@
 import msgpack
 import msgspec
 
-from turmericflow.wire._messages import AnyMessage, Message
+from turmericflow.wire._base import Message
+from turmericflow.wire._messages import AnyMessage
 
 MAX_MESSAGE_BYTES = 4_000_000
 
--- /dev/null
+++ b/turmericflow/wire/_load.py
@@ -0,0 +1,70 @@
+"""Messages on load: counts, reports of targets, and limits."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from turmericflow.wire._base import Message
+
+
+class InFlight(Message, tag="in_flight"):
+    """Tell how many requests a router has running on targets.
+
+    ``waiting`` tells how many it has in the queue of each pool, and what
+    customers within their share ask for per second.  ``full`` says that it has
+    none on targets that are not named; otherwise nothing has changed there.
+    """
+
+    host: str
+    full: bool
+    counts: dict[str, int]
+    waiting: dict[str, tuple[int, float]]
+
+
+_Natural = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class Sighted(msgspec.Struct, array_like=True):
+    """A target's load report as an observer polled it.
+
+    ``age_ms`` is the time since the poll, and ``models`` a digest of what the
+    target has loaded.
+    """
+
+    target: str
+    age_ms: _Natural
+    running: _Natural
+    queued: _Natural
+    slots: _Natural
+    step_us: _Natural
+    prefill_tokens_s: _Natural
+    models: _Natural
+
+
+class Observed(Message, tag="observed"):
+    """Tell what a router saw of the targets since it last told.
+
+    ``failed`` names targets that did not answer its poll.  An empty message says
+    that the router still observes.
+    """
+
+    host: str
+    reports: list[Sighted]
+    failed: list[str]
+
+
+class Demands(Message, tag="demands"):
+    """Tell the keeper of customers' limits what a router saw, per second."""
+
+    rid: int
+    host: str
+    rates: dict[str, float]
+
+
+class Allotments(Message, tag="allotments"):
+    """Answers `Demands`: the router's parts of the limits, per second."""
+
+    rid: int
+    rates: dict[str, float]
