Bound the groups that share reports by eight hosts, and note the design

Two loops that turn often sleep without the library's two tasks for each sleep.

Conclusion: what a host polls, tells and hears is flat in the fleet's size.

--- a/benchmarks/_unit_costs.py
+++ b/benchmarks/_unit_costs.py
@@ -85,6 +85,14 @@
     return wire.Append(1, [entry])
 
 
+def _observed(reports: int) -> wire.Observed:
+    seen = [
+        wire.Sighted(f"redactor-{number:04}", 250, 8, 0, 32, 20_000, 20_000, 1 << 31)
+        for number in range(reports)
+    ]
+    return wire.Observed("entry-0001", seen, [])
+
+
 def _memory() -> dict[str, float]:
     customers, profiles, targets = FactTable(), FactTable(), FactTable()
 
@@ -146,6 +154,8 @@
     ack_us, ack_bytes = _both_ways(wire.Ack(1, 1 << 60, 0.5, 1 << 63, 100_000))
     one_us, one_bytes = _both_ways(_append(1))
     many_us, many_bytes = _both_ways(_append(33))
+    empty_us, empty_bytes = _both_ways(_observed(0))
+    seen_us, seen_bytes = _both_ways(_observed(50))
     value = _customer(1)
     fact = _fact("object", "customer/c1", value)
     fact_us, fact_bytes = _both_ways(wire.Rumours(1, [fact], "entry-0001"))
@@ -164,6 +174,10 @@
         "append_entry_bytes": one_bytes,
         "append_token_us": (many_us - one_us) / 32,
         "append_token_bytes": (many_bytes - one_bytes) / 32,
+        "observed_us": empty_us,
+        "observed_bytes": empty_bytes,
+        "sighted_us": (seen_us - empty_us) / 50,
+        "sighted_bytes": (seen_bytes - empty_bytes) / 50,
         "fact_us": fact_us,
         "fact_bytes": fact_bytes,
         "validate_customer_us": _us(lambda: CUSTOMER_ADAPTER.validate_python(value)),
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -13,6 +13,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from benchmarks._roles import CARRIERS
+from turmericflow.systems import observation
+
 RESULTS = Path(__file__).parent / "results"
 PAGE = Path(__file__).parents[1] / "docs" / "CAPACITY.md"
 
@@ -35,23 +38,18 @@
 WATCH_WAIT_S = 2.0
 FLEET_POLLS_S = 2.0
 LEASE_TERM_S = 30.0
-REPORT_POLLS_S = 40.0
 KEEP_IDEMPOTENT_S = 60.0
 BUDGET = {"cpu_share": 0.048, "rss_mb": 256.0, "bytes_s": 23_000.0}
 
 
 @dataclass(slots=True)
-class Role:
+class Cost:
     """One role's cost on one node at the letter's size."""
 
-    name: str
     state: str
     messages: str
     cpu: str
     memory: str
-    mechanism: str
-    breaks: str
-    measured_by: str
 
 
 def _read(name: str) -> dict:
@@ -63,24 +61,20 @@
     return f"{us_per_s / 1e6:.2%} of a core"
 
 
-def _runner(forward: dict) -> Role:
+def _runner(forward: dict) -> Cost:
     tokens = TOKENS_S / NODES
     us = forward["own"]["cpu_us_per_token"]
     cores = tokens * us / 1e6
     streams = TOKENS_S * TOKEN_GAP_S / NODES
-    return Role(
-        "runner",
+    return Cost(
         f"{streams:.0f} running requests, {TOKENS_S / REQUESTS_S:.0f} tokens each",
         f"{tokens:,.0f} tokens a second to callers, as many to journals",
         f"{cores:.2f} cores at {us:.1f} us per token, owner and backup included",
         "see owner",
-        "journal batches of one tick, one event loop",
-        "one event loop is one core: forwarding is the first limit if above 1.00",
-        "`python -m benchmarks.passthrough --json`",
     )
 
 
-def _owner(unit: dict) -> Role:
+def _owner(unit: dict) -> Cost:
     pairs = TOKENS_S * TOKEN_GAP_S / NODES / NODES
     per_message = unit["append_entry_us"]
     tokens = TOKENS_S / NODES
@@ -88,58 +82,42 @@
     kept = REQUESTS_S / NODES * KEEP_IDEMPOTENT_S
     running = TOKENS_S * TOKEN_GAP_S / NODES
     memory = record * (kept + running) / 1e6
-    return Role(
-        "owner",
+    return Cost(
         f"{running:.0f} running and {kept:.0f} ended records of {record:,.0f} bytes",
         f"{tokens:,.0f} appends a second: a runner has {pairs:.2f} streams with each "
         "owner, so batches hold one entry",
         f"{_share(tokens * 2 * per_message)} to encode and decode appends",
         f"{memory:.0f} MB",
-        "slots, conditional owner map, appends acknowledged by owner and backup",
-        "batching across requests is lost once a runner's streams spread over more "
-        "owners than it has streams: run a request at its slot's owner",
-        "`python -m benchmarks.capacity --measure`",
     )
 
 
-def _backup(unit: dict) -> Role:
+def _backup(unit: dict) -> Cost:
     tokens = TOKENS_S / NODES
-    return Role(
-        "backup",
+    return Cost(
         "as owner",
         f"{tokens:,.0f} appends a second, one acknowledgement each",
         _share(tokens * unit["append_entry_us"]) + " to decode appends",
         "as owner",
-        "a second host in another data centre for each slot",
-        "as owner; a lost data centre doubles what stays for as long as it takes "
-        "to copy the records",
-        "`python -m benchmarks.capacity --measure`",
     )
 
 
-def _watcher() -> Role:
+def _watcher() -> Cost:
     watchers = WATCHERS_PER_CENTRE * CENTRES
     waiting = watchers / WATCH_WAIT_S
     woken = watchers * (CHANGES_A_DAY + HOST_EVENTS_A_DAY) / DAY_S
     lease = CENTRES * 2 * 3 / LEASE_TERM_S
     total = waiting + woken + lease + FLEET_POLLS_S
-    return Role(
-        "watcher",
+    return Cost(
         "none of its own",
         f"{total:.0f} platform calls a second for the fleet: {waiting:.0f} waits, "
         f"{woken:.1f} by changes, {lease:.1f} by leases, {FLEET_POLLS_S:.0f} polls in "
         "turn",
         "within the control figure above",
         "none",
-        "two hosts of each data centre watch the kinds that are spread, the others "
-        "poll in turn",
-        "a platform whose watch cannot be narrowed to kinds: each renewal of a lease "
-        "then wakes every watcher",
-        "`python -m benchmarks.control --json`, platform_calls_s",
     )
 
 
-def _relay(unit: dict) -> Role:
+def _relay(unit: dict) -> Cost:
     facts = (CHANGES_A_DAY + HOST_EVENTS_A_DAY * MEMBER_FACTS_PER_EVENT) / DAY_S
     small = facts * 2 * CONTACTS * unit["fact_bytes"]
     maps = HOST_EVENTS_A_DAY / DAY_S * 2 * CONTACTS * SLOTS * SLOT_BYTES
@@ -151,64 +129,53 @@
     )
     memory = CUSTOMERS * unit["customer_bytes"] + TARGETS * unit["target_bytes"]
     memory += NODES * unit["member_bytes"]
-    return Role(
-        "relay",
+    return Cost(
         f"{CUSTOMERS:,} customers, {TARGETS:,} targets, {NODES:,} members",
         f"{small:.0f} B/s of facts, {probes:.0f} B/s of probes, {maps:,.0f} B/s of "
         "owner maps if each host event changes the map once",
         _share(us),
         f"{memory / 1e6:.0f} MB",
-        "four contacts on salted rings, newest wins, digests in probes",
-        "the owner map as one object: it takes most of the bytes, and the loss of a "
-        "data centre changes it many times in a minute",
-        "`python -m benchmarks.capacity --measure`",
     )
 
 
-def _observer(control: dict) -> Role:
-    age_s = TARGETS / REPORT_POLLS_S
-    share = control["per_node"]["7"]["cpu_share"]
-    return Role(
-        "observer",
-        f"a load report for each of {TARGETS:,} targets",
-        f"{REPORT_POLLS_S:.0f} polls a second from each node, "
-        f"{REPORT_POLLS_S * NODES:,.0f} for the fleet",
-        f"most of the {share:.2%} of a core that an idle node of seven uses",
+def _observer(unit: dict) -> Cost:
+    hosts = observation.GROUP_HOSTS
+    wait_s = observation.poll_wait_s(TARGETS, hosts)
+    seen = TARGETS / wait_s
+    own = observation.OBSERVERS * seen / hosts
+    tells = (hosts - 1) / max(observation.TELL_S, observation.tell_wait_s(wait_s))
+    reports = observation.OBSERVERS * seen
+    sent = 2 * tells * unit["observed_bytes"] + 2 * reports * unit["sighted_bytes"]
+    us = 2 * tells * unit["observed_us"] + reports * unit["sighted_us"]
+    return Cost(
+        f"a load report for each of {TARGETS:,} targets, {wait_s / 2:.0f} s between "
+        "those of its two observers together",
+        f"{own:.1f} polls a second from each node, {own * NODES:,.0f} for the fleet; "
+        f"{tells:.0f} messages a second told and as many heard, {sent:,.0f} B/s",
+        f"{_share(us)} for what is told and heard; polls within the control figure "
+        "above",
         "within relay's targets",
-        "each node polls all targets at a bounded rate",
-        f"a report is {age_s:.0f} s old on average between polls: a few observers "
-        "for each target and changes passed on within a data centre are needed",
-        "`python -m benchmarks.control --json`",
     )
 
 
-def _placer() -> Role:
+def _placer() -> Cost:
     calls = 2 * 3 / LEASE_TERM_S
-    return Role(
-        "placer",
+    return Cost(
         "one lease, and the orders not yet reported",
         f"{calls:.1f} platform calls a second in each data centre, orders one at a "
         "time for each service",
         "not measured alone; idle cost is within the control figure",
         "none to speak of",
-        "lease by conditional update, fencing numbers, weight store's leave",
-        "one order at a time for each service: a version change of a service with "
-        "hundreds of engines in a data centre takes minutes",
-        "`python -m pytest turmericflow/tests/test_orders.py`",
     )
 
 
-def _entry(unit: dict) -> Role:
+def _entry() -> Cost:
     requests = REQUESTS_S / NODES
-    return Role(
-        "entry",
+    return Cost(
         "its callers' connections",
         f"{requests:.0f} requests a second, one claim and one end each",
         "within runner",
         f"{TOKENS_S * TOKEN_GAP_S / NODES:.0f} open connections",
-        "addresses in an order that spreads load, twelve at most in an answer",
-        "not reached before the runner's limit",
-        "`python -m benchmarks.passthrough --json`",
     )
 
 
@@ -244,16 +211,16 @@
 
 def page(control: dict, forward: dict, unit: dict) -> str:
     """Return the page's text."""
-    roles = [
-        _runner(forward),
-        _owner(unit),
-        _backup(unit),
-        _watcher(),
-        _relay(unit),
-        _observer(control),
-        _placer(),
-        _entry(unit),
-    ]
+    costs = {
+        "runner": _runner(forward),
+        "owner": _owner(unit),
+        "backup": _backup(unit),
+        "watcher": _watcher(),
+        "relay": _relay(unit),
+        "observer": _observer(unit),
+        "placer": _placer(),
+        "entry": _entry(),
+    }
     lines = [
         "# Capacity",
         "",
@@ -280,18 +247,19 @@
         "",
         "## Roles",
     ]
-    for role in roles:
+    for name, cost in costs.items():
+        carrier = CARRIERS[name]
         lines += [
             "",
-            f"### {role.name}",
+            f"### {name}",
             "",
-            f"- State: {role.state}.",
-            f"- Messages: {role.messages}.",
-            f"- Processor: {role.cpu}.",
-            f"- Memory: {role.memory}.",
-            f"- Mechanism: {role.mechanism}.",
-            f"- What breaks first: {role.breaks}.",
-            f"- Measured by {role.measured_by}.",
+            f"- State: {cost.state}.",
+            f"- Messages: {cost.messages}.",
+            f"- Processor: {cost.cpu}.",
+            f"- Memory: {cost.memory}.",
+            f"- Mechanism: {carrier.mechanism}.",
+            f"- What breaks first: {carrier.breaks}.",
+            f"- Measured by {carrier.measured_by}.",
         ]
     lines += ["", "## Unit costs", "", "| unit | cost |", "| --- | --- |"]
     lines += [f"| {name} | {value:.2f} |" for name, value in unit.items()]
--- a/turmericflow/services/_config.py
+++ b/turmericflow/services/_config.py
@@ -170,7 +170,7 @@
         while not self.should_stop:
             for name in list(self._held_back):
                 self._route_profile(name)
-            await self.sleep(HELD_BACK_S)
+            await asyncio.sleep(HELD_BACK_S)
 
     def _put_owner_map(self, value: dict, version: int) -> None:
         entries, hosts = owner_map.decode(value)
--- a/turmericflow/services/_membership.py
+++ b/turmericflow/services/_membership.py
@@ -173,7 +173,7 @@
     async def _expire(self) -> None:
         last = time.monotonic()
         while not self.should_stop:
-            await self.sleep(EXPIRE_S)
+            await asyncio.sleep(EXPIRE_S)
             now = time.monotonic()
             paused, last = now - last > PROBE_TIMEOUT_S, now
             if paused:
--- a/turmericflow/systems/_observation.py
+++ b/turmericflow/systems/_observation.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 import xxhash
 
@@ -20,12 +21,12 @@
 from turmericflow.tables import LoadReport, PeerState, Sighting, Tables, Target
 
 OBSERVERS = 2
-GROUP_HOSTS = 16
+GROUP_HOSTS = 8
 TELL_S = 0.3
 SHORTEST_TELL_S = 0.1
 HEARD_S = 0.9
 SHORTEST_POLL_S = 0.25
-GROUP_POLLS_PER_S = 100.0
+GROUP_POLLS_PER_S = 80.0
 HOST_POLLS_PER_S = 40.0
 STALE_WAITS = 3.0
 SHORTEST_FALLBACK_S = 2.0
@@ -53,16 +54,27 @@
 
 def group(tables: Tables) -> list[str]:
     """Return the other hosts that share in this host's polling, heard or not."""
+    table, peers = tables.observation, tables.peers
+    if table.group_at != peers.changes:
+        table.group, table.group_at = _group(tables), peers.changes
+    return table.group
+
+
+def _group(tables: Tables) -> list[str]:
     rows = tables.peers.rows.values()
     live = [row for row in rows if row.state is not PeerState.DEAD]
     if len(live) < GROUP_HOSTS:
         return [row.host for row in live]
     near = [row.host for row in live if row.data_centre == tables.data_centre]
-    parts = 1
-    while parts * GROUP_HOSTS < len(near) + 1:
-        parts *= 2
-    own = _hash("group", tables.host) % parts
-    return [host for host in near if _hash("group", host) % parts == own]
+    near.append(tables.host)
+    near.sort(key=lambda host: (_hash("group", host), host))
+    parts = math.ceil(len(near) / GROUP_HOSTS)
+    own = near.index(tables.host) * parts // len(near)
+    return [
+        host
+        for rank, host in enumerate(near)
+        if rank * parts // len(near) == own and host != tables.host
+    ]
 
 
 def heard(tables: Tables, now: float) -> list[str]:
--- a/turmericflow/tables/_observation.py
+++ b/turmericflow/tables/_observation.py
@@ -36,7 +36,12 @@
         When each host last told its sightings, in seconds of the host's clock.
     rows
         Own dealings by target.
+    group, group_at
+        The other hosts that share, and the value of ``PeerTable.changes`` for
+        which that was worked out.
     """
 
     heard_at: dict[str, float] = field(default_factory=dict)
     rows: dict[str, Sighting] = field(default_factory=dict)
+    group: list[str] = field(default_factory=list)
+    group_at: int = -1
--- a/turmericflow/tests/test_observation.py
+++ b/turmericflow/tests/test_observation.py
@@ -102,14 +102,14 @@
         assert before - {"entry-3"} <= after
 
 
-@pytest.mark.parametrize("hosts", [7, 16, 17, 60, 400])
+@pytest.mark.parametrize("hosts", [7, 8, 9, 60, 400])
 def test_groups_are_bounded_and_mutual(hosts):
     groups = {}
     for number in range(hosts):
         tables = _tables(number, hosts)
         groups[tables.host] = {tables.host, *observation.group(tables)}
     for found in groups.values():
-        assert len(found) <= 2 * observation.GROUP_HOSTS
+        assert len(found) <= observation.GROUP_HOSTS
         assert all(groups[other] == found for other in found)
 
 
