--- a/turmericflow/services/_config.py
+++ b/turmericflow/services/_config.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 from collections.abc import Callable
-from random import Random
 
 import msgspec
 import structlog
@@ -13,20 +12,16 @@
 from pydantic import ValidationError
 
 from turmericflow import wire
-from turmericflow.cfg import Settings
 from turmericflow.profile import CUSTOMER_ADAPTER, MARK_ADAPTER, PROFILE_ADAPTER
-from turmericflow.services._gossip import Gossip
+from turmericflow.services._parts import Parts
 from turmericflow.services._platform import (
-    PlatformClient,
     PlatformError,
     PlatformObject,
 )
-from turmericflow.services._stats import Stats
 from turmericflow.systems import freshness, orders, overlay, owner_map, slots, spread
-from turmericflow.tables import Tables
 
 OBJECT = "object"
-UNSPREAD_KINDS = frozenset({"burn", "lease"})
+SPREAD_KINDS = frozenset({"customer", "mark", "owners", "profile"})
 RETRY_S = 0.5
 WATCH_WAIT_S = 2.0
 DUTY_CHECK_S = 0.5
@@ -46,27 +41,18 @@
     nothing of the platform for some time.
     """
 
-    def __init__(
-        self,
-        settings: Settings,
-        tables: Tables,
-        platform: PlatformClient,
-        gossip: Gossip,
-        stats: Stats,
-        rng: Random,
-    ) -> None:
+    def __init__(self, parts: Parts) -> None:
         super().__init__()
-        self._settings = settings
-        self._tables = tables
+        self._tables = parts.tables
         self._tables.config.joined = False
-        self._platform = platform
-        self._gossip = gossip
-        self._stats = stats
-        self._rng = rng
+        self._platform = parts.platform
+        self._gossip = parts.gossip
+        self._stats = parts.stats
+        self._rng = parts.rng
         self._held_back: set[str] = set()
         self._held: list[wire.Rumour] | None = []
         self._listeners: list[Callable[[str, str], None]] = []
-        gossip.subscribe(OBJECT, self._on_fact)
+        self._gossip.subscribe(OBJECT, self._on_fact)
 
     def on_change(self, listener: Callable[[str, str], None]) -> None:
         """Call ``listener`` with kind and name of each object put in force."""
@@ -74,7 +60,7 @@
 
     def learn(self, item: PlatformObject) -> None:
         """Take in an object of the platform's, and spread it if it is new."""
-        if item.kind in UNSPREAD_KINDS:
+        if item.kind not in SPREAD_KINDS:
             return
         value = msgspec.json.encode(item.value)
         path = f"{item.kind}/{item.name}"
@@ -120,7 +106,8 @@
     async def _ask_platform(self, wait_s: float) -> bool:
         asked_at = time.monotonic()
         try:
-            found = await self._platform.watch(self._tables.config.seen, wait_s)
+            seen = self._tables.config.seen
+            found = await self._platform.watch(seen, wait_s, SPREAD_KINDS)
         except PlatformError:
             self._stats.count("platform.errors")
             return False
@@ -183,7 +170,7 @@
         while not self.should_stop:
             for name in list(self._held_back):
                 self._route_profile(name)
-            await self.sleep(HELD_BACK_S)
+            await asyncio.sleep(HELD_BACK_S)
 
     def _put_owner_map(self, value: dict, version: int) -> None:
         entries, hosts = owner_map.decode(value)
