Change the map, and be named to callers, only when it is safe to

Causes, both found by repeating test_daemon.py under load, with the refusal now printed: (1) a host that was being cut off doubted its contacts but held none dead yet; it moved 9 slots to another backup for balance, over the take-over by the present one, whose records were dropped: "the records of this key's slot were lost", 30 s of refusals. (2) a router was named in the addresses as soon as it lived, and sent callers on with stale_view until it had its configuration. Change: a doubted contact counts like a lost one in whether the map may be changed; planned stops do not count. A host raises its revision when it is ready, and addresses name no host of revision 0. Answer.lost_by says why a caller went on elsewhere. Ruled out: transfers at an older epoch, orphans given away by the others, and stale kept connections, by the trace of one failure each.

--- a/turmericflow/client/_answer.py
+++ b/turmericflow/client/_answer.py
@@ -50,6 +50,8 @@
         How often the caller went on at another address.
     lost_at
         Number of tokens that the caller had each time it did so.
+    lost_by
+        What made it do so each time: an error of the connection, or a refusal.
     start
         Index of the first token, above 0 if the caller came for the rest.
     body
@@ -62,6 +64,7 @@
     failure: Failure | None = None
     reconnects: int = 0
     lost_at: list[int] = field(default_factory=list)
+    lost_by: list[str] = field(default_factory=list)
     start: int = 0
     body: dict = field(default_factory=dict)
 
--- a/turmericflow/client/_caller.py
+++ b/turmericflow/client/_caller.py
@@ -193,19 +193,23 @@
         while not answer.ended and time.monotonic() < until:
             before = len(answer.tokens)
             pause_s = RECONNECT_WAIT_S
+            cause = "the connection ended"
             try:
                 failure = await self._exchange(exchange, answer, on_token)
                 if failure is not None:
                     exchange, pause_s = self._after(failure, exchange, answer)
-            except aiohttp.ClientConnectorError:
-                pass
-            except (aiohttp.ClientError, OSError, ValueError, BadReply):
+                    cause = f"{failure.code}: {failure.message}"
+            except aiohttp.ClientConnectorError as exc:
+                cause = repr(exc)
+            except (aiohttp.ClientError, OSError, ValueError, BadReply) as exc:
                 sent = True
+                cause = repr(exc)
             if len(answer.tokens) > before:
                 until = time.monotonic() + GIVE_UP_S
             if not answer.ended:
                 answer.reconnects += 1
                 answer.lost_at.append(len(answer.tokens))
+                answer.lost_by.append(cause)
                 self._next_address()
                 await asyncio.sleep(pause_s)
         if not answer.ended:
--- a/turmericflow/services/_membership.py
+++ b/turmericflow/services/_membership.py
@@ -13,7 +13,7 @@
 from turmericflow.cfg import Address
 from turmericflow.services._parts import Parts
 from turmericflow.services._peers import PeerUnreachable, Reply
-from turmericflow.systems import freshness, membership, overlay
+from turmericflow.systems import freshness, membership, overlay, status
 from turmericflow.tables import Peer, PeerState
 
 PROBE_S = 0.4
@@ -169,6 +169,15 @@
                 self._start(self._ping(self._rng.choice(dead)))
             await self.sleep(DEAD_PROBE_S)
 
+    @Service.task
+    async def _say_ready(self) -> None:
+        while not status.is_ready(self._tables):
+            await self.sleep(EXPIRE_S)
+            if self.should_stop:
+                return
+        membership.set_ready(self._tables)
+        self._publish_own()
+
     @Service.task
     async def _expire(self) -> None:
         last = time.monotonic()
--- a/turmericflow/systems/_addresses.py
+++ b/turmericflow/systems/_addresses.py
@@ -18,8 +18,8 @@
     """Return entry addresses in the order in which a caller should try them.
 
     Hosts in the caller's data centre come first; each group is shuffled, so
-    that callers spread over it.  Suspected and leaving hosts are left out,
-    unless no other is known.
+    that callers spread over it.  Suspected and leaving hosts are left out, and
+    those that have only just started, unless no other is known.
 
     Parameters
     ----------
@@ -36,10 +36,12 @@
     far: list[Address] = []
     for host in membership.staying_hosts(tables):
         if host == tables.host:
+            if not tables.peers.ready:
+                continue
             address, place = own, tables.data_centre
         else:
             row = tables.peers.rows[host]
-            if row.state is not PeerState.ALIVE:
+            if row.state is not PeerState.ALIVE or not row.ready:
                 continue
             address, place = row.entry, row.data_centre
         (near if place == data_centre else far).append(address)
--- a/turmericflow/systems/_membership.py
+++ b/turmericflow/systems/_membership.py
@@ -98,12 +98,19 @@
     incarnation, revision, _ = unpack_version(believed)
     peers = tables.peers
     if incarnation > peers.incarnation:
-        peers.incarnation, peers.revision = incarnation + 1, 0
+        peers.incarnation, peers.revision = incarnation + 1, int(peers.ready)
     else:
         peers.revision = revision + 1
     return True
 
 
+def set_ready(tables: Tables) -> None:
+    """Say that this host has learned enough to take requests."""
+    tables.peers.ready = True
+    tables.peers.revision += 1
+    tables.peers.changes += 1
+
+
 def set_leaving(tables: Tables, leaving: bool) -> bool:
     """Say that this host leaves, or that it stays after all.
 
--- a/turmericflow/systems/_placement.py
+++ b/turmericflow/systems/_placement.py
@@ -50,18 +50,24 @@
 
 
 def _hears_most(tables: Tables) -> bool:
-    """Return whether most contacts were heard since the last one was held dead.
+    """Return whether most contacts were heard since one was last doubted.
 
-    A host that is being cut off loses its contacts one after another, and each
-    is still held alive for a while after the first.
+    A host that is being cut off comes to doubt its contacts one after another,
+    and each is still held alive for a while after the first.
     """
     rows = tables.peers.rows
-    dead = [row for row in rows.values() if row.state is PeerState.DEAD]
-    last = max((row.changed_at for row in dead), default=float("-inf"))
+    doubted = [
+        row
+        for row in rows.values()
+        if row.state in (PeerState.SUSPECT, PeerState.DEAD) and not row.leaving
+    ]
+    if not doubted:
+        return True
+    last = max(row.changed_at for row in doubted)
     contacts = [rows[host] for host in overlay.contacts(tables) if host in rows]
     live = [row for row in contacts if row.state is not PeerState.DEAD]
     heard = sum(1 for row in live if row.heard_at > last)
-    return not dead or not live or 2 * heard > len(live)
+    return not live or 2 * heard > len(live)
 
 
 def may_write(tables: Tables, now: float) -> bool:
--- a/turmericflow/tables/_peers.py
+++ b/turmericflow/tables/_peers.py
@@ -34,7 +34,7 @@
         incarnation has grown has lost its memory.
     revision
         Number within an incarnation, which only the host itself raises, to
-        refute a suspicion or to say that it leaves.
+        say that it is ready or leaves, or to refute a suspicion.
     leaving
         Whether it has said that it leaves.
     changed_at
@@ -55,6 +55,11 @@
     leaving: bool = False
     heard_at: float = float("-inf")
 
+    @property
+    def ready(self) -> bool:
+        """Whether it has said since its start that it takes requests."""
+        return self.revision > 0
+
 
 @dataclass(slots=True)
 class PeerTable:
@@ -66,8 +71,8 @@
         Peers by host name.
     incarnation, revision
         This host's own numbers.
-    leaving
-        Whether this host has said that it leaves.
+    ready, leaving
+        Whether this host has said that it takes requests, and that it leaves.
     changes
         Number of changes of membership so far.
     suspects
@@ -84,6 +89,7 @@
     rows: dict[str, Peer] = field(default_factory=dict)
     incarnation: int = 0
     revision: int = 0
+    ready: bool = False
     leaving: bool = False
     changes: int = 0
     suspects: set[str] = field(default_factory=set)
--- a/turmericflow/tests/test_membership.py
+++ b/turmericflow/tests/test_membership.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from turmericflow.cfg import Address
-from turmericflow.systems import freshness, membership, overlay
+from turmericflow.systems import addresses, freshness, membership, overlay
 from turmericflow.systems._membership import MemberInfo, pack_version
 from turmericflow.tables import PeerState, Tables
 
@@ -162,3 +164,26 @@
     freshness.take_word(tables, 21.0, 9.0, 7, same_view=True)
     assert freshness.age_s(tables, 21.0) == 1.5
     assert tables.config.seen == 9
+
+
+def test_addresses_name_a_host_only_once_it_is_ready():
+    tables = _tables("entry-0", 3)
+    own = _info(0).entry
+    membership.set_ready(tables)
+    _learn(tables, 1, pack_version(100, 1, PeerState.ALIVE))
+    named = addresses.in_order(tables, own, "", Random(1))
+    assert set(named) == {own, _info(1).entry}
+    _learn(tables, 1, pack_version(101, 0, PeerState.ALIVE))
+    _learn(tables, 2, pack_version(100, 1, PeerState.ALIVE))
+    named = addresses.in_order(tables, own, "", Random(1))
+    assert set(named) == {own, _info(2).entry}
+
+
+def test_host_that_is_not_ready_names_itself_only_for_want_of_another():
+    tables = _tables("entry-0", 2)
+    own = _info(0).entry
+    assert addresses.in_order(tables, own, "", Random(1)) == [own]
+    _learn(tables, 1, pack_version(100, 1, PeerState.ALIVE))
+    assert addresses.in_order(tables, own, "", Random(1)) == [_info(1).entry]
+    membership.set_ready(tables)
+    assert own in addresses.in_order(tables, own, "", Random(1))
--- a/turmericflow/tests/test_placement.py
+++ b/turmericflow/tests/test_placement.py
@@ -22,9 +22,9 @@
     return tables
 
 
-def lose(tables, host, now):
+def lose(tables, host, now, state=PeerState.DEAD):
     row = tables.peers.rows[host]
-    row.state, row.changed_at = PeerState.DEAD, now
+    row.state, row.changed_at = state, now
     tables.peers.changes += 1
 
 
@@ -43,3 +43,19 @@
     lose(tables, "entry-1", 10.0)
     tables.peers.rows["entry-2"].heard_at = 10.2
     assert placement.may_write(tables, 10.3)
+
+
+def test_host_that_comes_to_doubt_its_contacts_may_not_write(tables):
+    lose(tables, "entry-1", 10.0, PeerState.SUSPECT)
+    assert not placement.may_write(tables, 10.1)
+    lose(tables, "entry-2", 10.4, PeerState.SUSPECT)
+    assert not placement.may_write(tables, 10.9)
+    for row in tables.peers.rows.values():
+        row.state, row.heard_at = PeerState.ALIVE, 11.0
+    assert placement.may_write(tables, 11.1)
+
+
+def test_planned_stop_of_a_host_keeps_no_other_from_writing(tables):
+    lose(tables, "entry-1", 10.0, PeerState.SUSPECT)
+    tables.peers.rows["entry-1"].leaving = True
+    assert placement.may_write(tables, 10.1)
