Take following, sweeping and target work out of two long modules

Change: _target_work speaks for attempts to engines and plain services, _sweeper ends what nobody listens to, _followers holds both sides of following a runner from another router. No behaviour is changed.

--- a/turmericflow/services/_claimant.py
+++ b/turmericflow/services/_claimant.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import enum
 import secrets
 import time
 from collections.abc import Callable
@@ -12,19 +11,22 @@
 
 from turmericflow import wire
 from turmericflow.profile import Profile
-from turmericflow.services._peers import Peers, PeerUnreachable, Reply
+from turmericflow.services._followers import (
+    FOLLOW_TIMEOUT_S,
+    Followers,
+    Following,
+)
+from turmericflow.services._peers import Peers, PeerUnreachable
 from turmericflow.services._stats import Stats
 from turmericflow.systems import (
     slots,
     to_attempts,
     to_failure,
-    to_wire_attempts,
     to_wire_failure,
 )
 from turmericflow.tables import RequestId, RequestRow, Tables
 from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
 
-FOLLOW_TIMEOUT_S = 1.0
 ASK_TIMEOUT_S = 0.8
 ASK_AGAIN_S = 0.05
 SEAL_WAIT_S = 1.5
@@ -49,44 +51,6 @@
     keyed: bool = True
 
 
-class _Following(enum.Enum):
-    """What came of an attempt to follow a runner."""
-
-    YES = enum.auto()
-    UNREACHABLE = enum.auto()
-    GONE = enum.auto()
-
-
-class _RemoteListener:
-    """Sends a row's committed tokens to a router that follows it."""
-
-    __slots__ = ("_msg", "_reply", "_row", "_sent")
-
-    def __init__(self, row: RequestRow, msg: wire.Follow, reply: Reply) -> None:
-        self._row = row
-        self._msg = msg
-        self._reply = reply
-        self._sent = msg.start
-
-    def wake(self) -> None:
-        row = self._row
-        texts = row.tokens[self._sent : row.committed]
-        failure = None if row.failure is None else to_wire_failure(row.failure)
-        attempts = to_wire_attempts(row.attempts)
-        self._reply(
-            wire.Followed(
-                self._msg.rid,
-                row.generation,
-                attempts,
-                self._sent,
-                texts,
-                row.ended,
-                failure,
-            )
-        )
-        self._sent += len(texts)
-
-
 def _unclaimed_row(new: NewRequest, generation: str, epoch: int) -> RequestRow:
     row = RequestRow(
         new.request_id,
@@ -121,23 +85,6 @@
     return dataclasses.replace(failure, verdict=Verdict.MAY_HAVE_RUN)
 
 
-def _take_followed(row: RequestRow, reply: wire.Followed | None) -> None:
-    if row.ended:
-        return
-    if reply is None:
-        message = "the router that ran this request was lost"
-        row.failure = Failure(ErrorCode.REPLACED, Verdict.MAY_HAVE_RUN, message, 0.0)
-        row.ended = True
-    else:
-        row.tokens[reply.start :] = reply.texts
-        row.attempts = to_attempts(reply.attempts)
-        row.committed = len(row.tokens)
-        row.ended = row.complete = reply.complete
-        if reply.failure is not None:
-            row.failure = to_failure(reply.failure)
-    row.wake()
-
-
 class Claimant:
     """Claims requests at their owners and follows those that run elsewhere."""
 
@@ -146,7 +93,7 @@
         self._peers = peers
         self._stats = stats
         self._claiming: dict[tuple[RequestId, str], asyncio.Task] = {}
-        peers.handle(wire.Follow, self._on_follow)
+        self._followers = Followers(tables, peers, self._wait_for_others)
 
     async def claim(self, new: NewRequest) -> RequestRow:
         """Claim a request; copies that come meanwhile share the outcome.
@@ -200,10 +147,10 @@
                     raise RequestFailed(to_failure(failure))
                 case wire.Attached():
                     row, following = await self._attach(new, answer)
-                    if following is _Following.YES:
+                    if following is Following.YES:
                         return row
                     lost_epoch = answer.runner_epoch
-                    gone = following is _Following.GONE
+                    gone = following is Following.GONE
             if time.monotonic() >= until:
                 raise RequestFailed(self._no_owner(new))
             await asyncio.sleep(ASK_AGAIN_S)
@@ -267,55 +214,16 @@
 
     async def _attach(
         self, new: NewRequest, answer: wire.Attached
-    ) -> tuple[RequestRow, _Following]:
+    ) -> tuple[RequestRow, Following]:
         if answer.runner == self._tables.host:
             if new.request_id not in self._tables.requests.rows:
                 await self._wait_for_others(new.request_id)
             row = self._tables.requests.rows.get(new.request_id)
             if row is not None and row.runner_epoch == answer.runner_epoch:
-                return row, _Following.YES
-            return _follower(answer, new), _Following.GONE
+                return row, Following.YES
+            return _follower(answer, new), Following.GONE
         row = _follower(answer, new)
-        return row, await self._follow(row, answer)
-
-    async def _follow(self, row: RequestRow, answer: wire.Attached) -> _Following:
-        """Take the tokens of a request that another router runs."""
-        first = asyncio.get_running_loop().create_future()
-        msg = wire.Follow(
-            self._peers.next_rid(), row.request_id.customer, row.request_id.key, 0
-        )
-
-        def on_reply(reply: wire.Followed | None) -> None:
-            if reply is not None and reply.generation != row.generation:
-                outcome = _Following.GONE
-            else:
-                lost = reply is None
-                outcome = _Following.UNREACHABLE if lost else _Following.YES
-            if not first.done():
-                first.set_result(outcome)
-            if outcome is not _Following.GONE:
-                _take_followed(row, reply)
-
-        try:
-            await self._peers.send(answer.runner, msg, on_reply)
-            return await asyncio.wait_for(first, FOLLOW_TIMEOUT_S)
-        except (PeerUnreachable, TimeoutError):
-            self._peers.forget(answer.runner, msg.rid)
-            return _Following.UNREACHABLE
-
-    async def _on_follow(self, msg: wire.Follow, reply: Reply) -> None:
-        request_id = RequestId(msg.customer, msg.key)
-        if request_id not in self._tables.requests.rows:
-            await self._wait_for_others(request_id)
-        row = self._tables.requests.rows.get(request_id)
-        if row is None:
-            message = "this router does not run the request"
-            lost = Failure(ErrorCode.REPLACED, Verdict.MAY_HAVE_RUN, message, 0.0)
-            reply(wire.Followed(msg.rid, "", [], 0, [], True, to_wire_failure(lost)))
-            return
-        follower = _RemoteListener(row, msg, reply)
-        row.listeners.append(follower)
-        follower.wake()
+        return row, await self._followers.follow(row, answer.runner)
 
     def _granted(self, answer: wire.Granted, new: NewRequest) -> RequestRow:
         row = RequestRow(
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -4,20 +4,17 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Coroutine
-from functools import partial
+from collections.abc import Coroutine
 from typing import Any
 
 from turmericflow import wire
-from turmericflow.profile import Profile, ProfileKind, Urgency
+from turmericflow.profile import Profile, ProfileKind
 from turmericflow.services._claimant import Claimant, NewRequest
 from turmericflow.services._course import Attempt, Course, Done, Lost, Suspected
 from turmericflow.services._dispatch import Dispatch
 from turmericflow.services._engine import (
     EngineClient,
     EngineOutput,
-    EngineRequest,
-    TakeOutput,
     TargetFailed,
 )
 from turmericflow.services._journal import Journal
@@ -26,6 +23,8 @@
 from turmericflow.services._restore import restore
 from turmericflow.services._stats import Stats
 from turmericflow.services._suspects import Suspects
+from turmericflow.services._sweeper import Sweeper
+from turmericflow.services._target_work import TargetWork, Work
 from turmericflow.services._watch import ListeningClock
 from turmericflow.systems import crashers, detection, to_failure
 from turmericflow.tables import (
@@ -38,24 +37,8 @@
 )
 from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
 
-PRIORITY = {Urgency.URGENT: 0, Urgency.NORMAL: 1, Urgency.THRIFTY: 2}
 MAX_ATTEMPTS_AT_ONCE = 3
 REFUSED_WAIT_S = 0.05
-KEEP_ENDED_S = 5.0
-
-
-def _engine_request(row: RequestRow, number: int) -> EngineRequest:
-    return EngineRequest(
-        row.generation,
-        number,
-        row.prompt,
-        list(row.tokens),
-        row.max_tokens,
-        PRIORITY[row.profile.urgency],
-        row.profile.model,
-        row.profile.adapter,
-        row.profile.version,
-    )
 
 
 def _unnamed(request_id: RequestId) -> NewRequest:
@@ -64,9 +47,6 @@
     return NewRequest(request_id, profile, "", 1, b"", "", 1, True)
 
 
-Work = Callable[[TakeOutput], Awaitable[None]]
-
-
 class Runner:
     """Runs requests on targets, and resumes them when a target is lost."""
 
@@ -84,8 +64,7 @@
     ) -> None:
         self._tables = tables
         self._claimant = claimant
-        self._engines = engines
-        self._plain = plain
+        self._work = TargetWork(tables, engines, plain, clock)
         self._suspects = suspects
         self._journal = journal
         self._dispatch = dispatch
@@ -94,6 +73,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._courses: dict[RequestId, Course] = {}
         self._quarantine = Quarantine(tables, dispatch, self._courses)
+        self._sweeper = Sweeper(tables, self._courses, self.stop, stats)
 
     async def submit(
         self, new: NewRequest, refusal: Failure | None = None
@@ -190,31 +170,9 @@
 
     def sweep(self, now: float) -> None:
         """End what was replaced or left, and forget requests that ended."""
-        for course in list(self._courses.values()):
-            if course.row.ended and not course.ending:
-                course.task.cancel()
-            elif not course.over:
-                self._check_heard(course, now)
-        rows = self._tables.requests.rows
-        for row in [row for row in rows.values() if row.ended]:
-            if row.ended_at is None:
-                row.ended_at = now
-            if now - row.ended_at > KEEP_ENDED_S and not row.listeners:
-                del rows[row.request_id]
+        self._sweeper.sweep(now)
         self._suspects.sweep()
 
-    def _check_heard(self, course: Course, now: float) -> None:
-        """Stop idempotent work that nobody has listened to for long."""
-        row = course.row
-        if row.listeners or not row.profile.idempotent:
-            course.unheard_since = None
-        elif course.unheard_since is None:
-            course.unheard_since = now
-        elif now - course.unheard_since > row.profile.wait_s:
-            message = f"nobody listened for {row.profile.wait_s} s"
-            self._stats.count("runner.unheard")
-            self.stop(row.request_id, ErrorCode.CANCELLED, message)
-
     async def _run(self, course: Course) -> None:
         row = course.row
         deadline = asyncio.get_running_loop().time() + row.profile.deadline_s
@@ -267,12 +225,9 @@
             await self._resume(course)
             return
         self._stats.count("runner.attached")
-        attempt = self._attempt(course, row.attempt, target)
+        attempt = self._work.attempt(row, row.attempt, target)
         attempt.placed = False
-        work = partial(
-            self._engines.attach, target.address, row.generation, len(row.tokens)
-        )
-        self._launch(course, attempt, work)
+        self._launch(course, attempt, self._work.attach(row, target))
 
     async def _resume(self, course: Course) -> None:
         """Start an attempt with all tokens so far as its prefix."""
@@ -298,34 +253,8 @@
         row = course.row
         row.dispatched = True
         self._stats.count("runner.attempts")
-        attempt = self._attempt(course, course.next_number(), target)
-        match row.profile.kind:
-            case ProfileKind.CALL:
-                key = row.request_id.key
-                work = partial(self._plain.call, target.address, key, row.prompt)
-            case ProfileKind.GENERATION:
-                request = _engine_request(row, attempt.number)
-                work = partial(self._engines.generate, target.address, request)
-        self._launch(course, attempt, work)
-
-    def _attempt(self, course: Course, number: int, target: Target) -> Attempt:
-        row = course.row
-        tokens = detection.prompt_tokens(row.prompt) + len(row.tokens)
-        now = self._clock.now()
-        work_s = detection.prefill_s(self._tables.targets, target.name, tokens)
-        if row.profile.kind is ProfileKind.CALL:
-            work_s = row.profile.deadline_s
-        stream = StreamRow(
-            row.request_id,
-            number,
-            target.name,
-            row.profile.urgency,
-            now,
-            work_s,
-            tokens,
-            now,
-        )
-        return Attempt(number, target, len(row.tokens), stream)
+        attempt = self._work.attempt(row, course.next_number(), target)
+        self._launch(course, attempt, self._work.start(row, attempt))
 
     def _launch(self, course: Course, attempt: Attempt, work: Work) -> None:
         course.add(attempt)
@@ -401,11 +330,7 @@
         course.drop(attempt)
         course.may_have_run = True
         attempt.task.cancel()
-        self._spawn(self._cancel(course.row, attempt))
-
-    async def _cancel(self, row: RequestRow, attempt: Attempt) -> None:
-        address = attempt.target.address
-        await self._engines.cancel(address, row.generation, attempt.number)
+        self._spawn(self._work.cancel(course.row, attempt))
 
     async def _react(self, course: Course, event: Lost | Suspected | Done) -> None:
         match event:
@@ -427,7 +352,7 @@
         if failure.verdict is not Verdict.NOT_RUN:
             course.may_have_run = True
         if failure.verdict is not Verdict.NOT_RUN:
-            self._spawn(self._cancel(row, attempt))
+            self._spawn(self._work.cancel(row, attempt))
         if course.attempts:
             return
         row.dispatched = course.may_have_run
--- /dev/null
+++ b/turmericflow/services/_sweeper.py
@@ -0,0 +1,58 @@
+"""Ends requests that nobody listens to, and forgets those that ended."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from turmericflow.services._course import Course
+from turmericflow.services._stats import Stats
+from turmericflow.tables import RequestId, Tables
+from turmericflow.verdict import ErrorCode
+
+KEEP_ENDED_S = 5.0
+
+Stop = Callable[[RequestId, ErrorCode, str], bool]
+
+
+class Sweeper:
+    """Looks over all requests that run here, or did a short while ago."""
+
+    __slots__ = ("_courses", "_stats", "_stop", "_tables")
+
+    def __init__(
+        self,
+        tables: Tables,
+        courses: dict[RequestId, Course],
+        stop: Stop,
+        stats: Stats,
+    ) -> None:
+        self._tables = tables
+        self._courses = courses
+        self._stop = stop
+        self._stats = stats
+
+    def sweep(self, now: float) -> None:
+        """End what was replaced or left, and forget requests that ended."""
+        for course in list(self._courses.values()):
+            if course.row.ended and not course.ending:
+                course.task.cancel()
+            elif not course.over:
+                self._check_heard(course, now)
+        rows = self._tables.requests.rows
+        for row in [row for row in rows.values() if row.ended]:
+            if row.ended_at is None:
+                row.ended_at = now
+            if now - row.ended_at > KEEP_ENDED_S and not row.listeners:
+                del rows[row.request_id]
+
+    def _check_heard(self, course: Course, now: float) -> None:
+        """Stop idempotent work that nobody has listened to for long."""
+        row = course.row
+        if row.listeners or not row.profile.idempotent:
+            course.unheard_since = None
+        elif course.unheard_since is None:
+            course.unheard_since = now
+        elif now - course.unheard_since > row.profile.wait_s:
+            message = f"nobody listened for {row.profile.wait_s} s"
+            self._stats.count("runner.unheard")
+            self._stop(row.request_id, ErrorCode.CANCELLED, message)
--- /dev/null
+++ b/turmericflow/services/_target_work.py
@@ -0,0 +1,91 @@
+"""What an attempt does on its target: a generation, or a call."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+from turmericflow.profile import ProfileKind, Urgency
+from turmericflow.services._course import Attempt
+from turmericflow.services._engine import EngineClient, EngineRequest, TakeOutput
+from turmericflow.services._plain import PlainClient
+from turmericflow.services._watch import ListeningClock
+from turmericflow.systems import detection
+from turmericflow.tables import RequestRow, StreamRow, Tables, Target
+
+PRIORITY = {Urgency.URGENT: 0, Urgency.NORMAL: 1, Urgency.THRIFTY: 2}
+
+Work = Callable[[TakeOutput], Awaitable[None]]
+
+
+def _engine_request(row: RequestRow, number: int) -> EngineRequest:
+    return EngineRequest(
+        row.generation,
+        number,
+        row.prompt,
+        list(row.tokens),
+        row.max_tokens,
+        PRIORITY[row.profile.urgency],
+        row.profile.model,
+        row.profile.adapter,
+        row.profile.version,
+    )
+
+
+class TargetWork:
+    """Speaks for attempts to engines and plain services."""
+
+    __slots__ = ("_clock", "_engines", "_plain", "_tables")
+
+    def __init__(
+        self,
+        tables: Tables,
+        engines: EngineClient,
+        plain: PlainClient,
+        clock: ListeningClock,
+    ) -> None:
+        self._tables = tables
+        self._engines = engines
+        self._plain = plain
+        self._clock = clock
+
+    def attempt(self, row: RequestRow, number: int, target: Target) -> Attempt:
+        """Return a new attempt, and the stream that it will read."""
+        tokens = detection.prompt_tokens(row.prompt) + len(row.tokens)
+        now = self._clock.now()
+        work_s = detection.prefill_s(self._tables.targets, target.name, tokens)
+        if row.profile.kind is ProfileKind.CALL:
+            work_s = row.profile.deadline_s
+        stream = StreamRow(
+            row.request_id,
+            number,
+            target.name,
+            row.profile.urgency,
+            now,
+            work_s,
+            tokens,
+            now,
+        )
+        return Attempt(number, target, len(row.tokens), stream)
+
+    def start(self, row: RequestRow, attempt: Attempt) -> Work:
+        """Return the work of an attempt that is sent to its target."""
+        address = attempt.target.address
+        match row.profile.kind:
+            case ProfileKind.CALL:
+                key = row.request_id.key
+                return partial(self._plain.call, address, key, row.prompt)
+            case ProfileKind.GENERATION:
+                request = _engine_request(row, attempt.number)
+                return partial(self._engines.generate, address, request)
+
+    def attach(self, row: RequestRow, target: Target) -> Work:
+        """Return the work of reading on a stream that runs already."""
+        return partial(
+            self._engines.attach, target.address, row.generation, len(row.tokens)
+        )
+
+    async def cancel(self, row: RequestRow, attempt: Attempt) -> None:
+        """Tell an attempt's target that its output is needed no more."""
+        address = attempt.target.address
+        await self._engines.cancel(address, row.generation, attempt.number)
