Try idempotent calls elsewhere when their plain service goes silent

Cause: a call's expected time was its deadline, so that one sent to a service that went silent waited for all of it, 600 s by default, idempotent or not. Change: each router learns how long a profile's calls take, as TCP learns its round trips; idempotent calls that take longer are tried at a second target out of the retry budget, and the first answer counts. Calls are no longer cancelled through the engines' interface, nor attached to when they are taken over. New tests stand a proxy before plain services: one that goes silent, and one whose replies are lost after the work was done. Urgency has no part in it; the budget bounds the cost.

--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -33,7 +33,6 @@
     StreamRow,
     Tables,
     Target,
-    TargetStreams,
 )
 from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
 
@@ -68,7 +67,6 @@
         self._suspects = suspects
         self._journal = journal
         self._dispatch = dispatch
-        self._clock = clock
         self._stats = stats
         self._tasks: set[asyncio.Task] = set()
         self._courses: dict[RequestId, Course] = {}
@@ -221,7 +219,7 @@
         row = course.row
         last = row.attempts[-1].target if row.attempts else ""
         target = self._tables.targets.rows.get(last)
-        if target is None:
+        if target is None or row.profile.kind is ProfileKind.CALL:
             await self._resume(course)
             return
         self._stats.count("runner.attached")
@@ -259,8 +257,8 @@
     def _launch(self, course: Course, attempt: Attempt, work: Work) -> None:
         course.add(attempt)
         self._journal.changed(course.row)
-        view = detection.open_stream(self._tables.streams, attempt.stream)
-        attempt.task = self._spawn(self._listen(course, attempt, view, work))
+        detection.open_stream(self._tables.streams, attempt.stream)
+        attempt.task = self._spawn(self._listen(course, attempt, work))
         attempt.task.add_done_callback(lambda _: self._left(course, attempt))
 
     def _left(self, course: Course, attempt: Attempt) -> None:
@@ -272,15 +270,13 @@
         self,
         course: Course,
         attempt: Attempt,
-        view: TargetStreams,
         work: Work,
     ) -> None:
         """Take an attempt's output until it ends, fails or counts no more."""
 
         def take(output: EngineOutput) -> bool:
             if attempt.live:
-                now = self._clock.now()
-                detection.heard(view, attempt.stream, len(output.texts), now)
+                self._work.heard(course.row, attempt, len(output.texts))
                 self._take(course, attempt, output)
             return attempt.live
 
--- a/turmericflow/services/_target_work.py
+++ b/turmericflow/services/_target_work.py
@@ -10,7 +10,7 @@
 from turmericflow.services._engine import EngineClient, EngineRequest, TakeOutput
 from turmericflow.services._plain import PlainClient
 from turmericflow.services._watch import ListeningClock
-from turmericflow.systems import detection
+from turmericflow.systems import calls, detection
 from turmericflow.tables import RequestRow, StreamRow, Tables, Target
 
 PRIORITY = {Urgency.URGENT: 0, Urgency.NORMAL: 1, Urgency.THRIFTY: 2}
@@ -54,8 +54,6 @@
         tokens = detection.prompt_tokens(row.prompt) + len(row.tokens)
         now = self._clock.now()
         work_s = detection.prefill_s(self._tables.targets, target.name, tokens)
-        if row.profile.kind is ProfileKind.CALL:
-            work_s = row.profile.deadline_s
         stream = StreamRow(
             row.request_id,
             number,
@@ -66,6 +64,8 @@
             tokens,
             now,
         )
+        if row.profile.kind is ProfileKind.CALL:
+            stream.call_due_s = calls.due_s(self._tables.streams, row.profile)
         return Attempt(number, target, len(row.tokens), stream)
 
     def start(self, row: RequestRow, attempt: Attempt) -> Work:
@@ -79,6 +79,13 @@
                 request = _engine_request(row, attempt.number)
                 return partial(self._engines.generate, address, request)
 
+    def heard(self, row: RequestRow, attempt: Attempt, tokens: int) -> None:
+        """Take in that output came on an attempt's stream."""
+        stream, table, now = attempt.stream, self._tables.streams, self._clock.now()
+        if stream.call_due_s is not None:
+            calls.learn(table, row.profile, now - stream.opened_at)
+        detection.heard(table.targets[stream.target], stream, tokens, now)
+
     def attach(self, row: RequestRow, target: Target) -> Work:
         """Return the work of reading on a stream that runs already."""
         return partial(
@@ -86,6 +93,8 @@
         )
 
     async def cancel(self, row: RequestRow, attempt: Attempt) -> None:
-        """Tell an attempt's target that its output is needed no more."""
+        """Tell an attempt's engine that its output is needed no more."""
+        if row.profile.kind is ProfileKind.CALL:
+            return
         address = attempt.target.address
         await self._engines.cancel(address, row.generation, attempt.number)
--- a/turmericflow/systems/_detection.py
+++ b/turmericflow/systems/_detection.py
@@ -115,6 +115,11 @@
     return row.load.queued > 0 or row.load.running >= row.load.slots
 
 
+def _is_due(stream: StreamRow, now: float) -> bool:
+    """Return whether a call has taken longer than such calls do."""
+    return not stream.outputs and now - stream.heard_at > stream.call_due_s
+
+
 def scan(
     table: StreamTable, targets: TargetTable, now: float, each_stream: bool
 ) -> list[Suspicion]:
@@ -138,6 +143,10 @@
         for stream in view.rows.values():
             if stream.suspected:
                 continue
+            if stream.call_due_s is not None:
+                if each_stream and _is_due(stream, now):
+                    found.append(Suspicion(stream, Fault.STREAM))
+                continue
             prefill = prefill_s(targets, name, stream.prefix_tokens)
             weight = resume.LATENESS_WEIGHT[stream.urgency]
             if silence is not None and resume.should_resume(silence, prefill, weight):
--- a/turmericflow/tables/__init__.py
+++ b/turmericflow/tables/__init__.py
@@ -29,6 +29,7 @@
 from turmericflow.tables._requests import Listener, RequestRow, RequestTable
 from turmericflow.tables._slots import RequestId, SlotEntry, SlotTable
 from turmericflow.tables._streams import (
+    CallTimes,
     StreamId,
     StreamRow,
     StreamTable,
@@ -67,6 +68,7 @@
     # Streams
     "StreamId",
     "StreamRow",
+    "CallTimes",
     "StreamTable",
     "TargetStreams",
     # Load
--- a/turmericflow/tables/_streams.py
+++ b/turmericflow/tables/_streams.py
@@ -34,6 +34,9 @@
         Number of pieces of output so far.
     suspected
         Whether its silence was reported since the last output.
+    call_due_s
+        For a call to a plain service, the time after which it is tried at
+        another target; None for a generation.
     """
 
     request_id: RequestId
@@ -46,6 +49,7 @@
     heard_at: float
     outputs: int = 0
     suspected: bool = False
+    call_due_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -72,8 +76,25 @@
     peak_at: float = float("-inf")
 
 
+@dataclass(slots=True)
+class CallTimes:
+    """How long a profile's calls took: smoothed time and mean deviation."""
+
+    mean_s: float
+    dev_s: float
+
+
 @dataclass(slots=True)
 class StreamTable:
-    """All streams that this host reads, by target."""
+    """All streams that this host reads, by target.
+
+    Attributes
+    ----------
+    targets
+        The streams.
+    calls
+        Times that calls to plain services took, by profile.
+    """
 
     targets: dict[str, TargetStreams] = field(default_factory=dict)
+    calls: dict[str, CallTimes] = field(default_factory=dict)
--- a/turmericflow/testing/_cluster.py
+++ b/turmericflow/testing/_cluster.py
@@ -189,6 +189,16 @@
             }
         )
 
+    def put_proxy_before(self, name: str) -> None:
+        """Let routers reach a target through a proxy, named after it."""
+        running = self.processes[name]
+        module, args = "turmericflow.testing.proxy", ["--to", running.address]
+        proxy = self.start_stand_in(f"proxy-{name}", module, running.ip, args)
+        for row in self._rows:
+            if row["name"] == name:
+                row["port"] = proxy.ports[0]
+        self.write_hosts()
+
     def write_hosts(self) -> None:
         """Write the host list to the platform."""
         url = f"http://{self.processes['platform'].address}/admin/hosts"
--- /dev/null
+++ b/turmericflow/tests/test_plain_services.py
@@ -0,0 +1,108 @@
+"""Tests of calls to plain services that fail, with real processes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from turmericflow.client import Caller
+from turmericflow.testing import Cluster, EngineSpec
+from turmericflow.testing._cluster import http_json
+from turmericflow.testing._fleet import ANSWERS_S, CENTRES, counter, fleet_plan
+from turmericflow.verdict import ErrorCode, Verdict
+
+pytestmark = pytest.mark.integration
+
+DESKS = ("desk-0", "desk-1")
+CALLS = 8
+
+
+def put_proxies(cluster):
+    for name in DESKS:
+        cluster.put_proxy_before(name)
+
+
+@pytest.fixture
+def cluster():
+    call = {"service": "booking-desk", "kind": "call", "wait_s": 2.0}
+    profiles = [
+        {"name": "booking", **call, "idempotent": False},
+        {"name": "question", **call},
+    ]
+    plan = fleet_plan(0, profiles)
+    plan.targets += [
+        EngineSpec(name, "booking-desk", CENTRES[0], ["--work-ms", "100"], "service")
+        for name in DESKS
+    ]
+    plan.prepare = put_proxies
+    with Cluster(plan) as running:
+        yield running
+
+
+@pytest.fixture
+async def session():
+    async with aiohttp.ClientSession() as session:
+        yield session
+
+
+def start_calls(session, cluster, name, number=CALLS):
+    """Start calls through one router; return their tasks by key."""
+    address = cluster.entries["entry-1"]
+    started = {}
+    for index in range(number):
+        key = f"{name}-{index}"
+        work = Caller(session, [address], "academy").call(name, {"slot": index}, key)
+        started[key] = asyncio.ensure_future(work)
+    return started
+
+
+async def gather(started):
+    answers = await asyncio.wait_for(asyncio.gather(*started.values()), ANSWERS_S)
+    return dict(zip(started, answers))
+
+
+def runs(cluster, name):
+    """Return how often a plain service has run each key."""
+    url = f"http://{cluster.processes[name].address}/v1/runs"
+    return http_json("GET", url)
+
+
+async def test_service_that_goes_silent(cluster, session):
+    cluster.pause("desk-0")
+    bookings = start_calls(session, cluster, "booking")
+    questions = await gather(start_calls(session, cluster, "question"))
+    assert all(answer.whole for answer in questions.values())
+    hedged = await asyncio.to_thread(counter, cluster, "runner.hedged")
+    cluster.resume("desk-0")
+    assert all(answer.whole for answer in (await gather(bookings)).values())
+    found = [await asyncio.to_thread(runs, cluster, name) for name in DESKS]
+    assert 0 < hedged <= CALLS
+    for key in bookings:
+        assert sum(each.get(key, 0) for each in found) == 1
+
+
+async def test_reply_of_a_booking_is_lost(cluster, session):
+    cluster.control("proxy-desk-0", drop_down=True)
+    answers = await gather(start_calls(session, cluster, "booking"))
+    lost = await asyncio.to_thread(runs, cluster, "desk-0")
+    others = await asyncio.to_thread(runs, cluster, "desk-1")
+    assert lost
+    for key, answer in answers.items():
+        if key in lost:
+            assert answer.failure.code is ErrorCode.TARGET_FAILED
+            assert answer.failure.verdict is Verdict.MAY_HAVE_RUN
+        else:
+            assert answer.whole
+        assert lost.get(key, 0) + others.get(key, 0) == 1
+
+
+async def test_reply_of_a_question_is_lost(cluster, session):
+    cluster.control("proxy-desk-0", drop_down=True)
+    answers = await gather(start_calls(session, cluster, "question"))
+    lost = await asyncio.to_thread(runs, cluster, "desk-0")
+    assert lost
+    assert all(answer.whole for answer in answers.values())
+    attempts = await asyncio.to_thread(counter, cluster, "runner.attempts")
+    assert attempts == CALLS + len(lost)
