Test the loss of hundreds of streams at once

Cause: no test lost more than a handful of streams at a time, so that nothing showed that storms stay whole and within the budget of resumes. Change: tests/test_storms.py kills one of three engines while it runs 150 of 600 generations, and kills or pauses the two engines of a data centre while they run 75 of 300, each through three routers.

--- /dev/null
+++ b/turmericflow/tests/test_storms.py
@@ -0,0 +1,81 @@
+"""Tests of losses of hundreds of streams at once, with real processes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from turmericflow.client import Caller
+from turmericflow.systems import budgets
+from turmericflow.testing import Cluster, check_answer
+from turmericflow.testing._cluster import http_json
+from turmericflow.testing._fleet import CENTRES, counter, fleet_plan, profile
+
+pytestmark = pytest.mark.integration
+
+TOKENS = 100
+LONGEST_S = 120.0
+ENGINE = ["--step-ms", "100", "--slow-down", "0.001", "--slots", "512"]
+
+
+def plan(engines):
+    found = fleet_plan(engines, [profile("report", wait_s=30.0)], ENGINE)
+    limits = {"rate_per_s": 10_000.0, "burst": 10_000.0}
+    found.objects["customer/academy"] = {"name": "academy", **limits}
+    return found
+
+
+def running(cluster, names):
+    """Return how many streams some engines report."""
+    loads = [
+        http_json("GET", f"http://{cluster.processes[name].address}/v1/load")
+        for name in names
+    ]
+    return sum(load["running"] + load["queued"] for load in loads)
+
+
+async def lose(cluster, names, number, wanted, how):
+    """Run generations, lose engines once these run as many as wanted."""
+    hosts = list(cluster.entries.values())
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        work = []
+        for index in range(number):
+            first = index % len(hosts)
+            caller = Caller(session, hosts[first:] + hosts[:first], "academy")
+            prompt = f"rider progress {index}"
+            asked = caller.generate("report", prompt, f"storm-{index}", TOKENS)
+            work.append(asyncio.ensure_future(asked))
+        while await asyncio.to_thread(running, cluster, names) < wanted:
+            assert not all(each.done() for each in work)
+        for name in names:
+            how(name)
+        return await asyncio.wait_for(asyncio.gather(*work), LONGEST_S)
+
+
+def check_storm(cluster, answers):
+    for answer in answers:
+        assert answer.failure is None
+        assert answer.whole
+        assert check_answer([token.text for token in answer.tokens], TOKENS).ok
+    assert len({answer.text for answer in answers}) == len(answers)
+    again = counter(cluster, "runner.attempts") - len(answers)
+    assert 0 < again <= budgets.RESUME_SHARE * len(answers)
+
+
+async def test_engine_with_hundreds_of_streams_dies():
+    with Cluster(plan(3)) as cluster:
+        answers = await lose(cluster, ["engine-0"], 600, 150, cluster.kill)
+        check_storm(cluster, answers)
+
+
+@pytest.mark.parametrize("how", ["kill", "pause"])
+async def test_data_centre_of_engines_is_lost(how):
+    with Cluster(plan(6)) as cluster:
+        names = [
+            spec.name for spec in cluster.plan.targets if spec.data_centre == CENTRES[0]
+        ]
+        answers = await lose(cluster, names, 300, 75, getattr(cluster, how))
+        check_storm(cluster, answers)
