Resume in another data centre for two seconds after a loss

Cause: when a data centre goes down target by target, generations were resumed on the next engine to die. Lost twice, they took turns as suspects, one for each engine, and a third such loss would have convicted bystanders. Change: systems/_storms.py keeps a resume away from data centres with a loss within the last two seconds while an engine elsewhere has room. The suspects' table notes the last loss of each target, so that this is no walk over all suspects. What is left: a suspect that failed keeps its turn for a minute.

--- a/turmericflow/services/_quarantine.py
+++ b/turmericflow/services/_quarantine.py
@@ -8,7 +8,7 @@
 from turmericflow.services._claimant import NewRequest
 from turmericflow.services._course import Course
 from turmericflow.services._dispatch import Dispatch
-from turmericflow.systems import crashers, routing
+from turmericflow.systems import crashers, routing, storms
 from turmericflow.tables import RequestId, RequestRow, Tables, Target
 from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
 
@@ -69,12 +69,23 @@
                     return await self._dispatch.place(row, others)
             except TimeoutError:
                 continue
+        return await self._dispatch.place(row, self._exclude(course))
+
+    def _exclude(self, course: Course) -> frozenset[str]:
+        """Return the targets that a request is better not sent to now."""
+        row, table, now = course.row, self._tables.suspects, time.time()
         names = self._names(row, frozenset(course.refused_by))
+        if not names:
+            return frozenset()
+        near: frozenset[str] = frozenset()
+        if row.attempts:
+            lost = crashers.lost_lately(table, now)
+            targets = self._tables.targets
+            near = storms.near_losses(targets, lost, names, time.monotonic())
+        others = [name for name in names if name not in near]
         running = self._contents() if table.rows else {}
-        now = time.time()
-        avoid = crashers.apart(table, running, names, course.content, now)
-        exclude = avoid | course.refused_by if names else frozenset()
-        return await self._dispatch.place(row, exclude)
+        avoid = crashers.apart(table, running, others, course.content, now)
+        return avoid | near | course.refused_by
 
     def _names(self, row: RequestRow, exclude: frozenset[str]) -> list[str]:
         targets, now = self._tables.targets, time.monotonic()
--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -35,6 +35,7 @@
     _slots as slots,
     _spread as spread,
     _status as status,
+    _storms as storms,
 )
 from turmericflow.systems._convert import (
     to_attempts,
@@ -77,6 +78,7 @@
     "slots",
     "spread",
     "status",
+    "storms",
     # Conversions
     "to_attempts",
     "to_failure",
--- a/turmericflow/systems/_crashers.py
+++ b/turmericflow/systems/_crashers.py
@@ -44,6 +44,7 @@
 
     Reports of one loss from several routers count once.
     """
+    table.lost_at[loss.target] = max(loss.at, table.lost_at.get(loss.target, loss.at))
     for content in contents:
         row = table.rows.setdefault(content, Suspect())
         known = [
@@ -127,12 +128,9 @@
 
 
 def lost_lately(table: SuspectTable, now: float) -> frozenset[str]:
-    """Return the targets that any suspect was lost with a moment ago."""
+    """Return the targets that were lost a moment ago."""
     return frozenset(
-        loss.target
-        for row in table.rows.values()
-        for loss in row.losses
-        if now - loss.at < LOST_LATELY_S
+        target for target, at in table.lost_at.items() if now - at < LOST_LATELY_S
     )
 
 
@@ -156,6 +154,9 @@
 
 def expire(table: SuspectTable, now: float) -> None:
     """Forget what no longer counts."""
+    for target, at in list(table.lost_at.items()):
+        if now - at >= SUSPECT_S:
+            del table.lost_at[target]
     for name, row in list(table.rows.items()):
         row.losses = _counted(row, now)
         if row.convicted_at is not None and now - row.convicted_at >= CONVICTED_S:
--- a/turmericflow/tables/_crashers.py
+++ b/turmericflow/tables/_crashers.py
@@ -34,6 +34,15 @@
 
 @dataclass(slots=True)
 class SuspectTable:
-    """All contents under suspicion, by fingerprint."""
+    """All contents under suspicion, and the targets lost.
+
+    Attributes
+    ----------
+    rows
+        Suspects by fingerprint.
+    lost_at
+        Time of the last loss of each target, in seconds of a shared clock.
+    """
 
     rows: dict[str, Suspect] = field(default_factory=dict)
+    lost_at: dict[str, float] = field(default_factory=dict)
--- a/turmericflow/tests/test_storms.py
+++ b/turmericflow/tests/test_storms.py
@@ -7,15 +7,16 @@
 import aiohttp
 import pytest
 
+from turmericflow.cfg import Address
 from turmericflow.client import Caller
-from turmericflow.systems import budgets
+from turmericflow.systems import budgets, storms
+from turmericflow.tables import LoadReport, Target, TargetKind, TargetTable
 from turmericflow.testing import Cluster, check_answer
 from turmericflow.testing._cluster import http_json
 from turmericflow.testing._fleet import CENTRES, counter, fleet_plan, profile
 
-pytestmark = pytest.mark.integration
-
 TOKENS = 100
+NOW = 100.0
 LONGEST_S = 120.0
 ENGINE = ["--step-ms", "100", "--slow-down", "0.001", "--slots", "512"]
 
@@ -65,12 +66,38 @@
     assert 0 < again <= budgets.RESUME_SHARE * len(answers)
 
 
+@pytest.fixture
+def targets():
+    """Four idle engines in two data centres."""
+    table = TargetTable()
+    for number, centre in enumerate(["north", "south", "north", "south"]):
+        name, address = f"e{number}", Address("127.0.0.1", 9000 + number)
+        row = Target(name, TargetKind.ENGINE, "report-writer", centre, address)
+        row.load = LoadReport(0, 0, 8, 20.0, 1000.0, NOW)
+        table.rows[name] = row
+    return table
+
+
+def test_resumes_keep_away_from_a_data_centre_with_losses(targets):
+    names = ["e1", "e2", "e3"]
+    assert storms.near_losses(targets, frozenset(), names, NOW) == frozenset()
+    assert storms.near_losses(targets, frozenset({"e0"}), names, NOW) == {"e2"}
+
+
+def test_resumes_stay_where_there_is_room(targets):
+    names, lost = ["e1", "e2"], frozenset({"e0"})
+    targets.rows["e1"].load.running = 8
+    assert storms.near_losses(targets, lost, names, NOW) == frozenset()
+
+
+@pytest.mark.integration
 async def test_engine_with_hundreds_of_streams_dies():
     with Cluster(plan(3)) as cluster:
         answers = await lose(cluster, ["engine-0"], 600, 150, cluster.kill)
         check_storm(cluster, answers)
 
 
+@pytest.mark.integration
 @pytest.mark.parametrize("how", ["kill", "pause"])
 async def test_data_centre_of_engines_is_lost(how):
     with Cluster(plan(6)) as cluster:
