Let a runner see that callers at another router have left

Cause: a router that followed a request stayed in its runner's list of listeners for good, so that the work went on to its end for nobody when the caller or the router had gone. The row and the reply's handler were never dropped either. Change: the following router repeats its Follow each second while callers listen; the runner drops a follower that it has not heard for 3 s, and takes it up again from the count in the message. Both sides forget a follower once the request ended.

--- a/turmericflow/services/_claimant.py
+++ b/turmericflow/services/_claimant.py
@@ -95,6 +95,10 @@
         self._claiming: dict[tuple[RequestId, str], asyncio.Task] = {}
         self._followers = Followers(tables, peers, self._wait_for_others)
 
+    def sweep(self, now: float) -> None:
+        """Keep up what is followed here or from here, and drop the rest."""
+        self._followers.sweep(now)
+
     async def claim(self, new: NewRequest) -> RequestRow:
         """Claim a request; copies that come meanwhile share the outcome.
 
--- a/turmericflow/services/_followers.py
+++ b/turmericflow/services/_followers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import time
 from collections.abc import Awaitable, Callable
 
 from turmericflow import wire
@@ -18,6 +19,11 @@
 from turmericflow.verdict import ErrorCode, Failure, Verdict
 
 FOLLOW_TIMEOUT_S = 1.0
+RENEW_S = 1.0
+LAPSE_S = 3.0
+
+
+OnReply = Callable[[wire.Followed | None], None]
 
 
 class Following(enum.Enum):
@@ -31,16 +37,17 @@
 class _RemoteListener:
     """Sends a row's committed tokens to a router that follows it."""
 
-    __slots__ = ("_msg", "_reply", "_row", "_sent")
+    __slots__ = ("_msg", "_reply", "_sent", "heard_at", "row")
 
     def __init__(self, row: RequestRow, msg: wire.Follow, reply: Reply) -> None:
-        self._row = row
+        self.row = row
+        self.heard_at = time.monotonic()
         self._msg = msg
         self._reply = reply
         self._sent = msg.start
 
     def wake(self) -> None:
-        row = self._row
+        row = self.row
         texts = row.tokens[self._sent : row.committed]
         failure = None if row.failure is None else to_wire_failure(row.failure)
         attempts = to_wire_attempts(row.attempts)
@@ -58,6 +65,21 @@
         self._sent += len(texts)
 
 
+class _Followed:
+    """A request that this router follows for callers of its own."""
+
+    __slots__ = ("heard_at", "on_reply", "renewed_at", "row", "runner")
+
+    def __init__(
+        self, row: RequestRow, runner: str, on_reply: OnReply, now: float
+    ) -> None:
+        self.row = row
+        self.runner = runner
+        self.on_reply = on_reply
+        self.heard_at = now
+        self.renewed_at = now
+
+
 def _take_followed(row: RequestRow, reply: wire.Followed | None) -> None:
     if row.ended:
         return
@@ -75,16 +97,24 @@
     row.wake()
 
 
+def _make_follow(row: RequestRow, rid: int) -> wire.Follow:
+    name = row.request_id
+    return wire.Follow(rid, name.customer, name.key, len(row.tokens))
+
+
 class Followers:
     """Both sides of following: at the runner, and at the other router.
 
+    A router says each second that callers of its own still listen; a runner
+    that does not hear it for `LAPSE_S` counts them as gone.
+
     Parameters
     ----------
     settled
         Waits until this host's open claims of a request are answered.
     """
 
-    __slots__ = ("_peers", "_settled", "_tables")
+    __slots__ = ("_followed", "_listeners", "_peers", "_settled", "_tables", "_tasks")
 
     def __init__(
         self,
@@ -95,14 +125,15 @@
         self._tables = tables
         self._peers = peers
         self._settled = settled
+        self._followed: dict[int, _Followed] = {}
+        self._listeners: dict[tuple[Reply, int], _RemoteListener] = {}
+        self._tasks: set[asyncio.Task] = set()
         peers.handle(wire.Follow, self._on_follow)
 
     async def follow(self, row: RequestRow, runner: str) -> Following:
         """Take the tokens of a request that another router runs."""
         first = asyncio.get_running_loop().create_future()
-        msg = wire.Follow(
-            self._peers.next_rid(), row.request_id.customer, row.request_id.key, 0
-        )
+        msg = _make_follow(row, self._peers.next_rid())
 
         def on_reply(reply: wire.Followed | None) -> None:
             if reply is not None and reply.generation != row.generation:
@@ -117,10 +148,39 @@
 
         try:
             await self._peers.send(runner, msg, on_reply)
-            return await asyncio.wait_for(first, FOLLOW_TIMEOUT_S)
+            outcome = await asyncio.wait_for(first, FOLLOW_TIMEOUT_S)
         except (PeerUnreachable, TimeoutError):
             self._peers.forget(runner, msg.rid)
             return Following.UNREACHABLE
+        if outcome is Following.YES:
+            now = time.monotonic()
+            self._followed[msg.rid] = _Followed(row, runner, on_reply, now)
+        return outcome
+
+    def sweep(self, now: float) -> None:
+        """Renew what callers listen to, and drop what nobody follows."""
+        for rid, followed in list(self._followed.items()):
+            if followed.row.listeners:
+                followed.heard_at = now
+            if followed.row.ended or now - followed.heard_at > LAPSE_S:
+                del self._followed[rid]
+                self._peers.forget(followed.runner, rid)
+            elif followed.row.listeners and now - followed.renewed_at >= RENEW_S:
+                followed.renewed_at = now
+                task = asyncio.ensure_future(self._renew(rid, followed))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+        for name, listener in list(self._listeners.items()):
+            if listener.row.ended or now - listener.heard_at > LAPSE_S:
+                del self._listeners[name]
+                listener.row.listeners.remove(listener)
+
+    async def _renew(self, rid: int, followed: _Followed) -> None:
+        msg = _make_follow(followed.row, rid)
+        try:
+            await self._peers.send(followed.runner, msg, followed.on_reply)
+        except PeerUnreachable:
+            followed.on_reply(None)
 
     async def _on_follow(self, msg: wire.Follow, reply: Reply) -> None:
         request_id = RequestId(msg.customer, msg.key)
@@ -132,6 +192,11 @@
             lost = Failure(ErrorCode.REPLACED, Verdict.MAY_HAVE_RUN, message, 0.0)
             reply(wire.Followed(msg.rid, "", [], 0, [], True, to_wire_failure(lost)))
             return
-        follower = _RemoteListener(row, msg, reply)
-        row.listeners.append(follower)
-        follower.wake()
+        present = self._listeners.get((reply, msg.rid))
+        if present is not None and present.row is row:
+            present.heard_at = time.monotonic()
+            return
+        listener = _RemoteListener(row, msg, reply)
+        self._listeners[reply, msg.rid] = listener
+        row.listeners.append(listener)
+        listener.wake()
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -168,6 +168,7 @@
 
     def sweep(self, now: float) -> None:
         """End what was replaced or left, and forget requests that ended."""
+        self._claimant.sweep(now)
         self._sweeper.sweep(now)
         self._suspects.sweep()
 
