--- a/turmericflow/systems/__init__.py
+++ b/turmericflow/systems/__init__.py
@@ -9,6 +9,7 @@
     _breakers as breakers,
     _budgets as budgets,
     _burn as burn,
+    _calls as calls,
     _claims as claims,
     _crashers as crashers,
     _detection as detection,
@@ -35,6 +36,7 @@
     _slots as slots,
     _spread as spread,
     _status as status,
+    _storms as storms,
 )
 from turmericflow.systems._convert import (
     to_attempts,
@@ -51,6 +53,7 @@
     "breakers",
     "budgets",
     "burn",
+    "calls",
     "claims",
     "crashers",
     "detection",
@@ -77,6 +80,7 @@
     "slots",
     "spread",
     "status",
+    "storms",
     # Conversions
     "to_attempts",
     "to_failure",
