Record a hedge's first token under the hedge

Cause: a runner added an attempt's tokens to the row before it put that attempt in force, so the first tokens of a hedge that won were recorded under the attempt it had beaten. A hedge whose rival was lost was never put in force at all: all its tokens were recorded under the lost attempt, and the row went on naming the dead target, to which a router that takes over would attach. Change: Course.take puts the attempt in force whenever it is not, then adds its tokens, and returns the attempts it has beaten.

--- a/turmericflow/services/_course.py
+++ b/turmericflow/services/_course.py
@@ -164,6 +164,19 @@
             start = AttemptStart(attempt.number, len(row.tokens), row.target)
             row.attempts.append(start)
 
+    def take(self, attempt: Attempt, texts: list[str]) -> list[Attempt]:
+        """Add an attempt's next tokens, and return the attempts that it has beaten.
+
+        It is put in force before its tokens are added, so that their record
+        starts with the first of them.
+        """
+        beaten = [each for each in self.attempts if each is not attempt]
+        if self.row.attempt != attempt.number:
+            self.put_in_force(attempt)
+        self.row.tokens.extend(texts)
+        attempt.next_index += len(texts)
+        return beaten
+
     def drop(self, attempt: Attempt) -> None:
         """Let an attempt's output count no more."""
         attempt.live = False
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -374,10 +374,10 @@
 
     def _take(self, course: Course, attempt: Attempt, output: EngineOutput) -> None:
         row = course.row
-        row.tokens.extend(output.texts)
-        attempt.next_index += len(output.texts)
-        if len(course.attempts) > 1:
-            self._win(course, attempt)
+        if row.attempt != attempt.number:
+            self._stats.count("runner.hedge_won")
+        for beaten in course.take(attempt, output.texts):
+            self._abandon(course, beaten)
         if course.failing_since is not None:
             course.failing_since = None
             course.refused_by.clear()
@@ -386,16 +386,6 @@
             course.post(Done())
         self._journal.changed(row)
 
-    def _win(self, course: Course, winner: Attempt) -> None:
-        """Keep the first attempt that gave the next token, and drop the rest."""
-        for attempt in list(course.attempts):
-            if attempt is not winner:
-                self._abandon(course, attempt)
-        row = course.row
-        if row.attempt != winner.number:
-            self._stats.count("runner.hedge_won")
-        course.put_in_force(winner)
-
     def _abandon(self, course: Course, attempt: Attempt) -> None:
         """Drop an attempt and free its place on the target."""
         course.drop(attempt)
