--- a/turmericflow/systems/_backup.py
+++ b/turmericflow/systems/_backup.py
@@ -4,7 +4,7 @@
 
 from turmericflow import wire
 from turmericflow.systems import _slots as slots_system
-from turmericflow.systems._records import to_claim, to_record
+from turmericflow.systems._records import extent_of, to_claim, to_record
 from turmericflow.tables import Claim, RequestId, Tables
 
 TRANSFER_BYTES = 1_000_000
@@ -27,7 +27,7 @@
     """Return whether this host's record goes further than the owner's."""
     if row.generation != record.generation or not row.generation:
         return False
-    return row.ended or len(row.tokens) > len(record.tokens)
+    return row.ended or extent_of(row) > extent_of(record)
 
 
 def _merge(tables: Tables, record: wire.Record, now: float) -> wire.Record | None:
--- a/turmericflow/systems/_claims.py
+++ b/turmericflow/systems/_claims.py
@@ -230,12 +230,20 @@
         after.failure = Failure(ErrorCode.RUNNER_LOST, Verdict.MAY_HAVE_RUN, message)
         return _change(tables, after, _refused(msg.rid, after.failure), _nothing(msg))
     after.runner, after.grant = msg.runner, msg.generation
-    if row.journal_at not in (tables.host, entry.backup):
+    if not _journal_in_reach(tables, row):
         after.generation, after.tokens, after.attempts = msg.generation, [], []
     after.journal_at = slots_system.holder(tables, entry, msg.runner)
     return _change(tables, after, _granted(msg.rid, after), _nothing(msg))
 
 
+def _journal_in_reach(tables: Tables, row: Claim) -> bool:
+    """Return whether the journal is here, or at a backup that is to be asked."""
+    if row.journal_at == tables.host:
+        return True
+    backup = tables.slots.entries[row.slot].backup
+    return row.journal_at == backup and slots_system.alive(tables, backup)
+
+
 def _nothing(msg: wire.Message) -> wire.Moved:
     return wire.Moved(msg.rid)
 
--- a/turmericflow/systems/_journal.py
+++ b/turmericflow/systems/_journal.py
@@ -7,7 +7,7 @@
 from turmericflow import wire
 from turmericflow.systems import _slots as slots_system
 from turmericflow.systems._convert import to_attempts
-from turmericflow.systems._records import to_claim
+from turmericflow.systems._records import extent_of, to_claim
 from turmericflow.tables import Claim, ClaimState, RequestId, Tables
 
 IDEMPOTENT_KEEP_S = 60.0
@@ -34,13 +34,17 @@
         then give its caller nothing more.  ``UNKNOWN`` if the journal is to
         be uploaded first.
     """
-    row = tables.claims.rows.get(RequestId(entry.customer, entry.key))
+    request_id = RequestId(entry.customer, entry.key)
+    row = tables.claims.rows.get(request_id)
     if row is None or row.runner_epoch < entry.runner_epoch:
         return AppendOutcome.UNKNOWN
     if row.runner_epoch > entry.runner_epoch:
         return AppendOutcome.REPLACED
     if row.state not in (ClaimState.RUNNING, ClaimState.FINISHED):
         return AppendOutcome.REPLACED
+    if request_id in tables.claims.pending:
+        # The next runner may have been decided on, with the journal as it was.
+        return AppendOutcome.UNKNOWN
     known = len(row.tokens)
     if entry.start > known:
         return AppendOutcome.UNKNOWN
@@ -49,7 +53,7 @@
         if row.state is ClaimState.FINISHED:
             return AppendOutcome.REPLACED
         row.tokens.extend(entry.texts[known - entry.start :])
-    if entry.attempts and end >= known:
+    if entry.attempts and entry.attempts[-1].attempt >= extent_of(row).attempt:
         row.attempts = to_attempts(entry.attempts)
     row.touched_at = now
     if entry.complete:
@@ -94,7 +98,8 @@
         fresh.regranted, fresh.refused_before = row.regranted, row.refused_before
         if row.state is ClaimState.FINISHED:
             fresh.state = row.state
-        if len(row.tokens) > len(fresh.tokens) and row.generation == fresh.generation:
+        same_runner = row.runner_epoch == fresh.runner_epoch
+        if same_runner and extent_of(row) > extent_of(fresh):
             fresh.tokens, fresh.attempts = row.tokens, row.attempts
     tables.claims.rows[fresh.request_id] = fresh
 
--- a/turmericflow/systems/_records.py
+++ b/turmericflow/systems/_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from turmericflow import wire
 from turmericflow.systems._convert import (
     to_attempts,
@@ -70,6 +72,20 @@
     )
 
 
+@dataclass(slots=True, frozen=True, order=True)
+class Extent:
+    """How far a journal goes: by its tokens, then by its newest attempt."""
+
+    tokens: int
+    attempt: int
+
+
+def extent_of(journal: Claim | wire.Record) -> Extent:
+    """Return how far a claim's or a record's journal goes."""
+    attempts = journal.attempts
+    return Extent(len(journal.tokens), attempts[-1].attempt if attempts else 0)
+
+
 def to_upload_record(row: RequestRow, runner: str, journal_at: str) -> wire.Record:
     """Return a runner's request as a record with its whole journal."""
     return wire.Record(
--- a/turmericflow/tests/test_claims.py
+++ b/turmericflow/tests/test_claims.py
@@ -5,7 +5,14 @@
 import pytest
 
 from turmericflow import wire
-from turmericflow.systems import backup, claims, journal, slots, to_wire_failure
+from turmericflow.systems import (
+    backup,
+    claims,
+    journal,
+    records,
+    slots,
+    to_wire_failure,
+)
 from turmericflow.tables import Peer, PeerState, RequestId, SlotEntry, Tables
 from turmericflow.verdict import ErrorCode, Failure, Verdict
 
@@ -59,8 +66,9 @@
     )
 
 
-def make_entry(epoch, start=0, texts=("a ",), complete=False):
-    return wire.AppendEntry("norte", "k", epoch, start, list(texts), [], complete)
+def make_entry(epoch, start=0, texts=("a ",), complete=False, attempts=()):
+    raw = [wire.WireAttempt(*each, "redactor-1") for each in attempts]
+    return wire.AppendEntry("norte", "k", epoch, start, list(texts), raw, complete)
 
 
 def confirm(owner, second, decision, now=0.0, lost=False):
@@ -185,6 +193,58 @@
     assert outcome is journal.AppendOutcome.REPLACED
 
 
+def test_transfer_of_older_records_keeps_a_journal_of_attempts_alone(owner, second):
+    decision = claims.claim(owner, make_claim(runner="entry-1"), 0.0)
+    epoch = confirm(owner, second, decision).runner_epoch
+    transfer = backup.transfers(owner, 0, 1.0)[0]
+    first = (epoch * 1000 + 1, 0)
+    journal.append(second, make_entry(epoch, texts=[], attempts=[first]), 2.0)
+    assert backup.transfer(second, transfer, 3.0).accepted
+    assert [each.attempt for each in second.claims.rows[KEY].attempts] == [first[0]]
+
+
+def test_append_that_comes_late_keeps_newer_attempts(tables):
+    epoch = claims.claim(tables, make_claim(), 0.0).runner_epoch
+    older, newer = [(1, 0)], [(1, 0), (2, 1)]
+    journal.append(tables, make_entry(epoch, attempts=older), 1.0)
+    journal.append(tables, make_entry(epoch, 1, [], attempts=newer), 2.0)
+    journal.append(tables, make_entry(epoch, attempts=older), 3.0)
+    assert [each.attempt for each in tables.claims.rows[KEY].attempts] == [1, 2]
+
+
+def test_journal_takes_nothing_while_a_regrant_is_pending(owner, second):
+    decision = claims.claim(owner, make_claim(runner="entry-3"), 0.0)
+    epoch = confirm(owner, second, decision).runner_epoch
+    journal.append(owner, make_entry(epoch, attempts=[(1, 0)]), 1.0)
+    msg = make_claim(2, "g2", "entry-2", lost_epoch=epoch)
+    regrant = claims.claim(owner, msg, 2.0)
+    late = make_entry(epoch, 1, ["b "], attempts=[(1, 0), (2, 1)])
+    outcome = journal.append(owner, late, 3.0)
+    assert outcome is journal.AppendOutcome.UNKNOWN
+    answer = confirm(owner, second, regrant)
+    assert answer.tokens == ["a "]
+    assert journal.append(owner, late, 4.0) is journal.AppendOutcome.REPLACED
+
+
+def test_journal_at_a_backup_that_is_lost_starts_another_generation(owner, second):
+    decision = claims.claim(owner, make_claim(runner="entry-1"), 0.0)
+    epoch = confirm(owner, second, decision).runner_epoch
+    journal.append(second, make_entry(epoch), 1.0)
+    owner.peers.rows["entry-2"].state = PeerState.DEAD
+    msg = make_claim(2, "g2", "entry-3", lost_epoch=epoch)
+    answer = claims.claim(owner, msg, 2.0)
+    assert (answer.generation, answer.tokens) == ("g2", [])
+
+
+def test_upload_is_not_mixed_with_an_earlier_runners_tokens(tables):
+    epoch = claims.claim(tables, make_claim(), 0.0).runner_epoch
+    journal.append(tables, make_entry(epoch, texts=["a ", "b "]), 1.0)
+    record = records.to_record(tables.claims.rows[KEY])
+    record.runner_epoch, record.tokens = epoch + 1, ["a "]
+    assert journal.upload(tables, wire.Upload(2, 2, record), 2.0).accepted
+    assert tables.claims.rows[KEY].tokens == ["a "]
+
+
 def test_lost_journal_starts_another_generation(owner, second):
     decision = claims.claim(owner, make_claim(runner="entry-3"), 0.0)
     epoch = confirm(owner, second, decision).runner_epoch
--- a/turmericflow/tests/test_claims_model.py
+++ b/turmericflow/tests/test_claims_model.py
@@ -23,6 +23,7 @@
 from turmericflow import wire
 from turmericflow.profile import Profile
 from turmericflow.services._answer import event_id
+from turmericflow.services._course import ATTEMPTS_PER_EPOCH
 from turmericflow.systems import (
     backup,
     claims,
@@ -53,6 +54,7 @@
 PAUSED = st.sampled_from(["", *sorted(CENTRES)])
 PICK = st.integers(0, 7)
 NOW = 0.0
+RECORDED = 1 << 40  # later than any runner
 
 
 @dataclass(eq=False)
@@ -86,6 +88,7 @@
     row: RequestRow
     failing: bool = False
     known: int = 0
+    started: int = 0
 
 
 @dataclass
@@ -94,6 +97,11 @@
 
     texts: list[str] = field(default_factory=list)
     last_id: str = ""
+    epoch: int = 0
+
+    @property
+    def generation(self):
+        return self.last_id.split(".")[0]
 
 
 class ClaimsMachine(RuleBasedStateMachine):
@@ -115,6 +123,7 @@
         self.told_not_run: set[int] = set()
         self.grants: dict[int, Asking] = {}
         self.made = 0
+        self.split = False  # whether two owners may have granted, or memory was lost
 
     def _named(self):
         return {host: (self.lives[host], CENTRES[host]) for host in ("a", "b")}
@@ -199,10 +208,24 @@
         if runs:
             run = runs[pick % len(runs)]
             run.known = 1
-            row = run.row
-            row.attempts.append(AttemptStart(row.runner_epoch, len(row.tokens), "e"))
+            self._start_attempt(run)
             self.dispatched.append(run.asking.try_no)
 
+    def _start_attempt(self, run):
+        run.started += 1
+        row = run.row
+        number = row.runner_epoch * ATTEMPTS_PER_EPOCH + run.started
+        row.attempts.append(AttemptStart(number, len(row.tokens), "e"))
+
+    @rule(pick=PICK)
+    def lose_engine(self, pick):
+        """Let a run go on as another attempt, which its journal is told of."""
+        runs = [run for run in self._live_runs() if run.known and not run.row.complete]
+        if runs:
+            run = runs[pick % len(runs)]
+            self._start_attempt(run)
+            self._send_journal(run)
+
     @rule(pick=PICK)
     def fail(self, pick):
         runs = [run for run in self._live_runs() if not run.known]
@@ -261,6 +284,12 @@
     def _show(self, caller, row):
         """Give a caller what is committed, if its last id is of this answer."""
         count = len(caller.texts)
+        later = row.runner_epoch > caller.epoch
+        if row.generation == caller.generation and later and not self.split:
+            known = count <= row.committed
+            assert known, "a later runner misses tokens that were shown"
+            same = event_id(row, count - 1) == caller.last_id
+            assert same, "a later runner names tokens otherwise than they were shown"
         if count > len(row.tokens):
             return
         if count and event_id(row, count - 1) != caller.last_id:
@@ -269,6 +298,7 @@
         caller.texts += row.tokens[count : row.committed]
         if caller.texts:
             caller.last_id = event_id(row, len(caller.texts) - 1)
+            caller.epoch = max(caller.epoch, row.runner_epoch)
 
     # Hosts and the platform
 
@@ -281,7 +311,7 @@
 
     @rule(host=HOSTS)
     def take_over(self, host):
-        slots.take_over(self.tables[host], NOW)
+        self.split |= bool(slots.take_over(self.tables[host], NOW))
 
     @rule(host=HOSTS)
     def learn(self, host):
@@ -314,6 +344,7 @@
 
     @rule(host=HOSTS)
     def restart(self, host):
+        self.split = True
         self.lives[host] += 1
         self._boot(host)
 
@@ -429,6 +460,13 @@
         self.ask_whole(host, 1)
         self.dispatch(0)
 
+    @rule(host=HOSTS)
+    def regrant_alone(self, host):
+        """Let an owner replace a runner while it holds its backup to be lost."""
+        self.doubt_backup()
+        self.replace_runner(host)
+        self.run_all()
+
     @rule(host=HOSTS)
     def restart_known(self, host):
         self.restart(host)
@@ -558,7 +596,7 @@
         return row
 
     def _recorded(self, asking, msg):
-        row = self._row(asking, msg.generation, 0, msg.attempts, msg.tokens)
+        row = self._row(asking, msg.generation, RECORDED, msg.attempts, msg.tokens)
         row.ended = True
         self.runs.append(Run(asking, row))
 
@@ -755,6 +793,12 @@
         lambda real: lambda row, try_no: row.ended,
         ("refuse_whole", "ask_whole", "dispatch"),
     ),
+    "lost journal is carried on": Break(
+        claims,
+        "_journal_in_reach",
+        _always(True),
+        (("ask_and_run", "a"), "run_all", "regrant_alone"),
+    ),
     "failure of a later runner is believed": Break(
         claims,
         "end",
