--- a/turmericflow/services/_claimant.py
+++ b/turmericflow/services/_claimant.py
@@ -339,7 +339,7 @@
         row.slot = table.slot_of(new.request_id)
         row.journal_at = answer.journal_at
         row.journal_epoch = table.entries[row.slot].epoch
-        row.journaled_attempts = list(row.attempts)
+        row.journaled, row.journaled_attempt = len(row.tokens), row.attempt
         self._tables.requests.rows[new.request_id] = row
         return row
 
--- a/turmericflow/services/_journal.py
+++ b/turmericflow/services/_journal.py
@@ -8,125 +8,144 @@
 from turmericflow import wire
 from turmericflow.services._peers import Peers, PeerUnreachable
 from turmericflow.services._stats import Stats
-from turmericflow.systems import records, slots, to_wire_attempts
+from turmericflow.systems import records, sending, slots
 from turmericflow.tables import RequestRow, Tables
 from turmericflow.verdict import ErrorCode, Failure, Verdict
 
 RETRY_S = 0.1
+APPEND_TIMEOUT_S = 1.0
 UPLOAD_TIMEOUT_S = 1.0
 STALL_S = 4.0
+MAX_BATCHES_UNDER_WAY = 2
+
+
+class _Lane:
+    """What goes to one holder: rows that have something due, and batches."""
+
+    __slots__ = ("due", "holder", "planned", "under_way")
+
+    def __init__(self, holder: str) -> None:
+        self.holder = holder
+        self.due: dict[int, RequestRow] = {}
+        self.planned = False
+        self.under_way = 0
 
 
 class Journal:
     """Sends what runners have taken to the journals' holders, in batches.
 
-    All requests with the same holder share a batch, and a holder has one
-    batch under way at a time.  When a slot's parties change, the journals of
+    All requests with the same holder share a batch, and a holder has few
+    batches under way at a time.  When a slot's parties change, the journals of
     its requests are uploaded whole before anything more is committed.  A
     request whose holder stays out of reach is given up here, so that its caller
     goes on at a router that reaches it.
     """
 
-    __slots__ = (
-        "_dirty",
-        "_peers",
-        "_stalled",
-        "_stats",
-        "_tables",
-        "_tasks",
-        "_uploads",
-    )
+    __slots__ = ("_lanes", "_peers", "_stats", "_tables", "_uploads")
 
     def __init__(self, tables: Tables, peers: Peers, stats: Stats) -> None:
         self._tables = tables
         self._peers = peers
         self._stats = stats
-        self._dirty: dict[str, dict[int, RequestRow]] = {}
-        self._tasks: dict[str, asyncio.Task] = {}
+        self._lanes: dict[str, _Lane] = {}
         self._uploads: dict[int, asyncio.Task] = {}
-        self._stalled: dict[int, float] = {}
 
     def changed(self, row: RequestRow) -> None:
         """Say that a row has tokens, or its end, that are not yet journaled."""
-        holder = self._holder(row)
+        holder = sending.holder(self._tables, row)
         if not holder:
             self._start_upload(row)
             return
-        self._dirty.setdefault(holder, {})[id(row)] = row
-        if holder not in self._tasks:
-            task = asyncio.ensure_future(self._pump(holder))
-            self._tasks[holder] = task
+        lane = self._lanes.get(holder)
+        if lane is None:
+            lane = self._lanes[holder] = _Lane(holder)
+        lane.due[id(row)] = row
+        self._plan(lane)
 
     def slots_changed(self) -> None:
         """Upload the journals whose slots have other parties than before."""
         for row in list(self._tables.requests.rows.values()):
-            if not row.ended and not self._holder(row):
+            if not row.ended and not sending.holder(self._tables, row):
                 self._start_upload(row)
 
-    def _holder(self, row: RequestRow) -> str:
-        """Return the holder of a row's journal, empty if it is to be uploaded."""
-        entry = self._tables.slots.entries[row.slot]
-        if entry.epoch != row.journal_epoch:
-            return ""
-        found = slots.holder(self._tables, entry, self._tables.host)
-        return found if found == row.journal_at else ""
-
-    async def _pump(self, holder: str) -> None:
-        try:
-            while self._dirty.get(holder):
-                await asyncio.sleep(0)
-                rows = list(self._dirty.pop(holder).values())
-                due = [row for row in rows if not row.ended]
-                await self._send(
-                    holder, [row for row in due if self._here(row, holder)]
-                )
-        finally:
-            del self._tasks[holder]
-
-    def _here(self, row: RequestRow, holder: str) -> bool:
-        if self._holder(row) == holder:
-            return True
-        self.changed(row)
-        return False
-
-    async def _send(self, holder: str, rows: list[RequestRow]) -> None:
-        if not rows:
+    def _plan(self, lane: _Lane) -> None:
+        """Send a batch later in this turn, when all rows have said what is due."""
+        if lane.due and not lane.planned and lane.under_way < MAX_BATCHES_UNDER_WAY:
+            lane.planned = True
+            asyncio.get_running_loop().call_soon(self._send, lane)
+
+    def _send(self, lane: _Lane) -> None:
+        lane.planned = False
+        rows = lane.due.values()
+        lane.due = {}
+        parts = [part for row in rows if (part := self._next_part(lane, row))]
+        if not parts:
             return
-        entries = [_entry(row) for row in rows]
-        ends = [(len(row.tokens), row.complete, list(row.attempts)) for row in rows]
         rid = self._peers.next_rid()
-        try:
-            reply = await self._peers.call(holder, wire.Append(rid, entries))
-        except PeerUnreachable:
-            self._stats.count("journal.unreachable")
-            await asyncio.sleep(RETRY_S)
-            for row in rows:
-                self._note_stall(row)
-                if not row.ended:
-                    self.changed(row)
-            return
-        refused, unknown = set(reply.refused), set(reply.unknown)
-        for number, row in enumerate(rows):
-            if number in refused:
-                self._replaced(row)
-            elif number in unknown:
-                row.journal_epoch = 0
-                self._start_upload(row)
+        msg = wire.Append(rid, [part.entry for part in parts])
+        sent = [part.sent for part in parts]
+        lane.under_way += 1
+
+        def on_reply(reply: wire.Appended | None) -> None:
+            lane.under_way -= 1
+            if reply is None:
+                self._not_answered(sent)
             else:
-                self._commit(row, *ends[number])
+                self._answered(sent, reply)
+            self._plan(lane)
+
+        self._peers.ask(lane.holder, msg, on_reply, APPEND_TIMEOUT_S)
 
-    def _commit(
-        self, row: RequestRow, length: int, complete: bool, attempts: list
-    ) -> None:
+    def _next_part(self, lane: _Lane, row: RequestRow) -> sending.Part | None:
         if row.ended:
+            return None
+        if sending.holder(self._tables, row) != lane.holder:
+            self.changed(row)
+            return None
+        return sending.next_part(row)
+
+    def _not_answered(self, batch: list[sending.Sent]) -> None:
+        self._stats.count("journal.unreachable")
+        for sent in batch:
+            sending.lost(sent)
+            self._note_stall(sent.row)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RETRY_S, self._send_again, [sent.row for sent in batch])
+
+    def _send_again(self, rows: list[RequestRow]) -> None:
+        for row in rows:
+            if sending.is_due(row):
+                self.changed(row)
+
+    def _answered(self, batch: list[sending.Sent], reply: wire.Appended) -> None:
+        now = time.monotonic()
+        if not (reply.refused or reply.unknown):
+            for sent in batch:
+                self._commit(sent, now)
+            return
+        refused, unknown = set(reply.refused), set(reply.unknown)
+        for number, sent in enumerate(batch):
+            if number in refused:
+                self._replaced(sent.row)
+            elif number not in unknown:
+                self._commit(sent, now)
+            elif sending.unknown(sent):
+                self._start_upload(sent.row)
+
+    def _commit(self, sent: sending.Sent, now: float) -> None:
+        row = sent.row
+        before = row.committed
+        if sending.commit(self._tables, sent):
+            self._committed(row, before, now)
+
+    def _committed(self, row: RequestRow, before: int, now: float) -> None:
+        row.stalled_since = None
+        if row.committed > before:
+            row.note_commit(now)
+        elif not row.ended:
             return
-        self._stalled.pop(id(row), None)
-        row.committed = max(row.committed, length)
-        row.note_commit(time.monotonic())
-        row.journaled_attempts = attempts
-        row.ended = complete
         row.wake()
-        if complete:
+        if row.ended:
             self._start_upload(row)
 
     def _replaced(self, row: RequestRow) -> None:
@@ -137,72 +156,69 @@
     def _note_stall(self, row: RequestRow) -> None:
         """Take in that a journal's holder did not answer."""
         now = time.monotonic()
-        since = self._stalled.setdefault(id(row), now)
-        if not row.ended and now - since >= STALL_S:
+        if row.stalled_since is None:
+            row.stalled_since = now
+        if not row.ended and now - row.stalled_since >= STALL_S:
             self._stats.count("journal.gave_up")
             self._give_up(row, "this router cannot reach the journal's holder")
 
     def _give_up(self, row: RequestRow, message: str) -> None:
-        self._stalled.pop(id(row), None)
         row.failure = Failure(ErrorCode.REPLACED, Verdict.MAY_HAVE_RUN, message)
         row.ended = True
         row.wake()
 
     def _start_upload(self, row: RequestRow) -> None:
-        if id(row) in self._uploads:
-            return
-        work = self._share_end(row) if row.ended else self._upload(row)
-        task = asyncio.ensure_future(work)
-        self._uploads[id(row)] = task
-        task.add_done_callback(lambda _: self._uploads.pop(id(row)))
+        if id(row) not in self._uploads:
+            task = asyncio.ensure_future(self._work_off(row))
+            self._uploads[id(row)] = task
+
+    async def _work_off(self, row: RequestRow) -> None:
+        """Upload a journal whole; at the answer's end to both of its parties."""
+        try:
+            while not (row.ended or await self._upload(row)):
+                await asyncio.sleep(RETRY_S)
+            if row.complete and row.failure is None:
+                await self._share_end(row)
+        finally:
+            del self._uploads[id(row)]
+        if sending.is_due(row):
+            self.changed(row)
 
     async def _share_end(self, row: RequestRow) -> None:
         """Give the whole answer to the slot's other party, once."""
         entry = self._tables.slots.entries[row.slot]
+        record = records.to_upload_record(row, self._tables.host, row.journal_at)
         for host in {entry.owner, entry.backup} - {row.journal_at, ""}:
-            await self._upload_to(host, row, entry.epoch, row.journal_at)
-
-    async def _upload(self, row: RequestRow) -> None:
-        while not row.ended:
-            entry = self._tables.slots.entries[row.slot]
-            holder = slots.holder(self._tables, entry, self._tables.host)
-            end = (len(row.tokens), row.complete, list(row.attempts))
-            hosts = dict.fromkeys([holder, entry.owner])
-            answers = [
-                await self._upload_to(host, row, entry.epoch, holder) for host in hosts
-            ]
-            if any(answer is not None and answer.replaced for answer in answers):
-                self._replaced(row)
-                return
-            if all(answer is not None and answer.accepted for answer in answers):
-                row.journal_at, row.journal_epoch = holder, entry.epoch
-                self._commit(row, *end)
-                if not row.ended and len(row.tokens) > row.committed:
-                    self.changed(row)
-                return
+            await self._upload_to(host, record, entry.epoch)
+
+    async def _upload(self, row: RequestRow) -> bool:
+        """Upload a journal; return whether it is over, also if it was refused."""
+        entry = self._tables.slots.entries[row.slot]
+        holder = slots.holder(self._tables, entry, self._tables.host)
+        sent = sending.start_upload(row)
+        record = records.to_upload_record(row, self._tables.host, holder)
+        answers = [
+            await self._upload_to(host, record, entry.epoch)
+            for host in dict.fromkeys([holder, entry.owner])
+        ]
+        if any(answer is not None and answer.replaced for answer in answers):
+            self._replaced(row)
+            return True
+        if not all(answer is not None and answer.accepted for answer in answers):
             self._note_stall(row)
-            await asyncio.sleep(RETRY_S)
+            return False
+        before = row.committed
+        if not sending.finish_upload(self._tables, sent, holder, entry.epoch):
+            return False
+        self._committed(row, before, time.monotonic())
+        return True
 
     async def _upload_to(
-        self, host: str, row: RequestRow, slot_epoch: int, holder: str
+        self, host: str, record: wire.Record, slot_epoch: int
     ) -> wire.Uploaded | None:
-        record = records.to_upload_record(row, self._tables.host, holder)
         msg = wire.Upload(self._peers.next_rid(), slot_epoch, record)
         try:
             return await self._peers.call(host, msg, UPLOAD_TIMEOUT_S)
         except PeerUnreachable:
             self._stats.count("journal.upload_unreachable")
             return None
-
-
-def _entry(row: RequestRow) -> wire.AppendEntry:
-    same = row.attempts == row.journaled_attempts
-    return wire.AppendEntry(
-        row.request_id.customer,
-        row.request_id.key,
-        row.runner_epoch,
-        row.committed,
-        row.tokens[row.committed :],
-        [] if same else to_wire_attempts(row.attempts),
-        row.complete,
-    )
--- a/turmericflow/services/_peers.py
+++ b/turmericflow/services/_peers.py
@@ -167,6 +167,52 @@
             raise PeerUnreachable(f"{host}: no reply to {type(msg).__name__}")
         return reply
 
+    def ask(
+        self,
+        host: str,
+        msg: wire.Message,
+        on_reply: Callable[[wire.AnyMessage | None], None],
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        """Send a message without a task; its reply goes to ``on_reply``, once.
+
+        It gets None if no reply came in time or the peer cannot be reached; the
+        message may have taken effect then.
+        """
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(timeout_s, self._time_out, msg.rid)
+
+        def resolve(reply: wire.AnyMessage | None) -> None:
+            timer.cancel()
+            self.forget(host, msg.rid)
+            on_reply(reply)
+
+        self._waiting[msg.rid] = resolve
+        stream = self._streams.get(host)
+        if host == self._tables.host:
+            loop.call_soon(self._handle, msg, self._resolve)
+        elif stream is not None:
+            self._rids_of.setdefault(host, set()).add(msg.rid)
+            stream.send(msg)
+        else:
+            self._spawn(self._ask_first(host, msg))
+
+    async def _ask_first(self, host: str, msg: wire.Message) -> None:
+        """Send a message for which a connection has to be made."""
+        try:
+            stream = await self._connect(host)
+        except PeerUnreachable:
+            self._time_out(msg.rid)
+            return
+        if msg.rid in self._waiting:
+            self._rids_of.setdefault(host, set()).add(msg.rid)
+            stream.send(msg)
+
+    def _time_out(self, rid: int) -> None:
+        resolve = self._waiting.get(rid)
+        if resolve is not None:
+            resolve(None)
+
     async def send(
         self,
         host: str,
@@ -282,6 +328,9 @@
             return
         outcome = handler(msg, reply)
         if outcome is not None:
-            task = asyncio.ensure_future(outcome)
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._spawn(outcome)
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/turmericflow/tables/_requests.py
+++ b/turmericflow/tables/_requests.py
@@ -46,8 +46,13 @@
         Texts of all tokens taken from targets.
     committed
         Number of tokens that the journal's holder has acknowledged.
-    journaled
-        Number of tokens that were sent to the journal's holder.
+    journaled, journaled_attempt, journaled_complete
+        Number of tokens, newest attempt, and whether the end was sent to the
+        journal's holder, acknowledged or not.
+    journal_round
+        Number that grows whenever what is under way to the holder is void.
+    stalled_since
+        Time since which the holder has not answered, or None.
     target
         Name of the target in use, or empty.
     dispatched
@@ -71,8 +76,6 @@
         Slot that the request hashes to.
     journal_at, journal_epoch
         Host that holds the journal, and the slot epoch in which it got it.
-    journaled_attempts
-        Attempts that the journal holds.
     first_committed_at, committed_at
         Times of the first and the last commit by this host, 0 before it.
     committed_attempt
@@ -98,6 +101,10 @@
     tokens: list[str] = field(default_factory=list)
     committed: int = 0
     journaled: int = 0
+    journaled_attempt: int = 0
+    journaled_complete: bool = False
+    journal_round: int = 0
+    stalled_since: float | None = None
     target: str = ""
     dispatched: bool = False
     complete: bool = False
@@ -111,7 +118,6 @@
     slot: int = -1
     journal_at: str = ""
     journal_epoch: int = 0
-    journaled_attempts: list[AttemptStart] = field(default_factory=list)
     first_committed_at: float = 0.0
     committed_at: float = 0.0
     committed_attempt: int = 0
--- a/turmericflow/tests/test_claims_model.py
+++ b/turmericflow/tests/test_claims_model.py
@@ -30,10 +30,10 @@
     journal,
     placement,
     records,
+    sending,
     slots,
     to_attempts,
     to_failure,
-    to_wire_attempts,
     to_wire_failure,
 )
 from turmericflow.tables import (
@@ -253,26 +253,29 @@
     def _send_journal(self, run):
         row, host = run.row, run.asking.host
         tables, entry = self.tables[host], self._entry(host)
-        holder = slots.holder(tables, entry, host)
-        end = (len(row.tokens), row.complete)
-        if (entry.epoch, holder) == (row.journal_epoch, row.journal_at):
-            msg = wire.AppendEntry(
-                KEY.customer,
-                KEY.key,
-                row.runner_epoch,
-                row.committed,
-                row.tokens[row.committed :],
-                to_wire_attempts(row.attempts),
-                row.complete,
-            )
-            self._send(host, holder, wire.Append(0, [msg]), (run, end))
+        holder = sending.holder(tables, row)
+        if holder:
+            part = sending.next_part(row)
+            if part is not None:
+                self._send(host, holder, wire.Append(0, [part.entry]), (run, part.sent))
             return
+        holder = slots.holder(tables, entry, host)
+        sent = sending.start_upload(row)
         record = records.to_upload_record(row, host, holder)
         left = {holder, entry.owner}
         for to in sorted(left):
-            context = (run, end, left, holder, entry.epoch)
+            context = (run, sent, left, holder, entry.epoch)
             self._send(host, to, wire.Upload(0, entry.epoch, record), context)
 
+    @rule(pick=PICK)
+    def give_up_appends(self, pick):
+        """Let a run hold what it has under way to be lost, and send it again."""
+        runs = [run for run in self._live_runs() if run.row.journaled]
+        if runs:
+            run = runs[pick % len(runs)]
+            sending.rewind(run.row)
+            self._send_journal(run)
+
     @rule(number=st.integers(0, 1), pick=PICK)
     def show(self, number, pick):
         runs = [
@@ -460,12 +463,38 @@
         self.ask_whole(host, 1)
         self.dispatch(0)
 
+    @rule(host=HOSTS)
+    def transfer_late(self, host):
+        """Let a slot's records reach the backup after an attempt's journal."""
+        self.ask_and_run(host)
+        self.transfer(host)
+        late, self.network = self.network, []
+        self.lose_engine(0)
+        self.deliver_all()
+        self.network += late
+        self.run_all()
+
+    @rule(host=HOSTS)
+    def regrant_whole(self, host):
+        self.replace_runner(host)
+        self.run_all()
+
+    @rule(pick=PICK)
+    def lose_part(self, pick):
+        """Let one of two parts that are under way be lost, and show the rest."""
+        self.output(pick, False)
+        self.output(pick, False)
+        self.network = (
+            self.network[: -1 - pick % 2] + self.network[len(self.network) - pick % 2 :]
+        )
+        self.deliver_all()
+        self.show(0, pick)
+
     @rule(host=HOSTS)
     def regrant_alone(self, host):
         """Let an owner replace a runner while it holds its backup to be lost."""
         self.doubt_backup()
-        self.replace_runner(host)
-        self.run_all()
+        self.regrant_whole(host)
 
     @rule(host=HOSTS)
     def restart_known(self, host):
@@ -591,7 +620,8 @@
     def _row(self, asking, generation, epoch, attempts, tokens):
         row = RequestRow(KEY, self.profile, generation, epoch, b"{}", "p", 9, NOW)
         row.attempts, row.tokens = to_attempts(attempts), list(tokens)
-        row.committed = len(tokens)
+        row.committed = row.journaled = len(tokens)
+        row.journaled_attempt = row.attempt
         row.try_no, row.fingerprint, row.slot = asking.try_no, "f", 0
         return row
 
@@ -609,29 +639,24 @@
         self.runs.append(Run(asking, row))
 
     def _appended(self, context, outcome):
-        run, (length, complete) = context
+        run, sent = context
         match outcome:
             case journal.AppendOutcome.TAKEN:
-                self._commit(run, length, complete)
+                sending.commit(self.tables[run.asking.host], sent)
             case journal.AppendOutcome.REPLACED:
                 run.row.ended = True
             case journal.AppendOutcome.UNKNOWN:
-                run.row.journal_epoch = 0
+                sending.unknown(sent)
 
     def _uploaded(self, letter, context, msg):
-        run, end, left, holder, epoch = context
+        run, sent, left, holder, epoch = context
         if msg.replaced:
             run.row.ended = True
         if msg.accepted:
             left.discard(letter.source)
-            if not left and not run.row.ended:
-                run.row.journal_at, run.row.journal_epoch = holder, epoch
-                self._commit(run, *end)
-
-    def _commit(self, run, length, complete):
-        if not run.row.ended:
-            run.row.committed = max(run.row.committed, length)
-            run.row.ended = complete
+            if not left:
+                tables = self.tables[run.asking.host]
+                sending.finish_upload(tables, sent, holder, epoch)
 
     def check_invariants(self, *args, **kwargs):
         super().check_invariants(*args, **kwargs)
@@ -731,6 +756,35 @@
     return lambda real: lambda *args: value
 
 
+def _tokens_alone(real):
+    def broken(row, record):
+        if row.generation != record.generation or not row.generation:
+            return False
+        return row.ended or len(row.tokens) > len(record.tokens)
+
+    return broken
+
+
+def _gap_closed(real):
+    def broken(tables, entry, now):
+        row = tables.claims.rows.get(KEY)
+        if row is not None:
+            entry.start = min(entry.start, len(row.tokens))
+        return real(tables, entry, now)
+
+    return broken
+
+
+def _all_that_was_sent(real):
+    def broken(tables, sent):
+        counts = real(tables, sent)
+        if counts:
+            sent.row.committed = sent.row.journaled
+        return counts
+
+    return broken
+
+
 @dataclass(frozen=True)
 class Break:
     """A rule to break: the decision, its replacement, and a history's steps."""
@@ -793,11 +847,29 @@
         lambda real: lambda row, try_no: row.ended,
         ("refuse_whole", "ask_whole", "dispatch"),
     ),
+    "late transfer drops attempts": Break(
+        backup,
+        "_further",
+        _tokens_alone,
+        (("transfer_late", "a"), ("regrant_whole", "c")),
+    ),
+    "gap is closed": Break(
+        journal,
+        "append",
+        _gap_closed,
+        (("ask_and_run", "a"), ("lose_part", 1), ("regrant_whole", "c")),
+    ),
+    "all that was sent is committed": Break(
+        sending,
+        "commit",
+        _all_that_was_sent,
+        (("ask_and_run", "a"), ("lose_part", 0), ("regrant_whole", "c")),
+    ),
     "lost journal is carried on": Break(
         claims,
         "_journal_in_reach",
         _always(True),
-        (("ask_and_run", "a"), "run_all", "regrant_alone"),
+        (("ask_and_run", "a"), "run_all", ("regrant_alone", "c")),
     ),
     "failure of a later runner is believed": Break(
         claims,
