Judge shares over all routers, and keep the queue short

Cause: a large customer's work was expected to wait 0 s while only places kept for others were free, so it was accepted, waited 2.4 s (median 1.75 s) and then took the kept places as overdue. Each router judged shares by its own few requests, so small customers were taken as over by chance, and the mean time of a place was learned from the shortest requests first. After an overload the demand of the time before kept places for 9 s.

Change: admission counts only the places that work may take; shares are of the demand that routers tell each other, by the level of max-min fairness, and only while there is not enough for all; credits bound what is within a share; places are kept on each target with what may have been taken unseen; a target's last place is left where another has more; routers share targets out for work over its share; a queue that is not empty takes what is expected to wait a tenth of the profile's wait, not a quarter.

--- a/turmericflow/systems/_admission.py
+++ b/turmericflow/systems/_admission.py
@@ -15,9 +15,10 @@
 from turmericflow.tables import Pool, Tables, TargetKind, Work
 from turmericflow.verdict import ErrorCode, Failure, Verdict
 
-WAIT_SHARE = 0.25
+EMPTY_SHARE = 0.25
+WAIT_SHARE = 0.1
 STANDING_S = 2.0
-STANDING_SHARE = 0.1
+STANDING_SHARE = 0.05
 OVERTAKEN = 3.0
 SMALLEST_SHARE = 0.1
 SMALLEST_RATE_PER_S = 1e-6
@@ -84,7 +85,7 @@
         if flow.queued and each != name:
             weights += weight_of(tables, each[1])
     flow = pool.flows.get(name)
-    served = flow.rate_per_s if flow is not None else 0.0
+    served = flow.rate_per_s if flow is not None and name not in pool.over else 0.0
     return max(served, left * own / weights)
 
 
@@ -94,10 +95,14 @@
     Later work of other customers may go before it, so that what counts is its
     customer's own queue, and the rate at which that is served.
     """
-    if pool.free - len(pool.admitted) > fairness.waiting(pool):
+    within = work.resume or fairness.within_share(pool, work)
+    free = pool.free if within else pool.free_over
+    if free - len(pool.admitted) > fairness.waiting(pool):
         return 0.0
     before, same, own = _ahead(pool, work)
     rate = rate_per_s(pool, routers)
+    if not within:
+        rate = max(SMALLEST_SHARE * rate, rate - pool.inside_per_s / routers)
     if not own:
         return (fairness.before(pool, work) + 1) / rate
     fair = (own + 1) / _flow_rate(tables, pool, work, rate)
@@ -143,9 +148,13 @@
 def _longest_wait_s(pool: Pool, work: Work, now: float) -> float:
     """Return the longest expected wait with which work is still accepted.
 
-    A queue that does not empty adds to the wait and to the time of recovery,
-    and serves nobody; so it is kept short, but for customers with nothing in it.
+    An empty queue takes work in whatever the pool's size.  Behind that, all that
+    waits adds to the waits of later work and to the time of recovery; so a
+    queue is kept short, and one that does not empty shorter still, but for
+    customers with nothing in it.
     """
+    if not fairness.waiting(pool) and not pool.admitted:
+        return work.profile.wait_s * EMPTY_SHARE
     flow = pool.flows.get((work.profile.name, work.request_id.customer))
     standing = now - pool.empty_at > STANDING_S
     if standing and flow is not None and flow.queued:
--- a/turmericflow/systems/_fairness.py
+++ b/turmericflow/systems/_fairness.py
@@ -8,20 +8,29 @@
 
 from turmericflow.profile import Urgency
 from turmericflow.tables import Flow, LoadTable, Pool, Waiting, Work
+from turmericflow.wire import FlowDemand
 
 FLOW_GAIN = 0.1
 RANK_GAIN = 0.3
 IDLE_PER_S = 0.01
-WITHIN = 1.3
-CONTENDED_S = 3.0
-SELDOM = 0.01
-OVERDUE_SHARE = 0.5
+JUDGED_S = 0.5
+OVER = 1.3
+INSIDE = 0.8
+OVERLOAD = 1.1
+CALM = 0.9
+CREDIT_REQUESTS = 4.0
+MOST_TOLD = 16
+TOLD_FREE_SHARE = 0.5
+SELDOM = 0.002
 UNSEEN_S = 0.2
 LARGEST_RATIO = 0.8
-LARGEST_HEADROOM = 0.1
+LARGEST_HEADROOM = 0.2
+OVERDUE_SHARE = 0.5
 RESUME_RANK = 0
 RANKS = {Urgency.URGENT: 1, Urgency.NORMAL: 2, Urgency.THRIFTY: 3}
 
+FlowName = tuple[str, str]
+
 
 def rank_of(work: Work) -> int:
     """Return the class of some work; a lower one goes first."""
@@ -33,7 +42,7 @@
     name = (work.profile.name, work.request_id.customer)
     flow = pool.flows.get(name)
     if flow is None:
-        flow = pool.flows[name] = Flow()
+        flow = pool.flows[name] = Flow(credit=CREDIT_REQUESTS)
     return flow
 
 
@@ -126,46 +135,119 @@
     return sum(pool.depth.values())
 
 
-def judge(
+def _demand(pool: Pool) -> dict[FlowName, float]:
+    """Return what customers ask for at all routers that tell each other."""
+    found = {name: flow.asked_per_s for name, flow in pool.flows.items()}
+    for told in pool.others.values():
+        for flow in told.flows:
+            name = (flow.profile, flow.customer)
+            found[name] = found.get(name, 0.0) + flow.asked_per_s
+    return found
+
+
+def _largest(pool: Pool) -> tuple[FlowDemand, ...]:
+    """Return the customers that ask most here, to be told to other routers."""
+    if pool.free > TOLD_FREE_SHARE * pool.slots:
+        return ()
+    asked = ((flow.asked_per_s, name) for name, flow in pool.flows.items())
+    largest = heapq.nlargest(MOST_TOLD, asked)
+    return tuple(FlowDemand(*name, round(rate, 1)) for rate, name in largest if rate)
+
+
+def _level(
+    demand: dict[FlowName, float], weights: dict[FlowName, float], rate_per_s: float
+) -> float:
+    """Return the demand for each weight up to which all can be served.
+
+    It is the level of max-min fairness; infinite if there is enough for all.
+    """
+    left, weight_left = rate_per_s, sum(weights.values())
+    for name in sorted(demand, key=lambda each: demand[each] / weights[each]):
+        if demand[name] * weight_left > left * weights[name]:
+            return left / weight_left
+        left -= demand[name]
+        weight_left -= weights[name]
+    return math.inf
+
+
+def _fill_credits(
     pool: Pool,
-    weight_of: Callable[[str], float],
-    rate_per_s: float,
-    routers: int,
-    now: float,
+    demand: dict[FlowName, float],
+    shares: dict[FlowName, float],
+    part: float,
 ) -> None:
-    """Judge who wants more than its share, and what to keep for the others.
+    """Add to each customer's credit what of its share falls to this router.
 
-    Places come free at some rate, and customers within their share take them at
-    a lower one.  So many are kept for them that they seldom find none; none are
-    kept while there are places for all.
+    That is the part that it asks for here, and no less than an equal part.
     """
-    flows = pool.flows
-    weights = sum(weight_of(name[1]) for name in flows) or 1.0
-    unit = WITHIN * rate_per_s / weights
-    over = {n for n, each in flows.items() if each.asked_per_s > unit * weight_of(n[1])}
-    inside = sum(each.asked_per_s for name, each in flows.items() if name not in over)
-    pool.over = over if now - pool.contended_at <= CONTENDED_S else set()
-    pool.inside_per_s = inside if pool.over else 0.0
-    total = pool.inside_per_s + sum(pool.others_inside.values())
-    if not total:
-        pool.headroom = 0
-        return
-    ratio = min(LARGEST_RATIO, total / (rate_per_s * routers))
-    places = math.log(SELDOM) / math.log(ratio) + total * UNSEEN_S
-    pool.headroom = min(int(LARGEST_HEADROOM * pool.slots), math.ceil(places))
+    for name, flow in pool.flows.items():
+        here = flow.asked_per_s / demand[name] if demand[name] else 1.0
+        filled = shares[name] * max(here, part) * JUDGED_S
+        flow.credit = min(CREDIT_REQUESTS, flow.credit + filled)
 
 
-def note_contention(pool: Pool, now: float) -> None:
-    """Note if work waits anywhere, or few places are free."""
-    few = pool.free <= LARGEST_HEADROOM * pool.slots
-    if few or waiting(pool) or any(pool.others_waiting.values()):
-        pool.contended_at = now
+def judge(
+    pool: Pool, weight_of: Callable[[str], float], rate_per_s: float, routers: int
+) -> None:
+    """Judge whose demand is over its share, and how many places to keep.
 
+    To be called each ``JUDGED_S``.  Nobody is over its share as long as there
+    is enough for all.  Shares are of what all routers see together.
 
-def within_share(pool: Pool, entry: Waiting) -> bool:
-    """Return whether an entry's customer asks for no more than its share."""
-    name = (entry.work.profile.name, entry.work.request_id.customer)
-    return name not in pool.over
+    Parameters
+    ----------
+    pool
+        The pool.
+    weight_of
+        Weight of a customer.
+    rate_per_s
+        Rate at which places come free for all routers.
+    routers
+        Number of routers.
+    """
+    demand = _demand(pool)
+    weights = {name: weight_of(name[1]) for name in demand}
+    unit = rate_per_s / (sum(weights.values()) or 1.0)
+    shares = {name: unit * weight for name, weight in weights.items()}
+    _fill_credits(pool, demand, shares, 1.0 / routers)
+    asked = pool.asked_per_s + sum(told.asked_per_s for told in pool.others.values())
+    level = math.inf
+    if asked > CALM * rate_per_s and sum(demand.values()) > OVERLOAD * rate_per_s:
+        level = max(_level(demand, weights, rate_per_s), OVER * unit)
+    pool.over = {name for name, each in demand.items() if each > level * weights[name]}
+    within = (each for name, each in demand.items() if each <= INSIDE * shares[name])
+    pool.inside_per_s = sum(within) if pool.over else 0.0
+    pool.spare = _spare(pool, rate_per_s)
+    pool.told = _largest(pool)
+
+
+def _spare(pool: Pool, rate_per_s: float) -> int:
+    """Return the places of each target to keep for customers within their share.
+
+    Places come free at some rate, and those customers take them at a lower one.
+    So many are kept that they seldom find none, and on each target what may
+    have been taken there since it was last heard of.
+    """
+    inside = pool.inside_per_s
+    if not inside or not pool.targets:
+        return 0
+    ratio = min(LARGEST_RATIO, inside / rate_per_s)
+    places = math.log(SELDOM) / math.log(ratio)
+    most = LARGEST_HEADROOM * pool.slots
+    kept = math.ceil(min(most, places) / len(pool.targets))
+    return kept + math.ceil(inside * UNSEEN_S / len(pool.targets))
+
+
+def within_share(pool: Pool, work: Work) -> bool:
+    """Return whether a work's customer has taken no more than its share lately."""
+    name = (work.profile.name, work.request_id.customer)
+    return name not in pool.over and flow_of(pool, work).credit >= 1.0
+
+
+def charge(pool: Pool, work: Work) -> None:
+    """Take work that was given a place out of its customer's credit."""
+    flow = flow_of(pool, work)
+    flow.credit = max(0.0, flow.credit - 1.0)
 
 
 def measure(pool: Pool, elapsed_s: float) -> None:
@@ -177,6 +259,8 @@
         before = pool.rank_rates.get(rank, 0.0)
         rate = pool.served.pop(rank, 0) / elapsed_s
         pool.rank_rates[rank] = before + RANK_GAIN * (rate - before)
+    asked = sum(flow.asked for flow in pool.flows.values()) / elapsed_s
+    pool.asked_per_s += RANK_GAIN * (asked - pool.asked_per_s)
     for name, flow in list(pool.flows.items()):
         flow.measured += 1
         gain = max(FLOW_GAIN, 1.0 / flow.measured)
--- a/turmericflow/systems/_routing.py
+++ b/turmericflow/systems/_routing.py
@@ -64,11 +64,36 @@
     ]
 
 
-def _room(target: Target, pool: Pool, work: Work, now: float) -> bool:
-    if work.spare and pool.own_turn is not None and target.name not in pool.own_turn:
-        return False
+def may_fill(pool: Pool, target: Target) -> bool:
+    """Return whether a target's places are this host's to fill beyond shares."""
+    if pool.own_turn is None or target.name in pool.own_turn:
+        return True
+    return target.name in pool.freed
+
+
+def _room(target: Target, pool: Pool, work: Work, now: float) -> int:
+    """Return how many places of a target some work might take."""
+    if work.spare and not may_fill(pool, target):
+        return 0
     kept = 0 if work.resume else pool.reserve + work.spare
-    return estimates.occupied(target, now) < estimates.slots_of(target) - kept
+    return estimates.slots_of(target) - kept - estimates.occupied(target, now)
+
+
+def _roomy(
+    tables: Tables, pool: Pool, targets: list[Target], work: Work, now: float
+) -> list[Target]:
+    """Return the targets that have room, without those on their last place.
+
+    Another router may have taken the last place already; so it is only used
+    where no target has more.
+    """
+    rooms = [
+        (each, _room(each, pool, work, now))
+        for each in targets
+        if usable(tables, each, work, now)
+    ]
+    least = 1 if all(room <= 1 for _, room in rooms) else 2
+    return [each for each, room in rooms if room >= least]
 
 
 def sample(
@@ -80,20 +105,14 @@
     take the work.
     """
     rows = tables.targets.rows
-
-    def fits(target: Target) -> bool:
-        return usable(tables, target, work, now) and _room(target, pool, work, now)
-
     if len(pool.targets) <= SAMPLE + WARM_SAMPLE:
-        return [each for each in pool.targets if fits(each)]
+        return _roomy(tables, pool, pool.targets, work, now)
     names = prefixes.warm_targets(tables.load, work.blocks, WARM_SAMPLE)
     warm = [rows[name] for name in names if name in rows]
     picked = {each.name: each for each in warm}
     picked.update((each.name, each) for each in rng.sample(pool.targets, SAMPLE))
-    found = [each for each in picked.values() if fits(each)]
-    if found:
-        return found
-    return [each for each in pool.targets if fits(each)]
+    found = _roomy(tables, pool, list(picked.values()), work, now)
+    return found or _roomy(tables, pool, pool.targets, work, now)
 
 
 def choose(
--- a/turmericflow/systems/_scheduling.py
+++ b/turmericflow/systems/_scheduling.py
@@ -19,11 +19,12 @@
     _routing as routing,
 )
 from turmericflow.tables import Pool, Tables, Target, TargetKind, Waiting, Work
+from turmericflow.wire import PoolDemand
 
 LAST_SHARE = 0.2
 RATE_GAIN = 0.3
-RATE_S = 0.5
 HOLD_GAIN = 0.02
+HELD_ENOUGH = 50
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,6 +71,7 @@
 
 
 def _count(tables: Tables, pool: Pool, now: float) -> None:
+    pool.freed.clear()
     rows = tables.targets.rows.values()
     pool.targets = [each for each in rows if routing.matches(each, pool.profile)]
     usable = [each for each in pool.targets if routing.available(tables, each, now)]
@@ -79,27 +81,31 @@
     known = sum(each.known for each in pool.targets)
     pool.others_in_flight = known - pool.in_flight
     pool.own_turn = _own_turn(tables, pool)
-    pool.slots = pool.free = 0
+    pool.slots = pool.free = pool.free_over = 0
     for each in usable:
         slots = max(0, estimates.slots_of(each) - pool.reserve)
+        free = slots - estimates.occupied(each, now)
         pool.slots += slots
-        pool.free += max(0, slots - estimates.occupied(each, now))
+        pool.free += max(0, free)
+        if pool.own_turn is None or each.name in pool.own_turn:
+            pool.free_over += max(0, free - pool.spare)
 
 
 def refresh(tables: Tables, pool: Pool, now: float) -> None:
     """Bring a pool up to date; called each tick for each pool."""
+    pool.busy_s += pool.in_flight * max(0.0, now - pool.refreshed_at)
+    pool.refreshed_at = now
     _count(tables, pool, now)
-    fairness.note_contention(pool, now)
     if not fairness.waiting(pool):
         pool.empty_at = now
     admission.forget_admitted(pool, now)
     elapsed = now - pool.measured_at
-    if elapsed >= RATE_S:
+    if elapsed >= fairness.JUDGED_S:
         fairness.measure(pool, elapsed)
         routers = tables.load.routers
-        rate = admission.part_per_s(pool, routers)
+        whole = admission.part_per_s(pool, routers) * routers
         weight_of = partial(admission.weight_of, tables)
-        fairness.judge(pool, weight_of, rate, routers, now)
+        fairness.judge(pool, weight_of, whole, routers)
         rate = pool.released / elapsed
         pool.rate_per_s += RATE_GAIN * (rate - pool.rate_per_s)
         pool.released, pool.measured_at = 0, now
@@ -134,7 +140,10 @@
     target.classes[estimates.class_of(work.expected_tokens)] += 1
     target.work_tokens += work.expected_tokens
     breakers.on_sent(target, now)
+    fairness.charge(pool, work)
+    pool.freed.discard(target.name)
     pool.free -= 1
+    pool.free_over -= 1
     pool.in_flight += 1
 
 
@@ -144,11 +153,12 @@
     Routers that have work waiting share the targets out by how much waits, so
     that a place that comes free is not taken by several of them at once.
     """
-    others = {host: n for host, n in pool.others_waiting.items() if n}
-    own = fairness.waiting(pool)
-    if not others or not own:
+    hosts = tables.load.heard_at
+    if not pool.spare or not hosts:
         return None
-    numbers = sorted([*others.items(), (tables.host, own)])
+    told = {host: pool.others.get(host, PoolDemand()) for host in hosts}
+    numbers = [(host, 1 + each.waiting) for host, each in told.items()]
+    numbers = sorted([*numbers, (tables.host, 1 + fairness.waiting(pool))])
     total = sum(number for _, number in numbers)
     names = sorted(each.name for each in pool.targets)
     mine, before = set(), 0
@@ -164,10 +174,10 @@
 
 def _set_spare(pool: Pool, entry: Waiting) -> bool:
     """Set what an entry must leave to other customers; return if it leaves any."""
-    if entry.work.resume or fairness.within_share(pool, entry):
+    if entry.work.resume or fairness.within_share(pool, entry.work):
         entry.work.spare = 0
         return False
-    entry.work.spare = -(-pool.headroom // max(1, len(pool.targets)))
+    entry.work.spare = pool.spare
     return True
 
 
@@ -247,12 +257,18 @@
     target.classes[estimates.class_of(work.expected_tokens)] -= 1
     target.work_tokens = max(0.0, target.work_tokens - work.expected_tokens)
     pool.free += 1
+    pool.free_over += 1
     pool.in_flight -= 1
     pool.released += 1
+    pool.freed.add(target.name)
     if lost:
         breakers.on_lost(target, now)
         return
     breakers.on_success(target, sent_at, now)
     pool.held += 1
+    if pool.held <= HELD_ENOUGH and pool.busy_s:
+        # The first to end are the shortest, so those that still run count too.
+        pool.hold_s = pool.busy_s / pool.held
+        return
     gain = max(HOLD_GAIN, 1.0 / pool.held)
     pool.hold_s += gain * (now - sent_at - pool.hold_s)
--- a/turmericflow/systems/_sharing.py
+++ b/turmericflow/systems/_sharing.py
@@ -13,6 +13,7 @@
     _overlay as overlay,
 )
 from turmericflow.tables import PeerState, Tables
+from turmericflow.wire import PoolDemand
 
 SHARE_S = 0.1
 FULL_S = 1.0
@@ -44,24 +45,21 @@
     return found
 
 
-def waiting(tables: Tables) -> dict[str, tuple[int, float]]:
-    """Return by pool how much work waits here, and what is asked within shares."""
+def waiting(tables: Tables) -> dict[str, PoolDemand]:
+    """Return by pool how much work waits here, and which customers ask most."""
     found = {}
     for name, pool in tables.load.pools.items():
-        number, inside = fairness.waiting(pool), round(pool.inside_per_s, 1)
-        if number or inside:
-            found[name] = (number, inside)
+        number = fairness.waiting(pool)
+        if number or pool.told:
+            asked = round(pool.asked_per_s) if pool.told else 0.0
+            found[name] = PoolDemand(number, asked, pool.told)
     return found
 
 
-def learn_waiting(
-    tables: Tables, host: str, told: dict[str, tuple[int, float]]
-) -> None:
-    """Take in how much work waits at another router."""
+def learn_waiting(tables: Tables, host: str, told: dict[str, PoolDemand]) -> None:
+    """Take in how much work waits at another router, and who asks there."""
     for name, pool in tables.load.pools.items():
-        number, inside = told.get(name, (0, 0.0))
-        pool.others_waiting[host] = number
-        pool.others_inside[host] = inside
+        pool.others[host] = told.get(name, PoolDemand())
 
 
 def learn(
@@ -93,7 +91,6 @@
     for host in [each for each in heard if now - heard[each] > HEARD_S]:
         del heard[host]
         for pool in tables.load.pools.values():
-            pool.others_waiting.pop(host, None)
-            pool.others_inside.pop(host, None)
+            pool.others.pop(host, None)
         for target in tables.targets.rows.values():
             estimates.rebase(target, -target.others.pop(host, 0))
--- a/turmericflow/tables/_load.py
+++ b/turmericflow/tables/_load.py
@@ -8,6 +8,7 @@
 from turmericflow.profile import Profile
 from turmericflow.tables._slots import RequestId
 from turmericflow.tables._targets import Target
+from turmericflow.wire import FlowDemand, PoolDemand
 
 
 @dataclass(slots=True)
@@ -97,6 +98,8 @@
         The same of what it asks for, refused requests included.
     measured
         How often the rates were measured.
+    credit
+        What it may still take within its share, in requests.
     """
 
     finish_tag: float = 0.0
@@ -106,6 +109,7 @@
     asked: int = 0
     asked_per_s: float = 0.0
     measured: int = 0
+    credit: float = 0.0
 
 
 @dataclass(slots=True)
@@ -120,11 +124,16 @@
         Members, by last refresh; each is checked again when it is used.
     free, slots
         Places free and in all, by last refresh and what was sent since.
+    free_over
+        Places of these that work over its customer's share may take.
     reserve
         Places of each target that are kept for resumes.
     hold_s, held
         Mean time for which a request holds a place, in seconds, and the number
         of requests that it was learned from.
+    busy_s, refreshed_at
+        Time for which places were held by this host in all, and the last
+        refresh, in seconds of the host's clock.
     rate_per_s
         Rate at which places come free for this host.
     released, measured_at
@@ -139,20 +148,24 @@
         Customers within profiles, by ``(profile, customer)``.
     in_flight, others_in_flight
         Requests of this host and of others on the targets.
-    others_waiting
-        Waiting work that other hosts have told of, by host.
+    asked_per_s
+        Rate of all requests that came here, refused ones included.
+    told
+        Customers that ask most here, as told to other hosts.
+    others
+        Waiting work and demand that other hosts have told of, by host.
     over
-        Customers within profiles that want more than their share.
-    inside_per_s, others_inside
-        What all other customers ask for here, and at other hosts.
+        Customers within profiles that want more than their share, while there
+        is not enough for all.
+    inside_per_s
+        What customers within their share ask for at all hosts meanwhile.
+    spare
+        Places of each target kept for customers within their share.
     own_turn
-        Targets whose places are this host's to fill while others wait as well;
-        None if it may use all.
-    headroom
-        Places kept for customers within their share, while others are over it.
-    contended_at
-        When work last waited or few places were free, in seconds of the host's
-        clock.
+        Targets whose places this host may fill with work over its share; None
+        if it may use all.
+    freed
+        Targets at which work of this host ended since the last refresh.
     empty_at
         When the queue was last seen empty, in seconds of the host's clock.
     virtual
@@ -169,9 +182,12 @@
     targets: list[Target] = field(default_factory=list)
     free: int = 0
     slots: int = 0
+    free_over: int = 0
     reserve: int = 0
     hold_s: float = 0.0
     held: int = 0
+    busy_s: float = 0.0
+    refreshed_at: float = float("inf")
     rate_per_s: float = 0.0
     released: int = 0
     measured_at: float = float("-inf")
@@ -181,13 +197,14 @@
     flows: dict[tuple[str, str], Flow] = field(default_factory=dict)
     in_flight: int = 0
     others_in_flight: int = 0
-    others_waiting: dict[str, int] = field(default_factory=dict)
+    asked_per_s: float = 0.0
+    told: tuple[FlowDemand, ...] = ()
+    others: dict[str, PoolDemand] = field(default_factory=dict)
     over: set[tuple[str, str]] = field(default_factory=set)
     inside_per_s: float = 0.0
-    others_inside: dict[str, float] = field(default_factory=dict)
+    spare: int = 0
     own_turn: set[str] | None = None
-    headroom: int = 0
-    contended_at: float = float("-inf")
+    freed: set[str] = field(default_factory=set)
     empty_at: float = float("-inf")
     virtual: dict[int, float] = field(default_factory=dict)
     served: dict[int, int] = field(default_factory=dict)
--- a/turmericflow/wire/__init__.py
+++ b/turmericflow/wire/__init__.py
@@ -23,6 +23,7 @@
     Ended,
     FactVersion,
     Fetch,
+    FlowDemand,
     Follow,
     Followed,
     Granted,
@@ -31,6 +32,7 @@
     Message,
     Moved,
     Ping,
+    PoolDemand,
     Probed,
     ProbeFor,
     Record,
@@ -102,7 +104,9 @@
     # Load
     "Allotments",
     "Demands",
+    "FlowDemand",
     "InFlight",
+    "PoolDemand",
     # Membership
     "Ack",
     "Ping",
--- a/turmericflow/wire/_messages.py
+++ b/turmericflow/wire/_messages.py
@@ -375,18 +375,34 @@
     failure: WireFailure
 
 
+class FlowDemand(msgspec.Struct, array_like=True, frozen=True):
+    """What one customer's work within a profile asks for at one router."""
+
+    profile: str
+    customer: str
+    asked_per_s: float
+
+
+class PoolDemand(msgspec.Struct, array_like=True, frozen=True):
+    """What a router has waiting for a pool, and what is asked of it there."""
+
+    waiting: int = 0
+    asked_per_s: float = 0.0
+    flows: tuple[FlowDemand, ...] = ()
+
+
 class InFlight(Message, tag="in_flight"):
     """Tell how many requests a router has running on targets.
 
-    ``waiting`` tells how many it has in the queue of each pool, and what
-    customers within their share ask for per second.  ``full`` says that it has
-    none on targets that are not named; otherwise nothing has changed there.
+    ``waiting`` tells how many it has in the queue of each pool, and which
+    customers ask most.  ``full`` says that it has none on targets that are not
+    named; otherwise nothing has changed there.
     """
 
     host: str
     full: bool
     counts: dict[str, int]
-    waiting: dict[str, tuple[int, float]]
+    waiting: dict[str, PoolDemand]
 
 
 class Demands(Message, tag="demands"):
