Count the time before a customer's first request in its rate

Cause: a customer's rate was first the request that made it known over half a second, 2/s for one that asks for 0.4/s. Summed over routers this put small customers over their share in the first seconds of an overload.

Change: a new flow's rate is a mean over the pool's age. A test fails before.

What is left of the tail are places taken by other routers within the 0.1 s between their counts.

--- a/turmericflow/systems/_fairness.py
+++ b/turmericflow/systems/_fairness.py
@@ -261,9 +261,10 @@
         pool.rank_rates[rank] = before + RANK_GAIN * (rate - before)
     asked = sum(flow.asked for flow in pool.flows.values()) / elapsed_s
     pool.asked_per_s += RANK_GAIN * (asked - pool.asked_per_s)
+    pool.measured += 1
+    # A flow asked for nothing before it was first seen, so the pool's age counts.
+    gain = max(FLOW_GAIN, 1.0 / pool.measured)
     for name, flow in list(pool.flows.items()):
-        flow.measured += 1
-        gain = max(FLOW_GAIN, 1.0 / flow.measured)
         flow.rate_per_s += gain * (flow.served / elapsed_s - flow.rate_per_s)
         flow.asked_per_s += gain * (flow.asked / elapsed_s - flow.asked_per_s)
         flow.served = flow.asked = 0
--- a/turmericflow/tables/_load.py
+++ b/turmericflow/tables/_load.py
@@ -96,8 +96,6 @@
         Rate at which its work is served.
     asked, asked_per_s
         The same of what it asks for, refused requests included.
-    measured
-        How often the rates were measured.
     credit
         What it may still take within its share, in requests.
     """
@@ -108,7 +106,6 @@
     rate_per_s: float = 0.0
     asked: int = 0
     asked_per_s: float = 0.0
-    measured: int = 0
     credit: float = 0.0
 
 
@@ -136,8 +133,9 @@
         refresh, in seconds of the host's clock.
     rate_per_s
         Rate at which places come free for this host.
-    released, measured_at
-        Releases since the last measurement of the rate, and when that was.
+    released, measured_at, measured
+        Releases since the last measurement of the rates, when that was, and how
+        often they were measured.
     heap
         Waiting work as ``(rank, start tag, number, entry)``.
     by_age
@@ -191,6 +189,7 @@
     rate_per_s: float = 0.0
     released: int = 0
     measured_at: float = float("-inf")
+    measured: int = 0
     heap: list[tuple[int, float, int, Waiting]] = field(default_factory=list)
     by_age: deque[Waiting] = field(default_factory=deque)
     depth: dict[int, int] = field(default_factory=dict)
--- a/turmericflow/tests/test_fairness.py
+++ b/turmericflow/tests/test_fairness.py
@@ -67,6 +67,12 @@
     assert not pool.over and not pool.spare
 
 
+def test_first_request_of_a_customer_does_not_put_it_over_its_share(pool):
+    ask(pool, este=2)
+    fairness.judge(pool, weigh, 4.0, 1)
+    assert ("quotation", "este") not in pool.over
+
+
 def test_customer_over_its_share_leaves_places_on_each_target(tables, pool):
     assert pool.over == {("quotation", "norte")} and pool.spare > 0
     fill(tables, pool, "norte")
