--- a/turmericflow/wire/__init__.py
+++ b/turmericflow/wire/__init__.py
@@ -34,7 +34,15 @@
     Followed,
 )
 from turmericflow.wire._levels import BurnCounts, BurnTaken
-from turmericflow.wire._load import Allotments, Demands, InFlight, Observed, Sighted
+from turmericflow.wire._load import (
+    Allotments,
+    Demands,
+    FlowDemand,
+    InFlight,
+    Observed,
+    PoolDemand,
+    Sighted,
+)
 from turmericflow.wire._membership import Ack, Hello, Ping, Probed, ProbeFor
 from turmericflow.wire._messages import AnyMessage
 from turmericflow.wire._records import Record, Store, Stored, Transfer, Upload, Uploaded
@@ -91,8 +99,10 @@
     # Load
     "Allotments",
     "Demands",
+    "FlowDemand",
     "InFlight",
     "Observed",
+    "PoolDemand",
     "Sighted",
     # Membership
     "Ack",
