Keep the version a request was accepted under, or start over under the new one

Cause: a router that took a request over ran it under the profile declared by then, so that a newer version could go on from tokens of the older one: one answer of two models. A request of which nothing was shown waited for its deadline when no engine had its version any more. And a hedge that had no other engine to go to kept the request from hearing that its engine had died. Change: the record of each attempt names the weights it ran with, and a take-over goes on with these. A request that starts over takes the version declared now only if no engine offers its own. A hedge needs another target that could run it. A service's only engine that fell silent, died and was replaced: no answer within 30 s before, whole now. The wire record of an attempt grows by the weights' name; it is sent when the attempts change.

--- a/turmericflow/profile.py
+++ b/turmericflow/profile.py
@@ -4,6 +4,7 @@
 
 import enum
 import re
+from dataclasses import replace
 from typing import Annotated
 
 from pydantic import ConfigDict, Field, Strict, TypeAdapter
@@ -109,6 +110,16 @@
     retired: Flag = False
     objectives: Objectives = Field(default_factory=Objectives)
 
+    @property
+    def loaded(self) -> str:
+        """What a target must have loaded, as ``model/adapter/version``."""
+        return f"{self.model}/{self.adapter}/{self.version}"
+
+    def with_loaded(self, loaded: str) -> Profile:
+        """Return the same profile for other weights."""
+        model, adapter, version = loaded.split("/")
+        return replace(self, model=model, adapter=adapter, version=version)
+
 
 @dataclass(slots=True, config=_CONFIG)
 class Customer:
--- a/turmericflow/services/_course.py
+++ b/turmericflow/services/_course.py
@@ -161,7 +161,8 @@
         row = self.row
         row.target = attempt.target.name
         if row.attempt != attempt.number:
-            start = AttemptStart(attempt.number, len(row.tokens), row.target)
+            loaded = row.profile.loaded
+            start = AttemptStart(attempt.number, len(row.tokens), row.target, loaded)
             row.attempts.append(start)
 
     def drop(self, attempt: Attempt) -> None:
--- a/turmericflow/services/_quarantine.py
+++ b/turmericflow/services/_quarantine.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from turmericflow.profile import ProfileKind
 from turmericflow.services._claimant import NewRequest
 from turmericflow.services._course import Course
 from turmericflow.services._dispatch import Dispatch
@@ -98,6 +99,21 @@
             target: self.contents_on(target) for target in self._tables.streams.targets
         }
 
+    def renew_profile(self, course: Course) -> None:
+        """Let a request that starts over go on under the version on offer."""
+        row, now = course.row, time.monotonic()
+        if row.tokens or row.profile.kind is ProfileKind.CALL:
+            return
+        refused_by = frozenset(course.refused_by)
+        profile = routing.profile_now(self._tables, row.profile, now, refused_by)
+        if profile is not row.profile:
+            row.profile = profile
+            course.content = crashers.fingerprint(profile, row.prompt)
+
+    def has_other(self, row: RequestRow, exclude: frozenset[str]) -> bool:
+        """Return whether any other target can run a request now."""
+        return bool(self._names(row, exclude))
+
     def contents_on(self, target: str) -> list[str]:
         """Return the contents that run here on a target."""
         view = self._tables.streams.targets.get(target)
--- a/turmericflow/services/_restore.py
+++ b/turmericflow/services/_restore.py
@@ -21,6 +21,8 @@
 def restore(row: RequestRow, profiles: dict[str, Profile]) -> None:
     """Fill in what a row's caller once sent.
 
+    A request that was attempted goes on with the weights of its last attempt.
+
     Raises
     ------
     RequestFailed
@@ -32,7 +34,8 @@
         message = f"profile: got {body.profile!r}, which is no longer declared"
         failure = Failure(ErrorCode.UNKNOWN_PROFILE, Verdict.MAY_HAVE_RUN, message)
         raise RequestFailed(failure)
-    row.profile = profile
+    loaded = row.attempts[-1].loaded if row.attempts else ""
+    row.profile = profile.with_loaded(loaded) if loaded else profile
     row.fingerprint = hashlib.sha256(row.body).hexdigest()
     if profile.kind is ProfileKind.CALL:
         row.prompt, row.max_tokens = bytes(body.payload).decode(), 1
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -231,6 +231,7 @@
     async def _resume(self, course: Course) -> None:
         """Start an attempt with all tokens so far as its prefix."""
         self._check_may_run(course)
+        self._quarantine.renew_profile(course)
         target = await self._quarantine.place(course)
         if course.row.attempts:
             self._stats.count("runner.resumed")
@@ -379,6 +380,9 @@
             return
         row = course.row
         exclude = frozenset(each.target.name for each in course.attempts)
+        if not self._quarantine.has_other(row, exclude):
+            stream.suspected = False
+            return
         try:
             target = await self._dispatch.place(row, exclude)
         except RequestFailed:
--- a/turmericflow/systems/_convert.py
+++ b/turmericflow/systems/_convert.py
@@ -23,9 +23,14 @@
 
 def to_wire_attempts(attempts: list[AttemptStart]) -> list[wire.WireAttempt]:
     """Return attempts in their wire form."""
-    return [wire.WireAttempt(a.attempt, a.index, a.target) for a in attempts]
+    return [
+        wire.WireAttempt(each.attempt, each.index, each.target, each.loaded)
+        for each in attempts
+    ]
 
 
 def to_attempts(raw: list[wire.WireAttempt]) -> list[AttemptStart]:
     """Return the attempts that a wire form stands for."""
-    return [AttemptStart(a.attempt, a.index, a.target) for a in raw]
+    return [
+        AttemptStart(each.attempt, each.index, each.target, each.loaded) for each in raw
+    ]
--- a/turmericflow/systems/_routing.py
+++ b/turmericflow/systems/_routing.py
@@ -25,8 +25,7 @@
         return target.kind is TargetKind.SERVICE
     if target.kind is not TargetKind.ENGINE:
         return False
-    wanted = f"{profile.model}/{profile.adapter}/{profile.version}"
-    return not target.models or wanted in target.models
+    return not target.models or profile.loaded in target.models
 
 
 def is_leaving(tables: Tables, target: Target) -> bool:
@@ -64,6 +63,24 @@
     ]
 
 
+def profile_now(
+    tables: Tables, profile: Profile, now: float, exclude: frozenset[str]
+) -> Profile:
+    """Return the profile under which a request starts over.
+
+    It goes on under the version that it was accepted under.  Only if no target
+    offers that any more, and one offers the version declared now, it goes on
+    under the latter.
+    """
+    declared = tables.config.profiles.get(profile.name)
+    if declared is None or declared.loaded == profile.loaded:
+        return profile
+    if candidates(tables.targets, profile, now, exclude):
+        return profile
+    newer = profile.with_loaded(declared.loaded)
+    return newer if candidates(tables.targets, newer, now, exclude) else profile
+
+
 def _room(target: Target, pool: Pool, work: Work, now: float) -> bool:
     if work.spare and pool.own_turn is not None and target.name not in pool.own_turn:
         return False
--- a/turmericflow/tables/_claims.py
+++ b/turmericflow/tables/_claims.py
@@ -21,11 +21,15 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptStart:
-    """The index of the first token that an attempt may have added."""
+    """The index of the first token that an attempt may have added.
+
+    ``loaded`` names the weights that it ran with, as ``model/adapter/version``.
+    """
 
     attempt: int
     index: int
     target: str
+    loaded: str = ""
 
 
 @dataclass(slots=True)
--- a/turmericflow/tests/test_engine_loss.py
+++ b/turmericflow/tests/test_engine_loss.py
@@ -94,3 +94,14 @@
     answers = await generate(cluster, {"order-1": "cut die_at=0"}, "order")
     assert answers["order-1"].failure.verdict == "MAY_HAVE_RUN"
     assert losses(cluster, 1) == 1
+
+
+async def test_only_engine_falls_silent_and_is_replaced():
+    with Cluster(fleet_plan(1, [profile("report")])) as cluster:
+        prompts = {"only": "progress silent_at=10"}
+        work = asyncio.ensure_future(generate(cluster, prompts))
+        while not await asyncio.to_thread(counter, cluster, "detection.target"):
+            assert not work.done()
+        cluster.kill("engine-0")
+        await asyncio.to_thread(revive, cluster)
+        assert_whole((await work)["only"])
--- a/turmericflow/wire/_messages.py
+++ b/turmericflow/wire/_messages.py
@@ -50,6 +50,7 @@
     attempt: int
     index: int
     target: str
+    loaded: str = ""
 
 
 class WireFailure(Message, tag="failure"):
