--- a/benchmarks/_curve.py
+++ b/benchmarks/_curve.py
@@ -4,6 +4,8 @@
 
 from pathlib import Path
 
+import msgspec
+
 from turmericflow.profile import Urgency
 from turmericflow.systems import resume
 
@@ -15,6 +17,35 @@
 SPREAD_S = 0.02
 PREFIX_TOKENS = 500
 PREFILL_S = 0.025
+COLOURS = {
+    Urgency.URGENT: "tab:red",
+    Urgency.NORMAL: "tab:orange",
+    Urgency.THRIFTY: "tab:blue",
+}
+MARGIN = 1.25
+MARKERS = {"montevideo": "s", "amman": "^"}
+
+
+class Point(msgspec.Struct):
+    """What one run of the benchmark measured.
+
+    ``extra_work_idle`` is that of the same load with nothing lost, which is
+    that of false suspicions alone.
+    """
+
+    deployment: str
+    urgency: str
+    silent_losses: int
+    silent_ms_p50: float
+    silent_ms_p99: float
+    extra_work: float
+    extra_work_idle: float
+    useful_tokens: int
+
+
+def save(points: list[Point], path: Path) -> None:
+    """Write measured points to a file."""
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(points)) + b"\n")
 
 
 def point(weight: float, streams: int = 2) -> tuple[float, float]:
@@ -34,23 +65,43 @@
     return silence_s + PREFILL_S, alive * PREFIX_TOKENS
 
 
-def draw(path: Path) -> None:
-    """Draw the curve, with the place of each urgency on it."""
-    import matplotlib
-
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
+def _draw_model(axes) -> None:
     latencies, works = zip(*(point(weight) for weight in WEIGHTS))
-    figure, axes = pyplot.subplots(figsize=(6, 4))
-    axes.plot(works, latencies)
+    axes.plot(works, latencies, color="grey")
     for urgency in Urgency:
         latency, work = point(resume.LATENESS_WEIGHT[urgency])
-        axes.plot([work], [latency], "o", label=urgency.value)
+        axes.plot([work], [latency], "o", color=COLOURS[urgency], label=urgency.value)
+    axes.set_title("cost model, not measured")
     axes.set_xscale("log")
-    axes.set_xlabel("extra work of false suspicions, tokens per useful token (model)")
-    axes.set_ylabel("silence to next token, seconds (model)")
+    axes.set_xlabel("extra work of false suspicions,\ntokens per useful token")
+    axes.set_ylabel("silence to next token, seconds")
+    axes.legend()
+
+
+def _draw_measured(axes, points: list[Point]) -> None:
+    for each in points:
+        marker = MARKERS[each.deployment]
+        colour = COLOURS[Urgency(each.urgency)]
+        seconds = each.silent_ms_p50 / 1000
+        axes.plot([each.extra_work], [seconds], marker, color=colour)
+    for name, marker in MARKERS.items():
+        axes.plot([], [], marker, color="black", label=name)
+    axes.set_title("measured, median of each run")
+    axes.set_xlim(0.0, MARGIN * max(each.extra_work for each in points))
+    axes.set_xlabel("extra work, tokens per useful token,\na tenth of generations lost")
     axes.legend()
+
+
+def draw(path: Path, points: list[Point]) -> None:
+    """Draw the model's curve, and what was measured beside it."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (model, measured) = pyplot.subplots(1, 2, figsize=(9, 4), sharey=True)
+    _draw_model(model)
+    _draw_measured(measured, points)
     figure.tight_layout()
     path.parent.mkdir(parents=True, exist_ok=True)
     figure.savefig(path, dpi=100)
--- a/benchmarks/resume.py
+++ b/benchmarks/resume.py
@@ -11,7 +11,9 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
-from benchmarks._curve import draw
+import msgspec
+
+from benchmarks._curve import Point, draw, save
 from benchmarks._losses import Load, LossyLoad, Outcome, faults
 from turmericflow.testing import Cluster, ClusterPlan, EngineSpec
 from turmericflow.testing._fleet import counter
@@ -26,6 +28,7 @@
     "watch.late",
 )
 PLOT = Path("docs/img/resume.png")
+POINTS = Path("benchmarks/results/resume.json")
 
 
 @dataclass(slots=True, frozen=True)
@@ -201,6 +204,24 @@
         return asyncio.run(_measure(deployment, cluster, seed))
 
 
+def _point(deployment: Deployment, seed: int) -> Point:
+    figures = run(deployment, seed)
+    names = [name for name in Point.__struct_fields__ if name in figures]
+    found = {name: figures[name] for name in names}
+    return Point(deployment.name, deployment.urgency, **found)
+
+
+def _quick(deployment: Deployment) -> Deployment:
+    load = deployment.load
+    load = replace(load, number=load.number // 4, orders=load.orders // 4)
+    return replace(deployment, load=load)
+
+
+def measure_points(seed: int) -> list[Point]:
+    """Measure each deployment with the quick load."""
+    return [_point(_quick(deployment), seed) for deployment in DEPLOYMENTS]
+
+
 def main(argv: list[str] | None = None) -> int:
     """Print the figures of both deployments."""
     parser = argparse.ArgumentParser(prog="python -m benchmarks.resume")
@@ -209,18 +230,21 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--only", choices=[each.name for each in DEPLOYMENTS])
     parser.add_argument("--plot", action="store_true", help=f"draw {PLOT} only")
+    parser.add_argument("--points", action="store_true", help=f"write {POINTS} only")
     args = parser.parse_args(argv)
+    if args.points:
+        save(measure_points(args.seed), POINTS)
+        return 0
     if args.plot:
-        draw(PLOT)
+        draw(PLOT, msgspec.json.decode(POINTS.read_bytes(), type=list[Point]))
         return 0
     found = {}
     for deployment in DEPLOYMENTS:
         if args.only not in (None, deployment.name):
             continue
-        load = deployment.load
         if args.quick:
-            load = replace(load, number=load.number // 4, orders=load.orders // 4)
-        found[deployment.name] = run(replace(deployment, load=load), args.seed)
+            deployment = _quick(deployment)
+        found[deployment.name] = run(deployment, args.seed)
     if args.json:
         print(json.dumps(found, indent=2))
         return 0
--- a/turmericflow/systems/_routing.py
+++ b/turmericflow/systems/_routing.py
@@ -63,24 +63,6 @@
     ]
 
 
-def profile_now(
-    tables: Tables, profile: Profile, now: float, exclude: frozenset[str]
-) -> Profile:
-    """Return the profile under which a request starts over.
-
-    It goes on under the version that it was accepted under.  Only if no target
-    offers that any more, and one offers the version declared now, it goes on
-    under the latter.
-    """
-    declared = tables.config.profiles.get(profile.name)
-    if declared is None or declared.loaded == profile.loaded:
-        return profile
-    if candidates(tables.targets, profile, now, exclude):
-        return profile
-    newer = profile.with_loaded(declared.loaded)
-    return newer if candidates(tables.targets, newer, now, exclude) else profile
-
-
 def _room(target: Target, pool: Pool, work: Work, now: float) -> bool:
     if work.spare and pool.own_turn is not None and target.name not in pool.own_turn:
         return False
@@ -132,3 +114,21 @@
     if not found:
         return None
     return policies.choose(policy, tables.load, found, work, now, rng)
+
+
+def profile_now(
+    tables: Tables, profile: Profile, now: float, exclude: frozenset[str]
+) -> Profile:
+    """Return the profile under which a request starts over.
+
+    It goes on under the version that it was accepted under.  Only if no target
+    offers that any more, and one offers the version declared now, it goes on
+    under the latter.
+    """
+    declared = tables.config.profiles.get(profile.name)
+    if declared is None or declared.loaded == profile.loaded:
+        return profile
+    if candidates(tables.targets, profile, now, exclude):
+        return profile
+    newer = profile.with_loaded(declared.loaded)
+    return newer if candidates(tables.targets, newer, now, exclude) else profile
