Measure all rates of the load table in one way

Cause: five rates in tables/_load.py were each a count, a rate and a line of their own that renewed them: served and asked of a flow, released, asked and served by rank of a pool. Change: one entity Rate and one function, systems/_rates.renew.

--- a/turmericflow/systems/_admission.py
+++ b/turmericflow/systems/_admission.py
@@ -49,8 +49,8 @@
     """Return the rate at which places come free for this host."""
     part = part_per_s(pool, routers)
     if fairness.waiting(pool):
-        return max(pool.rate_per_s, SMALLEST_SHARE * part)
-    return max(pool.rate_per_s, part)
+        return max(pool.released.per_s, SMALLEST_SHARE * part)
+    return max(pool.released.per_s, part)
 
 
 def _ahead(pool: Pool, work: Work) -> tuple[int, int, int]:
@@ -77,7 +77,7 @@
     customers that have work in the queue, or more if it was served faster.
     """
     rank = fairness.rank_of(work)
-    before = sum(each for number, each in pool.rank_rates.items() if number < rank)
+    before = sum(each.per_s for number, each in pool.served.items() if number < rank)
     left = max(SMALLEST_SHARE * rate, rate - before)
     name = (work.profile.name, work.request_id.customer)
     own = weights = weight_of(tables, work.request_id.customer)
@@ -85,7 +85,7 @@
         if flow.queued and each != name:
             weights += weight_of(tables, each[1])
     flow = pool.flows.get(name)
-    served = flow.rate_per_s if flow is not None and name not in pool.over else 0.0
+    served = flow.served.per_s if flow is not None and name not in pool.over else 0.0
     return max(served, left * own / weights)
 
 
@@ -191,7 +191,7 @@
         None if it is accepted.
     """
     customer = tables.config.customers.get(work.request_id.customer)
-    fairness.flow_of(pool, work).asked += 1
+    fairness.flow_of(pool, work).asked.count += 1
     refusal = _limited(tables, customer, now)
     if refusal is not None:
         return refusal
--- a/turmericflow/systems/_fairness.py
+++ b/turmericflow/systems/_fairness.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 
 from turmericflow.profile import Urgency
-from turmericflow.tables import Flow, LoadTable, Pool, Waiting, Work
+from turmericflow.systems import _rates as rates
+from turmericflow.tables import Flow, LoadTable, Pool, Rate, Waiting, Work
 from turmericflow.wire import FlowDemand
 
 FLOW_GAIN = 0.1
@@ -125,8 +126,8 @@
     """Take the next entry out to be run."""
     start = max(pool.virtual.get(entry.rank, 0.0), entry.start_tag)
     pool.virtual[entry.rank] = start
-    pool.served[entry.rank] = pool.served.get(entry.rank, 0) + 1
-    flow_of(pool, entry.work).served += 1
+    pool.served.setdefault(entry.rank, Rate()).count += 1
+    flow_of(pool, entry.work).served.count += 1
     leave(pool, entry)
 
 
@@ -137,7 +138,7 @@
 
 def _demand(pool: Pool) -> dict[FlowName, float]:
     """Return what customers ask for at all routers that tell each other."""
-    found = {name: flow.asked_per_s for name, flow in pool.flows.items()}
+    found = {name: flow.asked.per_s for name, flow in pool.flows.items()}
     for told in pool.others.values():
         for flow in told.flows or ():
             name = (flow.profile, flow.customer)
@@ -149,7 +150,7 @@
     """Return the customers that ask most here, to be told to other routers."""
     if pool.free > TOLD_FREE_SHARE * pool.slots:
         return ()
-    asked = ((flow.asked_per_s, name) for name, flow in pool.flows.items())
+    asked = ((flow.asked.per_s, name) for name, flow in pool.flows.items())
     largest = heapq.nlargest(MOST_TOLD, asked)
     return tuple(FlowDemand(*name, round(rate, 1)) for rate, name in largest if rate)
 
@@ -181,7 +182,7 @@
     That is the part that it asks for here, and no less than an equal part.
     """
     for name, flow in pool.flows.items():
-        here = flow.asked_per_s / demand[name] if demand[name] else 1.0
+        here = flow.asked.per_s / demand[name] if demand[name] else 1.0
         filled = shares[name] * max(here, part) * JUDGED_S
         flow.credit = min(CREDIT_REQUESTS, flow.credit + filled)
 
@@ -210,7 +211,7 @@
     unit = rate_per_s / (sum(weights.values()) or 1.0)
     shares = {name: unit * weight for name, weight in weights.items()}
     _fill_credits(pool, demand, shares, 1.0 / routers)
-    asked = pool.asked_per_s + sum(told.asked_per_s for told in pool.others.values())
+    asked = pool.asked.per_s + sum(told.asked_per_s for told in pool.others.values())
     level = math.inf
     if asked > CALM * rate_per_s and sum(demand.values()) > OVERLOAD * rate_per_s:
         level = max(_level(demand, weights, rate_per_s), OVER * unit)
@@ -257,18 +258,15 @@
 
     Flows that have nothing queued and were not served for a while are dropped.
     """
-    for rank in pool.depth:
-        before = pool.rank_rates.get(rank, 0.0)
-        rate = pool.served.pop(rank, 0) / elapsed_s
-        pool.rank_rates[rank] = before + RANK_GAIN * (rate - before)
-    asked = sum(flow.asked for flow in pool.flows.values()) / elapsed_s
-    pool.asked_per_s += RANK_GAIN * (asked - pool.asked_per_s)
+    for rate in pool.served.values():
+        rates.renew(rate, elapsed_s, RANK_GAIN)
+    pool.asked.count = sum(flow.asked.count for flow in pool.flows.values())
+    rates.renew(pool.asked, elapsed_s, RANK_GAIN)
     pool.measured += 1
     # A flow asked for nothing before it was first seen, so the pool's age counts.
     gain = max(FLOW_GAIN, 1.0 / pool.measured)
     for name, flow in list(pool.flows.items()):
-        flow.rate_per_s += gain * (flow.served / elapsed_s - flow.rate_per_s)
-        flow.asked_per_s += gain * (flow.asked / elapsed_s - flow.asked_per_s)
-        flow.served = flow.asked = 0
-        if not flow.queued and flow.asked_per_s < IDLE_PER_S:
+        rates.renew(flow.served, elapsed_s, gain)
+        rates.renew(flow.asked, elapsed_s, gain)
+        if not flow.queued and flow.asked.per_s < IDLE_PER_S:
             del pool.flows[name]
--- a/turmericflow/systems/_scheduling.py
+++ b/turmericflow/systems/_scheduling.py
@@ -16,6 +16,7 @@
     _limits as limits,
     _policies as policies,
     _prefixes as prefixes,
+    _rates as rates,
     _routing as routing,
 )
 from turmericflow.tables import Pool, Tables, Target, TargetKind, Waiting, Work
@@ -106,11 +107,10 @@
         whole = admission.part_per_s(pool, routers) * routers
         weight_of = partial(admission.weight_of, tables)
         fairness.judge(pool, weight_of, whole, routers)
-        rate = pool.released / elapsed
-        pool.rate_per_s += RATE_GAIN * (rate - pool.rate_per_s)
-        pool.released, pool.measured_at = 0, now
+        rates.renew(pool.released, elapsed, RATE_GAIN)
+        pool.measured_at = now
         tables.load.routers = limits.live_routers(tables)
-        others = pool.rate_per_s * (tables.load.routers - 1)
+        others = pool.released.per_s * (tables.load.routers - 1)
         counted = len(tables.load.heard_at) >= tables.load.routers - 1
         for target in pool.targets:
             target.others_per_s = others / len(pool.targets)
@@ -259,7 +259,7 @@
     pool.free += 1
     pool.free_over += 1
     pool.in_flight -= 1
-    pool.released += 1
+    pool.released.count += 1
     pool.freed.add(target.name)
     if lost:
         breakers.on_lost(target, now)
--- a/turmericflow/systems/_sharing.py
+++ b/turmericflow/systems/_sharing.py
@@ -55,7 +55,7 @@
         number = fairness.waiting(pool)
         if pool.untold:
             pool.untold = False
-            asked = round(pool.asked_per_s) if pool.told else 0.0
+            asked = round(pool.asked.per_s) if pool.told else 0.0
             found[name] = PoolDemand(number, asked, pool.told)
         elif number:
             found[name] = PoolDemand(number)
--- a/turmericflow/tables/_load.py
+++ b/turmericflow/tables/_load.py
@@ -80,6 +80,22 @@
     gone: bool = False
 
 
+@dataclass(slots=True)
+class Rate:
+    """How often something happens.
+
+    Attributes
+    ----------
+    count
+        How often it happened since the rate was last measured.
+    per_s
+        Rate, as a moving mean.
+    """
+
+    count: int = 0
+    per_s: float = 0.0
+
+
 @dataclass(slots=True)
 class Flow:
     """One customer's work within one profile.
@@ -90,22 +106,16 @@
         Tag at which its last work ends in the fair order.
     queued
         Work that it has in the queue.
-    served
-        Work served since the last measurement of the rate.
-    rate_per_s
-        Rate at which its work is served.
-    asked, asked_per_s
-        The same of what it asks for, refused requests included.
+    served, asked
+        Work served, and what it asks for, refused requests included.
     credit
         What it may still take within its share, in requests.
     """
 
     finish_tag: float = 0.0
     queued: int = 0
-    served: int = 0
-    rate_per_s: float = 0.0
-    asked: int = 0
-    asked_per_s: float = 0.0
+    served: Rate = field(default_factory=Rate)
+    asked: Rate = field(default_factory=Rate)
     credit: float = 0.0
 
 
@@ -131,11 +141,10 @@
     busy_s, refreshed_at
         Time for which places were held by this host in all, and the last
         refresh, in seconds of the host's clock.
-    rate_per_s
-        Rate at which places come free for this host.
-    released, measured_at, measured
-        Releases since the last measurement of the rates, when that was, and how
-        often they were measured.
+    released
+        Places that come free for this host.
+    measured_at, measured
+        When rates were last measured, and how often.
     heap
         Waiting work as ``(rank, start tag, number, entry)``.
     by_age
@@ -146,8 +155,8 @@
         Customers within profiles, by ``(profile, customer)``.
     in_flight, others_in_flight
         Requests of this host and of others on the targets.
-    asked_per_s
-        Rate of all requests that came here, refused ones included.
+    asked
+        All requests that came here, refused ones included.
     told, untold
         Customers that ask most here, and whether other hosts are still to be
         told.
@@ -169,9 +178,8 @@
         When the queue was last seen empty, in seconds of the host's clock.
     virtual
         Virtual time of the fair order, by rank.
-    served, rank_rates
-        Work served since the last measurement of the rate, and the rate, by
-        rank.
+    served
+        Work served, by rank.
     admitted
         Requests accepted whose first attempt is not yet in the queue, with
         the time of acceptance and their rank.
@@ -187,8 +195,7 @@
     held: int = 0
     busy_s: float = 0.0
     refreshed_at: float = float("inf")
-    rate_per_s: float = 0.0
-    released: int = 0
+    released: Rate = field(default_factory=Rate)
     measured_at: float = float("-inf")
     measured: int = 0
     heap: list[tuple[int, float, int, Waiting]] = field(default_factory=list)
@@ -197,7 +204,7 @@
     flows: dict[tuple[str, str], Flow] = field(default_factory=dict)
     in_flight: int = 0
     others_in_flight: int = 0
-    asked_per_s: float = 0.0
+    asked: Rate = field(default_factory=Rate)
     told: tuple[FlowDemand, ...] = ()
     untold: bool = False
     others: dict[str, PoolDemand] = field(default_factory=dict)
@@ -208,8 +215,7 @@
     freed: set[str] = field(default_factory=set)
     empty_at: float = float("-inf")
     virtual: dict[int, float] = field(default_factory=dict)
-    served: dict[int, int] = field(default_factory=dict)
-    rank_rates: dict[int, float] = field(default_factory=dict)
+    served: dict[int, Rate] = field(default_factory=dict)
     admitted: dict[RequestId, tuple[float, int]] = field(default_factory=dict)
 
 
--- a/turmericflow/tests/test_fairness.py
+++ b/turmericflow/tests/test_fairness.py
@@ -28,7 +28,7 @@
     """Note what customers asked for in the last half second."""
     for customer, rate in rates_per_s.items():
         flow = fairness.flow_of(pool, load_work(customer=customer))
-        flow.asked += round(rate * fairness.JUDGED_S)
+        flow.asked.count += round(rate * fairness.JUDGED_S)
     fairness.measure(pool, fairness.JUDGED_S)
 
 
