Judge shares by what all routers learned of the time a place is held

Cause: each router judged whether there is enough for all by its own 50 last requests. At twice the load some kept three places on each target and others none, so that the former's work waited 2 s at the head of their queues.

Change: routers tell the mean time with their demand, and judge by the mean of these.

--- a/turmericflow/systems/_scheduling.py
+++ b/turmericflow/systems/_scheduling.py
@@ -92,6 +92,13 @@
             pool.free_over += max(0, free - pool.spare)
 
 
+def _hold_s(pool: Pool) -> float:
+    """Return the mean time of a place by what all routers have learned."""
+    told = [pool.hold_s, *(each.hold_s for each in pool.others.values())]
+    known = [each for each in told if each]
+    return sum(known) / len(known) if known else estimates.DEFAULT_HOLD_S
+
+
 def refresh(tables: Tables, pool: Pool, now: float) -> None:
     """Bring a pool up to date; called each tick for each pool."""
     pool.busy_s += pool.in_flight * max(0.0, now - pool.refreshed_at)
@@ -104,7 +111,7 @@
     if elapsed >= fairness.JUDGED_S:
         fairness.measure(pool, elapsed)
         routers = tables.load.routers
-        whole = admission.part_per_s(pool, routers) * routers
+        whole = pool.slots / _hold_s(pool)
         weight_of = partial(admission.weight_of, tables)
         fairness.judge(pool, weight_of, whole, routers)
         rates.renew(pool.released, elapsed, RATE_GAIN)
--- a/turmericflow/systems/_sharing.py
+++ b/turmericflow/systems/_sharing.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from turmericflow.systems import (
     _estimates as estimates,
     _fairness as fairness,
@@ -56,7 +58,8 @@
         if pool.untold:
             pool.untold = False
             asked = round(pool.asked.per_s) if pool.told else 0.0
-            found[name] = PoolDemand(number, asked, pool.told)
+            hold_s = round(pool.hold_s, 2)
+            found[name] = PoolDemand(number, asked, hold_s, pool.told)
         elif number:
             found[name] = PoolDemand(number)
     return found
@@ -68,7 +71,7 @@
         each = told.get(name, PoolDemand())
         if each.flows is None:
             last = pool.others.get(host, PoolDemand())
-            each = PoolDemand(each.waiting, last.asked_per_s, last.flows)
+            each = msgspec.structs.replace(last, waiting=each.waiting)
         pool.others[host] = each
 
 
--- a/turmericflow/tests/test_fairness.py
+++ b/turmericflow/tests/test_fairness.py
@@ -104,7 +104,7 @@
     alone.credit = 0.0
     fairness.judge(pool, weigh, 4.0, 1)
     before, alone.credit = alone.credit, 0.0
-    pool.others["entry-2"] = PoolDemand(0, 8.0, flows)
+    pool.others["entry-2"] = PoolDemand(0, 8.0, 0.0, flows)
     fairness.judge(pool, weigh, 4.0, 1)
     assert alone.credit == pytest.approx(before / 2)
 
--- a/turmericflow/wire/_messages.py
+++ b/turmericflow/wire/_messages.py
@@ -386,12 +386,14 @@
 class PoolDemand(msgspec.Struct, array_like=True, frozen=True):
     """What a router has waiting for a pool, and what is asked of it there.
 
-    ``flows`` are the customers that ask most; None if neither they nor
-    ``asked_per_s`` are told again.
+    ``hold_s`` is the mean time for which a request holds a place there, 0 if it
+    is not known.  ``flows`` are the customers that ask most; None if only
+    ``waiting`` is told again.
     """
 
     waiting: int = 0
     asked_per_s: float = 0.0
+    hold_s: float = 0.0
     flows: tuple[FlowDemand, ...] | None = None
 
 
