--- a/turmericflow/systems/_scheduling.py
+++ b/turmericflow/systems/_scheduling.py
@@ -16,6 +16,7 @@
     _limits as limits,
     _policies as policies,
     _prefixes as prefixes,
+    _rates as rates,
     _routing as routing,
 )
 from turmericflow.tables import Pool, Tables, Target, TargetKind, Waiting, Work
@@ -91,6 +92,13 @@
             pool.free_over += max(0, free - pool.spare)
 
 
+def _hold_s(pool: Pool) -> float:
+    """Return the mean time of a place by what all routers have learned."""
+    told = [pool.hold_s, *(each.hold_s for each in pool.others.values())]
+    known = [each for each in told if each]
+    return sum(known) / len(known) if known else estimates.DEFAULT_HOLD_S
+
+
 def refresh(tables: Tables, pool: Pool, now: float) -> None:
     """Bring a pool up to date; called each tick for each pool."""
     pool.busy_s += pool.in_flight * max(0.0, now - pool.refreshed_at)
@@ -103,14 +111,13 @@
     if elapsed >= fairness.JUDGED_S:
         fairness.measure(pool, elapsed)
         routers = tables.load.routers
-        whole = admission.part_per_s(pool, routers) * routers
+        whole = pool.slots / _hold_s(pool)
         weight_of = partial(admission.weight_of, tables)
         fairness.judge(pool, weight_of, whole, routers)
-        rate = pool.released / elapsed
-        pool.rate_per_s += RATE_GAIN * (rate - pool.rate_per_s)
-        pool.released, pool.measured_at = 0, now
+        rates.renew(pool.released, elapsed, RATE_GAIN)
+        pool.measured_at = now
         tables.load.routers = limits.live_routers(tables)
-        others = pool.rate_per_s * (tables.load.routers - 1)
+        others = pool.released.per_s * (tables.load.routers - 1)
         counted = len(tables.load.heard_at) >= tables.load.routers - 1
         for target in pool.targets:
             target.others_per_s = others / len(pool.targets)
@@ -259,7 +266,7 @@
     pool.free += 1
     pool.free_over += 1
     pool.in_flight -= 1
-    pool.released += 1
+    pool.released.count += 1
     pool.freed.add(target.name)
     if lost:
         breakers.on_lost(target, now)
