--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -117,10 +117,14 @@
     )
 
 
+def _owner_maps_bytes_s() -> float:
+    return HOST_EVENTS_A_DAY / DAY_S * 2 * CONTACTS * SLOTS * SLOT_BYTES
+
+
 def _relay(unit: dict) -> Cost:
     facts = (CHANGES_A_DAY + HOST_EVENTS_A_DAY * MEMBER_FACTS_PER_EVENT) / DAY_S
     small = facts * 2 * CONTACTS * unit["fact_bytes"]
-    maps = HOST_EVENTS_A_DAY / DAY_S * 2 * CONTACTS * SLOTS * SLOT_BYTES
+    maps = _owner_maps_bytes_s()
     probes = 2 / PROBE_S * (unit["ping_bytes"] + unit["ack_bytes"])
     us = facts * 2 * CONTACTS * unit["fact_us"]
     us += 4 / PROBE_S * (unit["ping_us"] + unit["ack_us"])
@@ -185,9 +189,24 @@
         value = control["at_letter_size"][name]
         met = "yes" if value <= limit else "no"
         rows.append(f"| {name} | {value:,.3f} | {limit:,} | {met} |")
+    limit = BUDGET["bytes_s"]
+    total = control["at_letter_size"]["bytes_s"] + _owner_maps_bytes_s()
+    met = "yes" if total <= limit else "no"
+    rows.append(f"| bytes_s and owner maps | {total:,.3f} | {limit:,} | {met} |")
     return rows
 
 
+def _yardstick(control: dict) -> str:
+    shares = control["yardstick_cpu_share"]
+    texts = ", ".join(f"{name} {share:.2%}" for name, share in shares.items())
+    return (
+        "The machine was shared. A process that does the same small work in each run "
+        f"used of a core, by run: {texts}. Where these differ, so do the runs' "
+        "processor shares without a cause in the daemon, and a slope multiplies the "
+        "difference by the way to the letter's size."
+    )
+
+
 def _slopes(control: dict) -> list[str]:
     rows = ["| against | cpu_share | rss_mb | bytes_s |", "| --- | --- | --- | --- |"]
     for name, slope in control["slopes"].items():
@@ -234,12 +253,15 @@
         "## Control on a node",
         "",
         "By linear slopes against hosts, targets, profiles and customers. The "
-        "targets' slope is taken where the polls' bounds are reached.",
+        "targets' slope is taken where the polls' bounds are reached. The runs have 64 "
+        f"slots; the owner maps of {SLOTS:,} slots are added as under relay.",
         "",
         *_verdict(control),
         "",
         *_slopes(control),
         "",
+        _yardstick(control),
+        "",
         f"Platform calls a second by number of hosts: {control['platform_calls_s']}.",
         f"In force everywhere: p50 {control['in_force_ms_p50']:.0f} ms, p99 "
         f"{control['in_force_ms_p99']:.0f} ms. Mark to last new work: p99 "
