Take an engine's answers through the HTTP library again

Cause: services/_stream.py took the framing off engines' answers in a protocol of its own. The house's rule is aiohttp on both sides and no further parser or transport, and after it a lost engine left "Future exception was never retrieved" (StreamCut) for each stream in the log. Change: the tick over all bodies from engines is back, with its tests.

--- a/turmericflow/services/_engine.py
+++ b/turmericflow/services/_engine.py
@@ -9,14 +9,8 @@
 import msgspec
 
 from turmericflow.cfg import Address
+from turmericflow.services._feeds import Feeds
 from turmericflow.services._stats import Stats
-from turmericflow.services._stream import (
-    STATUS_OK,
-    ConnectFailed,
-    Request,
-    StreamCut,
-    read_stream,
-)
 from turmericflow.verdict import Verdict
 
 REFUSED_STATUSES = frozenset({409, 429, 503})
@@ -180,13 +174,14 @@
 class EngineClient:
     """Client of the engines' HTTP interface."""
 
-    __slots__ = ("_session", "_stats")
+    __slots__ = ("_feeds", "_session", "_stats")
 
     def __init__(
         self, session: aiohttp.ClientSession, stats: Stats | None = None
     ) -> None:
         self._session = session
         self._stats = stats
+        self._feeds = Feeds()
 
     async def generate(
         self, address: Address, request: EngineRequest, take: TakeOutput
@@ -208,15 +203,16 @@
         TargetFailed
             If the engine refuses, or is lost before the output ends.
         """
-        asked = Request("POST", "/v1/generate", msgspec.json.encode(request))
-        await self._stream(address, asked, len(request.prefix), take)
+        url = f"{address.url}/v1/generate"
+        body = msgspec.json.encode(request)
+        await self._stream("POST", url, body, len(request.prefix), take)
 
     async def attach(
         self, address: Address, generation: str, start: int, take: TakeOutput
     ) -> None:
         """Hand on the output of a running generation from an index on."""
-        asked = Request("GET", f"/v1/streams/{generation}?from={start}")
-        await self._stream(address, asked, start, take)
+        url = f"{address.url}/v1/streams/{generation}?from={start}"
+        await self._stream("GET", url, None, start, take)
 
     async def cancel(self, address: Address, generation: str, attempt: int) -> None:
         """Cancel an attempt; an engine that cannot be reached is left alone."""
@@ -272,19 +268,19 @@
             raise TargetFailed(Verdict.NOT_RUN, f"{url}: {exc}") from exc
 
     async def _stream(
-        self, address: Address, asked: Request, start: int, take: TakeOutput
+        self, method: str, url: str, body: bytes | None, start: int, take: TakeOutput
     ) -> None:
         lines = _Lines(start, take)
         try:
-            answer = await read_stream(address, asked, lines.feed)
-        except ConnectFailed as exc:
-            raise TargetFailed(Verdict.NOT_RUN, str(exc), lost=True) from exc
-        except StreamCut as exc:
-            raise TargetFailed(Verdict.MAY_HAVE_RUN, str(exc), lost=True) from exc
-        if answer.status != STATUS_OK:
-            refused = answer.status in REFUSED_STATUSES
-            verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
-            raise TargetFailed(verdict, f"{answer.status}: {answer.text[:200]}")
+            async with self._session.request(method, url, data=body) as resp:
+                if resp.status != 200:
+                    text = await resp.text(errors="replace")
+                    refused = resp.status in REFUSED_STATUSES
+                    verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
+                    raise TargetFailed(verdict, f"{resp.status}: {text[:200]}")
+                await self._feeds.read(resp.content, lines.feed)
+        except (aiohttp.ClientError, OSError) as exc:
+            raise failure_of(exc) from exc
         if not lines.ended:
             message = "stream ended before the output did"
             raise TargetFailed(Verdict.MAY_HAVE_RUN, message, lost=True)
--- /dev/null
+++ b/turmericflow/tests/test_feeds.py
@@ -0,0 +1,70 @@
+"""Tests of the reading of many bodies in one tick."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+from aiohttp.base_protocol import BaseProtocol
+
+from turmericflow.services._feeds import Feeds
+
+
+@pytest.fixture
+async def content():
+    loop = asyncio.get_running_loop()
+    return aiohttp.StreamReader(BaseProtocol(loop), 65_536, loop=loop)
+
+
+async def test_bytes_come_in_order_until_enough(content):
+    taken = []
+
+    def on_data(data):
+        taken.append(data)
+        return b"end" in data
+
+    work = asyncio.ensure_future(Feeds().read(content, on_data))
+    await asyncio.sleep(0)
+    content.feed_data(b"one ")
+    await asyncio.sleep(0.01)
+    content.feed_data(b"two end")
+    await work
+    assert b"".join(taken) == b"one two end"
+
+
+async def test_end_of_body_ends_the_wait_after_its_last_bytes(content):
+    taken = []
+    content.feed_data(b"last")
+    content.feed_eof()
+    await Feeds().read(content, taken.append)
+    assert taken == [b"last"]
+
+
+async def test_error_of_body_is_raised(content):
+    work = asyncio.ensure_future(Feeds().read(content, lambda data: False))
+    await asyncio.sleep(0)
+    content.set_exception(aiohttp.ClientPayloadError("cut"))
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await work
+
+
+async def test_error_of_one_reader_leaves_the_others(content):
+    feeds = Feeds()
+    other = aiohttp.StreamReader(content._protocol, 65_536)
+    taken = []
+
+    def fail(data):
+        raise ValueError("bad line")
+
+    first = asyncio.ensure_future(feeds.read(content, fail))
+    second = asyncio.ensure_future(
+        feeds.read(other, lambda data: bool(taken.append(data)) or True)
+    )
+    await asyncio.sleep(0)
+    content.feed_data(b"x")
+    other.feed_data(b"y")
+    with pytest.raises(ValueError):
+        await first
+    await second
+    assert taken == [b"y"]
