--- a/turmericflow/services/_journal.py
+++ b/turmericflow/services/_journal.py
@@ -20,14 +20,14 @@
 
 
 class _Lane:
-    """What goes to one holder: rows that have something due, and batches."""
+    """What goes to one holder: batches under way, and rows that wait for them."""
 
-    __slots__ = ("due", "holder", "planned", "under_way")
+    __slots__ = ("holder", "parts", "under_way", "waiting")
 
     def __init__(self, holder: str) -> None:
         self.holder = holder
-        self.due: dict[int, RequestRow] = {}
-        self.planned = False
+        self.parts: list[sending.Part] = []
+        self.waiting: dict[int, RequestRow] = {}
         self.under_way = 0
 
 
@@ -41,26 +41,22 @@
     goes on at a router that reaches it.
     """
 
-    __slots__ = ("_lanes", "_peers", "_stats", "_tables", "_uploads")
+    __slots__ = ("_due", "_lanes", "_peers", "_stats", "_tables", "_uploads")
 
     def __init__(self, tables: Tables, peers: Peers, stats: Stats) -> None:
         self._tables = tables
         self._peers = peers
         self._stats = stats
+        self._due: dict[int, RequestRow] = {}
         self._lanes: dict[str, _Lane] = {}
         self._uploads: dict[int, asyncio.Task] = {}
 
     def changed(self, row: RequestRow) -> None:
         """Say that a row has tokens, or its end, that are not yet journaled."""
-        holder = sending.holder(self._tables, row)
-        if not holder:
-            self._start_upload(row)
-            return
-        lane = self._lanes.get(holder)
-        if lane is None:
-            lane = self._lanes[holder] = _Lane(holder)
-        lane.due[id(row)] = row
-        self._plan(lane)
+        if not self._due:
+            # Other rows have something to say in this turn as well.
+            asyncio.get_running_loop().call_soon(self._send_due)
+        self._due[id(row)] = row
 
     def slots_changed(self) -> None:
         """Upload the journals whose slots have other parties than before."""
@@ -68,19 +64,35 @@
             if not row.ended and not sending.holder(self._tables, row):
                 self._start_upload(row)
 
-    def _plan(self, lane: _Lane) -> None:
-        """Send a batch later in this turn, when all rows have said what is due."""
-        if lane.due and not lane.planned and lane.under_way < MAX_BATCHES_UNDER_WAY:
-            lane.planned = True
-            asyncio.get_running_loop().call_soon(self._send, lane)
+    def _send_due(self) -> None:
+        rows = self._due.values()
+        self._due = {}
+        lanes = {}
+        for row in rows:
+            lane = None if row.ended else self._lane(row)
+            if lane is not None:
+                lanes[lane.holder] = lane
+        for lane in lanes.values():
+            if lane.parts:
+                self._send(lane)
+
+    def _lane(self, row: RequestRow) -> _Lane | None:
+        """Put what a row has into its lane, or start to upload its journal."""
+        holder = sending.holder(self._tables, row)
+        if not holder:
+            self._start_upload(row)
+            return None
+        lane = self._lanes.get(holder)
+        if lane is None:
+            lane = self._lanes[holder] = _Lane(holder)
+        if lane.under_way >= MAX_BATCHES_UNDER_WAY:
+            lane.waiting[id(row)] = row
+        elif (part := sending.next_part(row)) is not None:
+            lane.parts.append(part)
+        return lane
 
     def _send(self, lane: _Lane) -> None:
-        lane.planned = False
-        rows = lane.due.values()
-        lane.due = {}
-        parts = [part for row in rows if (part := self._next_part(lane, row))]
-        if not parts:
-            return
+        parts, lane.parts = lane.parts, []
         rid = self._peers.next_rid()
         msg = wire.Append(rid, [part.entry for part in parts])
         sent = [part.sent for part in parts]
@@ -92,18 +104,12 @@
                 self._not_answered(sent)
             else:
                 self._answered(sent, reply)
-            self._plan(lane)
+            waiting, lane.waiting = lane.waiting, {}
+            for row in waiting.values():
+                self.changed(row)
 
         self._peers.ask(lane.holder, msg, on_reply, APPEND_TIMEOUT_S)
 
-    def _next_part(self, lane: _Lane, row: RequestRow) -> sending.Part | None:
-        if row.ended:
-            return None
-        if sending.holder(self._tables, row) != lane.holder:
-            self.changed(row)
-            return None
-        return sending.next_part(row)
-
     def _not_answered(self, batch: list[sending.Sent]) -> None:
         self._stats.count("journal.unreachable")
         for sent in batch:
--- a/turmericflow/systems/_journal.py
+++ b/turmericflow/systems/_journal.py
@@ -42,7 +42,8 @@
         return AppendOutcome.REPLACED
     if row.state not in (ClaimState.RUNNING, ClaimState.FINISHED):
         return AppendOutcome.REPLACED
-    if request_id in tables.claims.pending:
+    pending = tables.claims.pending
+    if pending and request_id in pending:
         # The next runner may have been decided on, with the journal as it was.
         return AppendOutcome.UNKNOWN
     known = len(row.tokens)
--- a/turmericflow/systems/_sending.py
+++ b/turmericflow/systems/_sending.py
@@ -74,10 +74,10 @@
 
 def next_part(row: RequestRow) -> Part | None:
     """Take what is to be sent next, or None if all was sent."""
-    if not is_due(row):
-        return None
     sent = _snapshot(row)
     same = sent.attempt == row.journaled_attempt
+    if same and sent.end == row.journaled and sent.complete == row.journaled_complete:
+        return None
     entry = wire.AppendEntry(
         row.request_id.customer,
         row.request_id.key,
