Keep two deviations of what may be taken unseen

Change: the places kept on a target count two deviations of what may be taken there before it is heard of, so that 98 of 100 find one.

--- a/turmericflow/systems/_fairness.py
+++ b/turmericflow/systems/_fairness.py
@@ -24,6 +24,7 @@
 TOLD_FREE_SHARE = 0.5
 SELDOM = 0.002
 UNSEEN_S = 0.2
+UNSEEN_DEVIATIONS = 2.0
 LARGEST_RATIO = 0.8
 LARGEST_HEADROOM = 0.2
 OVERDUE_SHARE = 0.5
@@ -228,7 +229,7 @@
 
     Places come free at some rate, and those customers take them at a lower one.
     So many are kept that they seldom find none, and on each target what may
-    have been taken there since it was last heard of: its mean and deviation.
+    have been taken there since it was last heard of: its mean and two deviations.
     """
     inside = pool.inside_per_s
     if not inside or not pool.targets:
@@ -238,7 +239,7 @@
     most = LARGEST_HEADROOM * pool.slots
     unseen = inside * UNSEEN_S / len(pool.targets)
     kept = min(most, places) / len(pool.targets)
-    return math.ceil(kept + unseen + math.sqrt(unseen))
+    return math.ceil(kept + unseen + UNSEEN_DEVIATIONS * math.sqrt(unseen))
 
 
 def within_share(pool: Pool, work: Work) -> bool:
