Keep no more than a quarter of a target's places

Cause: the places kept by what may be taken unseen did not depend on the target's size; of an engine with four places three or four would be kept, and work over its share would wait to its last moment. Found by reading; a test shows it. Change: a bound of a quarter of a target's places for all that is kept.

--- a/turmericflow/systems/_fairness.py
+++ b/turmericflow/systems/_fairness.py
@@ -26,7 +26,7 @@
 UNSEEN_S = 0.2
 UNSEEN_DEVIATIONS = 2.0
 LARGEST_RATIO = 0.8
-LARGEST_HEADROOM = 0.2
+LARGEST_SPARE = 0.25
 OVERDUE_SHARE = 0.5
 RESUME_RANK = 0
 RANKS = {Urgency.URGENT: 1, Urgency.NORMAL: 2, Urgency.THRIFTY: 3}
@@ -236,10 +236,10 @@
         return 0
     ratio = min(LARGEST_RATIO, inside / rate_per_s)
     places = math.log(SELDOM) / math.log(ratio)
-    most = LARGEST_HEADROOM * pool.slots
     unseen = inside * UNSEEN_S / len(pool.targets)
-    kept = min(most, places) / len(pool.targets)
-    return math.ceil(kept + unseen + UNSEEN_DEVIATIONS * math.sqrt(unseen))
+    kept = places / len(pool.targets) + unseen
+    kept = math.ceil(kept + UNSEEN_DEVIATIONS * math.sqrt(unseen))
+    return min(kept, int(LARGEST_SPARE * pool.slots / len(pool.targets)))
 
 
 def within_share(pool: Pool, work: Work) -> bool:
--- a/turmericflow/tests/test_fairness.py
+++ b/turmericflow/tests/test_fairness.py
@@ -83,6 +83,15 @@
     assert len(scheduling.pump(tables, pool, policies.Sq(), 1.1, Random(1))) == 1
 
 
+def test_no_more_than_a_quarter_of_a_small_target_is_kept():
+    tables = load_tables(3, 4)
+    pool = scheduling.pool_of(tables, load_work(), 1.0)
+    for _ in range(10):
+        ask(pool, norte=40, sur=4)
+    fairness.judge(pool, weigh, 16.0, 1)
+    assert pool.over and pool.spare == 1
+
+
 def test_places_kept_for_others_are_not_counted_on_at_admission(tables, pool):
     fill(tables, pool, "norte")
     scheduling.refresh(tables, pool, 1.15)
