--- a/turmericflow/systems/_fairness.py
+++ b/turmericflow/systems/_fairness.py
@@ -24,8 +24,9 @@
 TOLD_FREE_SHARE = 0.5
 SELDOM = 0.002
 UNSEEN_S = 0.2
+UNSEEN_DEVIATIONS = 2.0
 LARGEST_RATIO = 0.8
-LARGEST_HEADROOM = 0.2
+LARGEST_SPARE = 0.25
 OVERDUE_SHARE = 0.5
 RESUME_RANK = 0
 RANKS = {Urgency.URGENT: 1, Urgency.NORMAL: 2, Urgency.THRIFTY: 3}
@@ -228,17 +229,17 @@
 
     Places come free at some rate, and those customers take them at a lower one.
     So many are kept that they seldom find none, and on each target what may
-    have been taken there since it was last heard of: its mean and deviation.
+    have been taken there since it was last heard of: its mean and two deviations.
     """
     inside = pool.inside_per_s
     if not inside or not pool.targets:
         return 0
     ratio = min(LARGEST_RATIO, inside / rate_per_s)
     places = math.log(SELDOM) / math.log(ratio)
-    most = LARGEST_HEADROOM * pool.slots
     unseen = inside * UNSEEN_S / len(pool.targets)
-    kept = min(most, places) / len(pool.targets)
-    return math.ceil(kept + unseen + math.sqrt(unseen))
+    kept = places / len(pool.targets) + unseen
+    kept = math.ceil(kept + UNSEEN_DEVIATIONS * math.sqrt(unseen))
+    return min(kept, int(LARGEST_SPARE * pool.slots / len(pool.targets)))
 
 
 def within_share(pool: Pool, work: Work) -> bool:
