Bound the second attempts that are not known to help

Cause: a router short of processor time takes engines for silent; each second attempt gives it more to read, so that it is later still.

--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -26,7 +26,7 @@
 from turmericflow.services._sweeper import Sweeper
 from turmericflow.services._target_work import TargetWork, Work
 from turmericflow.services._watch import ListeningClock
-from turmericflow.systems import crashers, detection, to_failure
+from turmericflow.systems import crashers, detection, hedging, to_failure
 from turmericflow.tables import (
     RequestId,
     RequestRow,
@@ -264,6 +264,7 @@
         attempt.task.add_done_callback(lambda _: self._left(course, attempt))
 
     def _left(self, course: Course, attempt: Attempt) -> None:
+        hedging.settle(self._tables.streams, attempt.stream)
         detection.close_stream(self._tables.streams, attempt.stream)
         if attempt.placed:
             self._dispatch.release(course.row, attempt.target, attempt.lost)
@@ -303,8 +304,9 @@
         row = course.row
         if row.attempt != attempt.number:
             self._stats.count("runner.hedge_won")
-        for beaten in course.take(attempt, output.texts):
-            self._abandon(course, beaten)
+        beaten = course.take(attempt, output.texts)
+        if beaten:
+            self._decide(course, attempt, beaten)
         if course.failing_since is not None:
             course.failing_since = None
             course.refused_by.clear()
@@ -313,6 +315,14 @@
             course.post(Done())
         self._journal.changed(row)
 
+    def _decide(self, course: Course, first: Attempt, beaten: list[Attempt]) -> None:
+        """Keep the first attempt that gave output, and drop the others."""
+        tables = self._tables
+        hedging.on_needless(tables.streams, tables.load.needless, first.stream)
+        for attempt in beaten:
+            hedging.on_needed(tables.streams, attempt.stream)
+            self._abandon(course, attempt)
+
     def _abandon(self, course: Course, attempt: Attempt) -> None:
         """Drop an attempt and free its place on the target."""
         course.drop(attempt)
@@ -362,24 +372,34 @@
     async def _hedge(self, course: Course, stream: StreamRow) -> None:
         """Start a second attempt while still listening to the silent one."""
         attempt = course.find(stream)
-        if attempt is None or not stream.suspected or not course.row.profile.idempotent:
+        if attempt is None:
             return
-        if len(course.attempts) >= MAX_ATTEMPTS_AT_ONCE:
+        target = await self._place_hedge(course, attempt)
+        if target is None:
+            hedging.settle(self._tables.streams, stream)
             return
+        self._stats.count("runner.hedged")
+        self._begin(course, target)
+
+    async def _place_hedge(self, course: Course, silent: Attempt) -> Target | None:
+        """Return a place for a second attempt, or None if there is to be none."""
+        row, stream = course.row, silent.stream
+        if not stream.suspected or not row.profile.idempotent:
+            return None
+        if len(course.attempts) >= MAX_ATTEMPTS_AT_ONCE:
+            return None
         if crashers.count(self._tables.suspects, course.content, time.time()) > 1:
-            return
-        row = course.row
+            return None
         exclude = frozenset(each.target.name for each in course.attempts)
         if not self._quarantine.has_other(row, exclude):
             stream.suspected = False
-            return
+            return None
         try:
             target = await self._dispatch.place(row, exclude)
         except RequestFailed:
             stream.suspected = False
-            return
-        if course.over or not (attempt.live and stream.suspected):
+            return None
+        if course.over or not (silent.live and stream.suspected):
             self._dispatch.release(row, target, False)
-            return
-        self._stats.count("runner.hedged")
-        self._begin(course, target)
+            return None
+        return target
--- a/turmericflow/services/_watch.py
+++ b/turmericflow/services/_watch.py
@@ -9,8 +9,8 @@
 from mode import Service
 
 from turmericflow.services._stats import Stats
-from turmericflow.systems import detection
-from turmericflow.tables import Tables
+from turmericflow.systems import budgets, detection, hedging
+from turmericflow.tables import StreamRow, Tables
 
 if TYPE_CHECKING:
     from turmericflow.services._runner import Runner
@@ -70,6 +70,7 @@
             sweep = now - swept_at >= SWEEP_S
             self._scan(each_stream=sweep)
             if sweep:
+                budgets.earn_by_time(self._tables.load, now - swept_at)
                 swept_at = now
                 self._runner.sweep(now)
 
@@ -84,4 +85,12 @@
             target = tables.targets.rows.get(suspicion.stream.target)
             if target is not None and suspicion.fault is detection.Fault.TARGET:
                 target.suspect_until = max(target.suspect_until, until)
-            self._runner.suspect(suspicion.stream)
+            self._hedge(suspicion.stream)
+
+    def _hedge(self, stream: StreamRow) -> None:
+        tables = self._tables
+        if hedging.allow(tables.streams, tables.load.needless, stream):
+            self._runner.suspect(stream)
+        else:
+            stream.suspected = False
+            self._stats.count("detection.held_back")
--- a/turmericflow/tables/_load.py
+++ b/turmericflow/tables/_load.py
@@ -270,8 +270,8 @@
         Mean output of each profile, in tokens.
     warm
         Targets that hold a prefix block, with the time it was last seen.
-    retries, resumes
-        Budgets of repeated work.
+    retries, resumes, needless
+        Budgets of repeated work, and of second attempts that help nobody.
     buckets
         This host's part of each customer's rate.
     demands
@@ -293,6 +293,7 @@
     warm: dict[str, dict[str, float]] = field(default_factory=dict)
     retries: Budget = field(default_factory=Budget)
     resumes: Budget = field(default_factory=Budget)
+    needless: Budget = field(default_factory=Budget)
     buckets: dict[str, RateBucket] = field(default_factory=dict)
     demands: dict[str, dict[str, Demand]] = field(default_factory=dict)
     arrivals: list[float] = field(default_factory=lambda: [0.0, 0.0])
--- a/turmericflow/tables/_streams.py
+++ b/turmericflow/tables/_streams.py
@@ -34,6 +34,9 @@
         Number of pieces of output so far.
     suspected
         Whether its silence was reported since the last output.
+    hedged
+        Whether a second attempt was allowed for it, of which it is not known
+        yet whether it was needed.
     call_due_s
         For a call to a plain service, the time after which it is tried at
         another target; None for a generation.
@@ -49,6 +52,7 @@
     heard_at: float
     outputs: int = 0
     suspected: bool = False
+    hedged: bool = False
     call_due_s: float | None = None
 
 
@@ -66,6 +70,10 @@
         Smoothed gap between outputs of one stream, and its mean deviation.
     peak_s, peak_at
         Largest recent gap, which fades, and the time it was seen.
+    undecided
+        Number of its streams that are hedged now.
+    needed
+        Hedges that gave output first since one last turned out to be needless.
     """
 
     rows: dict[StreamId, StreamRow] = field(default_factory=dict)
@@ -74,6 +82,8 @@
     gap_dev_s: float = 0.0
     peak_s: float = 0.0
     peak_at: float = float("-inf")
+    undecided: int = 0
+    needed: int = 0
 
 
 @dataclass(slots=True)
