Be ready only when each target was looked at

Cause: since routers share the polling of targets, one that has just become ready may have heard of no target yet. Change: ready means as well that the host list is known and each target has reported or failed, or that 3 s went by.

--- a/turmericflow/services/_hosts.py
+++ b/turmericflow/services/_hosts.py
@@ -59,6 +59,7 @@
                 self._stats.count("platform.errors")
             else:
                 self._compare(entries, asked_at_ms)
+                self._tables.targets.listed = True
             size = self._platform.hosts_bytes
             await self.sleep(spread.poll_wait_s(self._tables, self._rng, size))
 
@@ -90,6 +91,7 @@
             self._stats.count("hosts.invalid")
             return
         self._listed[entry.name] = entry.state
+        self._tables.targets.listed = True
         if entry.state == GONE:
             self._names.discard(entry.name)
         else:
--- a/turmericflow/services/_reports.py
+++ b/turmericflow/services/_reports.py
@@ -19,6 +19,7 @@
 REFRESH_S = 0.25
 COMPARE_S = 2.0
 SHORTEST_SLEEP_S = 0.02
+FIRST_LOOK_S = 3.0
 
 log = structlog.get_logger()
 
@@ -47,6 +48,7 @@
         self._wait_s = observation.SHORTEST_POLL_S
         self._engines_number = 0
         self._compared_at = float("-inf")
+        self._started_at = time.monotonic()
         self._wake = asyncio.Event()
         self._news = asyncio.Event()
         self._peers.handle(wire.Observed, self._on_observed)
@@ -80,10 +82,17 @@
         self._others = observation.heard(self._tables, now)
         targets = len(self._tables.targets.rows)
         self._wait_s = observation.poll_wait_s(targets, len(self._others) + 1)
+        self._note_first_look(now)
         if targets != len(self._looks) or now - self._compared_at >= COMPARE_S:
             self._compared_at = now
             self._compare(now)
 
+    def _note_first_look(self, now: float) -> None:
+        """Say when each target was looked at, or there was time enough for it."""
+        table = self._tables.targets
+        late = now - self._started_at > FIRST_LOOK_S
+        table.looked_at |= late or observation.all_looked_at(self._tables)
+
     def _compare(self, now: float) -> None:
         rows = self._tables.targets.rows
         for name in self._looks.keys() - rows.keys():
--- a/turmericflow/systems/_observation.py
+++ b/turmericflow/systems/_observation.py
@@ -191,6 +191,20 @@
     return now - row.cache_polled_at >= wait_s
 
 
+def all_looked_at(tables: Tables) -> bool:
+    """Return whether the host list is known and each target reported or failed.
+
+    A target that was never looked at is thought to have a single place, so that
+    work would be refused that there is room for.
+    """
+    table = tables.targets
+    return table.listed and all(
+        row.load.reported_at > float("-inf")
+        or tables.observation.rows.get(name, Sighting()).failures
+        for name, row in table.rows.items()
+    )
+
+
 def on_report(
     tables: Tables, target: Target, report: LoadReport, models: list[str]
 ) -> bool:
--- a/turmericflow/systems/_status.py
+++ b/turmericflow/systems/_status.py
@@ -72,7 +72,9 @@
 def is_ready(tables: Tables) -> bool:
     """Whether this host knows enough to take requests."""
     config = tables.config
-    return slots.settled(tables.slots) and config.joined and bool(config.profiles)
+    if not (config.joined and config.profiles and tables.targets.looked_at):
+        return False
+    return slots.settled(tables.slots)
 
 
 def _members(tables: Tables, entry: str) -> list[MemberStatus]:
--- a/turmericflow/tables/_targets.py
+++ b/turmericflow/tables/_targets.py
@@ -175,6 +175,18 @@
 
 @dataclass(slots=True)
 class TargetTable:
-    """All targets that this host knows."""
+    """All targets that this host knows.
+
+    Attributes
+    ----------
+    rows
+        Targets by name.
+    listed
+        Whether the host list, or a part of it, was learned.
+    looked_at
+        Whether each target had time to report or to fail since this host started.
+    """
 
     rows: dict[str, Target] = field(default_factory=dict)
+    listed: bool = False
+    looked_at: bool = False
--- a/turmericflow/tests/test_observation.py
+++ b/turmericflow/tests/test_observation.py
@@ -235,3 +235,16 @@
                 _wait_told(cluster, host)
         cluster.resume(LOST[1])
         _wait_told(cluster, rest[0])
+
+
+def test_host_has_looked_at_all_targets_once_each_reported_or_failed(tables, target):
+    assert not observation.all_looked_at(tables)
+    tables.targets.listed = True
+    assert not observation.all_looked_at(tables)
+    observation.on_failure(tables, target, WAIT_S, 10.0)
+    assert observation.all_looked_at(tables)
+    other = Target("redactor-2", target.kind, target.service, CENTRES[0], ADDRESS)
+    tables.targets.rows[other.name] = other
+    assert not observation.all_looked_at(tables)
+    observation.on_report(tables, other, LoadReport(reported_at=10.1), [])
+    assert observation.all_looked_at(tables)
