Keep an owner's answers apart from its decisions

Change: the answers to those who ask are in _claim_replies.py; imports of the runner in one line each. No behaviour changed. Tests run: test_claims, test_claims_model, test_course, test_docs pass.

--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -12,11 +12,7 @@
 from turmericflow.services._claimant import Claimant, NewRequest
 from turmericflow.services._course import Attempt, Course, Done, Lost, Suspected
 from turmericflow.services._dispatch import Dispatch
-from turmericflow.services._engine import (
-    EngineClient,
-    EngineOutput,
-    TargetFailed,
-)
+from turmericflow.services._engine import EngineClient, EngineOutput, TargetFailed
 from turmericflow.services._journal import Journal
 from turmericflow.services._plain import PlainClient
 from turmericflow.services._quarantine import Quarantine
@@ -27,13 +23,7 @@
 from turmericflow.services._target_work import TargetWork, Work
 from turmericflow.services._watch import ListeningClock
 from turmericflow.systems import crashers, detection, hedging, to_failure
-from turmericflow.tables import (
-    RequestId,
-    RequestRow,
-    StreamRow,
-    Tables,
-    Target,
-)
+from turmericflow.tables import RequestId, RequestRow, StreamRow, Tables, Target
 from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict
 
 MAX_ATTEMPTS_AT_ONCE = 3
--- a/turmericflow/systems/_claims.py
+++ b/turmericflow/systems/_claims.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 
 from turmericflow import wire
-from turmericflow.systems import _slots as slots_system
-from turmericflow.systems._convert import to_wire_attempts, to_wire_failure
+from turmericflow.systems import _claim_replies as claim_replies, _slots as slots_system
+from turmericflow.systems._convert import to_wire_failure
 from turmericflow.systems._records import to_claim, to_record
 from turmericflow.tables import (
     Claim,
@@ -44,28 +44,6 @@
 Decision = wire.Message | Confirm | Wait
 
 
-def _refused(rid: int, failure: Failure) -> wire.Refused:
-    return wire.Refused(rid, to_wire_failure(failure))
-
-
-def _granted(rid: int, row: Claim) -> wire.Granted:
-    return wire.Granted(
-        rid,
-        row.generation,
-        row.runner_epoch,
-        to_wire_attempts(row.attempts),
-        list(row.tokens),
-        row.body,
-        row.regranted,
-        row.journal_at,
-    )
-
-
-def _moved(tables: Tables, rid: int, slot: int) -> wire.Moved:
-    entry = tables.slots.entries[slot]
-    return wire.Moved(rid, slots_system.to_wire_slot(slot, entry))
-
-
 def _first_runner_epoch(entry: SlotEntry) -> int:
     return entry.epoch * RUNNER_EPOCH_STRIDE + 1
 
@@ -92,7 +70,7 @@
 def _apply(tables: Tables, row: Claim, reply: wire.Message) -> wire.Message:
     tables.claims.rows[row.request_id] = row
     if isinstance(reply, wire.Granted):
-        return _granted(reply.rid, row)
+        return claim_replies.granted(reply.rid, row)
     return reply
 
 
@@ -144,7 +122,7 @@
     row, rid = pending.row, pending.reply.rid
     entry = tables.slots.entries[row.slot]
     if entry.epoch != pending.epoch:
-        return _moved(tables, rid, row.slot)
+        return claim_replies.moved(tables, rid, row.slot)
     if stored is None or not stored.accepted:
         if stored is not None:
             tables.slots.synced.pop(row.slot, None)
@@ -165,18 +143,11 @@
         tables.claims.rows[row.request_id] = theirs
         if isinstance(pending.reply, wire.Ended):
             return wire.Ended(pending.reply.rid)
-        return _ended_reply(pending.reply.rid, theirs)
+        return claim_replies.ended(pending.reply.rid, theirs)
     row.tokens, row.attempts = theirs.tokens, theirs.attempts
     return _apply(tables, row, pending.reply)
 
 
-def _ended_reply(rid: int, row: Claim) -> wire.Message:
-    if row.state is ClaimState.FINISHED:
-        attempts = to_wire_attempts(row.attempts)
-        return wire.Recorded(rid, row.generation, attempts, list(row.tokens))
-    return _refused(rid, row.failure)
-
-
 def _may_run_anew(row: Claim, try_no: int) -> bool:
     """Return whether a higher try may start over after a failure."""
     if row.state not in (ClaimState.FAILED, ClaimState.SEALED):
@@ -196,13 +167,13 @@
 ) -> wire.Message | None:
     """Return what is said of a request that is known and not lost, else None."""
     if row.fingerprint != msg.fingerprint and msg.fingerprint:
-        return _refused(msg.rid, _conflict(msg.key))
+        return claim_replies.refused(msg.rid, _conflict(msg.key))
     if _may_run_anew(row, msg.try_no):
         return None
     if row.refused_before is not None and msg.try_no < row.try_no:
-        return _refused(msg.rid, row.refused_before)
+        return claim_replies.refused(msg.rid, row.refused_before)
     if row.ended:
-        return _ended_reply(msg.rid, row)
+        return claim_replies.ended(msg.rid, row)
     return wire.Attached(msg.rid, row.generation, row.runner, row.runner_epoch)
 
 
@@ -228,12 +199,14 @@
         message = "the router that ran this request was lost"
         after.state = ClaimState.FAILED
         after.failure = Failure(ErrorCode.RUNNER_LOST, Verdict.MAY_HAVE_RUN, message)
-        return _change(tables, after, _refused(msg.rid, after.failure), _nothing(msg))
+        return _change(
+            tables, after, claim_replies.refused(msg.rid, after.failure), _nothing(msg)
+        )
     after.runner, after.grant = msg.runner, msg.generation
     if not _journal_in_reach(tables, row):
         after.generation, after.tokens, after.attempts = msg.generation, [], []
     after.journal_at = slots_system.holder(tables, entry, msg.runner)
-    return _change(tables, after, _granted(msg.rid, after), _nothing(msg))
+    return _change(tables, after, claim_replies.granted(msg.rid, after), _nothing(msg))
 
 
 def _journal_in_reach(tables: Tables, row: Claim) -> bool:
@@ -253,7 +226,7 @@
     after = _new_claim(tables, msg, row.slot, now)
     after.runner_epoch = max(row.runner_epoch + 1, after.runner_epoch)
     after.refused_before = row.failure
-    return _change(tables, after, _granted(msg.rid, after), _nothing(msg))
+    return _change(tables, after, claim_replies.granted(msg.rid, after), _nothing(msg))
 
 
 def _not_known(
@@ -279,7 +252,7 @@
     slot = tables.slots.slot_of(request_id)
     entry = tables.slots.entries[slot]
     if not slots_system.serves(tables, slot) or entry.epoch != msg.slot_epoch:
-        return slot, _moved(tables, msg.rid, slot)
+        return slot, claim_replies.moved(tables, msg.rid, slot)
     if request_id in tables.claims.pending:
         return slot, Wait()
     return slot, None
@@ -311,16 +284,16 @@
     if row is None:
         failure = _not_known(tables, slot, msg, now)
         if failure is not None:
-            return _refused(msg.rid, failure)
+            return claim_replies.refused(msg.rid, failure)
         row = _new_claim(tables, msg, slot, now)
-        return _change(tables, row, _granted(msg.rid, row), _nothing(msg))
+        return _change(tables, row, claim_replies.granted(msg.rid, row), _nothing(msg))
     answer = _known(tables, row, msg)
     if answer is None:
         return _start_again(tables, row, msg, now)
     if not isinstance(answer, wire.Attached):
         return answer
     if row.runner == msg.runner and row.grant == msg.generation:
-        return _granted(msg.rid, row)
+        return claim_replies.granted(msg.rid, row)
     if _runner_lost(tables, row, msg):
         return _regrant(tables, row, msg, now)
     return answer
@@ -397,7 +370,7 @@
         return unsure
     slot = tables.slots.slot_of(request_id)
     if not slots_system.serves(tables, slot):
-        return _moved(tables, msg.rid, slot)
+        return claim_replies.moved(tables, msg.rid, slot)
     if request_id in tables.claims.pending:
         return Wait()
     row = tables.claims.rows.get(request_id)
