--- a/benchmarks/_losses.py
+++ b/benchmarks/_losses.py
@@ -213,6 +213,8 @@
         for label, answer in outcome.answers.items()
         if answer.failure is not None and answer.failure.verdict == "NOT_RUN"
     ]
+    failures = [each.failure for each in outcome.answers.values() if each.failure]
+    kinds = Counter(f"failed.{each.code}.{each.verdict}" for each in failures)
     return {
         "lost": sum(check.missing for check in checks),
         "repeated": sum(check.repeated for check in checks),
@@ -223,5 +225,6 @@
             if label.startswith("order")
         ),
         "false_not_run": sum(1 for label in not_run if outcome.fresh[label]),
-        "failed": sum(1 for each in outcome.answers.values() if each.failure),
+        "failed": len(failures),
+        **kinds,
     }
