Take out what nothing uses any more

Cause: a read of the whole change found Attempt's slot for unheard_since, which the course keeps, and placement.in_doubt, which no code calls any more. Change: both are gone. Behaviour is as it was. Tests run: check, test_course, test_placement, test_claims, test_claims_model, test_whole_path and test_requests pass.

--- a/turmericflow/services/_course.py
+++ b/turmericflow/services/_course.py
@@ -42,7 +42,6 @@
         "stream",
         "target",
         "task",
-        "unheard_since",
     )
 
     def __init__(
--- a/turmericflow/systems/_placement.py
+++ b/turmericflow/systems/_placement.py
@@ -229,14 +229,6 @@
     return changes
 
 
-def in_doubt(tables: Tables) -> bool:
-    """Return whether a slot has no party that can look after it."""
-    return any(
-        not alive(tables, entry.owner) and not alive(tables, entry.backup)
-        for entry in tables.slots.entries
-    )
-
-
 def merge(entries: list[SlotEntry], changes: list[Change]) -> list[SlotEntry]:
     """Return a map's entries with those changes that are still next in turn."""
     merged = list(entries)
