--- /dev/null
+++ b/turmericflow/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translates, and decides nothing."""
--- /dev/null
+++ b/turmericflow/platform/__main__.py
@@ -0,0 +1,161 @@
+"""Entry point of a host on the platform."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import signal
+import socket
+import sys
+import time
+
+import aiohttp
+import msgspec
+import structlog
+from aiohttp import web
+
+from turmericflow.platform import _callers
+from turmericflow.platform._settings import read_settings, settings_path
+from turmericflow.platform._store import StoreClient
+from turmericflow.platform._targets import HttpTargets
+from turmericflow.relay import (
+    Daemon,
+    Face,
+    HostEntry,
+    HostSettings,
+    HostState,
+    Parts,
+    SettingsInvalid,
+    Tables,
+    addresses,
+    set_up_log,
+)
+
+EXIT_SETTINGS = 2
+ADDRESSES_KEEP_S = 1.0  # some callers keep an answer three times as long
+CONNECT_TIMEOUT_S = 0.4  # a target accepts within milliseconds
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_PROBES = 3
+UNACKNOWLEDGED_MS = 3000
+METRICS_PORT = 9108
+
+log = structlog.get_logger()
+
+
+def _socket(info) -> socket.socket:
+    """Open a socket whose peer's silence is noticed within seconds."""
+    sock = socket.socket(info[0], info[1], info[2])
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    return sock
+
+
+def _open_session(force_close: bool) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(
+        limit=0, force_close=force_close, socket_factory=_socket, use_dns_cache=False
+    )
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=timeout,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+class _Faces:
+    """What the platform and its callers ask beside requests."""
+
+    __slots__ = ("_parts",)
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+
+    async def ready(self, request: web.BaseRequest) -> web.Response:
+        """Say whether this host takes requests."""
+        ready = self._parts.tables.hosts.state is HostState.READY
+        return web.Response(status=200 if ready else 503)
+
+    async def resolve(self, request: web.BaseRequest) -> web.Response:
+        """Name the addresses to use."""
+        found = addresses(self._parts.tables, self._parts.clock.now())
+        if not found:
+            return web.Response(status=503)
+        body = msgspec.json.encode({"addresses": found, "ttlS": ADDRESSES_KEEP_S})
+        return web.Response(body=body, content_type="application/json")
+
+    async def metrics(self, request: web.BaseRequest) -> web.Response:
+        """Return the metrics as text."""
+        return web.Response(body=self._parts.metrics.text(), content_type="text/plain")
+
+    def all(self, settings: HostSettings) -> list[Face]:
+        """Return all faces that the settings have an address for."""
+        ip = settings.peers.rpartition(":")[0]
+        found = [Face(f"{ip}:{METRICS_PORT}", self.metrics)]
+        if settings.readiness:
+            found.append(Face(settings.readiness, self.ready))
+        if settings.addresses:
+            found.append(Face(settings.addresses, self.resolve))
+        return found
+
+
+async def _serve(settings: HostSettings) -> int:
+    incarnation = time.time_ns() // 1_000_000
+    own = HostEntry(
+        settings.name,
+        incarnation,
+        settings.data_centre,
+        settings.callers,
+        settings.peers,
+    )
+    tables = Tables(own)
+    tables.budgets.ratio = settings.retry_ratio
+    tables.budgets.window_s = settings.retry_window_s
+    tables.budgets.slack = settings.retry_slack
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload)
+    async with _open_session(True) as targets, _open_session(False) as store:
+        directory = StoreClient(store, settings.store.address)
+        parts = Parts(settings, tables, HttpTargets(targets), directory)
+        daemon = Daemon(parts, _callers, _Faces(parts).all(settings))
+        await daemon.start()
+        log.info("started", incarnation=incarnation, callers=settings.callers)
+        await stop.wait()
+        await daemon.leave()
+        await daemon.stop()
+    log.info("stopped")
+    return 0
+
+
+def _reload() -> None:
+    """Read the settings again; those in force stay if they cannot be used."""
+    try:
+        settings = read_settings(settings_path())
+    except SettingsInvalid as exc:
+        log.warning("settings_kept", reason=str(exc))
+        return
+    log.info("reloaded", name=settings.name)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the host until it is told to stop; return its exit code."""
+    parser = argparse.ArgumentParser(prog="turmericflow.platform", description=__doc__)
+    parser.parse_args(argv)
+    try:
+        settings = read_settings(settings_path())
+    except SettingsInvalid as exc:
+        print(f"turmericflow.platform: {exc}", file=sys.stderr)
+        return EXIT_SETTINGS
+    set_up_log(settings.name, logging.INFO)
+    return asyncio.run(_serve(settings))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/turmericflow/platform/_objects.py
@@ -0,0 +1,216 @@
+"""Objects of the platform's store, translated to the product's types."""
+
+from __future__ import annotations
+
+import msgspec
+
+from turmericflow.relay import (
+    Customer,
+    Deployment,
+    EngineSpec,
+    HostEntry,
+    Limits,
+    Route,
+    Service,
+    Share,
+    TargetEntry,
+    WorkKind,
+)
+
+_KINDS = {
+    "idempotent": WorkKind.IDEMPOTENT,
+    "non_idempotent": WorkKind.NON_IDEMPOTENT,
+    "streaming": WorkKind.STREAM,
+}
+_STATES = {"ready": False, "draining": True}
+
+
+class _Weighted(msgspec.Struct):
+    backend: str  # a service
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    pathPrefix: str
+    routeType: str
+    timeoutMs: float
+    targetLatencyMs: float = 0.0
+    priority: int = 0
+    backend: str = ""  # a service
+    weightedBackends: list[_Weighted] = []
+    maxAttempts: int = 1
+    anonymous: bool = False
+    streamResume: bool = False
+    gapTargetMs: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kvCapacity: int
+    stride: int = 1  # tokens in one event
+    backups: bool = False
+    handleS: float = 0.0  # how long an unused copy is kept
+
+
+class _Backend(msgspec.Struct):
+    name: str
+    healthPath: str = "/healthz"
+    maxConnections: int = 1_000_000
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    maxHeaderBytes: int = 16_384
+    maxBodyBytes: int = 4_194_304
+    headerTimeoutMs: float = 3_000.0
+    idleTimeoutMs: float = 15_000.0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    apiKeys: list[str] = []
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    backends: list[_Backend]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+class _Server(msgspec.Struct):
+    backend: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    coldRemainingMs: float = 0.0
+    born: int = 0  # Unix milliseconds of the worker's start
+
+
+class _Host(msgspec.Struct):
+    incarnation: int
+    data_centre: str
+    callers: str
+    peers: str
+
+
+def _share_of(route: _Route) -> tuple[Share, ...]:
+    if route.weightedBackends:
+        return tuple(
+            Share(each.backend, each.weight) for each in route.weightedBackends
+        )
+    return (Share(route.backend, 1.0),)
+
+
+def _route(route: _Route) -> Route:
+    return Route(
+        name=route.name,
+        host=route.hostname.lower(),
+        prefix=route.pathPrefix,
+        kind=_KINDS[route.routeType],
+        timeout_s=route.timeoutMs / 1000,
+        objective_s=route.targetLatencyMs / 1000,
+        shares=_share_of(route),
+        max_attempts=max(1, route.maxAttempts),
+        priority=route.priority,
+        anonymous=route.anonymous,
+        resumable=route.streamResume,
+        gap_s=route.gapTargetMs / 1000,
+    )
+
+
+def _service(backend: _Backend) -> Service:
+    engine = backend.engine
+    spec = engine and EngineSpec(
+        slots=engine.slots,
+        memory_tokens=engine.kvCapacity,
+        tokens_per_event=max(1, engine.stride),
+        keeps_copies=engine.backups,
+        copy_kept_s=engine.handleS,
+    )
+    return Service(backend.name, backend.healthPath, backend.maxConnections, spec)
+
+
+def decode_deployment(spec: object) -> Deployment:
+    """Translate the operator's configuration.
+
+    Raises
+    ------
+    ValueError
+        If it is not of the platform's form.
+    """
+    try:
+        config = msgspec.convert(spec, _Config, strict=False)
+        limits = config.limits
+        return Deployment(
+            version=config.version,
+            routes=tuple(map(_route, config.routes)),
+            services=tuple(map(_service, config.backends)),
+            limits=Limits(
+                limits.maxHeaderBytes,
+                limits.maxBodyBytes,
+                limits.headerTimeoutMs / 1000,
+                limits.idleTimeoutMs / 1000,
+            ),
+            customers=tuple(
+                Customer(tenant.name, tuple(tenant.apiKeys), tenant.priority)
+                for tenant in config.tenants
+            ),
+        )
+    except (msgspec.MsgspecError, KeyError) as exc:
+        raise ValueError(f"got an unusable configuration: {exc}") from exc
+
+
+def decode_target(name: str, spec: object) -> TargetEntry:
+    """Translate a worker's entry.
+
+    Raises
+    ------
+    ValueError
+        If it is not of the platform's form, or in a state unknown here.
+    """
+    try:
+        server = msgspec.convert(spec, _Server)
+    except msgspec.MsgspecError as exc:
+        raise ValueError(f"got an unusable target entry: {exc}") from exc
+    if server.state not in _STATES:
+        raise ValueError(f"got state {server.state!r}, expected ready or draining")
+    ip, _, port = server.address.rpartition(":")
+    if not ip or not port.isdecimal():
+        raise ValueError(f"got address {server.address!r}, expected IP:PORT")
+    return TargetEntry(
+        id=name,
+        born_ms=server.born,
+        service=server.backend,
+        address=server.address,
+        data_centre=server.zone,
+        slots=max(1, server.slots),
+        leaving=_STATES[server.state],
+        cold_ms=server.coldRemainingMs,
+    )
+
+
+def decode_host(name: str, spec: object) -> HostEntry:
+    """Translate an entry of this system's own kind.
+
+    Raises
+    ------
+    ValueError
+        If it is of another form.
+    """
+    try:
+        host = msgspec.convert(spec, _Host)
+    except msgspec.MsgspecError as exc:
+        raise ValueError(f"got an unusable host entry: {exc}") from exc
+    return HostEntry(name, host.incarnation, host.data_centre, host.callers, host.peers)
+
+
+def encode_host(entry: HostEntry) -> dict[str, object]:
+    """Return a host's entry in the form in which it lies in the store."""
+    host = _Host(entry.incarnation, entry.data_centre, entry.callers, entry.peers)
+    return msgspec.to_builtins(host)
--- /dev/null
+++ b/turmericflow/platform/_settings.py
@@ -0,0 +1,91 @@
+"""The platform's settings file, translated to the settings of a host."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import msgspec
+
+from turmericflow.relay import HostSettings, SettingsInvalid, StoreLimits
+
+SETTINGS_VARIABLE = "TURMERICFLOW_NODE_FILE"
+DEFAULT_PATH = Path("/etc/turmericflow/settings.json")
+
+
+class _Listen(msgspec.Struct):
+    front: str = ""  # callers' requests
+    ready: str = ""  # the platform's readiness check
+    directory: str = ""  # callers' questions for addresses
+
+
+class _Bounds(msgspec.Struct):
+    configApplyMs: float = 2000.0
+    drainMs: float = 2000.0
+    graceS: float = 8.0
+    contactMs: float = 3000.0
+    retryBudgetRatio: float = 0.8
+    budgetWindowS: float = 10.0
+    budgetSlack: float = 150.0
+    ttl_max_s: float = 5.0
+
+
+class _Provider(msgspec.Struct):
+    address: str = ""
+    writesPerS: float = 0.0
+    readsPerS: float = 0.0
+
+
+class _File(msgspec.Struct):
+    nodeName: str
+    ip: str
+    zone: str  # a data centre
+    region: str
+    listen: _Listen
+    internalPorts: tuple[int, int]
+    provider: _Provider
+    seeds: list[str] = []  # control addresses; only their hosts are used
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def settings_path() -> Path:
+    """Return where the platform puts the settings file."""
+    return Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
+
+
+def read_settings(path: Path) -> HostSettings:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    SettingsInvalid
+        If the file cannot be read or a field is missing or of another type.
+    """
+    try:
+        file = msgspec.json.decode(path.read_bytes(), type=_File)
+    except (OSError, msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        raise SettingsInvalid(f"{path}: {exc}") from exc
+    port = file.internalPorts[0]
+    bounds = file.bounds
+    return HostSettings(
+        name=file.nodeName,
+        data_centre=file.zone,
+        callers=file.listen.front,
+        readiness=file.listen.ready,
+        addresses=file.listen.directory,
+        peers=f"{file.ip}:{port}",
+        seeds=tuple(f"{seed.rpartition(':')[0]}:{port}" for seed in file.seeds),
+        store=StoreLimits(
+            file.provider.address,
+            file.provider.writesPerS,
+            file.provider.readsPerS,
+        ),
+        leave_s=bounds.graceS,
+        drain_s=bounds.drainMs / 1000,
+        in_force_s=bounds.configApplyMs / 1000,
+        contact_s=bounds.contactMs / 1000,
+        addresses_keep_s=bounds.ttl_max_s,
+        retry_ratio=bounds.retryBudgetRatio,
+        retry_window_s=bounds.budgetWindowS,
+        retry_slack=bounds.budgetSlack,
+    )
--- /dev/null
+++ b/turmericflow/platform/_store.py
@@ -0,0 +1,182 @@
+"""Client of the platform's object store."""
+
+from __future__ import annotations
+
+import asyncio
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+
+from turmericflow.platform._objects import (
+    decode_deployment,
+    decode_host,
+    decode_target,
+    encode_host,
+)
+from turmericflow.relay import (
+    Change,
+    Changes,
+    Conflict,
+    HistoryGone,
+    HostEntry,
+    Kind,
+    Listing,
+    Row,
+    StoreFailed,
+)
+
+CALL_TIMEOUT_S = 2.0  # a call is answered in milliseconds; slow stores take longer
+WATCH_MARGIN_S = 2.0  # time beyond its own wait after which a watch is given up
+
+_PATHS = {
+    Kind.DEPLOYMENT: "config",
+    Kind.TARGETS: "servers",
+    Kind.HOSTS: "turmericflow-hosts",
+}
+_CONFIG_NAME = "main"
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Items(msgspec.Struct):
+    items: list[msgspec.Raw]
+    storeRevision: int
+    hasMore: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    tombstone: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_Event]
+    storeRevision: int
+
+
+_ITEMS = msgspec.json.Decoder(_Items)
+_EVENTS = msgspec.json.Decoder(_Events)
+_OBJECT = msgspec.json.Decoder(_Object)
+
+
+def _value(kind: Kind, name: str, spec: msgspec.Raw) -> object:
+    try:
+        value = msgspec.json.decode(spec)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        raise ValueError(f"got bytes that are not JSON: {exc}") from exc
+    match kind:
+        case Kind.DEPLOYMENT:
+            return decode_deployment(value)
+        case Kind.TARGETS:
+            return decode_target(name, value)
+        case Kind.HOSTS:
+            return decode_host(name, value)
+
+
+def _row(kind: Kind, stored: _Object) -> Row:
+    name = stored.metadata.name
+    try:
+        return Row(name, stored.metadata.revision, _value(kind, name, stored.spec))
+    except ValueError as exc:
+        return Row(name, stored.metadata.revision, None, str(exc))
+
+
+class StoreClient:
+    """Reads, watches and writes objects; all calls raise `StoreFailed`."""
+
+    __slots__ = ("_session", "_base")
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._base = f"http://{address}/v1/objects"
+
+    async def _call(
+        self, method: str, path: str, timeout_s: float, body: object = None
+    ) -> bytes:
+        data = None if body is None else msgspec.json.encode(body)
+        headers = {} if data is None else {"Content-Type": "application/json"}
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._session.request(
+                    method, f"{self._base}/{path}", data=data, headers=headers
+                ) as resp:
+                    content = await resp.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise StoreFailed(f"{method} {path}: {exc!r}") from exc
+        match resp.status:
+            case 200 | 201:
+                return content
+            case 409:
+                raise Conflict(f"{method} {path}: changed meanwhile")
+            case 410:
+                raise HistoryGone(f"{method} {path}: history is gone")
+        raise StoreFailed(f"{method} {path}: got status {resp.status}")
+
+    async def read(self, kind: Kind) -> Listing:
+        """Return all objects of a kind."""
+        rows: list[Row] = []
+        after = ""
+        while True:
+            query = f"?after={quote(after, safe='')}" if after else ""
+            content = await self._call("GET", _PATHS[kind] + query, CALL_TIMEOUT_S)
+            try:
+                page = _ITEMS.decode(content)
+            except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+                raise StoreFailed(f"got an unusable list: {exc}") from exc
+            for item in page.items:
+                try:
+                    stored = _OBJECT.decode(item)
+                except (msgspec.MsgspecError, UnicodeDecodeError):
+                    continue
+                after = stored.metadata.name
+                if kind is not Kind.DEPLOYMENT or after == _CONFIG_NAME:
+                    rows.append(_row(kind, stored))
+            if not page.hasMore or not page.items:
+                return Listing(page.storeRevision, tuple(rows))
+
+    async def changes(self, kind: Kind, revision: int, wait_s: float) -> Changes:
+        """Wait for the changes of a kind since a revision."""
+        path = f"{_PATHS[kind]}?watch={revision}&waitMs={int(wait_s * 1000)}"
+        content = await self._call("GET", path, wait_s + WATCH_MARGIN_S)
+        try:
+            page = _EVENTS.decode(content)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            raise HistoryGone(f"got unusable changes: {exc}") from exc
+        found = []
+        for event in page.events:
+            name = event.object.metadata.name
+            if kind is Kind.DEPLOYMENT and name != _CONFIG_NAME:
+                continue
+            row = _row(kind, event.object)
+            found.append(Change(row, event.tombstone))
+        return Changes(page.storeRevision, tuple(found))
+
+    async def publish(self, entry: HostEntry, revision: int | None) -> int:
+        """Create or replace this host's entry; return its new revision."""
+        path = _PATHS[Kind.HOSTS]
+        metadata: dict[str, object] = {"name": entry.name, "finalizers": []}
+        body = {"metadata": metadata, "spec": encode_host(entry)}
+        if revision is None:
+            content = await self._call("POST", path, CALL_TIMEOUT_S, body)
+        else:
+            metadata["revision"] = revision
+            name = quote(entry.name, safe="")
+            content = await self._call("PUT", f"{path}/{name}", CALL_TIMEOUT_S, body)
+        try:
+            return _OBJECT.decode(content).metadata.revision
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            raise StoreFailed(f"got an unusable object: {exc}") from exc
+
+    async def remove_host(self, name: str, revision: int) -> None:
+        """Remove a host's entry if it still is as it was at a revision."""
+        path = f"{_PATHS[Kind.HOSTS]}/{quote(name, safe='')}?revision={revision}"
+        await self._call("DELETE", path, CALL_TIMEOUT_S)
--- /dev/null
+++ b/turmericflow/platform/_targets.py
@@ -0,0 +1,132 @@
+"""HTTP to workers: requests out, answers in."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from turmericflow.platform import _callers as names
+from turmericflow.relay import Call, Dispatch
+from turmericflow.verdict import TargetFailed, Verdict
+
+REPORT_PATH = "/v1/report"
+_SKIPPED = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+# Statuses with which a worker says that it did not run a request, besides the
+# header that says so.
+_MISDIRECTED = 421
+_LOST = (aiohttp.ClientError, OSError, asyncio.IncompleteReadError, ValueError)
+
+
+def target_headers(call: Call, dispatch: Dispatch) -> CIMultiDict[str]:
+    """Return the headers of a request as a worker gets it."""
+    headers = call.headers.copy()
+    headers[names.BUDGET] = str(max(1, int(dispatch.budget_s * 1000)))
+    headers[names.EXPECTED] = dispatch.target
+    if dispatch.customer is not None:
+        headers[names.CUSTOMER] = dispatch.customer
+    if dispatch.priority is not None:
+        headers[names.URGENCY] = str(dispatch.priority)
+    if dispatch.backup is not None:
+        headers[names.BACKUP] = dispatch.backup
+    if dispatch.copy is not None:
+        headers[names.COPY] = f"{dispatch.copy.address}/{dispatch.copy.run}"
+    if dispatch.last_event is not None:
+        headers[names.LAST_EVENT] = str(dispatch.last_event)
+    return headers
+
+
+class HttpReply:
+    """A worker's answer, of which the body is still to be read."""
+
+    __slots__ = ("_resp", "_closed", "status", "headers", "not_run", "gone", "genuine")
+
+    def __init__(self, call: Call, resp: aiohttp.ClientResponse) -> None:
+        self._resp = resp
+        connection = resp.connection
+        self._closed = connection and connection.protocol and connection.protocol.closed
+        self.status = resp.status
+        self.headers = names.answer_headers(resp.headers)
+        self.gone = resp.status == _MISDIRECTED
+        self.not_run = self.gone or names.NOT_EXECUTED in resp.headers
+        echoed = resp.headers.get(names.ATTEMPT)
+        if echoed is not None and echoed != call.id:
+            self.genuine = False
+        else:
+            self.genuine = resp.status >= 300 or names.RECEIPT in resp.headers
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; raises `TargetFailed` if it is cut off."""
+        try:
+            async for chunk in self._resp.content.iter_any():
+                yield chunk
+        except _LOST as exc:
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc), lost=True) from exc
+        self._check_end()
+
+    def _check_end(self) -> None:
+        """Tell a body that ends with its connection from one that is reset."""
+        headers = self._resp.headers
+        if "Content-Length" in headers or "chunked" in headers.get(
+            "Transfer-Encoding", ""
+        ):
+            return
+        closed = self._closed
+        if closed is not None and closed.done() and closed.exception() is not None:
+            message = f"connection lost within the body: {closed.exception()}"
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, message, lost=True)
+
+    def close(self) -> None:
+        """Drop the connection if the body was not read to its end."""
+        self._resp.close()
+
+
+class HttpTargets:
+    """Sends each request on a connection of its own.
+
+    A connection that was used before may be closed by its worker while a
+    request is on the way, or hold an answer to an earlier request; neither may
+    happen to a request that runs at most once.
+    """
+
+    __slots__ = ("_session",)
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def send(self, call: Call, dispatch: Dispatch) -> HttpReply:
+        """Send a request and return the head of the answer.
+
+        Raises
+        ------
+        TargetFailed
+            If no answer came; the verdict says whether it may have run.
+        """
+        url = URL(f"http://{dispatch.address}{call.path}", encoded=True)
+        try:
+            resp = await self._session.request(
+                call.method,
+                url,
+                headers=target_headers(call, dispatch),
+                data=call.body or None,
+                skip_auto_headers=_SKIPPED,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise TargetFailed(Verdict.NOT_RUN, repr(exc), lost=True) from exc
+        except _LOST as exc:
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc), lost=True) from exc
+        return HttpReply(call, resp)
+
+    async def probe(self, address: str, timeout_s: float) -> bool:
+        """Return whether a worker answers at all."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._session.get(f"http://{address}{REPORT_PATH}") as resp:
+                    await resp.read()
+        except (*_LOST, TimeoutError):
+            return False
+        return True
--- /dev/null
+++ b/turmericflow/relay/__init__.py
@@ -0,0 +1,73 @@
+"""Relays requests that carry no key of their own to targets, stream by stream."""
+
+from __future__ import annotations
+
+from turmericflow.relay._call import Call, Copy, Dispatch
+from turmericflow.relay._daemon import Daemon, Face
+from turmericflow.relay._directory import (
+    Change,
+    Changes,
+    Conflict,
+    HistoryGone,
+    Kind,
+    Listing,
+    Row,
+    StoreFailed,
+)
+from turmericflow.relay._entry import RequestInvalid
+from turmericflow.relay._log import set_up_log
+from turmericflow.relay._membership import addresses
+from turmericflow.relay._model import (
+    Customer,
+    Deployment,
+    EngineSpec,
+    HostEntry,
+    Limits,
+    Route,
+    Service,
+    Share,
+    TargetEntry,
+    WorkKind,
+)
+from turmericflow.relay._parts import Parts
+from turmericflow.relay._settings import HostSettings, SettingsInvalid, StoreLimits
+from turmericflow.relay._tables import HostState, Tables
+
+__all__ = (
+    # Declarations and entries
+    "Customer",
+    "Deployment",
+    "EngineSpec",
+    "HostEntry",
+    "Limits",
+    "Route",
+    "Service",
+    "Share",
+    "TargetEntry",
+    "WorkKind",
+    # Requests
+    "Call",
+    "Copy",
+    "Dispatch",
+    "RequestInvalid",
+    # The object store
+    "Change",
+    "Changes",
+    "Conflict",
+    "HistoryGone",
+    "Kind",
+    "Listing",
+    "Row",
+    "StoreFailed",
+    # The daemon
+    "Daemon",
+    "Face",
+    "HostSettings",
+    "HostState",
+    "Parts",
+    "SettingsInvalid",
+    "StoreLimits",
+    "Tables",
+    "addresses",
+    "set_up_log",
+)
--- /dev/null
+++ b/turmericflow/relay/_crashes.py
@@ -0,0 +1,67 @@
+"""Requests that crash the targets that run them, known by their content.
+
+The same content comes again under other names and at other hosts, so a loss is
+noted against a fingerprint, with the life of the target that was lost, and told
+to the other hosts.
+"""
+
+from __future__ import annotations
+
+import xxhash
+
+from turmericflow.relay._call import Call
+
+LOSSES_TO_REFUSE = 3
+MOST_FINGERPRINTS = 20_000
+REMEMBERED_S = 60.0  # beyond this a caller's repeats are new work
+
+
+def fingerprint(call: Call, customer: str | None) -> str:
+    """Return the name of a request's content, the same under every attempt."""
+    digest = xxhash.xxh3_128()
+    for part in (call.method, call.host, call.path, customer or ""):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(call.body)
+    return digest.hexdigest()
+
+
+class Crashes:
+    """Targets that were lost while they ran a content, by fingerprint."""
+
+    __slots__ = ("_losses",)
+
+    def __init__(self) -> None:
+        self._losses: dict[str, dict[str, float]] = {}
+
+    def note(self, content: str, target: str, now: float) -> bool:
+        """Note a loss; return whether it was not known before."""
+        losses = self._losses.setdefault(content, {})
+        known = target in losses
+        losses.setdefault(target, now)
+        if len(self._losses) > MOST_FINGERPRINTS:
+            del self._losses[next(iter(self._losses))]
+        return not known
+
+    def is_refused(self, content: str, now: float) -> bool:
+        """Return whether a content has crashed too many targets lately."""
+        losses = self._losses.get(content)
+        if losses is None:
+            return False
+        lately = sum(1 for at in losses.values() if now - at < REMEMBERED_S)
+        return lately >= LOSSES_TO_REFUSE
+
+    def lately(self, age_s: float, now: float) -> list[tuple[str, str, float]]:
+        """Return the losses of the last seconds: content, target and age."""
+        return [
+            (content, target, now - at)
+            for content, losses in self._losses.items()
+            for target, at in losses.items()
+            if now - at < age_s
+        ]
+
+    def expire(self, now: float) -> None:
+        """Forget what no longer counts."""
+        for content, losses in list(self._losses.items()):
+            if all(now - at >= REMEMBERED_S for at in losses.values()):
+                del self._losses[content]
--- /dev/null
+++ b/turmericflow/relay/_daemon.py
@@ -0,0 +1,125 @@
+"""The daemon of a relaying host: builds the services, leaves in order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import structlog
+from aiohttp import web
+from mode import Service
+
+from turmericflow.relay import _entry as entry_module
+from turmericflow.relay._directory import Kind
+from turmericflow.relay._entry import CallerCodec, Entry
+from turmericflow.relay._feed import Feed
+from turmericflow.relay._links import Links
+from turmericflow.relay._parts import Parts
+from turmericflow.relay._registration import Registration
+from turmericflow.relay._tables import HostState
+from turmericflow.relay._watchdog import Watchdog
+
+READY_CHECK_S = 0.02
+ACCEPT_SHARE = 3 / 8  # of the time to leave, in which requests are still taken
+LEAVE_MARGIN_S = 0.4
+FINISH_CHECK_S = 0.05
+BACKLOG = 512
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+log = structlog.get_logger()
+
+
+class Face:
+    """An address on which something is served over HTTP."""
+
+    __slots__ = ("address", "handler", "runner")
+
+    def __init__(self, address: str, handler: Handler) -> None:
+        self.address = address
+        self.handler = handler
+        self.runner: web.ServerRunner | None = None
+
+    async def open(self, **kwargs: object) -> None:
+        """Begin to listen."""
+        server = web.Server(self.handler, access_log=None, **kwargs)
+        self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self.runner.setup()
+        ip, _, port = self.address.rpartition(":")
+        await web.TCPSite(self.runner, ip, int(port), backlog=BACKLOG).start()
+
+    async def stop_listening(self) -> None:
+        """Take no new connections; those that are open are served on."""
+        for site in list(self.runner.sites):
+            await site.stop()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.runner.cleanup()
+
+
+class Daemon(Service):
+    """One relaying host."""
+
+    def __init__(self, parts: Parts, codec: CallerCodec, faces: list[Face]) -> None:
+        super().__init__()
+        self._parts = parts
+        self._faces = faces
+        self.entry = Entry(parts, codec)
+        self._callers = Face(parts.settings.callers, self.entry.handle)
+        self._links = Links(parts)
+
+    async def on_start(self) -> None:
+        parts = self._parts
+        for face in self._faces:
+            await face.open()
+        await self._callers.open(
+            request_factory=self.entry.request,
+            handler_cancellation=True,
+            keepalive_timeout=self._parts_idle_s(),
+            max_line_size=entry_module.MAX_HEADER_LINE_BYTES,
+            max_field_size=entry_module.MAX_HEADER_LINE_BYTES,
+            lingering_time=1.0,
+        )
+        for kind in Kind:
+            await self.add_runtime_dependency(Feed(parts, kind))
+        await self.add_runtime_dependency(Registration(parts))
+        await self.add_runtime_dependency(self._links)
+        await self.add_runtime_dependency(Watchdog(parts))
+
+    def _parts_idle_s(self) -> float:
+        return 15.0
+
+    @Service.task
+    async def _become_ready(self) -> None:
+        tables = self._parts.tables
+        while not self.should_stop:
+            known = tables.deployment.value is not None and tables.targets.revision >= 0
+            if known and tables.hosts.state is HostState.STARTING:
+                tables.hosts.state = HostState.READY
+                self._links.tell_now()
+                log.info(
+                    "ready",
+                    deployment=tables.deployment.revision,
+                    targets=len(tables.targets.rows),
+                    view=tables.targets.revision,
+                )
+                return
+            await self.sleep(READY_CHECK_S)
+
+    async def leave(self) -> None:
+        """Finish what was taken, within the time that the platform leaves."""
+        settings, clock = self._parts.settings, self._parts.clock
+        started_at = clock.now()
+        self._parts.tables.hosts.state = HostState.LEAVING
+        self._links.tell_now()
+        log.info("leaving", running=self.entry.running)
+        await asyncio.sleep(ACCEPT_SHARE * settings.leave_s)
+        await self._callers.stop_listening()
+        until = started_at + settings.leave_s - LEAVE_MARGIN_S
+        while self.entry.running and clock.now() < until:
+            await asyncio.sleep(FINISH_CHECK_S)
+        log.info("left", running=self.entry.running)
+        await self._callers.close()
+        for face in self._faces:
+            await face.close()
--- /dev/null
+++ b/turmericflow/relay/_feed.py
@@ -0,0 +1,179 @@
+"""Follows the store's objects, one kind each."""
+
+from __future__ import annotations
+
+import asyncio
+
+import structlog
+from mode import Service
+
+from turmericflow.relay import (
+    _discovery as discovery,
+    _membership as membership,
+    _routing as routing,
+)
+from turmericflow.relay._directory import (
+    Change,
+    Changes,
+    HistoryGone,
+    Kind,
+    Listing,
+    Row,
+    StoreFailed,
+)
+from turmericflow.relay._parts import Parts
+
+WAIT_S = 15.0  # a waiting watch costs one call whatever it waits
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0  # within a second of the store's return it is asked again
+OUTAGE_S = 0.5  # a store that was away for less has let no entry lapse
+
+log = structlog.get_logger()
+
+
+class Feed(Service):
+    """Keeps one kind's table as the store has it."""
+
+    abstract = False
+
+    def __init__(self, parts: Parts, kind: Kind) -> None:
+        super().__init__()
+        self._parts = parts
+        self._kind = kind
+        self._lost_at: float | None = None
+        self._lenient_until = 0.0
+
+    @Service.task
+    async def _follow(self) -> None:
+        revision: int | None = None
+        pause_s = FIRST_PAUSE_S
+        while not self.should_stop:
+            try:
+                revision = await self._step(revision)
+                pause_s = FIRST_PAUSE_S
+            except HistoryGone as exc:
+                log.info("store_history_gone", kind=self._kind, reason=str(exc))
+                revision = None
+            except StoreFailed as exc:
+                self._note_lost(exc)
+                await asyncio.sleep(pause_s * (0.5 + self._parts.rng.random()))
+                pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
+
+    async def _step(self, revision: int | None) -> int:
+        calls = self._parts.metrics.store_calls
+        if revision is None:
+            calls.labels("read").inc()
+            listing = await self._parts.directory.read(self._kind)
+            self._note_regained()
+            self._replace(listing)
+            return listing.revision
+        calls.labels("watch").inc()
+        changes = await self._parts.directory.changes(self._kind, revision, WAIT_S)
+        self._note_regained()
+        self._apply(changes)
+        return changes.revision
+
+    def _note_lost(self, exc: StoreFailed) -> None:
+        if self._lost_at is None:
+            self._lost_at = self._parts.clock.now()
+            log.warning("store_lost", kind=self._kind, reason=str(exc))
+
+    def _note_regained(self) -> None:
+        if self._lost_at is None:
+            return
+        now = self._parts.clock.now()
+        away_s = now - self._lost_at
+        self._lost_at = None
+        if away_s >= OUTAGE_S:
+            self._lenient_until = now + discovery.LAPSE_S
+        log.info("store_regained", kind=self._kind, away_s=round(away_s, 3))
+
+    def _readable(self, row: Row) -> bool:
+        if row.value is None:
+            log.info(
+                "object_unreadable", kind=self._kind, name=row.name, reason=row.problem
+            )
+        return row.value is not None
+
+    def _replace(self, listing: Listing) -> None:
+        tables, now = self._parts.tables, self._parts.clock.now()
+        rows = [row for row in listing.rows if self._readable(row)]
+        match self._kind:
+            case Kind.DEPLOYMENT:
+                for row in rows:
+                    self._put_in_force(row)
+            case Kind.TARGETS:
+                entries = [row.value for row in rows]
+                if now < self._lenient_until:
+                    entries += self._lapsed(entries)
+                discovery.replace(tables.targets, entries, listing.revision)
+            case Kind.HOSTS:
+                for row in rows:
+                    self._note_host(row)
+
+    def _lapsed(self, entries: list) -> list:
+        """Return the entries that are missing and may come back."""
+        targets = self._parts.tables.targets
+        names = {entry.id for entry in entries}
+        missing = [
+            row.entry for row in targets.rows.values() if row.entry.id not in names
+        ]
+        for entry in missing:
+            targets.lapsed.setdefault(entry.key, self._lenient_until)
+        return missing
+
+    def _apply(self, changes: Changes) -> None:
+        targets = self._parts.tables.targets
+        if self._kind is Kind.TARGETS and changes.revision <= targets.revision:
+            return
+        for change in changes.changes:
+            self._apply_change(change)
+        if self._kind is Kind.TARGETS:
+            targets.revision = changes.revision
+
+    def _apply_change(self, change: Change) -> None:
+        row, now = change.row, self._parts.clock.now()
+        targets = self._parts.tables.targets
+        match self._kind:
+            case Kind.DEPLOYMENT:
+                if not change.removed and self._readable(row):
+                    self._put_in_force(row)
+            case Kind.TARGETS:
+                if change.removed:
+                    lenient = now < self._lenient_until
+                    until = self._lenient_until if lenient else None
+                    discovery.remove(targets, row.name, until)
+                elif self._readable(row):
+                    discovery.put(targets, row.value)
+                else:
+                    discovery.remove(targets, row.name, None)
+                log.info(
+                    "target_changed",
+                    target=row.name,
+                    removed=change.removed,
+                    entry=row.value,
+                    revision=row.revision,
+                )
+            case Kind.HOSTS:
+                if change.removed:
+                    known = self._parts.tables.hosts.rows.get(row.name)
+                    if known is not None:
+                        known.revision = None
+                elif self._readable(row):
+                    self._note_host(row)
+
+    def _put_in_force(self, row: Row) -> None:
+        table = self._parts.tables.deployment
+        if routing.put_in_force(table, row.value, row.revision):
+            log.info(
+                "deployment_in_force",
+                version=row.value.version,
+                revision=row.revision,
+                source="store",
+            )
+
+    def _note_host(self, row: Row) -> None:
+        hosts, now = self._parts.tables.hosts, self._parts.clock.now()
+        known = membership.note_entry(hosts, row.value, now)
+        if known is not None:
+            known.revision = row.revision
--- /dev/null
+++ b/turmericflow/relay/_membership.py
@@ -0,0 +1,164 @@
+"""Which hosts are there, and what they tell each other."""
+
+from __future__ import annotations
+
+from turmericflow.relay import _placement as placement
+from turmericflow.relay._model import HostEntry
+from turmericflow.relay._tables import (
+    Host,
+    HostNews,
+    HostState,
+    HostTable,
+    Load,
+    Tables,
+)
+
+BEAT_S = 0.25
+ALIVE_S = 1.5  # six beats; news of a far host takes a few hops
+TOLD_S = 3.0  # for so long losses are told on
+FORGET_S = 20.0  # after this the entry of a silent host is removed
+MOST_ADDRESSES = 64
+
+
+def own_news(tables: Tables, now: float) -> HostNews:
+    """Return what this host says of itself now."""
+    hosts = tables.hosts
+    hosts.number += 1
+    rows = tables.targets.rows
+    return HostNews(
+        entry=hosts.own,
+        number=hosts.number,
+        state=int(hosts.state),
+        deployment_revision=tables.deployment.revision,
+        targets_revision=tables.targets.revision,
+        loads={key: row.own for key, row in rows.items() if row.own != Load()},
+        lost={
+            key: now - row.lost_at
+            for key, row in rows.items()
+            if now - row.lost_at < TOLD_S
+        },
+        crashes=tables.crashes.lately(TOLD_S, now),
+    )
+
+
+def _is_newer(news: HostNews, known: HostNews | None) -> bool:
+    if known is None:
+        return True
+    incarnation = news.entry.incarnation, news.number
+    return incarnation > (known.entry.incarnation, known.number)
+
+
+def note_entry(hosts: HostTable, entry: HostEntry, now: float) -> Host | None:
+    """Take in an entry of the store; return the host's row, None for this one."""
+    if entry.name == hosts.own.name:
+        return None
+    row = hosts.rows.get(entry.name)
+    if row is None or entry.incarnation > row.entry.incarnation:
+        row = hosts.rows[entry.name] = Host(entry, now)
+    return row
+
+
+def learn(tables: Tables, news: HostNews, now: float) -> bool:
+    """Take in a host's news; return whether they were new, to be told on."""
+    hosts = tables.hosts
+    if news.entry.name == hosts.own.name:
+        return False
+    row = hosts.rows.get(news.entry.name)
+    if row is None:
+        row = hosts.rows[news.entry.name] = Host(news.entry, now)
+    if not _is_newer(news, row.news):
+        return False
+    _forget_loads(tables, row)
+    row.entry, row.news, row.heard_at = news.entry, news, now
+    _take_loads(tables, news)
+    _take_losses(tables, news, now)
+    return True
+
+
+def _forget_loads(tables: Tables, row: Host) -> None:
+    for key in row.news.loads if row.news is not None else ():
+        target = tables.targets.rows.get(key)
+        if target is not None:
+            target.others.pop(row.entry.name, None)
+
+
+def _take_loads(tables: Tables, news: HostNews) -> None:
+    for key, load in news.loads.items():
+        target = tables.targets.rows.get(key)
+        if target is not None:
+            target.others[news.entry.name] = load
+
+
+def _take_losses(tables: Tables, news: HostNews, now: float) -> None:
+    for key, age_s in news.lost.items():
+        target = tables.targets.rows.get(key)
+        if target is not None:
+            placement.note_loss(tables.targets, target, now - age_s)
+    for content, target, age_s in news.crashes:
+        tables.crashes.note(content, target, now - age_s)
+
+
+def is_alive(host: Host, now: float) -> bool:
+    """Return whether a host was heard of lately."""
+    return host.news is not None and now - host.heard_at < ALIVE_S
+
+
+def expire(tables: Tables, now: float) -> list[str]:
+    """Drop the loads of hosts that fell silent; return the names of those hosts."""
+    silent = []
+    for name, row in tables.hosts.rows.items():
+        if row.news is not None and not is_alive(row, now):
+            _forget_loads(tables, row)
+            row.news = None
+            silent.append(name)
+    return silent
+
+
+def live_hosts(tables: Tables, now: float) -> int:
+    """Return the number of hosts, this one included."""
+    return 1 + sum(1 for row in tables.hosts.rows.values() if is_alive(row, now))
+
+
+def addresses(tables: Tables, now: float) -> list[str]:
+    """Return the callers' addresses of the hosts that take requests."""
+    hosts = tables.hosts
+    found = [hosts.own.callers] if hosts.state is HostState.READY else []
+    for row in hosts.rows.values():
+        if is_alive(row, now) and row.news.state == HostState.READY:
+            found.append(row.entry.callers)
+    return found[:MOST_ADDRESSES]
+
+
+def contacts(tables: Tables) -> list[HostEntry]:
+    """Return the hosts that this host connects to.
+
+    They are the next on a ring of all names, at distances that double, so that
+    news reach all hosts in a logarithmic number of hops.
+    """
+    hosts = tables.hosts
+    names = sorted([hosts.own.name, *hosts.rows])
+    start = names.index(hosts.own.name)
+    found, distance = [], 1
+    while distance < len(names):
+        found.append(hosts.rows[names[(start + distance) % len(names)]].entry)
+        distance *= 2
+    return found
+
+
+def forgotten(tables: Tables, now: float) -> list[Host]:
+    """Return the hosts whose entries this host is to remove from the store.
+
+    The live host that follows a silent one on the ring of names removes it.
+    """
+    hosts = tables.hosts
+    live = [hosts.own.name]
+    live += [name for name, row in hosts.rows.items() if is_alive(row, now)]
+    found = []
+    for name, row in hosts.rows.items():
+        silent = now - row.heard_at >= FORGET_S
+        if not silent or row.revision is None:
+            continue
+        after = [other for other in live if other > name]
+        if min(after or live) == hosts.own.name:
+            found.append(row)
+    return found
--- /dev/null
+++ b/turmericflow/relay/_metrics.py
@@ -0,0 +1,76 @@
+"""Counters and latency histograms, served as text on the metrics address."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 25.0)
+
+
+class Metrics:
+    """What a relaying host counts; docs/metrics.md gives unit and meaning."""
+
+    __slots__ = (
+        "_registry",
+        "requests",
+        "sends",
+        "resumes",
+        "losses",
+        "store_calls",
+        "answer_seconds",
+        "first_event_seconds",
+        "resume_seconds",
+        "running",
+        "hosts",
+    )
+
+    def __init__(self) -> None:
+        registry = self._registry = CollectorRegistry()
+        self.requests = Counter(
+            "turmericflow_requests", "Requests ended", ["outcome"], registry=registry
+        )
+        self.sends = Counter(
+            "turmericflow_sends", "Sends to targets", ["outcome"], registry=registry
+        )
+        self.resumes = Counter(
+            "turmericflow_resumes", "Streams gone on", ["how"], registry=registry
+        )
+        self.losses = Counter(
+            "turmericflow_losses", "Targets lost", ["evidence"], registry=registry
+        )
+        self.store_calls = Counter(
+            "turmericflow_store_calls",
+            "Calls to the store",
+            ["call"],
+            registry=registry,
+        )
+        self.answer_seconds = Histogram(
+            "turmericflow_answer_seconds",
+            "Time to a whole answer",
+            ["kind"],
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.first_event_seconds = Histogram(
+            "turmericflow_first_event_seconds",
+            "Time to a stream's first event",
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.resume_seconds = Histogram(
+            "turmericflow_resume_seconds",
+            "Pause of a stream that went on at another target",
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.running = Gauge(
+            "turmericflow_running", "Requests that run", registry=registry
+        )
+        self.hosts = Gauge(
+            "turmericflow_hosts", "Hosts held to be alive", registry=registry
+        )
+
+    def text(self) -> bytes:
+        """Return all metrics in the text form that scrapers read."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/turmericflow/relay/_placement.py
@@ -0,0 +1,135 @@
+"""Which target gets a request, and which one keeps a copy of its memory."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from turmericflow.relay._tables import Target, TargetTable
+
+FIRST_OUT_S = 0.5  # doubles with each failure in a row
+LONGEST_OUT_S = 4.0
+LOSS_COUNTS_S = 1.5  # losses closer together are taken for one event
+LOSSES_OF_CENTRE = 2
+UNREAD_TOKENS_PER_RUN = 1500.0  # a prompt of this size delays as much as one run
+OTHER_CENTRE_COST = 0.25
+FULL_COST = 50.0
+RUNS_OF_A_FULL_BATCH = 8.0  # cost of a full batch, in prompts of the size above
+LOST_CENTRE_COST = 1000.0
+FAILED_COST = 100_000.0
+
+
+@dataclass(slots=True, frozen=True)
+class Wish:
+    """What a target is chosen for.
+
+    Attributes
+    ----------
+    service
+        Service whose targets come into question.
+    data_centre
+        Where the target is best.
+    avoid
+        Lives of targets that were tried already.
+    not_in
+        Data centre in which no target is taken if another has one.
+    tokens, capacity
+        Tokens of memory that the request needs, and that an engine has; 0 for
+        targets without such memory.
+    """
+
+    service: str
+    data_centre: str
+    avoid: frozenset[str] = frozenset()
+    not_in: str | None = None
+    tokens: int = 0
+    capacity: int = 0
+
+
+def usable(target: Target) -> bool:
+    """Return whether a target may get new work at all."""
+    return not target.entry.leaving and not target.gone
+
+
+def centre_lost(table: TargetTable, data_centre: str, service: str, now: float) -> bool:
+    """Return whether several targets of a data centre were lost a moment ago."""
+    times = table.lost.get((data_centre, service), [])
+    lately = sum(1 for at in times if now - at < LOSS_COUNTS_S)
+    return lately >= LOSSES_OF_CENTRE
+
+
+def note_loss(table: TargetTable, target: Target, at: float) -> bool:
+    """Take in that a target was lost: it gets no work for a while.
+
+    Returns
+    -------
+    bool
+        Whether this is a loss not known before.
+    """
+    if at < target.out_until or at <= target.heard_at:
+        return False
+    out_s = min(LONGEST_OUT_S, FIRST_OUT_S * 2**target.failures)
+    target.failures += 1
+    target.out_until = at + out_s
+    place = (target.entry.data_centre, target.entry.service)
+    times = [time for time in table.lost.get(place, []) if at - time < LOSS_COUNTS_S]
+    table.lost[place] = [*times, at]
+    return True
+
+
+def note_gone(target: Target) -> None:
+    """Take in that a target's address is another's now."""
+    target.gone = True
+
+
+def note_success(target: Target) -> None:
+    """Take in that a target has done some work."""
+    target.failures = 0
+
+
+def cost(table: TargetTable, target: Target, wish: Wish, now: float) -> float:
+    """Return how much a request would wait at a target, in runs of its batch."""
+    entry = target.entry
+    total = RUNS_OF_A_FULL_BATCH * target.runs / max(1, entry.slots)
+    total += target.unread_tokens / UNREAD_TOKENS_PER_RUN
+    if wish.capacity:
+        held = target.memory_tokens
+        total += held / wish.capacity
+        if held + wish.tokens > wish.capacity:
+            total += FULL_COST
+    elif target.runs >= entry.slots:
+        total += FULL_COST * target.runs / entry.slots
+    if entry.cold_ms > 0:
+        total += 1.0
+    if entry.data_centre != wish.data_centre:
+        total += OTHER_CENTRE_COST
+    if centre_lost(table, entry.data_centre, entry.service, now):
+        total += LOST_CENTRE_COST
+    if now < target.out_until:
+        total += FAILED_COST * (1 + target.failures)
+    return total
+
+
+def choose(table: TargetTable, wish: Wish, now: float, rng: Random) -> Target | None:
+    """Return the target with the least expected wait, or None if there is none."""
+    found = [
+        target
+        for target in table.by_service.get(wish.service, ())
+        if usable(target) and target.entry.key not in wish.avoid
+    ]
+    if wish.not_in is not None:
+        found = [t for t in found if t.entry.data_centre != wish.not_in]
+    if not found:
+        return None
+    costs = [(cost(table, target, wish, now), rng.random()) for target in found]
+    return found[min(range(len(found)), key=costs.__getitem__)]
+
+
+def choose_backup(
+    table: TargetTable, wish: Wish, now: float, rng: Random
+) -> Target | None:
+    """Return the engine that keeps a copy, in another data centre, or None."""
+    target = choose(table, wish, now, rng)
+    if target is None or now < target.out_until:
+        return None
+    return target
--- /dev/null
+++ b/turmericflow/relay/_registration.py
@@ -0,0 +1,47 @@
+"""This host's own entry in the store."""
+
+from __future__ import annotations
+
+import asyncio
+
+import structlog
+from mode import Service
+
+from turmericflow.relay._directory import Conflict, Kind, StoreFailed
+from turmericflow.relay._parts import Parts
+
+PAUSE_S = 0.5
+
+log = structlog.get_logger()
+
+
+class Registration(Service):
+    """Publishes where this host is, once for each start of its process."""
+
+    def __init__(self, parts: Parts) -> None:
+        super().__init__()
+        self._parts = parts
+
+    @Service.task
+    async def _publish(self) -> None:
+        while not self.should_stop:
+            try:
+                revision = await self._publish_once()
+            except StoreFailed as exc:
+                log.info("entry_not_published", reason=str(exc))
+                await asyncio.sleep(PAUSE_S * (0.5 + self._parts.rng.random()))
+                continue
+            log.info("entry_published", revision=revision)
+            return
+
+    async def _publish_once(self) -> int:
+        own = self._parts.tables.hosts.own
+        directory = self._parts.directory
+        try:
+            return await directory.publish(own, None)
+        except Conflict:
+            listing = await directory.read(Kind.HOSTS)
+        for row in listing.rows:
+            if row.name == own.name:
+                return await directory.publish(own, row.revision)
+        raise StoreFailed("the entry was there and is gone")
--- /dev/null
+++ b/turmericflow/relay/_routing.py
@@ -0,0 +1,79 @@
+"""Which route, customer and service a request belongs to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from turmericflow.relay._call import Call
+from turmericflow.relay._model import Customer, Deployment, Route
+from turmericflow.relay._tables import DeploymentTable
+from turmericflow.verdict import ErrorCode, not_run
+
+
+@dataclass(slots=True, frozen=True)
+class Match:
+    """What a request belongs to."""
+
+    route: Route
+    service: str
+    customer: Customer | None
+
+
+def put_in_force(table: DeploymentTable, value: Deployment, revision: int) -> bool:
+    """Put a deployment in force unless one as new is; return whether it changed."""
+    if revision <= table.revision:
+        return False
+    known = table.value
+    table.revision = revision
+    if known is not None and value.version <= known.version:
+        return False
+    by_host: dict[str, list[Route]] = {}
+    for route in sorted(value.routes, key=lambda route: -len(route.prefix)):
+        by_host.setdefault(route.host, []).append(route)
+    table.by_host = by_host
+    table.by_key = {
+        key: customer for customer in value.customers for key in customer.keys
+    }
+    table.services = {service.name: service for service in value.services}
+    table.value = value
+    return True
+
+
+def _find_route(table: DeploymentTable, call: Call) -> Route | None:
+    path = call.path.partition("?")[0]
+    host = call.host
+    routes = table.by_host.get(host) or table.by_host.get(host.partition(":")[0], ())
+    return next((route for route in routes if path.startswith(route.prefix)), None)
+
+
+def _pick_service(route: Route, rng: Random) -> str:
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    if sum(weights) <= 0:
+        return route.shares[0].service
+    return rng.choices(route.shares, weights)[0].service
+
+
+def match(table: DeploymentTable, call: Call, rng: Random) -> Match:
+    """Return what a request belongs to.
+
+    Raises
+    ------
+    RequestFailed
+        If no deployment is known, no route fits, or the key is unknown.
+    """
+    deployment = table.value
+    if deployment is None:
+        raise not_run(ErrorCode.STALE_VIEW, "no deployment is known yet", 0.5)
+    route = _find_route(table, call)
+    if route is None:
+        raise not_run(ErrorCode.NOT_FOUND, f"no route fits {call.host}{call.path}")
+    service = _pick_service(route, rng)
+    if route.anonymous or not deployment.customers:
+        return Match(route, service, None)
+    customer = table.by_key.get(call.key) if call.key else None
+    if customer is None:
+        raise not_run(ErrorCode.UNAUTHORIZED, "the key is not a customer's")
+    return Match(route, service, customer)
--- /dev/null
+++ b/turmericflow/relay/_watchdog.py
@@ -0,0 +1,105 @@
+"""The tick: ends silent attempts, and drops what no longer counts."""
+
+from __future__ import annotations
+
+import structlog
+from mode import Service
+
+from turmericflow.relay import (
+    _discovery as discovery,
+    _membership as membership,
+    _silence as silence,
+    _stream as stream,
+)
+from turmericflow.relay._directory import Conflict, StoreFailed
+from turmericflow.relay._parts import Parts
+from turmericflow.relay._tables import Fault, Run
+
+TICK_S = 0.05
+SLOW_TICK_S = 1.0
+PROBE_TIMEOUT_S = 0.2  # a report is answered at once; connecting takes milliseconds
+
+log = structlog.get_logger()
+
+
+class Watchdog(Service):
+    """Runs the decisions that hold over all tables."""
+
+    def __init__(self, parts: Parts) -> None:
+        super().__init__()
+        self._parts = parts
+
+    @Service.task
+    async def _tick(self) -> None:
+        clock = self._parts.clock
+        while not self.should_stop:
+            await self.sleep(TICK_S)
+            late_s = clock.tick(TICK_S)
+            if late_s > silence.MIN_SILENCE_S:
+                log.info("process_stood_still", late_s=round(late_s, 3))
+            self._scan()
+
+    def _scan(self) -> None:
+        clock = self._parts.clock
+        for suspicion in silence.scan(self._parts.tables, clock.listening()):
+            run = suspicion.run
+            match suspicion.step:
+                case silence.Step.END:
+                    self._end(run, Fault.SILENT)
+                case silence.Step.PROBE:
+                    run.probed_at = clock.listening()
+                    self.add_future(self._probe(run))
+
+    def _end(self, run: Run, fault: Fault) -> None:
+        clock = self._parts.clock
+        log.info(
+            "stream_silent",
+            request=run.call.id,
+            target=run.target.entry.key,
+            silent_s=round(clock.listening() - run.heard_at, 3),
+            events=run.events,
+            event_gap_s=round(run.target.event_gap_s, 4),
+            due_s=round(run.due_s, 3),
+            fault=fault.value,
+        )
+        stream.interrupt(run, fault, clock.now())
+
+    async def _probe(self, run: Run) -> None:
+        address = run.target.entry.address
+        alive = await self._parts.targets.probe(address, PROBE_TIMEOUT_S)
+        if run.events or run not in self._parts.tables.runs:
+            return
+        if alive:
+            run.alive_at = self._parts.clock.listening()
+        elif run.fault is None:
+            self._end(run, Fault.LOST)
+
+    @Service.task
+    async def _slow_tick(self) -> None:
+        tables, clock = self._parts.tables, self._parts.clock
+        while not self.should_stop:
+            await self.sleep(SLOW_TICK_S)
+            now = clock.now()
+            for key in discovery.expire(tables.targets, now):
+                log.info("target_gone", target=key, evidence="lapsed entry")
+            for name in membership.expire(tables, now):
+                log.info("host_silent", host_name=name)
+            tables.crashes.expire(now)
+            self._parts.metrics.hosts.set(membership.live_hosts(tables, now))
+            self._parts.metrics.running.set(len(tables.runs))
+            await self._remove_leftovers()
+
+    async def _remove_leftovers(self) -> None:
+        tables = self._parts.tables
+        for host in membership.forgotten(tables, self._parts.clock.now()):
+            revision, host.revision = host.revision, None
+            try:
+                await self._parts.directory.remove_host(host.entry.name, revision)
+            except Conflict:
+                continue
+            except StoreFailed as exc:
+                host.revision = revision
+                log.info("leftover_kept", host_name=host.entry.name, reason=str(exc))
+                return
+            log.info("host_removed", host_name=host.entry.name, revision=revision)
+            del tables.hosts.rows[host.entry.name]
--- a/turmericflow/services/_engine.py
+++ b/turmericflow/services/_engine.py
@@ -11,30 +11,12 @@
 from turmericflow.cfg import Address
 from turmericflow.services._feeds import Feeds
 from turmericflow.services._stats import Stats
-from turmericflow.verdict import Verdict
+from turmericflow.verdict import TargetFailed, Verdict
 
 REFUSED_STATUSES = frozenset({409, 429, 503})
 REPORT_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 
 
-class TargetFailed(Exception):
-    """Raised when a target refuses or is lost.
-
-    Attributes
-    ----------
-    verdict
-        ``NOT_RUN`` if no byte left or the target states that it refused,
-        else ``MAY_HAVE_RUN``.
-    lost
-        Whether the connection to the target failed.
-    """
-
-    def __init__(self, verdict: Verdict, message: str, lost: bool = False) -> None:
-        super().__init__(message)
-        self.verdict = verdict
-        self.lost = lost
-
-
 class StaleFence(TargetFailed):
     """Raised when an engine has obeyed an order with a higher fencing number."""
 
--- a/turmericflow/verdict.py
+++ b/turmericflow/verdict.py
@@ -118,6 +118,24 @@
         self.failure = failure
 
 
+class TargetFailed(Exception):
+    """Raised when a target refuses or is lost.
+
+    Attributes
+    ----------
+    verdict
+        ``NOT_RUN`` if no byte left or the target states that it refused,
+        else ``MAY_HAVE_RUN``.
+    lost
+        Whether the connection to the target failed.
+    """
+
+    def __init__(self, verdict: Verdict, message: str, lost: bool = False) -> None:
+        super().__init__(message)
+        self.verdict = verdict
+        self.lost = lost
+
+
 def not_run(code: ErrorCode, message: str, retry_after_s: float | None = None):
     """Build a `RequestFailed` whose verdict is ``NOT_RUN``."""
     return RequestFailed(Failure(code, Verdict.NOT_RUN, message, retry_after_s))
--- a/turmericflow/wire/_codec.py
+++ b/turmericflow/wire/_codec.py
@@ -2,76 +2,26 @@
 
 from __future__ import annotations
 
-import msgpack
 import msgspec
 
+from turmericflow._framing import MAX_MESSAGE_BYTES, StreamDecoder, WireError
 from turmericflow.wire._base import Message
 from turmericflow.wire._messages import AnyMessage
 
-MAX_MESSAGE_BYTES = 4_000_000
+__all__ = ("MAX_MESSAGE_BYTES", "Decoder", "WireError", "encode")
 
-# A message is a short array; the longest form of array would only make the
-# stream wait for more than a message may hold.
-_MESSAGE_STARTS = frozenset([*range(0x90, 0xA0), 0xDC])
 _DECODER = msgspec.msgpack.Decoder(AnyMessage)
 
 
-class WireError(Exception):
-    """Raised when bytes from a peer are not a valid message."""
-
-
 def encode(message: Message) -> bytes:
     """Return a message as msgpack bytes."""
     return msgspec.msgpack.encode(message)
 
 
-class Decoder:
-    """Turns a stream of bytes into messages.
-
-    One pass finds where each message ends, and a typed decoder reads it: this is
-    far cheaper than to unpack a message and convert it to its type.
+class Decoder(StreamDecoder[AnyMessage]):
+    """Turns a stream of bytes into messages between routers."""
 
-    Raises
-    ------
-    WireError
-        From `feed`, when the bytes are not valid; the connection is then to
-        be closed.
-    """
-
-    __slots__ = ("_rest", "_start", "_unpacker")
+    __slots__ = ()
 
     def __init__(self) -> None:
-        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
-        self._rest = b""
-        self._start = 0
-
-    def feed(self, data: bytes) -> list[AnyMessage]:
-        """Take bytes in and return the messages that are now whole."""
-        self._rest = self._rest + data if self._rest else bytes(data)
-        try:
-            self._unpacker.feed(data)
-            return self._take_whole()
-        except (
-            msgpack.exceptions.UnpackException,
-            msgspec.MsgspecError,
-            ValueError,
-        ) as exc:
-            raise WireError(f"got invalid message bytes: {exc}") from exc
-
-    def _take_whole(self) -> list[AnyMessage]:
-        view = memoryview(self._rest)
-        found: list[AnyMessage] = []
-        begin = 0
-        while begin < len(view):
-            if view[begin] not in _MESSAGE_STARTS:
-                raise ValueError(f"first byte {view[begin]:#x}")
-            try:
-                self._unpacker.skip()
-            except msgpack.OutOfData:
-                break
-            end = self._unpacker.tell() - self._start
-            found.append(_DECODER.decode(view[begin:end]))
-            begin = end
-        self._start += begin
-        self._rest = self._rest[begin:]
-        return found
+        super().__init__(_DECODER)
