--- a/turmericflow/platform/__main__.py
+++ b/turmericflow/platform/__main__.py
@@ -42,6 +42,7 @@
 KEEPALIVE_PROBES = 3
 UNACKNOWLEDGED_MS = 3000
 METRICS_PORT = 9108
+NS_PER_MS = 1_000_000
 
 log = structlog.get_logger()
 
@@ -62,15 +63,18 @@
         limit=0, force_close=force_close, socket_factory=_socket, use_dns_cache=False
     )
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         timeout=timeout,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
+    # The library repeats a GET by itself, outside the budgets; it has no setting.
+    session._retry_connection = False
+    return session
 
 
-class _Faces:
+class _Answers:
     """What the platform and its callers ask beside requests."""
 
     __slots__ = ("_parts",)
@@ -95,22 +99,26 @@
         """Return the metrics as text."""
         return web.Response(body=self._parts.metrics.text(), content_type="text/plain")
 
-    def all(self, settings: HostSettings) -> list[Face]:
-        """Return all faces that the settings have an address for."""
-        ip = settings.peers.rpartition(":")[0]
-        found = [Face(f"{ip}:{METRICS_PORT}", self.metrics)]
-        if settings.readiness:
-            found.append(Face(settings.readiness, self.ready))
-        if settings.addresses:
-            found.append(Face(settings.addresses, self.resolve))
-        return found
 
+def faces(
+    parts: Parts, settings: HostSettings, metrics_port: int = METRICS_PORT
+) -> list[Face]:
+    """Return all that is served beside requests, where the settings have an address."""
+    answers = _Answers(parts)
+    ip = settings.peers.rpartition(":")[0]
+    found = [Face(f"{ip}:{metrics_port}", answers.metrics)]
+    if settings.readiness:
+        found.append(Face(settings.readiness, answers.ready))
+    if settings.addresses:
+        found.append(Face(settings.addresses, answers.resolve))
+    return found
 
-async def _serve(settings: HostSettings) -> int:
-    incarnation = time.time_ns() // 1_000_000
+
+def open_parts(settings: HostSettings) -> tuple[Parts, list[aiohttp.ClientSession]]:
+    """Return a host's parts, and the sessions to close after them."""
     own = HostEntry(
         settings.name,
-        incarnation,
+        time.time_ns() // NS_PER_MS,
         settings.data_centre,
         settings.callers,
         settings.peers,
@@ -119,23 +127,30 @@
     tables.budgets.ratio = settings.retry_ratio
     tables.budgets.window_s = settings.retry_window_s
     tables.budgets.slack = settings.retry_slack
+    targets, store = _open_session(True), _open_session(False)
+    directory = StoreClient(store, settings.store.address)
+    return Parts(settings, tables, HttpTargets(targets), directory), [targets, store]
+
+
+async def _serve(settings: HostSettings) -> int:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload)
-    async with _open_session(True) as targets, _open_session(False) as store:
-        directory = StoreClient(store, settings.store.address)
-        parts = Parts(settings, tables, HttpTargets(targets), directory)
-        daemon = Daemon(parts, _callers, _Faces(parts).all(settings))
-        await daemon.start()
-        log.info("started", incarnation=incarnation, callers=settings.callers)
-        await _wait(daemon, stop)
-        if daemon.crashed:
-            log.error("crashed")
-            return EXIT_CRASHED
-        await daemon.leave()
-        await daemon.stop()
+    parts, sessions = open_parts(settings)
+    daemon = Daemon(parts, _callers, faces(parts, settings))
+    await daemon.start()
+    log.info("started", entry=parts.tables.hosts.own)
+    await _wait(daemon, stop)
+    if daemon.crashed:
+        log.error("crashed")
+        return EXIT_CRASHED
+    await daemon.leave()
+    await daemon.close()
+    await daemon.stop()
+    for session in sessions:
+        await session.close()
     log.info("stopped")
     return EXIT_OK
 
--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -14,6 +14,7 @@
 from turmericflow.verdict import TargetFailed, Verdict
 
 REPORT_PATH = "/v1/report"
+ACCEPT_TIMEOUT_S = 0.3
 _SKIPPED = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 # Statuses with which a worker says that it did not run a request, besides the
 # header that says so.
@@ -46,8 +47,9 @@
 
     def __init__(self, call: Call, resp: aiohttp.ClientResponse) -> None:
         self._resp = resp
-        connection = resp.connection
-        self._closed = connection and connection.protocol and connection.protocol.closed
+        # The protocol is falsy while it holds no data.
+        protocol = None if resp.connection is None else resp.connection.protocol
+        self._closed = None if protocol is None else protocol.closed
         self.status = resp.status
         self.headers = names.answer_headers(resp.headers)
         self.gone = resp.status == _MISDIRECTED
@@ -121,6 +123,19 @@
             raise TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc), lost=True) from exc
         return HttpReply(call, resp)
 
+    async def accepts(self, address: str) -> bool:
+        """Return whether a worker takes connections, or may only be out of reach."""
+        ip, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(ACCEPT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(ip, int(port))
+        except ConnectionRefusedError:
+            return False
+        except (OSError, TimeoutError):
+            return True
+        writer.transport.abort()
+        return True
+
     async def probe(self, address: str, timeout_s: float) -> bool:
         """Return whether a worker answers at all."""
         try:
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -15,7 +15,7 @@
 from turmericflow.relay._call import Call, Dispatch, Reply
 from turmericflow.relay._parts import Parts
 from turmericflow.relay._routing import Match
-from turmericflow.relay._tables import Run, Target
+from turmericflow.relay._tables import Run, Suspect, Target
 from turmericflow.verdict import (
     ErrorCode,
     Failure,
@@ -116,7 +116,8 @@
             If the request may not or cannot be sent on.
         """
         tables, now = self.parts.tables, self.parts.clock.now()
-        if self.parts.tables.crashes.is_refused(self.content(), now):
+        table = tables.crashes
+        if table.any and table.is_refused(self.content(), now):
             raise self.failure("the content crashed the targets that ran it")
         target = placement.choose(tables.targets, self.wish(), now, self.parts.rng)
         if target is None:
@@ -195,6 +196,13 @@
         if run.backup is not None:
             run.backup.own.memory_tokens -= run.memory_tokens
 
+    def note_done(self, target: Target) -> None:
+        """Take in that a target has answered the request."""
+        placement.note_success(target)
+        table = self.parts.tables.crashes
+        if table.any and table.is_suspect(self.content()):
+            table.clear(self.content(), self.parts.clock.now())
+
     def note_refused(self, target: Target, reply: Reply) -> Ending:
         """Take in that a target did not run the request."""
         now = self.parts.clock.now()
@@ -222,9 +230,8 @@
             self._refusals += 1
         else:
             self.may_have_run += 1
-            if began:
-                tables = self.parts.tables
-                tables.crashes.note(self.content(), target.entry.key, now)
+            if began and exc.lost:
+                self.parts.suspicions.append(Suspect(self.content(), target, now))
         if exc.lost and placement.note_loss(self.parts.tables.targets, target, now):
             target.lost_at = now
             self.parts.tell_change()
--- a/turmericflow/relay/_call.py
+++ b/turmericflow/relay/_call.py
@@ -157,6 +157,10 @@
         """
         ...
 
+    async def accepts(self, address: str) -> bool:
+        """Return whether a target takes connections, or may only be out of reach."""
+        ...
+
     async def probe(self, address: str, timeout_s: float) -> bool:
         """Return whether a target answers at all."""
         ...
--- a/turmericflow/relay/_crashes.py
+++ b/turmericflow/relay/_crashes.py
@@ -1,8 +1,8 @@
 """Requests that crash the targets that run them, known by their content.
 
-The same content comes again under other names and at other hosts, so a loss is
-noted against a fingerprint, with the life of the target that was lost, and told
-to the other hosts.
+The same content comes again under other names and at other hosts, so a crash is
+noted against a fingerprint, with the life of the target that crashed, and told
+to the other hosts.  An answer clears a content: what crashes its targets has none.
 """
 
 from __future__ import annotations
@@ -27,22 +27,39 @@
 
 
 class Crashes:
-    """Targets that were lost while they ran a content, by fingerprint."""
+    """Targets that crashed while they ran a content, by fingerprint."""
 
-    __slots__ = ("_losses",)
+    __slots__ = ("_losses", "_cleared")
 
     def __init__(self) -> None:
         self._losses: dict[str, dict[str, float]] = {}
+        self._cleared: dict[str, float] = {}
 
-    def note(self, content: str, target: str, now: float) -> bool:
-        """Note a loss; return whether it was not known before."""
+    @property
+    def any(self) -> bool:
+        """Whether there are suspects at all; without one no content need be hashed."""
+        return bool(self._losses)
+
+    def note(self, content: str, target: str, at: float) -> bool:
+        """Note a crash; return whether it was not known before."""
+        if at <= self._cleared.get(content, float("-inf")):
+            return False
         losses = self._losses.setdefault(content, {})
         known = target in losses
-        losses.setdefault(target, now)
+        losses.setdefault(target, at)
         if len(self._losses) > MOST_FINGERPRINTS:
             del self._losses[next(iter(self._losses))]
         return not known
 
+    def clear(self, content: str, now: float) -> None:
+        """Note that a content was answered."""
+        if self._losses.pop(content, None) is not None:
+            self._cleared[content] = now
+
+    def is_suspect(self, content: str) -> bool:
+        """Return whether a target crashed that ran a content."""
+        return content in self._losses
+
     def is_refused(self, content: str, now: float) -> bool:
         """Return whether a content has crashed too many targets lately."""
         losses = self._losses.get(content)
@@ -65,3 +82,6 @@
         for content, losses in list(self._losses.items()):
             if all(now - at >= REMEMBERED_S for at in losses.values()):
                 del self._losses[content]
+        for content, at in list(self._cleared.items()):
+            if now - at >= REMEMBERED_S:
+                del self._cleared[content]
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -24,6 +24,8 @@
 LEAVE_MARGIN_S = 0.4
 FINISH_CHECK_S = 0.05
 BACKLOG = 512
+IDLE_S = 15.0  # callers use idle connections for up to four fifths of this
+LINGER_S = 1.0  # for the rest of a body that was answered early
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -76,10 +78,10 @@
         await self._callers.open(
             request_factory=self.entry.request,
             handler_cancellation=True,
-            keepalive_timeout=self._parts_idle_s(),
+            keepalive_timeout=IDLE_S,
             max_line_size=entry_module.MAX_HEADER_LINE_BYTES,
             max_field_size=entry_module.MAX_HEADER_LINE_BYTES,
-            lingering_time=1.0,
+            lingering_time=LINGER_S,
         )
         for kind in Kind:
             await self.add_runtime_dependency(Feed(parts, kind))
@@ -87,9 +89,6 @@
         await self.add_runtime_dependency(self._links)
         await self.add_runtime_dependency(Watchdog(parts))
 
-    def _parts_idle_s(self) -> float:
-        return 15.0
-
     @Service.task
     async def _become_ready(self) -> None:
         tables = self._parts.tables
@@ -120,6 +119,9 @@
         while self.entry.running and clock.now() < until:
             await asyncio.sleep(FINISH_CHECK_S)
         log.info("left", running=self.entry.running)
+
+    async def close(self) -> None:
+        """Close all that is served."""
         await self._callers.close()
         for face in self._faces:
             await face.close()
--- a/turmericflow/relay/_entry.py
+++ b/turmericflow/relay/_entry.py
@@ -142,6 +142,14 @@
             return await self._serve(request, call)
         except RequestFailed as exc:
             return self._failed(call, exc.failure)
+        except ConnectionError:
+            raise
+        except Exception as exc:
+            log.exception("request_crashed", request=call.id)
+            message = f"internal error: {type(exc).__name__}"
+            return self._failed(
+                call, Failure(ErrorCode.TARGET_FAILED, Verdict.MAY_HAVE_RUN, message)
+            )
 
     async def _serve(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         parts = self._parts
--- a/turmericflow/relay/_exchange.py
+++ b/turmericflow/relay/_exchange.py
@@ -6,7 +6,6 @@
 
 from multidict import CIMultiDict
 
-from turmericflow.relay import _placement as placement
 from turmericflow.relay._attempts import Attempts, Ending
 from turmericflow.relay._call import Reply
 from turmericflow.relay._tables import Target
@@ -99,5 +98,5 @@
         self.answer = Answer(reply.status, reply.headers, body)
         if reply.status >= SERVER_FAILED:
             return attempts.note_failed(target, f"status {reply.status}")
-        placement.note_success(target)
+        attempts.note_done(target)
         return Ending.DONE
--- a/turmericflow/relay/_parts.py
+++ b/turmericflow/relay/_parts.py
@@ -11,7 +11,7 @@
 from turmericflow.relay._directory import Directory
 from turmericflow.relay._metrics import Metrics
 from turmericflow.relay._settings import HostSettings
-from turmericflow.relay._tables import Tables
+from turmericflow.relay._tables import Suspect, Tables
 
 STALL_S = 0.1  # a tick later than this means that the process stood still
 
@@ -53,6 +53,8 @@
 
     Attributes
     ----------
+    suspicions
+        Requests that were cut off, until it is known whether their target crashed.
     tell_change
         Tells the other hosts at once of a change that bears on their choices.
     """
@@ -66,6 +68,7 @@
         "clock",
         "rng",
         "tell_change",
+        "suspicions",
     )
 
     def __init__(
@@ -82,4 +85,5 @@
         self.metrics = Metrics()
         self.clock = Clock()
         self.rng = Random(secrets.randbits(64))
+        self.suspicions: list[Suspect] = []
         self.tell_change: Callable[[], None] = _tell_nobody
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -147,6 +147,7 @@
                     await self._pass_on(run, reply)
                 else:
                     await self._forward(run, reply)
+                attempts.note_done(target)
                 return Ending.DONE
         except TimeoutError:
             return self._interrupted(run)
@@ -155,7 +156,7 @@
             return attempts.note_failed(target, str(exc))
         except TargetFailed as exc:
             self._keep_copy(run)
-            return attempts.note_lost(target, exc, began=run.events > 0)
+            return attempts.note_lost(target, exc, began=True)
         finally:
             tables.runs.discard(run)
             attempts.end(run)
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -295,6 +295,17 @@
         return Copy(self.backup.entry.address, self.call.id)
 
 
+class Suspect:
+    """A content that was cut off, and the target that may have crashed of it."""
+
+    __slots__ = ("content", "target", "at")
+
+    def __init__(self, content: str, target: Target, at: float) -> None:
+        self.content = content
+        self.target = target
+        self.at = at
+
+
 class Tables:
     """All tables of a host."""
 
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -13,7 +13,7 @@
 )
 from turmericflow.relay._directory import Conflict, StoreFailed
 from turmericflow.relay._parts import Parts
-from turmericflow.relay._tables import Fault, Run
+from turmericflow.relay._tables import Fault, Run, Suspect
 
 TICK_S = 0.05
 SLOW_TICK_S = 1.0
@@ -38,6 +38,7 @@
             if late_s > silence.MIN_SILENCE_S:
                 log.info("process_stood_still", late_s=round(late_s, 3))
             self._scan()
+            self._look_into_suspicions()
 
     def _scan(self) -> None:
         clock = self._parts.clock
@@ -74,6 +75,29 @@
         elif run.fault is None:
             self._end(run, Fault.LOST)
 
+    def _look_into_suspicions(self) -> None:
+        """Find out which targets crashed; a cut answer alone is no crash."""
+        suspects, self._parts.suspicions = self._parts.suspicions, []
+        by_target: dict[str, list[Suspect]] = {}
+        for suspect in suspects:
+            by_target.setdefault(suspect.target.entry.key, []).append(suspect)
+        for group in by_target.values():
+            self.add_future(self._look_into(group))
+
+    async def _look_into(self, suspects: list[Suspect]) -> None:
+        entry = suspects[0].target.entry
+        if await self._parts.targets.accepts(entry.address):
+            return
+        for suspect in suspects:
+            self._parts.tables.crashes.note(suspect.content, entry.key, suspect.at)
+        log.info(
+            "target_crashed",
+            target=entry.key,
+            address=entry.address,
+            contents=[suspect.content for suspect in suspects],
+        )
+        self._parts.tell_change()
+
     @Service.task
     async def _slow_tick(self) -> None:
         tables, clock = self._parts.tables, self._parts.clock
--- a/turmericflow/tests/conftest.py
+++ b/turmericflow/tests/conftest.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
 
 import pytest
 
 from turmericflow.testing import Cluster, small_plan
+from turmericflow.tests.platform_stand_ins import Fleet
 
 # Small systems of equations are solved faster without threads.
 os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")
@@ -38,3 +39,21 @@
     plan.settings["addresses_keep_s"] = 0.5
     with Cluster(plan) as running:
         yield running
+
+
+@pytest.fixture
+async def fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+    """Run a store on the platform's protocol and one host."""
+    running = Fleet(tmp_path)
+    await running.start()
+    yield running
+    await running.stop()
+
+
+@pytest.fixture
+async def fleet_of_three(tmp_path: Path) -> AsyncIterator[Fleet]:
+    """Run a store on the platform's protocol and three hosts."""
+    running = Fleet(tmp_path)
+    await running.start(3)
+    yield running
+    await running.stop()
--- /dev/null
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -0,0 +1,598 @@
+"""Stand-ins for the platform's store, engines and plain services, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections import Counter
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDictProxy
+
+from turmericflow.platform import _callers
+from turmericflow.platform.__main__ import (
+    faces,
+    open_parts,
+)
+from turmericflow.platform._settings import read_settings
+from turmericflow.relay import Daemon
+
+LOOPBACK = "127.0.0.1"
+KEY = "key-of-a"
+CUSTOMER = "customer-a"
+POISON = b"a body that crashes its target"
+CRASHED_S = 0.3
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind((LOOPBACK, 0))
+        return sock.getsockname()[1]
+
+
+class Served:
+    """An HTTP application on a port of its own."""
+
+    def __init__(self) -> None:
+        self.port = free_port()
+        self.runner: web.ServerRunner | None = None
+
+    @property
+    def address(self) -> str:
+        return f"{LOOPBACK}:{self.port}"
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        raise NotImplementedError
+
+    async def start(self) -> None:
+        server = web.Server(self.handle, handler_cancellation=True)
+        self.runner = web.ServerRunner(server, shutdown_timeout=0.05)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, LOOPBACK, self.port, reuse_address=True)
+        await site.start()
+
+    async def stop(self) -> None:
+        if self.runner is not None:
+            await self.runner.cleanup()
+            self.runner = None
+
+
+class StoreStandIn(Served):
+    """The object store: revisions, conditions, watches, and ways to fail.
+
+    Attributes
+    ----------
+    status
+        Status that all calls get, or None for the usual answers.
+    deaf
+        Whether waiting watches hear nothing.
+    lose_replies
+        Whether writes take effect and are not answered.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.revision = 1
+        self.objects: dict[str, dict[str, dict]] = {}
+        self.history: list[tuple[int, str, dict, bool]] = []
+        self.forgotten = 0
+        self.status: int | None = None
+        self.turned_away: set[str] = set()
+        self.deaf = False
+        self.lose_replies = False
+        self.calls: Counter[str] = Counter()
+        self._changed = asyncio.Event()
+
+    def put(self, kind: str, name: str, spec: object) -> int:
+        """Write an object as the operator or a worker does."""
+        self.revision += 1
+        stored = {
+            "metadata": {"name": name, "revision": self.revision, "finalizers": []},
+            "spec": spec,
+            "status": None,
+        }
+        self.objects.setdefault(kind, {})[name] = stored
+        self._note(kind, stored, False)
+        return self.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        stored = self.objects.get(kind, {}).pop(name, None)
+        if stored is not None:
+            self.revision += 1
+            self._note(kind, stored, True)
+
+    def forget(self) -> None:
+        """Drop the history up to now."""
+        self.history.clear()
+        self.forgotten = self.revision
+
+    def _note(self, kind: str, stored: dict, removed: bool) -> None:
+        self.history.append((self.revision, kind, stored, removed))
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        parts = request.path.split("/")
+        kind, name = parts[3], parts[4] if len(parts) > 4 else ""
+        verb = "watch" if "watch" in request.query else request.method
+        self.calls[f"{verb} {kind}"] += 1
+        if self.status is not None:
+            return web.Response(status=self.status)
+        match request.method:
+            case "GET" if "watch" in request.query:
+                return await self._watch(request, kind)
+            case "GET" if name:
+                stored = self.objects.get(kind, {}).get(name)
+                return self._json(stored) if stored else web.Response(status=404)
+            case "GET":
+                items = list(self.objects.get(kind, {}).values())
+                return self._json({"items": items, "storeRevision": self.revision})
+            case "POST" | "PUT":
+                return await self._write(request, kind, name)
+            case "DELETE":
+                return self._delete(request, kind, name)
+        return web.Response(status=400)
+
+    async def _write(
+        self, request: web.BaseRequest, kind: str, name: str
+    ) -> web.StreamResponse:
+        body = json.loads(await request.read())
+        name = name or body["metadata"]["name"]
+        known = self.objects.get(kind, {}).get(name)
+        if request.method == "POST" and known:
+            return self._json(known, 409)
+        if request.method == "PUT" and not known:
+            return web.Response(status=404)
+        revision = body["metadata"].get("revision")
+        if known and revision not in (None, known["metadata"]["revision"]):
+            return self._json(known, 409)
+        self.put(kind, name, body["spec"])
+        if self.lose_replies:
+            request.transport.abort()
+        return self._json(self.objects[kind][name])
+
+    def _delete(
+        self, request: web.BaseRequest, kind: str, name: str
+    ) -> web.StreamResponse:
+        known = self.objects.get(kind, {}).get(name)
+        if not known:
+            return web.Response(status=404)
+        revision = request.query.get("revision")
+        if revision and int(revision) != known["metadata"]["revision"]:
+            return self._json(known, 409)
+        self.remove(kind, name)
+        return self._json(known)
+
+    async def _watch(self, request: web.BaseRequest, kind: str) -> web.StreamResponse:
+        since = int(request.query["watch"])
+        if since < self.forgotten:
+            return web.Response(status=410)
+        try:
+            async with asyncio.timeout(int(request.query["waitMs"]) / 1000):
+                while True:
+                    events = [
+                        {"object": stored, "tombstone": removed}
+                        for revision, other, stored, removed in self.history
+                        if other == kind and revision > since
+                    ]
+                    if events and not self.deaf:
+                        break
+                    await self._changed.wait()
+        except TimeoutError:
+            events = []
+        return self._json({"events": events, "storeRevision": self.revision})
+
+    def _json(self, body: object, status: int = 200) -> web.Response:
+        return web.json_response(body, status=status)
+
+
+@dataclass(slots=True)
+class Seen:
+    """A request as a target got it."""
+
+    id: str
+    method: str
+    path: str
+    headers: CIMultiDictProxy[str]
+    body: bytes
+    ended: str = "running"
+
+
+@dataclass
+class TargetState:
+    """What a target is told to do, in the order of the requests; "" is the usual."""
+
+    faults: list[str] = field(default_factory=list)
+    always: str = ""
+
+
+class TargetStandIn(Served):
+    """A plain service's target; faults are told one request ahead.
+
+    Faults: ``shed`` (503, not run), ``error`` (500), ``reset`` (cut without an
+    answer), ``torn`` (cut within the body), ``mute`` (no answer), ``other`` (an
+    answer to another request), ``unsigned``, ``unframed`` (no length),
+    ``unframed torn``.
+    """
+
+    service = "plain"
+
+    def __init__(self, name: str, data_centre: str) -> None:
+        super().__init__()
+        self.name = name
+        self.data_centre = data_centre
+        self.state = TargetState()
+        self.seen: list[Seen] = []
+        self.answer_s = 0.005
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        """Return what the target writes into the store."""
+        return {
+            "backend": self.service,
+            "address": self.address,
+            "zone": self.data_centre,
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 1,
+        }
+
+    def _signed(self, request: web.BaseRequest) -> dict[str, str]:
+        return {
+            "X-Turmericflow-Attempt-Id": request.headers["X-Turmericflow-Attempt-Id"],
+            "X-Turmericflow-Upstream-Signature": f"receipt-{self.name}",
+        }
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/v1/report":
+            if self.state.always == "mute":
+                await asyncio.sleep(3600)
+            return web.json_response({})
+        faults = self.state.faults
+        fault = self.state.always or (faults.pop(0) if faults else "")
+        expected = request.headers["X-Turmericflow-Expect-Instance"]
+        if expected != self.name:
+            return web.Response(status=421)
+        if fault == "shed":
+            headers = {"X-Turmericflow-Not-Executed": "1"}
+            return web.Response(status=503, headers=headers)
+        body = await request.read()
+        seen = Seen(
+            request.headers["X-Turmericflow-Attempt-Id"],
+            request.method,
+            request.raw_path,
+            request.headers,
+            body,
+        )
+        self.seen.append(seen)
+        if body == POISON:
+            asyncio.ensure_future(self.crash())
+            await asyncio.sleep(3600)
+        try:
+            resp = await self.run(request, seen, fault)
+        except asyncio.CancelledError:
+            seen.ended = "cancelled"
+            raise
+        seen.ended = "done"
+        return resp
+
+    async def crash(self) -> None:
+        """Break all connections off and take no new ones for a while."""
+        for connection in self.runner.server.connections:
+            connection.transport.abort()
+        await self.stop()
+        await asyncio.sleep(CRASHED_S)
+        await self.start()
+
+    async def run(
+        self, request: web.BaseRequest, seen: Seen, fault: str
+    ) -> web.StreamResponse:
+        """Work on a request."""
+        await asyncio.sleep(self.answer_s)
+        text = f"{self.name} {seen.id}".encode()
+        headers = self._signed(request)
+        match fault:
+            case "error":
+                return web.Response(status=500, headers=headers, body=b"failed")
+            case "reset":
+                request.transport.abort()
+            case "mute":
+                await asyncio.sleep(3600)
+            case "other":
+                headers["X-Turmericflow-Attempt-Id"] = "another"
+            case "unsigned":
+                del headers["X-Turmericflow-Upstream-Signature"]
+            case "torn":
+                resp = web.StreamResponse(headers=headers)
+                resp.content_length = len(text)
+                await resp.prepare(request)
+                await resp.write(text[:4])
+                request.transport.abort()
+                return resp
+            case "unframed" | "unframed torn":
+                return await self._unframed(request, headers, text, "torn" in fault)
+        return web.Response(headers=headers, body=text)
+
+    async def _unframed(
+        self, request: web.BaseRequest, headers: dict, text: bytes, torn: bool
+    ) -> web.StreamResponse:
+        lines = [b"HTTP/1.1 200 OK"]
+        lines += [f"{name}: {value}".encode() for name, value in headers.items()]
+        transport = request.transport
+        transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + text)
+        await asyncio.sleep(0.02)
+        if torn:
+            sock = transport.get_extra_info("socket")
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        transport.abort() if torn else transport.close()
+        await asyncio.sleep(3600)
+        return web.Response()
+
+
+class EngineStandIn(TargetStandIn):
+    """A model engine's target: streams events, keeps copies of other runs.
+
+    Faults besides: ``silent N`` (no event after N), ``cut N`` (cut after N),
+    ``tear N`` (cut within event N), ``double N`` (event N twice).
+
+    Attributes
+    ----------
+    events, event_s, read_s
+        Events of a stream, time between them, and time to the first one.
+    copies
+        Ids of runs whose memory is kept here.
+    """
+
+    service = "model"
+    peers: dict[str, "EngineStandIn"] = {}
+
+    def __init__(self, name: str, data_centre: str) -> None:
+        super().__init__(name, data_centre)
+        self.events = 20
+        self.event_s = 0.01
+        self.read_s = 0.05
+        self.copies: set[str] = set()
+        self.peers[self.address] = self
+
+    async def run(
+        self, request: web.BaseRequest, seen: Seen, fault: str
+    ) -> web.StreamResponse:
+        if fault in ("error", "reset", "mute"):
+            return await super().run(request, seen, fault)
+        copy = request.headers.get("Kv-From", "")
+        if copy:
+            run = copy.partition("/")[2]
+            if run not in self.copies:
+                headers = {"X-Turmericflow-Not-Executed": "1"}
+                return web.Response(status=503, headers=headers)
+            self.copies.discard(run)
+        else:
+            await asyncio.sleep(self.read_s)
+        kind, _, at = fault.partition(" ")
+        resp = web.StreamResponse(headers=self._signed(request))
+        resp.content_type = "text/event-stream"
+        resp.enable_chunked_encoding()
+        await resp.prepare(request)
+        last = request.headers.get("Last-Event-Id")
+        for number in range(1 if last is None else int(last) + 1, self.events + 1):
+            await asyncio.sleep(self.event_s)
+            event = b"id: %d\ndata: token-%d\n\n" % (number, number)
+            match kind:
+                case "silent" if number > int(at):
+                    await asyncio.sleep(3600)
+                case "cut" if number > int(at):
+                    request.transport.abort()
+                    return resp
+                case "tear" if number == int(at):
+                    await resp.write(event[:9])
+                    request.transport.abort()
+                    return resp
+                case "double" if number == int(at):
+                    event += event
+            await resp.write(event)
+            backup = request.headers.get("X-Turmericflow-Kv-Backup")
+            if backup in self.peers:
+                self.peers[backup].copies.add(seen.id)
+        await resp.write_eof()
+        return resp
+
+
+def deployment(version: int = 1, **changes: object) -> dict[str, object]:
+    """Return a configuration with a model service and a plain one."""
+    routes = [
+        {
+            "name": "stream",
+            "hostname": "site.example",
+            "pathPrefix": "/stream/",
+            "routeType": "streaming",
+            "timeoutMs": 10_000,
+            "targetLatencyMs": 4_500,
+            "priority": 1,
+            "backend": "model",
+            "maxAttempts": 5,
+            "anonymous": False,
+            "stickySessions": True,
+            "streamResume": True,
+            "gapTargetMs": 700,
+        },
+        {
+            "name": "order",
+            "hostname": "site.example",
+            "pathPrefix": "/order/",
+            "routeType": "non_idempotent",
+            "timeoutMs": 800,
+            "targetLatencyMs": 200,
+            "backend": "plain",
+            "maxAttempts": 1,
+        },
+        {
+            "name": "state",
+            "hostname": "site.example",
+            "pathPrefix": "/state/",
+            "routeType": "idempotent",
+            "timeoutMs": 800,
+            "targetLatencyMs": 200,
+            "backend": "plain",
+            "maxAttempts": 2,
+        },
+    ]
+    engine = {
+        "slots": 64,
+        "kvCapacity": 88_000,
+        "kvTokenBytes": 1_000,
+        "stride": 6,
+        "backups": True,
+        "handleS": 4.0,
+        "models": [{"name": "m"}],
+    }
+    config: dict[str, object] = {
+        "version": version,
+        "routes": routes,
+        "backends": [
+            {"name": "model", "healthPath": "/healthz", "engine": engine},
+            {"name": "plain", "healthPath": "/healthz"},
+        ],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 100_000},
+        "tenants": [{"name": CUSTOMER, "apiKeys": [KEY]}],
+    }
+    return config | changes
+
+
+class HostStandIn:
+    """One daemon in this process, with a settings file of the platform's form."""
+
+    def __init__(self, name: str, data_centre: str, store: str, folder) -> None:
+        self.name = name
+        self.ports = [free_port() for _ in range(5)]
+        self._path = folder / f"{name}.json"
+        settings = {
+            "nodeName": name,
+            "ip": LOOPBACK,
+            "zone": data_centre,
+            "region": "r",
+            "listen": {
+                "front": f"{LOOPBACK}:{self.ports[0]}",
+                "ready": f"{LOOPBACK}:{self.ports[1]}",
+                "directory": f"{LOOPBACK}:{self.ports[2]}",
+            },
+            "internalPorts": [self.ports[3], self.ports[3]],
+            "seeds": [],
+            "bounds": {"graceS": 2.0},
+            "provider": {"address": store},
+        }
+        self._path.write_text(json.dumps(settings))
+        self.daemon: Daemon | None = None
+        self._sessions: list[aiohttp.ClientSession] = []
+
+    @property
+    def url(self) -> str:
+        return f"http://{LOOPBACK}:{self.ports[0]}"
+
+    @property
+    def tables(self):
+        return self.parts.tables
+
+    async def start(self) -> None:
+        settings = read_settings(self._path)
+        self.parts, self._sessions = open_parts(settings)
+        kept = faces(self.parts, settings, metrics_port=self.ports[4])
+        self.daemon = Daemon(self.parts, _callers, kept)
+        await self.daemon.start()
+
+    async def stop(self) -> None:
+        if self.daemon is not None:
+            await self.daemon.close()
+            await self.daemon.stop()
+            self.daemon = None
+        for session in self._sessions:
+            await session.close()
+
+
+class Fleet:
+    """A store, targets and hosts; a client of the first host."""
+
+    def __init__(self, folder) -> None:
+        self._folder = folder
+        self.store = StoreStandIn()
+        self.hosts: list[HostStandIn] = []
+        self.targets: dict[str, TargetStandIn] = {}
+        self.session: aiohttp.ClientSession | None = None
+
+    async def start(self, hosts: int = 1) -> None:
+        await self.store.start()
+        self.store.put("config", "main", deployment())
+        self.session = aiohttp.ClientSession()
+        for number in range(hosts):
+            await self.add_host(f"host-{number}", f"dc-{number % 3}")
+
+    async def add_host(self, name: str, data_centre: str) -> HostStandIn:
+        host = HostStandIn(name, data_centre, self.store.address, self._folder)
+        self.hosts.append(host)
+        await host.start()
+        return host
+
+    async def add_target(self, target: TargetStandIn) -> None:
+        await target.start()
+        self.targets[target.name] = target
+        self.store.put("servers", target.name, target.entry())
+
+    async def add_engines(self, *places: str) -> list[EngineStandIn]:
+        found = [EngineStandIn(f"engine-{n}", dc) for n, dc in enumerate(places)]
+        for engine in found:
+            await self.add_target(engine)
+        await self.until(lambda: self.know("model", len(found)))
+        return found
+
+    async def add_plain(self, number: int = 2) -> list[TargetStandIn]:
+        found = [TargetStandIn(f"plain-{n}", f"dc-{n}") for n in range(number)]
+        for target in found:
+            await self.add_target(target)
+        await self.until(lambda: self.know("plain", number))
+        return found
+
+    def know(self, service: str, number: int) -> bool:
+        """Return whether all hosts know a number of a service's targets."""
+        return all(
+            len(host.tables.targets.by_service.get(service, ())) == number
+            and host.tables.deployment.value is not None
+            for host in self.hosts
+        )
+
+    @staticmethod
+    async def until(condition, timeout_s: float = 5.0) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def request(self, path: str, id: str = "r1", host: int = 0, **kwargs):
+        """Send a request; use as a context manager."""
+        headers = {
+            "Host": "site.example",
+            "X-Turmericflow-Attempt-Id": id,
+            "X-Turmericflow-Deadline-Ms": "10000",
+            "X-Turmericflow-Key": KEY,
+            "X-Turmericflow-Model": "m",
+            "X-Turmericflow-Token-Usage": "100,120",
+        }
+        headers |= kwargs.pop("headers", {})
+        headers = {name: value for name, value in headers.items() if value is not None}
+        method = kwargs.pop("method", "POST")
+        url = self.hosts[host].url + path
+        return self.session.request(method, url, headers=headers, **kwargs)
+
+    async def stop(self) -> None:
+        if self.session is not None:
+            await self.session.close()
+        for host in self.hosts:
+            await host.stop()
+        for target in self.targets.values():
+            await target.stop()
+        await self.store.stop()
--- /dev/null
+++ b/turmericflow/tests/test_platform_adapter.py
@@ -0,0 +1,131 @@
+"""Tests that the adapter translates, and that nothing else knows the platform."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+import turmericflow
+from turmericflow.platform._objects import decode_deployment, decode_target
+from turmericflow.platform._settings import read_settings
+from turmericflow.relay import SettingsInvalid, WorkKind
+from turmericflow.tests.platform_stand_ins import deployment
+
+PACKAGE = Path(turmericflow.__file__).parent
+WIRE_NAMES = (
+    "x-turmericflow",
+    "apikeys",
+    "pathprefix",
+    "maxattempts",
+    "routetype",
+    "streamresume",
+    "healthpath",
+    "kv-move",
+    "kv-from",
+    "kv-events",
+    "hold-take",
+    "storerevision",
+    "waitms",
+    "ttls",
+    "turmericflow_node_file",
+    "nodename",
+    "internalports",
+    "coldremainingms",
+    "gaptargetms",
+)
+
+
+def _own_modules() -> list[Path]:
+    return [
+        path
+        for path in PACKAGE.rglob("*.py")
+        if not {"platform", "tests"} & set(path.relative_to(PACKAGE).parts[:-1])
+    ]
+
+
+@pytest.mark.parametrize("name", WIRE_NAMES)
+def test_no_other_module_holds_a_wire_name(name: str):
+    assert [
+        str(path) for path in _own_modules() if name in path.read_text("utf-8").lower()
+    ] == []
+
+
+def test_the_adapter_is_small():
+    def lines(paths) -> int:
+        return sum(len(path.read_text("utf-8").splitlines()) for path in paths)
+
+    adapter = lines((PACKAGE / "platform").rglob("*.py"))
+    assert adapter <= lines([*_own_modules()]) / 8
+
+
+def test_the_daemon_imports_nothing_of_keyed_requests_or_reports():
+    code = (
+        "import sys, turmericflow.platform.__main__\n"
+        "names = ('pydantic', 'yaml', 'numpy', 'matplotlib', 'hdrh', 'statsd',"
+        " 'turmericflow.cfg', 'turmericflow.wire', 'turmericflow.systems',"
+        " 'turmericflow.tables', 'turmericflow.services', 'turmericflow.testing')\n"
+        "print([name for name in names if name in sys.modules])"
+    )
+    run = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert run.stdout.strip() == "[]"
+
+
+def test_a_deployment_is_translated_with_units_and_kinds():
+    found = decode_deployment(deployment(3))
+    stream, order, state = found.routes
+    assert found.version == 3
+    assert (stream.kind, stream.resumable, stream.gap_s) == (
+        WorkKind.STREAM,
+        True,
+        0.7,
+    )
+    assert stream.repeatable and state.repeatable and not order.repeatable
+    assert (order.timeout_s, order.objective_s) == (0.8, 0.2)
+    model, plain = found.services
+    assert model.engine.memory_tokens == 88_000 and plain.engine is None
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"routes": 4}, {"version": "x"}, {"backends": None}, {"routes": [{"name": "a"}]}],
+)
+def test_an_unusable_deployment_says_what_is_wrong(changes: dict):
+    with pytest.raises(ValueError, match="got an unusable configuration"):
+        decode_deployment(deployment(3) | changes)
+
+
+def test_a_target_that_starts_again_under_its_name_is_another_life():
+    entry = {"backend": "s", "address": "10.0.0.1:1", "zone": "z", "state": "ready"}
+    first = decode_target("w", entry | {"born": 1})
+    again = decode_target("w", entry | {"born": 2})
+    assert first.key != again.key
+
+
+def test_settings_are_read_and_unknown_fields_ignored(tmp_path: Path):
+    path = tmp_path / "settings.json"
+    listen = {"front": "10.0.0.1:1", "ready": "10.0.0.1:2"}
+    settings = {
+        "nodeName": "a",
+        "ip": "10.0.0.1",
+        "zone": "z",
+        "region": "r",
+        "listen": listen,
+        "internalPorts": [7200, 7215],
+        "seeds": ["10.0.0.2:9"],
+        "provider": {"address": "10.9.9.9:1"},
+        "bounds": {"graceS": 8, "drainMs": 2000},
+        "unheardOf": {"a": 1},
+    }
+    path.write_text(json.dumps(settings))
+    found = read_settings(path)
+    assert (found.peers, found.seeds) == ("10.0.0.1:7200", ("10.0.0.2:7200",))
+    assert (found.leave_s, found.drain_s) == (8.0, 2.0)
+    path.write_text(json.dumps(settings | {"nodeName": 4}))
+    with pytest.raises(SettingsInvalid, match="nodeName"):
+        read_settings(path)
--- /dev/null
+++ b/turmericflow/tests/test_relay.py
@@ -0,0 +1,392 @@
+"""Tests of a relaying host against stand-ins of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from turmericflow.tests.platform_stand_ins import (
+    CUSTOMER,
+    POISON,
+    EngineStandIn,
+    Fleet,
+    TargetStandIn,
+    deployment,
+)
+
+
+def _ids(body: bytes) -> list[int]:
+    lines = body.split(b"\n")
+    return [int(line[3:]) for line in lines if line.startswith(b"id:")]
+
+
+async def test_plain_answer_is_passed_on_whole(fleet: Fleet):
+    targets = await fleet.add_plain()
+    async with fleet.request("/order/1?a=b", data=b"body") as resp:
+        body = await resp.read()
+    (seen,) = targets[0].seen + targets[1].seen
+    assert resp.status == 200 and body.endswith(b" r1")
+    assert resp.headers["X-Turmericflow-Upstream-Signature"].startswith("receipt-")
+    assert (seen.path, seen.body) == ("/order/1?a=b", b"body")
+    assert seen.headers["X-Turmericflow-Tenant"] == CUSTOMER
+    assert "X-Turmericflow-Key" not in seen.headers
+    assert int(seen.headers["X-Turmericflow-Deadline-Ms"]) <= 800
+
+
+RESERVED = {
+    "X-Turmericflow-Tenant": "forged",
+    "X-Turmericflow-Hold": "h",
+    "X-Turmericflow-Pin-Ms": "9",
+    "X-Turmericflow-Kv-Backup": "10.0.0.1:1",
+    "Kv-From": "10.0.0.1:1/x",
+    "Kv-Fetch": "10.0.0.1:1",
+    "X-Turmericflow-Expect-Version": "4",
+    "X-Turmericflow-Request-Priority": "0",
+    "X-Turmericflow-Expect-Instance": "forged",
+    "Connection": "X-Secret",
+    "X-Secret": "s",
+}
+
+
+async def test_a_callers_reserved_headers_are_dropped(fleet: Fleet):
+    (target,) = await fleet.add_plain(1)
+    async with fleet.request("/order/1", headers=RESERVED) as resp:
+        assert resp.status == 200
+    headers = target.seen[0].headers
+    assert headers["X-Turmericflow-Tenant"] == CUSTOMER
+    assert headers["X-Turmericflow-Expect-Instance"] == target.name
+    dropped = set(RESERVED) - {"X-Turmericflow-Tenant", "Connection"}
+    dropped.discard("X-Turmericflow-Expect-Instance")
+    assert not [name for name in dropped if name in headers]
+
+
+@pytest.mark.parametrize(
+    "path, key, status",
+    [
+        ("/nowhere/1", "key-of-a", 404),
+        ("/order", "key-of-a", 404),
+        ("/order/1", "no-key", 401),
+        ("/order/1", None, 401),
+    ],
+)
+async def test_what_no_deployment_allows_is_refused(fleet: Fleet, path, key, status):
+    (target,) = await fleet.add_plain(1)
+    headers = {"X-Turmericflow-Key": key}
+    async with fleet.request(path, headers=headers) as resp:
+        assert resp.status == status
+    assert not target.seen
+
+
+async def test_a_body_over_the_limit_is_refused(fleet: Fleet):
+    await fleet.add_plain(1)
+    async with fleet.request("/order/1", data=b"x" * 100_001) as resp:
+        assert resp.status == 413
+    async with fleet.request("/order/1", headers={"X-A": "x" * 17_000}) as resp:
+        assert resp.status == 431
+
+
+@pytest.mark.parametrize(
+    "fault", ["reset", "torn", "other", "unsigned", "unframed torn"]
+)
+async def test_a_non_idempotent_request_runs_once(fleet: Fleet, fault: str):
+    targets = await fleet.add_plain(3)
+    for target in targets:
+        target.state.always = fault
+    async with fleet.request("/order/1") as resp:
+        assert resp.status == 502
+    assert sum(len(target.seen) for target in targets) == 1
+
+
+@pytest.mark.parametrize(
+    "fault", ["reset", "torn", "other", "unsigned", "error", "unframed torn"]
+)
+async def test_an_idempotent_request_runs_at_a_second_target(fleet: Fleet, fault: str):
+    targets = await fleet.add_plain(3)
+    for number in range(6):
+        for target in targets:
+            target.state.faults.clear()
+            target.seen.clear()
+        targets[number % 3].state.faults.append(fault)
+        async with fleet.request("/state/1", f"r{number}", method="GET") as resp:
+            assert resp.status == 200
+            await resp.read()
+
+
+async def test_an_answer_without_a_length_is_whole(fleet: Fleet):
+    (target,) = await fleet.add_plain(1)
+    target.state.always = "unframed"
+    async with fleet.request("/order/1") as resp:
+        assert (resp.status, await resp.read()) == (200, b"plain-0 r1")
+
+
+async def test_a_refused_send_goes_to_another_target(fleet: Fleet):
+    targets = await fleet.add_plain(3)
+    targets[0].state.always = targets[1].state.always = "shed"
+    for number in range(6):
+        async with fleet.request("/order/1", f"r{number}") as resp:
+            assert resp.status == 200
+    for target in targets:
+        target.state.always = "shed"
+    async with fleet.request("/order/1") as resp:
+        assert resp.status == 503 and float(resp.headers["Retry-After"]) > 0
+
+
+async def test_the_routes_timeout_ends_the_wait(fleet: Fleet):
+    (target,) = await fleet.add_plain(1)
+    target.state.always = "mute"
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    async with fleet.request("/order/1") as resp:
+        assert resp.status == 504
+    assert 0.7 < loop.time() - started_at < 1.2
+    await fleet.until(lambda: target.seen[0].ended == "cancelled")
+
+
+async def test_a_target_of_another_life_is_not_used_again(fleet: Fleet):
+    first, second = await fleet.add_plain(2)
+    first.name = "other"
+    for number in range(4):
+        async with fleet.request("/order/1", f"r{number}") as resp:
+            assert resp.status == 200
+    assert len(second.seen) == 4
+
+
+async def test_a_stream_is_passed_on_as_it_comes(fleet: Fleet):
+    await fleet.add_engines("dc-0")
+    async with fleet.request("/stream/1", data=b"prompt") as resp:
+        assert resp.status == 200
+        assert resp.headers["Content-Type"] == "text/event-stream"
+        body = await resp.read()
+    assert _ids(body) == list(range(1, 21))
+
+
+@pytest.mark.parametrize("fault", ["cut 7", "tear 7", "silent 7", "double 7"])
+async def test_a_stream_goes_on_from_its_copy_in_another_data_centre(
+    fleet: Fleet, fault: str
+):
+    first, second, third = await fleet.add_engines("dc-0", "dc-1", "dc-1")
+    second.state.always = third.state.always = ""
+    first.state.always = fault
+    second.read_s = third.read_s = 3.0
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    async with fleet.request("/stream/1", data=b"prompt") as resp:
+        body = await resp.read()
+        receipt = resp.headers["X-Turmericflow-Upstream-Signature"]
+    assert _ids(body) == list(range(1, 21))
+    assert receipt == "receipt-engine-0"
+    assert loop.time() - started_at < 2.0
+    if not fault.startswith("double"):
+        (seen,) = second.seen + third.seen
+        assert seen.headers["Last-Event-Id"] in ("6", "7")
+        assert seen.headers["Kv-From"].endswith("/r1")
+
+
+async def test_a_stream_goes_on_without_a_copy(fleet: Fleet):
+    first, second = await fleet.add_engines("dc-0", "dc-0")
+    first.state.always = "cut 5"
+    for number in range(4):
+        async with fleet.request("/stream/1", f"r{number}") as resp:
+            assert _ids(await resp.read()) == list(range(1, 21))
+    assert any(seen.headers.get("Last-Event-Id") == "5" for seen in second.seen)
+
+
+async def test_a_stream_survives_the_loss_of_engine_and_copy(fleet: Fleet):
+    engines = await fleet.add_engines("dc-0", "dc-1", "dc-1", "dc-2")
+    engines[0].state.faults = ["cut 5"]
+    engines[1].state.faults = ["reset"]
+    engines[2].state.faults = ["reset"]
+    async with fleet.request("/stream/1") as resp:
+        assert _ids(await resp.read()) == list(range(1, 21))
+
+
+async def test_a_stream_that_cannot_go_on_never_looks_complete(fleet: Fleet):
+    engines = await fleet.add_engines("dc-0", "dc-1")
+    for engine in engines:
+        engine.state.always = "cut 5"
+    with pytest.raises(Exception, match="payload|disconnected|reset"):
+        async with fleet.request("/stream/1") as resp:
+            await resp.read()
+
+
+async def test_a_caller_that_leaves_ends_the_run(fleet: Fleet):
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.event_s = 0.2
+    resp = await fleet.request("/stream/1")
+    await resp.content.readany()
+    resp.close()
+    await fleet.until(lambda: engine.seen[0].ended == "cancelled", 0.5)
+    assert not fleet.hosts[0].tables.runs
+
+
+async def test_a_stream_resumed_by_its_caller_goes_on_after_its_last_event(
+    fleet: Fleet,
+):
+    await fleet.add_engines("dc-0")
+    headers = {"Last-Event-Id": "12"}
+    async with fleet.request("/stream/1", headers=headers) as resp:
+        assert _ids(await resp.read()) == list(range(13, 21))
+
+
+async def test_a_content_that_crashes_its_targets_is_refused(fleet: Fleet):
+    engines = await fleet.add_engines("dc-0", "dc-1", "dc-2", "dc-0", "dc-1")
+    for number in range(6):
+        async with fleet.request("/stream/1", f"r{number}", data=POISON) as resp:
+            assert resp.status in (502, 503)
+        await asyncio.sleep(0.1)
+    assert 3 <= sum(len(engine.seen) for engine in engines) <= 5
+    async with fleet.request("/stream/1", "good", data=b"good") as resp:
+        assert resp.status == 200
+        await resp.read()
+
+
+async def test_answers_that_are_lost_convict_no_content(fleet: Fleet):
+    (target,) = await fleet.add_plain(1)
+    for number in range(5):
+        target.state.faults = ["reset"]
+        async with fleet.request("/state/1", f"lost{number}", method="GET") as resp:
+            assert resp.status == 502
+    await asyncio.sleep(0.1)
+    async with fleet.request("/state/1", "r1", method="GET") as resp:
+        assert resp.status == 200
+
+
+async def test_a_leaving_target_gets_no_new_work(fleet: Fleet):
+    first, second = await fleet.add_plain(2)
+    fleet.store.put("servers", first.name, first.entry("draining"))
+    rows = fleet.hosts[0].tables.targets.rows
+    await fleet.until(lambda: rows[f"{first.name}@0"].entry.leaving)
+    for number in range(5):
+        async with fleet.request("/order/1", f"r{number}") as resp:
+            assert resp.status == 200
+    assert not first.seen
+
+
+UNREADABLE = [
+    {"backend": "plain"},
+    {"backend": "plain", "address": 4, "zone": "z", "state": "ready"},
+    {"backend": "plain", "address": "10.0.0.1:1", "zone": "z", "state": "odd"},
+    "not an object",
+    None,
+]
+
+
+@pytest.mark.parametrize("entry", UNREADABLE)
+async def test_an_unreadable_entry_harms_no_other(fleet: Fleet, entry: object):
+    await fleet.add_plain(2)
+    fleet.store.put("servers", "odd", entry)
+    last = TargetStandIn("last", "dc-0")
+    await fleet.add_target(last)
+    await fleet.until(lambda: fleet.know("plain", 3))
+    fleet.store.put("servers", last.name, entry)
+    await fleet.until(lambda: fleet.know("plain", 2))
+
+
+async def test_a_deployment_is_in_force_at_all_hosts_and_never_reverts(
+    fleet_of_three: Fleet,
+):
+    fleet = fleet_of_three
+    fleet.store.put("config", "main", deployment(5))
+    tables = [host.tables.deployment for host in fleet.hosts]
+    await fleet.until(lambda: all(t.value and t.value.version == 5 for t in tables), 1)
+    fleet.store.put("config", "main", deployment(4))
+    await asyncio.sleep(0.3)
+    assert [table.value.version for table in tables] == [5, 5, 5]
+
+
+async def test_a_change_that_a_deaf_watch_misses_is_in_force_in_time(
+    fleet_of_three: Fleet,
+):
+    fleet = fleet_of_three
+    await fleet.until(lambda: fleet.know("plain", 0))
+    fleet.store.deaf = True
+    fleet.store.put("config", "main", deployment(9))
+    fleet.store.forget()
+    tables = [host.tables.deployment for host in fleet.hosts]
+    await fleet.until(lambda: all(table.value.version == 9 for table in tables), 2.0)
+
+
+async def test_a_host_that_the_store_turns_away_learns_from_its_peers(
+    fleet_of_three: Fleet,
+):
+    fleet = fleet_of_three
+    await fleet.add_plain(1)
+    dead = TargetStandIn("dead-store", "dc-0")
+    host = fleet.hosts[2]
+    await fleet.until(lambda: len(host.tables.hosts.rows) == 2)
+    host.parts.directory._base = f"http://{dead.address}/v1/objects"
+    fleet.store.put("config", "main", deployment(7))
+    await fleet.until(lambda: host.tables.deployment.value.version == 7, 2.0)
+
+
+async def test_a_host_that_knows_no_deployment_says_that_it_did_not_run(tmp_path):
+    fleet = Fleet(tmp_path)
+    fleet.store.status = 503
+    await fleet.start()
+    try:
+        async with fleet.request("/order/1") as resp:
+            assert resp.status == 503 and "Retry-After" in resp.headers
+        ready = f"http://127.0.0.1:{fleet.hosts[0].ports[1]}/v1/readyz"
+        async with fleet.session.get(ready) as resp:
+            assert resp.status == 503
+        fleet.store.status = None
+        await fleet.until(lambda: fleet.know("plain", 0))
+        await asyncio.sleep(0.1)
+        async with fleet.session.get(ready) as resp:
+            assert resp.status == 200
+    finally:
+        await fleet.stop()
+
+
+async def test_a_leaving_host_is_named_no_more_and_finishes_its_streams(
+    fleet_of_three: Fleet,
+):
+    fleet = fleet_of_three
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.event_s = 0.05
+    resolve = f"http://127.0.0.1:{fleet.hosts[1].ports[2]}/v1/resolve?name=site.example"
+
+    async def named() -> list[str]:
+        async with fleet.session.get(resolve) as resp:
+            return (await resp.json())["addresses"]
+
+    async with asyncio.timeout(3):
+        while len(await named()) < 3:
+            await asyncio.sleep(0.02)
+    request = await fleet.request("/stream/1")
+    leaving = asyncio.create_task(fleet.hosts[0].daemon.leave())
+    await asyncio.sleep(0.2)
+    assert len(await named()) == 2
+    assert _ids(await request.read()) == list(range(1, 21))
+    async with fleet.request("/stream/1", "r2") as resp:
+        assert resp.headers["Connection"] == "close"
+        assert _ids(await resp.read()) == list(range(1, 21))
+    await leaving
+
+
+async def test_streams_that_start_together_go_to_different_engines(
+    fleet_of_three: Fleet,
+):
+    """Load: one data centre's engines are lost, and all hosts send to the rest."""
+    fleet = fleet_of_three
+    engines = await fleet.add_engines("dc-0", "dc-0", "dc-1", "dc-1")
+    for engine in engines:
+        engine.read_s = 0.5
+    await fleet.until(lambda: all(len(h.tables.hosts.rows) == 2 for h in fleet.hosts))
+    await asyncio.sleep(0.3)
+
+    async def one(number: int) -> None:
+        await asyncio.sleep(0.03 * number)
+        headers = {"X-Turmericflow-Token-Usage": "8000,800"}
+        async with fleet.request(
+            "/stream/1", f"r{number}", number % 3, headers=headers
+        ) as resp:
+            await resp.read()
+
+    await asyncio.gather(*(one(number) for number in range(4)))
+    assert [len(engine.seen) for engine in engines] == [1, 1, 1, 1]
+
+
+def test_stand_ins_name_their_service():
+    assert (TargetStandIn.service, EngineStandIn.service) == ("plain", "model")
--- /dev/null
+++ b/turmericflow/tests/test_relay_systems.py
@@ -0,0 +1,286 @@
+"""Tests of a relaying host's decisions, without a network."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from turmericflow.relay import (
+    _discovery as discovery,
+    _membership as membership,
+    _placement as placement,
+    _silence as silence,
+)
+from turmericflow.relay._budgets import SAFETY, Budgets
+from turmericflow.relay._call import Call
+from turmericflow.relay._crashes import LOSSES_TO_REFUSE, Crashes
+from turmericflow.relay._events import EventReader, EventsInvalid
+from turmericflow.relay._model import HostEntry, Route, Share, TargetEntry, WorkKind
+from turmericflow.relay._tables import HostState, Load, Run, Tables
+
+ROUTE = Route(
+    "stream",
+    "site",
+    "/",
+    WorkKind.STREAM,
+    25.0,
+    4.5,
+    (Share("model", 1.0),),
+    max_attempts=5,
+    resumable=True,
+    gap_s=0.7,
+)
+
+
+def host(name: str, data_centre: str = "dc-0", incarnation: int = 1) -> HostEntry:
+    return HostEntry(name, incarnation, data_centre, f"{name}:1", f"{name}:2")
+
+
+def engine(name: str, data_centre: str = "dc-0", slots: int = 64) -> TargetEntry:
+    return TargetEntry(name, 0, "model", f"{name}:1", data_centre, slots)
+
+
+@pytest.fixture
+def tables() -> Tables:
+    found = Tables(host("own"))
+    entries = [engine(f"e{n}", f"dc-{n % 3}") for n in range(6)]
+    discovery.replace(found.targets, entries, 1)
+    return found
+
+
+def wish(**changes: object) -> placement.Wish:
+    return placement.Wish("model", "dc-0", **changes)
+
+
+def run_at(tables: Tables, name: str, events: int = 1, heard_at: float = 0.0) -> Run:
+    target = tables.targets.rows[f"{name}@0"]
+    run = Run(Call(name, "POST", "site", "/"), ROUTE, target, heard_at)
+    run.events = events
+    run.due_s = 1.0
+    target.heard_at = heard_at
+    tables.runs.add(run)
+    return run
+
+
+# Losing a data centre's engines at once
+
+
+def test_new_work_avoids_a_data_centre_that_lost_several_engines(tables: Tables):
+    rows = tables.targets.rows
+    for name in ("e0@0", "e3@0"):
+        placement.note_loss(tables.targets, rows[name], 10.0)
+    entry = engine("e6", "dc-0")
+    discovery.put(tables.targets, entry)
+    for _ in range(20):
+        found = placement.choose(tables.targets, wish(), 10.1, Random(1))
+        assert found.entry.data_centre != "dc-0"
+    later = 10.0 + placement.LOSS_COUNTS_S + 0.1
+    found = placement.choose(tables.targets, wish(), later, Random(1))
+    assert found.entry.data_centre == "dc-0"
+
+
+def test_a_copy_is_kept_in_another_data_centre(tables: Tables):
+    found = placement.choose_backup(tables.targets, wish(not_in="dc-0"), 0.0, Random(1))
+    assert found.entry.data_centre != "dc-0"
+
+
+def test_one_loss_is_told_on_once_and_fades(tables: Tables):
+    other = Tables(host("other"))
+    discovery.replace(other.targets, [engine("e0")], 1)
+    target = tables.targets.rows["e0@0"]
+    assert placement.note_loss(tables.targets, target, 10.0)
+    target.lost_at = 10.0
+    for now in (10.1, 10.4, 10.9, 12.0):
+        membership.learn(other, membership.own_news(tables, now), now)
+    there = other.targets.rows["e0@0"]
+    assert there.failures == 1 and there.out_until == pytest.approx(10.5)
+    assert there.lost_at < 0
+
+
+# Many hosts sending at the same time
+
+
+def test_work_of_other_hosts_counts_where_work_goes(tables: Tables):
+    other = Tables(host("other"))
+    discovery.replace(other.targets, [engine(f"e{n}", "dc-0") for n in range(6)], 1)
+    for n in (0, 3):
+        other.targets.rows[f"e{n}@0"].own = Load(1, 8000, 9000)
+    membership.learn(tables, membership.own_news(other, 0.0), 0.0)
+    found = placement.choose(tables.targets, wish(), 0.1, Random(1))
+    assert found.entry.id not in ("e0", "e3")
+    membership.expire(tables, 10.0)
+    assert tables.targets.rows["e0@0"].unread_tokens == 0
+
+
+def test_a_full_memory_is_the_last_choice(tables: Tables):
+    for n in range(5):
+        tables.targets.rows[f"e{n}@0"].own = Load(0, 0, 85_000)
+    found = placement.choose(
+        tables.targets, wish(tokens=9000, capacity=88_000), 0.0, Random(1)
+    )
+    assert found.entry.id == "e5"
+
+
+# Silence
+
+
+def test_a_silent_engine_is_suspected_in_about_300_ms(tables: Tables):
+    run = run_at(tables, "e0")
+    run.backup = tables.targets.rows["e1@0"]
+    run.target.event_gap_s = 0.03
+    assert silence.scan(tables, 0.24) == []
+    (found,) = silence.scan(tables, 0.3)
+    assert (found.run, found.step) == (run, silence.Step.END)
+
+
+def test_one_silent_stream_beside_live_ones_is_given_longer(tables: Tables):
+    run = run_at(tables, "e0")
+    run.backup = tables.targets.rows["e1@0"]
+    run.target.heard_at = 0.29
+    assert silence.scan(tables, 0.3) == []
+    run.target.heard_at = 0.5
+    assert [found.run for found in silence.scan(tables, 0.5)] == [run]
+
+
+def test_a_prompt_that_waits_its_turn_is_not_given_up(tables: Tables):
+    """Load: after a wave, several prompts wait at one engine."""
+    run = run_at(tables, "e0", events=0)
+    run.target.own.unread_tokens = 32_000
+    steps = {found.step for found in silence.scan(tables, 4.0)}
+    assert silence.Step.END not in steps
+    (found,) = silence.scan(tables, 12.0)
+    assert found.step is silence.Step.END
+
+
+def test_an_engine_is_asked_when_others_of_its_data_centre_were_lost(tables: Tables):
+    run_at(tables, "e0", events=0)
+    assert silence.scan(tables, 0.4) == []
+    for name in ("e3@0", "e0@0"):
+        placement.note_loss(tables.targets, tables.targets.rows[name], 0.35)
+    (found,) = silence.scan(tables, 0.4)
+    assert found.step is silence.Step.PROBE
+
+
+def test_a_caller_that_does_not_read_puts_no_engine_under_suspicion(tables: Tables):
+    run_at(tables, "e0").waiting_on_caller = True
+    assert silence.scan(tables, 30.0) == []
+
+
+# Repeats
+
+
+@pytest.mark.parametrize("hosts", [1, 6, 76])
+def test_repeats_of_all_hosts_stay_within_the_budget(hosts: int):
+    budgets = [Budgets(0.8, 10.0, 150.0) for _ in range(hosts)]
+    requests = repeats = 0
+    for step in range(1000):
+        now = step / 100
+        for budget in budgets:
+            if step % 10 == 0:
+                budget.took("s", now)
+                requests += 1
+            while budget.spend("s", hosts, now):
+                repeats += 1
+    assert repeats <= SAFETY * (0.8 * requests + 150.0) + hosts
+
+
+def test_a_content_is_refused_after_three_crashes_and_cleared_by_an_answer():
+    crashes = Crashes()
+    for number in range(LOSSES_TO_REFUSE):
+        assert not crashes.is_refused("c", 1.0)
+        crashes.note("c", f"t{number}", 1.0)
+        crashes.note("c", f"t{number}", 1.0)
+    assert crashes.is_refused("c", 2.0)
+    crashes.clear("c", 3.0)
+    assert not crashes.is_refused("c", 3.0)
+    assert not crashes.note("c", "t0", 1.0)
+
+
+# Hosts
+
+
+def test_news_reach_every_host_in_a_few_hops():
+    names = [f"h{n:02}" for n in range(76)]
+    links: dict[str, set[str]] = {name: set() for name in names}
+    for name in names:
+        table = Tables(host(name))
+        for other in names:
+            membership.note_entry(table.hosts, host(other), 0.0)
+        found = membership.contacts(table)
+        assert len(found) <= 7
+        for entry in found:
+            links[name].add(entry.name)
+            links[entry.name].add(name)
+    reached, hops = {names[0]}, 0
+    while len(reached) < len(names):
+        reached |= {peer for name in reached for peer in links[name]}
+        hops += 1
+    assert hops <= 4
+
+
+def test_a_silent_host_is_named_no_more_and_its_entry_is_removed_by_one():
+    everyone = {name: Tables(host(name)) for name in ("a", "b", "c")}
+    for table in everyone.values():
+        table.hosts.state = HostState.READY
+        for name in everyone:
+            row = membership.note_entry(table.hosts, host(name), 0.0)
+            if row is not None:
+                row.revision = 5
+    for now in (0.1, 30.0):
+        for name in ("a", "b") if now > 1 else everyone:
+            news = membership.own_news(everyone[name], now)
+            for table in everyone.values():
+                membership.learn(table, news, now)
+    assert sorted(membership.addresses(everyone["a"], 30.0)) == ["a:1", "b:1"]
+    removers = [
+        name for name in ("a", "b") if membership.forgotten(everyone[name], 30.0)
+    ]
+    assert removers == ["a"]
+
+
+def test_two_of_the_hosts_that_the_store_answers_read_it():
+    everyone = {name: Tables(host(name)) for name in ("a", "b", "c", "d", "e")}
+
+    def readers(now: float) -> list[str]:
+        for name, table in everyone.items():
+            news = membership.own_news(table, now)
+            for other in everyone.values():
+                membership.learn(other, news, now)
+        return [n for n, table in everyone.items() if membership.is_reader(table, now)]
+
+    first = readers(0.0)
+    assert len(first) == membership.READERS
+    everyone[first[0]].hosts.unanswered.add("targets")
+    second = readers(0.2)
+    assert len(second) == membership.READERS and first[0] not in second
+
+
+def test_an_entry_that_lapsed_in_an_outage_counts_until_it_may_be_back(
+    tables: Tables,
+):
+    discovery.remove(tables.targets, "e0", 12.5)
+    discovery.remove(tables.targets, "e1", 12.5)
+    discovery.remove(tables.targets, "e2", None)
+    assert set(tables.targets.rows) == {"e0@0", "e1@0", "e3@0", "e4@0", "e5@0"}
+    discovery.put(tables.targets, engine("e0"))
+    assert discovery.expire(tables.targets, 12.6) == ["e1@0"]
+    assert "e0@0" in tables.targets.rows
+
+
+# Events
+
+
+def test_events_are_whole_whatever_the_chunks():
+    data = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(50))
+    rng, reader, found = Random(1), EventReader(), []
+    while data:
+        size = rng.choice([1, 3, 20, 200])
+        found += [event.id for event in reader.feed(data[:size])]
+        data = data[size:]
+    assert found == list(range(50)) and reader.rest == b""
+
+
+def test_an_event_id_that_is_no_number_is_refused():
+    with pytest.raises(EventsInvalid):
+        EventReader().feed(b"id: x\ndata: y\n\n")
