Log when a stream begins; a copy cannot serve before its first event (trial taken back)

Cause: a stream that loses its engine while its prompt is read starts over (1 to 2 s, and the prompt is paid twice).

--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -176,7 +176,7 @@
         return attempts.note_lost(run.target, failed, began=False)
 
     def _keep_copy(self, run: Run) -> None:
-        """Go on from the copy of the run's memory, if there is anything in it."""
+        """Go on from the copy of the run's memory, kept from its first event on."""
         if run.events and run.backup is not None:
             self._copy, self._copy_at = run.copy(), run.backup
 
@@ -239,6 +239,14 @@
             )
         if run.events == 1:
             placement.note_success(run.target)
+            log.info(
+                "stream_begun",
+                request=attempts.call.id,
+                target=run.target.entry.key,
+                event_id=self._last_event,
+                after_s=round(parts.clock.listening() - run.started_at, 3),
+                due_s=round(run.due_s, 3),
+            )
 
     async def _begin(self, reply: Reply) -> None:
         if not self.begun:
