Keep copies and new work away from a data centre after its first loss

Change: one loss costs a data centre three prompts' wait for 1.5 s, two shut it out; a failure costs until the target has worked; a copy's holder is looked up by its address.

--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -11,6 +11,8 @@
 LONGEST_OUT_S = 4.0
 LOSS_COUNTS_S = 1.5  # losses closer together are taken for one event
 LOSSES_OF_CENTRE = 2
+ONE_LOSS_COST = 3.0  # a data centre's other targets may be lost too
+FAILURE_COST = 2.0  # for each failure in a row of a target that gets work again
 UNREAD_TOKENS_PER_RUN = 1500.0  # a prompt of this size delays as much as one run
 OTHER_CENTRE_COST = 0.25
 FULL_COST = 50.0
@@ -51,11 +53,15 @@
     return not target.entry.leaving and not target.gone
 
 
+def losses(table: TargetTable, data_centre: str, service: str, now: float) -> int:
+    """Return how many targets of a data centre were lost a moment ago."""
+    times = table.lost.get((data_centre, service), [])
+    return sum(1 for at in times if now - at < LOSS_COUNTS_S)
+
+
 def centre_lost(table: TargetTable, data_centre: str, service: str, now: float) -> bool:
     """Return whether several targets of a data centre were lost a moment ago."""
-    times = table.lost.get((data_centre, service), [])
-    lately = sum(1 for at in times if now - at < LOSS_COUNTS_S)
-    return lately >= LOSSES_OF_CENTRE
+    return losses(table, data_centre, service, now) >= LOSSES_OF_CENTRE
 
 
 def note_loss(table: TargetTable, target: Target, at: float) -> bool:
@@ -103,8 +109,14 @@
         total += 1.0
     if entry.data_centre != wish.data_centre:
         total += OTHER_CENTRE_COST
-    if centre_lost(table, entry.data_centre, entry.service, now):
-        total += LOST_CENTRE_COST
+    match losses(table, entry.data_centre, entry.service, now):
+        case 0:
+            pass
+        case 1:
+            total += ONE_LOSS_COST
+        case _:
+            total += LOST_CENTRE_COST
+    total += FAILURE_COST * target.failures
     if now < target.out_until:
         total += FAILED_COST * (1 + target.failures)
     return total
@@ -133,3 +145,11 @@
     if target is None or now < target.out_until:
         return None
     return target
+
+
+def at_address(table: TargetTable, service: str, address: str) -> Target | None:
+    """Return the usable target at an address, whichever life it is in."""
+    for target in table.by_service.get(service, ()):
+        if target.entry.address == address and usable(target):
+            return target
+    return None
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -50,7 +50,6 @@
         "_attempts",
         "_outlet",
         "_copy",
-        "_copy_at",
         "_head",
         "_last_event",
         "_paused_at",
@@ -61,7 +60,6 @@
         self._attempts = attempts
         self._outlet = outlet
         self._copy: Copy | None = None
-        self._copy_at: Target | None = None
         self._head: Reply | None = None
         self._last_event = attempts.call.last_event
         self._paused_at: float | None = None
@@ -90,11 +88,14 @@
 
     def _choose(self) -> Target:
         """Return the engine that holds a copy of the run's memory, or another."""
-        attempts, holder = self._attempts, self._copy_at
-        self._copy_at = None
-        if holder is not None and placement.usable(holder):
-            attempts.check_budget()
-            return holder
+        attempts, copy = self._attempts, self._copy
+        if copy is not None:
+            table = attempts.parts.tables.targets
+            service = attempts.match.service
+            holder = placement.at_address(table, service, copy.address)
+            if holder is not None:
+                attempts.check_budget()
+                return holder
         self._copy = None
         return attempts.choose()
 
@@ -178,7 +179,7 @@
     def _keep_copy(self, run: Run) -> None:
         """Go on from the copy of the run's memory, kept from its first event on."""
         if run.events and run.backup is not None:
-            self._copy, self._copy_at = run.copy(), run.backup
+            self._copy = run.copy()
 
     async def _forward(self, run: Run, reply: Reply) -> None:
         reader = EventReader()
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -85,6 +85,33 @@
     assert found.entry.data_centre != "dc-0"
 
 
+def test_after_one_loss_no_copy_goes_to_that_data_centre(tables: Tables):
+    """Load: a data centre's engines die one by one within milliseconds."""
+    placement.note_loss(tables.targets, tables.targets.rows["e1@0"], 10.0)
+    for seed in range(20):
+        found = placement.choose_backup(
+            tables.targets, wish(not_in="dc-0"), 10.01, Random(seed)
+        )
+        assert found.entry.data_centre == "dc-2"
+
+
+def test_a_target_that_failed_and_has_not_worked_since_is_chosen_last(tables: Tables):
+    for name in ("e0@0", "e1@0", "e2@0", "e3@0", "e4@0"):
+        placement.note_loss(tables.targets, tables.targets.rows[name], 10.0)
+    found = placement.choose(tables.targets, wish(), 20.0, Random(1))
+    assert found.entry.id == "e5"
+    placement.note_success(tables.targets.rows["e0@0"])
+    found = placement.choose(tables.targets, wish(), 20.0, Random(1))
+    assert found.entry.id == "e0"
+
+
+def test_a_copy_is_looked_for_at_its_address_whatever_life_is_there(tables: Tables):
+    again = TargetEntry("again", 5, "model", "e1:1", "dc-1", 64)
+    discovery.put(tables.targets, again)
+    found = placement.at_address(tables.targets, "model", "e1:1")
+    assert found.entry.key == "again@5"
+
+
 def test_one_loss_is_told_on_once_and_fades(tables: Tables):
     other = Tables(host("other"))
     discovery.replace(other.targets, [engine("e0")], 1)
