Make a lost copy again at another engine

Change: a run whose copy's holder is lost, gone or leaving is copied once more, by a call to its engine, to another data centre; not when it is nearly done.

--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -6,14 +6,17 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
+import msgspec
 from multidict import CIMultiDict
 from yarl import URL
 
 from turmericflow.platform import _callers as names
-from turmericflow.relay import Call, Dispatch
+from turmericflow.relay import Call, Copy, Dispatch
 from turmericflow.verdict import TargetFailed, Verdict
 
 REPORT_PATH = "/v1/report"
+COPY_PATH = "/v1/kv-move"
+COPY_TIMEOUT_S = 1.0  # a copy of a large run takes some milliseconds
 ACCEPT_TIMEOUT_S = 0.3
 _SKIPPED = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 # Statuses with which a worker says that it did not run a request, besides the
@@ -22,6 +25,18 @@
 _LOST = (aiohttp.ClientError, OSError, asyncio.IncompleteReadError, ValueError)
 
 
+_JSON = {"Content-Type": "application/json"}
+
+
+class _Move(msgspec.Struct):
+    id: str  # the caller's attempt
+    target: str  # address of the worker that gets the copy
+
+
+class _Moved(msgspec.Struct):
+    handle: str
+
+
 def target_headers(call: Call, dispatch: Dispatch) -> CIMultiDict[str]:
     """Return the headers of a request as a worker gets it."""
     headers = call.headers.copy()
@@ -34,7 +49,7 @@
     if dispatch.backup is not None:
         headers[names.BACKUP] = dispatch.backup
     if dispatch.copy is not None:
-        headers[names.COPY] = f"{dispatch.copy.address}/{dispatch.copy.run}"
+        headers[names.COPY] = f"{dispatch.copy.origin}/{dispatch.copy.name}"
     if dispatch.last_event is not None:
         headers[names.LAST_EVENT] = str(dispatch.last_event)
     return headers
@@ -123,6 +138,29 @@
             raise TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc), lost=True) from exc
         return HttpReply(call, resp)
 
+    async def copy(self, call: Call, source: str, holder: str) -> Copy:
+        """Copy the memory of a request's run to another worker; the run goes on.
+
+        Raises
+        ------
+        TargetFailed
+            If there is no such run or no room, or no answer came.
+        """
+        body = msgspec.json.encode(_Move(call.id, holder))
+        try:
+            async with asyncio.timeout(COPY_TIMEOUT_S):
+                async with self._session.post(
+                    f"http://{source}{COPY_PATH}", data=body, headers=_JSON
+                ) as resp:
+                    content = await resp.read()
+            if resp.status != 200:
+                message = f"no copy made: status {resp.status}"
+                raise TargetFailed(Verdict.NOT_RUN, message)
+            handle = msgspec.json.decode(content, type=_Moved).handle
+        except (*_LOST, TimeoutError, msgspec.MsgspecError) as exc:
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc)) from exc
+        return Copy(holder, source, handle)
+
     async def accepts(self, address: str) -> bool:
         """Return whether a worker takes connections, or may only be out of reach."""
         ip, _, port = address.rpartition(":")
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -193,8 +193,7 @@
         own.memory_tokens -= run.memory_tokens
         if not run.events:
             own.unread_tokens -= self.call.prompt_tokens
-        if run.backup is not None:
-            run.backup.own.memory_tokens -= run.memory_tokens
+        run.drop_copy()
 
     def note_done(self, target: Target) -> None:
         """Take in that a target has answered the request."""
--- a/turmericflow/relay/_call.py
+++ b/turmericflow/relay/_call.py
@@ -66,13 +66,22 @@
 
 
 class Copy:
-    """A copy of a run's memory at an engine: the engine's address and the run."""
+    """A copy of a run's memory.
 
-    __slots__ = ("address", "run")
+    Attributes
+    ----------
+    holder
+        Address of the engine that holds it.
+    origin, name
+        Address and name under which the holder knows it.
+    """
 
-    def __init__(self, address: str, run: str) -> None:
-        self.address = address
-        self.run = run
+    __slots__ = ("holder", "origin", "name")
+
+    def __init__(self, holder: str, origin: str, name: str) -> None:
+        self.holder = holder
+        self.origin = origin
+        self.name = name
 
 
 class Dispatch:
@@ -157,6 +166,16 @@
         """
         ...
 
+    async def copy(self, call: Call, source: str, holder: str) -> Copy:
+        """Copy the memory of a request's run to another engine; the run goes on.
+
+        Raises
+        ------
+        TargetFailed
+            If there is no such run or no room, or no answer came.
+        """
+        ...
+
     async def accepts(self, address: str) -> bool:
         """Return whether a target takes connections, or may only be out of reach."""
         ...
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -92,7 +92,7 @@
         if copy is not None:
             table = attempts.parts.tables.targets
             service = attempts.match.service
-            holder = placement.at_address(table, service, copy.address)
+            holder = placement.at_address(table, service, copy.holder)
             if holder is not None:
                 attempts.check_budget()
                 return holder
@@ -120,8 +120,7 @@
         dispatch.last_event = self._last_event
         backup = self._choose_backup(target)
         if backup is not None:
-            run.backup = backup
-            backup.own.memory_tokens += run.memory_tokens
+            run.keep_backup(backup)
             dispatch.backup = backup.entry.address
         log.info(
             "stream_sent",
@@ -178,8 +177,8 @@
 
     def _keep_copy(self, run: Run) -> None:
         """Go on from the copy of the run's memory, kept from its first event on."""
-        if run.events and run.backup is not None:
-            self._copy = run.copy()
+        if run.events:
+            self._copy = run.copy
 
     async def _forward(self, run: Run, reply: Reply) -> None:
         reader = EventReader()
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -239,6 +239,10 @@
     ----------
     target, backup
         Where it runs, and where a copy of its memory is kept.
+    copy
+        That copy.
+    copying
+        Whether another copy is being made.
     due_s
         Time after which the first event is overdue.
     heard_at
@@ -260,6 +264,8 @@
         "route",
         "target",
         "backup",
+        "copy",
+        "copying",
         "due_s",
         "started_at",
         "heard_at",
@@ -277,6 +283,8 @@
         self.route = route
         self.target = target
         self.backup: Target | None = None
+        self.copy: Copy | None = None
+        self.copying = False
         self.due_s = 0.0
         self.started_at = now
         self.heard_at = now
@@ -288,11 +296,27 @@
         self.alive_at = 0.0
         self.memory_tokens = call.prompt_tokens + call.output_tokens
 
-    def copy(self) -> Copy | None:
-        """The copy of its memory, if one is kept."""
-        if self.backup is None:
-            return None
-        return Copy(self.backup.entry.address, self.call.id)
+    def keep_backup(self, backup: Target) -> None:
+        """Note that an engine keeps a copy of the run's memory as it grows."""
+        self._hold(backup)
+        address = backup.entry.address
+        self.copy = Copy(address, address, self.call.id)
+
+    def keep_copy(self, holder: Target, copy: Copy) -> None:
+        """Note that an engine has a copy of the run's memory as it was."""
+        self._hold(holder)
+        self.copy = copy
+
+    def drop_copy(self) -> None:
+        """Note that there is no copy of the run's memory."""
+        if self.backup is not None:
+            self.backup.own.memory_tokens -= self.memory_tokens
+        self.backup = self.copy = None
+
+    def _hold(self, holder: Target) -> None:
+        self.drop_copy()
+        self.backup = holder
+        holder.own.memory_tokens += self.memory_tokens
 
 
 class Suspect:
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -6,6 +6,7 @@
 from mode import Service
 
 from turmericflow.relay import (
+    _copies as copies,
     _discovery as discovery,
     _membership as membership,
     _silence as silence,
@@ -14,6 +15,7 @@
 from turmericflow.relay._directory import Conflict, StoreFailed
 from turmericflow.relay._parts import Parts
 from turmericflow.relay._tables import Fault, Run, Suspect
+from turmericflow.verdict import TargetFailed
 
 TICK_S = 0.05
 SLOW_TICK_S = 1.0
@@ -39,6 +41,9 @@
                 log.info("process_stood_still", late_s=round(late_s, 3))
             self._scan()
             self._look_into_suspicions()
+            for run in copies.scan(self._parts.tables):
+                run.copying = True
+                self.add_future(self._copy(run))
 
     def _scan(self) -> None:
         clock = self._parts.clock
@@ -75,6 +80,33 @@
         elif run.fault is None:
             self._end(run, Fault.LOST)
 
+    async def _copy(self, run: Run) -> None:
+        """Copy a run's memory again, after its copy was lost."""
+        parts = self._parts
+        lost = run.backup.entry.key
+        holder = copies.choose_holder(parts.tables, run, parts.clock.now(), parts.rng)
+        run.drop_copy()
+        if holder is None:
+            return
+        source = run.target.entry.address
+        try:
+            copy = await parts.targets.copy(run.call, source, holder.entry.address)
+        except TargetFailed as exc:
+            log.info("copy_not_made", request=run.call.id, reason=str(exc))
+            return
+        if run not in parts.tables.runs:
+            return
+        run.keep_copy(holder, copy)
+        run.copying = False
+        log.info(
+            "copy_made_again",
+            request=run.call.id,
+            target=run.target.entry.key,
+            holder=holder.entry.key,
+            lost=lost,
+            events=run.events,
+        )
+
     def _look_into_suspicions(self) -> None:
         """Find out which targets crashed; a cut answer alone is no crash."""
         suspects, self._parts.suspicions = self._parts.suspicions, []
--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -359,8 +359,20 @@
         self.event_s = 0.01
         self.read_s = 0.05
         self.copies: set[str] = set()
+        self.moves = 0
         self.peers[self.address] = self
 
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != "/v1/kv-move":
+            return await super().handle(request)
+        body = json.loads(await request.read())
+        if body["target"] not in self.peers:
+            return web.Response(status=503)
+        self.moves += 1
+        handle = f"move-{self.moves}"
+        self.peers[body["target"]].copies.add(handle)
+        return web.json_response({"handle": handle, "created": 1})
+
     async def run(
         self, request: web.BaseRequest, seen: Seen, fault: str
     ) -> web.StreamResponse:
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -183,6 +183,22 @@
         assert seen.headers["Kv-From"].endswith("/r1")
 
 
+async def test_a_copy_is_made_again_when_its_holder_leaves(fleet: Fleet):
+    first, second, third = await fleet.add_engines("dc-0", "dc-1", "dc-2")
+    first.event_s, first.state.always = 0.05, "cut 15"
+    async with fleet.request("/stream/1") as resp:
+        await resp.content.readany()
+        (run,) = fleet.hosts[0].tables.runs
+        holder = fleet.targets[run.backup.entry.id]
+        other = third if holder is second else second
+        fleet.store.put("servers", holder.name, holder.entry("draining"))
+        await fleet.until(lambda: first.moves == 1)
+        assert _ids(b"id: 1\n" + await resp.read())[-1] == 20
+    assert [seen.headers["Kv-From"] for seen in other.seen] == [
+        f"{first.address}/move-1"
+    ]
+
+
 async def test_a_stream_goes_on_without_a_copy(fleet: Fleet):
     first, second = await fleet.add_engines("dc-0", "dc-0")
     first.state.always = "cut 5"
