Pass a target's failure on when no other is left, and tell which targets are gone

Change: the answer that is there is given; addresses found to be another's are told; eight refusals end a request instead of four.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -24,7 +24,7 @@
     Verdict,
 )
 
-MOST_REFUSALS = 4  # sends that targets refuse before the request is refused
+MOST_REFUSALS = 8  # a data centre's targets may all be others than expected
 FULL_S = 0.3  # a target that is full gets no work for this time
 RETRY_AFTER_S = 0.4
 
@@ -208,7 +208,8 @@
         self._refusals += 1
         self.tried.add(target.entry.key)
         if reply.gone:
-            placement.note_gone(target)
+            placement.note_gone(target, now)
+            self.parts.tell_change()
         else:
             target.out_until = max(target.out_until, now + FULL_S)
         self._log_ended(target, Ending.REFUSED, f"status {reply.status}")
--- a/turmericflow/relay/_exchange.py
+++ b/turmericflow/relay/_exchange.py
@@ -9,7 +9,7 @@
 from turmericflow.relay._attempts import Attempts, Ending
 from turmericflow.relay._call import Reply
 from turmericflow.relay._tables import Target
-from turmericflow.verdict import TargetFailed, Verdict
+from turmericflow.verdict import RequestFailed, TargetFailed, Verdict
 
 MAX_ANSWER_BYTES = 16_000_000
 SERVER_FAILED = 500
@@ -61,7 +61,12 @@
                 raise attempts.timeout()
             if self.answer is not None and not self._may_repeat():
                 return self.answer
-            target = attempts.choose()
+            try:
+                target = attempts.choose()
+            except RequestFailed:
+                if self.answer is None:
+                    raise
+                return self.answer
             ending = await self._attempt(target)
             if ending is Ending.DONE:
                 return self.answer
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -42,6 +42,7 @@
             for key, row in rows.items()
             if now - row.lost_at < TOLD_S
         },
+        gone=[key for key, row in rows.items() if now - row.gone_at < TOLD_S],
         crashes=tables.crashes.lately(TOLD_S, now),
     )
 
@@ -105,6 +106,10 @@
         target = tables.targets.rows.get(key)
         if target is not None:
             placement.note_loss(tables.targets, target, now - age_s)
+    for key in news.gone:
+        target = tables.targets.rows.get(key)
+        if target is not None:
+            target.gone = True
     for content, target, age_s in news.crashes:
         tables.crashes.note(content, target, now - age_s)
 
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -83,9 +83,10 @@
     return True
 
 
-def note_gone(target: Target) -> None:
+def note_gone(target: Target, now: float) -> None:
     """Take in that a target's address is another's now."""
     target.gone = True
+    target.gone_at = now
 
 
 def note_success(target: Target) -> None:
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -51,8 +51,8 @@
         Time until which it gets no work, after a failure.
     failures
         Failures in a row.
-    gone
-        Whether its address was found to be another's.
+    gone, gone_at
+        Whether its address was found to be another's, and when by this host.
     lost_at
         Time at which this host itself lost it last, to be told to the others.
     heard_at
@@ -68,6 +68,7 @@
         "out_until",
         "failures",
         "gone",
+        "gone_at",
         "lost_at",
         "heard_at",
         "event_gap_s",
@@ -80,6 +81,7 @@
         self.out_until = 0.0
         self.failures = 0
         self.gone = False
+        self.gone_at = float("-inf")
         self.lost_at = float("-inf")
         self.heard_at = 0.0
         self.event_gap_s = 0.0
@@ -167,6 +169,8 @@
         Work at targets, by the name of their life.
     lost
         Targets lost a moment ago, with the age of the loss in seconds.
+    gone
+        Targets whose address was found a moment ago to be another's.
     crashes
         Fingerprints of requests that were running where a target crashed, the
         target's life, and the age in seconds.
@@ -181,6 +185,7 @@
     reads_store: bool
     loads: dict[str, Load]
     lost: dict[str, float]
+    gone: list[str]
     crashes: list[tuple[str, str, float]]
 
 
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -113,6 +113,24 @@
             await resp.read()
 
 
+async def test_a_targets_failure_is_passed_on_if_no_other_can_run_it(fleet: Fleet):
+    (target,) = await fleet.add_plain(1)
+    target.state.always = "error"
+    async with fleet.request("/state/1", method="GET") as resp:
+        assert (resp.status, await resp.read()) == (500, b"failed")
+        assert resp.headers["X-Turmericflow-Upstream-Signature"] == "receipt-plain-0"
+
+
+async def test_a_stream_finds_the_one_engine_that_is_what_its_entry_says(
+    fleet: Fleet,
+):
+    engines = await fleet.add_engines(*["dc-0"] * 7)
+    for engine in engines[:6]:
+        engine.name = "another"
+    async with fleet.request("/stream/1") as resp:
+        assert _ids(await resp.read()) == list(range(1, 21))
+
+
 async def test_an_answer_without_a_length_is_whole(fleet: Fleet):
     (target,) = await fleet.add_plain(1)
     target.state.always = "unframed"
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -149,6 +149,17 @@
     assert found.entry.id == "e5"
 
 
+def test_a_target_found_to_be_another_is_used_by_no_host(tables: Tables):
+    """Load: the store is away, and a data centre's targets came back as others."""
+    other = Tables(host("other"))
+    discovery.replace(other.targets, [engine("e0"), engine("e1")], 1)
+    placement.note_gone(tables.targets.rows["e0@0"], 10.0)
+    membership.learn(other, membership.own_news(tables, 10.1), 10.1)
+    for seed in range(10):
+        found = placement.choose(other.targets, wish(), 10.2, Random(seed))
+        assert found.entry.id == "e1"
+
+
 # Silence
 
 
