Use engines that came back while no host can read the store

Change: an answer that another target is there names it; if no live host reads the store, and the engine's own report fits the earlier one's service and no other, it is used until the store has had time to list it, and told to the other hosts.

Engines are met only when a request goes to their old address, four seconds after they are back: next.

--- a/turmericflow/platform/_objects.py
+++ b/turmericflow/platform/_objects.py
@@ -46,12 +46,17 @@
     gapTargetMs: float = 0.0
 
 
+class _Model(msgspec.Struct):
+    name: str
+
+
 class _Engine(msgspec.Struct):
     slots: int
     kvCapacity: int
     stride: int = 1  # tokens in one event
     backups: bool = False
     handleS: float = 0.0  # how long an unused copy is kept
+    models: list[_Model] = []
 
 
 class _Backend(msgspec.Struct):
@@ -132,6 +137,7 @@
         tokens_per_event=max(1, engine.stride),
         keeps_copies=engine.backups,
         copy_kept_s=engine.handleS,
+        models=tuple(model.name for model in engine.models),
     )
     return Service(backend.name, backend.healthPath, backend.maxConnections, spec)
 
--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -11,7 +11,7 @@
 from yarl import URL
 
 from turmericflow.platform import _callers as names
-from turmericflow.relay import Call, Copy, Dispatch
+from turmericflow.relay import Call, Copy, Dispatch, EngineReport
 from turmericflow.verdict import TargetFailed, Verdict
 
 REPORT_PATH = "/v1/report"
@@ -33,6 +33,16 @@
     target: str  # address of the worker that gets the copy
 
 
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Report(msgspec.Struct):
+    models: list[_Model]
+    kvTotal: int  # tokens that fit into the KV cache
+    born: int = 0  # Unix milliseconds of the worker's start
+
+
 class _Moved(msgspec.Struct):
     handle: str
 
@@ -58,7 +68,16 @@
 class HttpReply:
     """A worker's answer, of which the body is still to be read."""
 
-    __slots__ = ("_resp", "_closed", "status", "headers", "not_run", "gone", "genuine")
+    __slots__ = (
+        "_resp",
+        "_closed",
+        "status",
+        "headers",
+        "not_run",
+        "gone",
+        "target",
+        "genuine",
+    )
 
     def __init__(self, call: Call, resp: aiohttp.ClientResponse) -> None:
         self._resp = resp
@@ -69,6 +88,7 @@
         self.headers = names.answer_headers(resp.headers)
         self.gone = resp.status == _MISDIRECTED
         self.not_run = self.gone or names.NOT_EXECUTED in resp.headers
+        self.target = resp.headers.get(names.INSTANCE, "")
         echoed = resp.headers.get(names.ATTEMPT)
         if echoed is not None and echoed != call.id:
             self.genuine = False
@@ -161,6 +181,17 @@
             raise TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc)) from exc
         return Copy(holder, source, handle)
 
+    async def describe(self, address: str) -> EngineReport | None:
+        """Return what the engine at an address says of itself, or None."""
+        try:
+            async with asyncio.timeout(ACCEPT_TIMEOUT_S):
+                async with self._session.get(f"http://{address}{REPORT_PATH}") as resp:
+                    report = msgspec.json.decode(await resp.read(), type=_Report)
+        except (*_LOST, TimeoutError, msgspec.MsgspecError):
+            return None
+        models = tuple(model.name for model in report.models)
+        return EngineReport(report.born, report.kvTotal, models)
+
     async def accepts(self, address: str) -> bool:
         """Return whether a worker takes connections, or may only be out of reach."""
         ip, _, port = address.rpartition(":")
--- a/turmericflow/relay/__init__.py
+++ b/turmericflow/relay/__init__.py
@@ -20,6 +20,7 @@
 from turmericflow.relay._model import (
     Customer,
     Deployment,
+    EngineReport,
     EngineSpec,
     HostEntry,
     Limits,
@@ -37,6 +38,7 @@
     # Declarations and entries
     "Customer",
     "Deployment",
+    "EngineReport",
     "EngineSpec",
     "HostEntry",
     "Limits",
--- /dev/null
+++ b/turmericflow/relay/_adoption.py
@@ -0,0 +1,79 @@
+"""Engines that came back under another name while no host can read the store.
+
+Their new entries cannot be read, but the answer at the old address names the new
+life, and the engine's own report says what it serves.  It is used until the store
+answers again and has had time to list it.
+"""
+
+from __future__ import annotations
+
+import math
+
+from turmericflow.relay import _discovery as discovery, _membership as membership
+from turmericflow.relay._model import EngineReport, Service, TargetEntry
+from turmericflow.relay._tables import Tables
+
+
+def is_due(tables: Tables, now: float) -> bool:
+    """Return whether no live host can read the store."""
+    hosts = tables.hosts
+    if not hosts.unanswered:
+        return False
+    return not any(
+        membership.is_alive(row, now) and row.news.reads_store
+        for row in hosts.rows.values()
+    )
+
+
+def _fits(service: Service, report: EngineReport) -> bool:
+    engine = service.engine
+    return (
+        engine is not None
+        and engine.memory_tokens == report.memory_tokens
+        and set(engine.models) == set(report.models)
+    )
+
+
+def entry_of(
+    tables: Tables, earlier: TargetEntry, id: str, report: EngineReport
+) -> TargetEntry | None:
+    """Return the entry of an engine found at the address of an earlier one.
+
+    None if its report fits no service, or several, or another than the earlier
+    one's: an address may have gone to another service.
+    """
+    services = tables.deployment.services.values()
+    found = [service.name for service in services if _fits(service, report)]
+    if found != [earlier.service]:
+        return None
+    return TargetEntry(
+        id=id,
+        born_ms=report.born_ms,
+        service=earlier.service,
+        address=earlier.address,
+        data_centre=earlier.data_centre,
+        slots=earlier.slots,
+    )
+
+
+def adopt(tables: Tables, entry: TargetEntry) -> None:
+    """Use an engine without an entry in the store."""
+    discovery.put(tables.targets, entry)
+    tables.targets.lapsed[entry.key] = math.inf
+    tables.targets.adopted[entry.key] = entry
+
+
+def take_in(tables: Tables, entries: list[TargetEntry], now: float) -> None:
+    """Use the engines that another host has adopted."""
+    for entry in entries:
+        if entry.key not in tables.targets.rows and is_due(tables, now):
+            adopt(tables, entry)
+
+
+def end(tables: Tables, until: float) -> None:
+    """Take in that the store answers: what it does not list by a time is gone."""
+    targets = tables.targets
+    for key in targets.adopted:
+        if key in targets.lapsed:
+            targets.lapsed[key] = until
+    targets.adopted.clear()
--- a/turmericflow/relay/_call.py
+++ b/turmericflow/relay/_call.py
@@ -7,6 +7,8 @@
 
 from multidict import CIMultiDict
 
+from turmericflow.relay._model import EngineReport
+
 
 class Call:
     """One request of a caller.
@@ -134,6 +136,8 @@
         Whether the target states that it did not run the request.
     gone
         Whether another target than the expected one answered.
+    target
+        Id of the target that answered, if it says so.
     genuine
         Whether the answer is to this request and bears the target's receipt.
     """
@@ -142,6 +146,7 @@
     headers: CIMultiDict[str]
     not_run: bool
     gone: bool
+    target: str
     genuine: bool
 
     def chunks(self) -> AsyncIterator[bytes]:
@@ -176,6 +181,10 @@
         """
         ...
 
+    async def describe(self, address: str) -> EngineReport | None:
+        """Return what the engine at an address says of itself, or None."""
+        ...
+
     async def accepts(self, address: str) -> bool:
         """Return whether a target takes connections, or may only be out of reach."""
         ...
--- a/turmericflow/relay/_feed.py
+++ b/turmericflow/relay/_feed.py
@@ -8,6 +8,7 @@
 from mode import Service
 
 from turmericflow.relay import (
+    _adoption as adoption,
     _discovery as discovery,
     _membership as membership,
     _routing as routing,
@@ -107,6 +108,8 @@
         self._lost_at = None
         if away_s >= OUTAGE_S:
             self._lenient_until = now + discovery.LAPSE_S
+        if self._kind is Kind.TARGETS:
+            adoption.end(self._parts.tables, now + discovery.LAPSE_S)
         log.info("store_regained", kind=self._kind, away_s=round(away_s, 3))
 
     def _readable(self, row: Row) -> bool:
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -11,6 +11,7 @@
 
 from turmericflow._framing import StreamDecoder, WireError
 from turmericflow.relay import (
+    _adoption as adoption,
     _discovery as discovery,
     _membership as membership,
     _routing as routing,
@@ -163,6 +164,7 @@
                     urgent = membership.is_urgent(tables, news)
                     if membership.learn(tables, news, now):
                         self._fresh[news.entry.name] = news
+                        adoption.take_in(tables, news.adopted, now)
                         if urgent:
                             self._tell_soon()
                     if news.entry.name == link.name:
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -43,6 +43,7 @@
             if now - row.lost_at < TOLD_S
         },
         gone=[key for key, row in rows.items() if now - row.gone_at < TOLD_S],
+        adopted=list(tables.targets.adopted.values()),
         crashes=tables.crashes.lately(TOLD_S, now),
     )
 
--- a/turmericflow/relay/_model.py
+++ b/turmericflow/relay/_model.py
@@ -30,6 +30,8 @@
         Whether a run's memory can be copied to another engine as it grows.
     copy_kept_s
         Time that an unused copy is kept after its last part, in seconds.
+    models
+        Names of the models that its targets serve.
     """
 
     slots: int
@@ -37,6 +39,7 @@
     tokens_per_event: int = 1
     keeps_copies: bool = False
     copy_kept_s: float = 0.0
+    models: tuple[str, ...] = ()
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -153,6 +156,24 @@
         return f"{self.id}@{self.born_ms}"
 
 
+class EngineReport(msgspec.Struct, frozen=True):
+    """What an engine says of itself when it is asked.
+
+    Attributes
+    ----------
+    born_ms
+        Unix time of its start in milliseconds, 0 if it does not say.
+    memory_tokens
+        Tokens that fit into its KV cache.
+    models
+        Names of the models that it serves.
+    """
+
+    born_ms: int
+    memory_tokens: int
+    models: tuple[str, ...]
+
+
 class HostEntry(msgspec.Struct, frozen=True):
     """Where an entry host is and how it is reached.
 
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -118,11 +118,21 @@
     lapsed
         Targets whose entry went while the store was away, with the time until
         which it may come back.
+    adopted
+        Targets that are used though no entry of theirs could be read.
     read_rates
         Prompt tokens that an engine reads in a second, by service.
     """
 
-    __slots__ = ("rows", "by_service", "lost", "revision", "lapsed", "read_rates")
+    __slots__ = (
+        "rows",
+        "by_service",
+        "lost",
+        "revision",
+        "lapsed",
+        "adopted",
+        "read_rates",
+    )
 
     def __init__(self) -> None:
         self.rows: dict[str, Target] = {}
@@ -130,6 +140,7 @@
         self.lost: dict[tuple[str, str], list[float]] = {}
         self.revision = -1
         self.lapsed: dict[str, float] = {}
+        self.adopted: dict[str, TargetEntry] = {}
         self.read_rates: dict[str, float] = {}
 
 
@@ -171,6 +182,8 @@
         Targets lost a moment ago, with the age of the loss in seconds.
     gone
         Targets whose address was found a moment ago to be another's.
+    adopted
+        Targets that are used though no entry of theirs could be read.
     crashes
         Fingerprints of requests that were running where a target crashed, the
         target's life, and the age in seconds.
@@ -186,6 +199,7 @@
     loads: dict[str, Load]
     lost: dict[str, float]
     gone: list[str]
+    adopted: list[TargetEntry]
     crashes: list[tuple[str, str, float]]
 
 
@@ -335,6 +349,16 @@
         self.at = at
 
 
+class Stranger:
+    """A target that answered at the address of an earlier one."""
+
+    __slots__ = ("earlier", "id")
+
+    def __init__(self, earlier: TargetEntry, id: str) -> None:
+        self.earlier = earlier
+        self.id = id
+
+
 class Tables:
     """All tables of a host."""
 
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -6,6 +6,7 @@
 from mode import Service
 
 from turmericflow.relay import (
+    _adoption as adoption,
     _copies as copies,
     _discovery as discovery,
     _membership as membership,
@@ -14,7 +15,7 @@
 )
 from turmericflow.relay._directory import Conflict, StoreFailed
 from turmericflow.relay._parts import Parts
-from turmericflow.relay._tables import Fault, Run, Suspect
+from turmericflow.relay._tables import Fault, Run, Stranger, Suspect
 from turmericflow.verdict import TargetFailed
 
 TICK_S = 0.05
@@ -41,6 +42,7 @@
                 log.info("process_stood_still", late_s=round(late_s, 3))
             self._scan()
             self._look_into_suspicions()
+            self._meet_strangers()
             for run in copies.scan(self._parts.tables):
                 run.copying = True
                 self.add_future(self._copy(run))
@@ -80,6 +82,31 @@
         elif run.fault is None:
             self._end(run, Fault.LOST)
 
+    def _meet_strangers(self) -> None:
+        strangers, self._parts.strangers = self._parts.strangers, []
+        if adoption.is_due(self._parts.tables, self._parts.clock.now()):
+            for stranger in {each.id: each for each in strangers if each.id}.values():
+                self.add_future(self._meet(stranger))
+
+    async def _meet(self, stranger: Stranger) -> None:
+        """Use an engine that came back while no host can read the store."""
+        tables = self._parts.tables
+        report = await self._parts.targets.describe(stranger.earlier.address)
+        if report is None:
+            return
+        entry = adoption.entry_of(tables, stranger.earlier, stranger.id, report)
+        if entry is None or entry.key in tables.targets.rows:
+            return
+        adoption.adopt(tables, entry)
+        log.info(
+            "target_adopted",
+            target=entry.key,
+            address=entry.address,
+            earlier=stranger.earlier.key,
+            view=tables.targets.revision,
+        )
+        self._parts.tell_change()
+
     async def _copy(self, run: Run) -> None:
         """Copy a run's memory again, after its copy was lost."""
         parts = self._parts
