Look for lost engines while no host can read the store

Cause: engines that came back in an outage were met only by a request that went to their old address, which placement avoids; and a silent store was noticed after four seconds, by the connection's keep-alive.

--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -75,7 +75,6 @@
         "headers",
         "not_run",
         "gone",
-        "target",
         "genuine",
     )
 
@@ -88,7 +87,6 @@
         self.headers = names.answer_headers(resp.headers)
         self.gone = resp.status == _MISDIRECTED
         self.not_run = self.gone or names.NOT_EXECUTED in resp.headers
-        self.target = resp.headers.get(names.INSTANCE, "")
         echoed = resp.headers.get(names.ATTEMPT)
         if echoed is not None and echoed != call.id:
             self.genuine = False
@@ -181,16 +179,19 @@
             raise TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc)) from exc
         return Copy(holder, source, handle)
 
-    async def describe(self, address: str) -> EngineReport | None:
+    async def describe(self, address: str, health_path: str) -> EngineReport | None:
         """Return what the engine at an address says of itself, or None."""
+        base = f"http://{address}"
         try:
             async with asyncio.timeout(ACCEPT_TIMEOUT_S):
-                async with self._session.get(f"http://{address}{REPORT_PATH}") as resp:
+                async with self._session.get(base + health_path) as resp:
+                    id = resp.headers.get(names.INSTANCE, "")
+                async with self._session.get(base + REPORT_PATH) as resp:
                     report = msgspec.json.decode(await resp.read(), type=_Report)
         except (*_LOST, TimeoutError, msgspec.MsgspecError):
             return None
         models = tuple(model.name for model in report.models)
-        return EngineReport(report.born, report.kvTotal, models)
+        return EngineReport(id, report.born, report.kvTotal, models)
 
     async def accepts(self, address: str) -> bool:
         """Return whether a worker takes connections, or may only be out of reach."""
--- a/turmericflow/relay/_adoption.py
+++ b/turmericflow/relay/_adoption.py
@@ -9,7 +9,11 @@
 
 import math
 
-from turmericflow.relay import _discovery as discovery, _membership as membership
+from turmericflow.relay import (
+    _discovery as discovery,
+    _membership as membership,
+    _placement as placement,
+)
 from turmericflow.relay._model import EngineReport, Service, TargetEntry
 from turmericflow.relay._tables import Tables
 
@@ -34,8 +38,27 @@
     )
 
 
+def to_look_at(tables: Tables, now: float) -> list[TargetEntry]:
+    """Return the lost engines at whose addresses this host is to look.
+
+    One host looks: the live one that comes first.
+    """
+    if not is_due(tables, now) or not membership.is_first(tables, now):
+        return []
+    rows = tables.targets.rows.values()
+    used = {row.entry.address for row in rows if placement.usable(row)}
+    found = []
+    for row in rows:
+        service = tables.deployment.services.get(row.entry.service)
+        if service is None or service.engine is None or row.entry.leaving:
+            continue
+        if row.failures > 0 or (row.gone and row.entry.address not in used):
+            found.append(row.entry)
+    return found
+
+
 def entry_of(
-    tables: Tables, earlier: TargetEntry, id: str, report: EngineReport
+    tables: Tables, earlier: TargetEntry, report: EngineReport
 ) -> TargetEntry | None:
     """Return the entry of an engine found at the address of an earlier one.
 
@@ -44,10 +67,10 @@
     """
     services = tables.deployment.services.values()
     found = [service.name for service in services if _fits(service, report)]
-    if found != [earlier.service]:
+    if found != [earlier.service] or report.id in ("", earlier.id):
         return None
     return TargetEntry(
-        id=id,
+        id=report.id,
         born_ms=report.born_ms,
         service=earlier.service,
         address=earlier.address,
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -15,7 +15,7 @@
 from turmericflow.relay._call import Call, Dispatch, Reply
 from turmericflow.relay._parts import Parts
 from turmericflow.relay._routing import Match
-from turmericflow.relay._tables import Run, Stranger, Suspect, Target
+from turmericflow.relay._tables import Run, Suspect, Target
 from turmericflow.verdict import (
     ErrorCode,
     Failure,
@@ -209,7 +209,7 @@
         self.tried.add(target.entry.key)
         if reply.gone:
             placement.note_gone(target, now)
-            self.parts.strangers.append(Stranger(target.entry, reply.target))
+            self.parts.strangers.append(target.entry)
             self.parts.tell_change()
         else:
             target.out_until = max(target.out_until, now + FULL_S)
--- a/turmericflow/relay/_call.py
+++ b/turmericflow/relay/_call.py
@@ -136,8 +136,6 @@
         Whether the target states that it did not run the request.
     gone
         Whether another target than the expected one answered.
-    target
-        Id of the target that answered, if it says so.
     genuine
         Whether the answer is to this request and bears the target's receipt.
     """
@@ -146,7 +144,6 @@
     headers: CIMultiDict[str]
     not_run: bool
     gone: bool
-    target: str
     genuine: bool
 
     def chunks(self) -> AsyncIterator[bytes]:
@@ -181,7 +178,7 @@
         """
         ...
 
-    async def describe(self, address: str) -> EngineReport | None:
+    async def describe(self, address: str, health_path: str) -> EngineReport | None:
         """Return what the engine at an address says of itself, or None."""
         ...
 
--- a/turmericflow/relay/_feed.py
+++ b/turmericflow/relay/_feed.py
@@ -75,8 +75,9 @@
         try:
             listing = await self._parts.directory.read(self._kind)
         except StoreFailed as exc:
-            log.info("store_not_read", kind=self._kind, reason=str(exc))
+            self._note_lost(exc)
             return
+        self._note_regained()
         self._replace(listing)
 
     async def _step(self, revision: int | None) -> int:
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -153,6 +153,13 @@
     return hosts.own.name in names[:READERS]
 
 
+def is_first(tables: Tables, now: float) -> bool:
+    """Return whether this host is the first of the live ones by name."""
+    hosts = tables.hosts
+    live = (name for name, row in hosts.rows.items() if is_alive(row, now))
+    return all(hosts.own.name < name for name in live)
+
+
 def addresses(tables: Tables, now: float) -> list[str]:
     """Return the callers' addresses of the hosts that take requests."""
     hosts = tables.hosts
--- a/turmericflow/relay/_model.py
+++ b/turmericflow/relay/_model.py
@@ -161,6 +161,8 @@
 
     Attributes
     ----------
+    id
+        Its name.
     born_ms
         Unix time of its start in milliseconds, 0 if it does not say.
     memory_tokens
@@ -169,6 +171,7 @@
         Names of the models that it serves.
     """
 
+    id: str
     born_ms: int
     memory_tokens: int
     models: tuple[str, ...]
--- a/turmericflow/relay/_parts.py
+++ b/turmericflow/relay/_parts.py
@@ -10,8 +10,9 @@
 from turmericflow.relay._call import TargetClient
 from turmericflow.relay._directory import Directory
 from turmericflow.relay._metrics import Metrics
+from turmericflow.relay._model import TargetEntry
 from turmericflow.relay._settings import HostSettings
-from turmericflow.relay._tables import Stranger, Suspect, Tables
+from turmericflow.relay._tables import Suspect, Tables
 
 STALL_S = 0.1  # a tick later than this means that the process stood still
 
@@ -56,7 +57,7 @@
     suspicions
         Requests that were cut off, until it is known whether their target crashed.
     strangers
-        Targets that answered at addresses of others, not yet looked at.
+        Targets at whose addresses others answered, not yet looked at.
     tell_change
         Tells the other hosts at once of a change that bears on their choices.
     """
@@ -89,5 +90,5 @@
         self.clock = Clock()
         self.rng = Random(secrets.randbits(64))
         self.suspicions: list[Suspect] = []
-        self.strangers: list[Stranger] = []
+        self.strangers: list[TargetEntry] = []
         self.tell_change: Callable[[], None] = _tell_nobody
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -349,16 +349,6 @@
         self.at = at
 
 
-class Stranger:
-    """A target that answered at the address of an earlier one."""
-
-    __slots__ = ("earlier", "id")
-
-    def __init__(self, earlier: TargetEntry, id: str) -> None:
-        self.earlier = earlier
-        self.id = id
-
-
 class Tables:
     """All tables of a host."""
 
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -14,8 +14,9 @@
     _stream as stream,
 )
 from turmericflow.relay._directory import Conflict, StoreFailed
+from turmericflow.relay._model import TargetEntry
 from turmericflow.relay._parts import Parts
-from turmericflow.relay._tables import Fault, Run, Stranger, Suspect
+from turmericflow.relay._tables import Fault, Run, Suspect
 from turmericflow.verdict import TargetFailed
 
 TICK_S = 0.05
@@ -85,16 +86,20 @@
     def _meet_strangers(self) -> None:
         strangers, self._parts.strangers = self._parts.strangers, []
         if adoption.is_due(self._parts.tables, self._parts.clock.now()):
-            for stranger in {each.id: each for each in strangers if each.id}.values():
-                self.add_future(self._meet(stranger))
+            for entry in {each.address: each for each in strangers}.values():
+                self.add_future(self._meet(entry))
 
-    async def _meet(self, stranger: Stranger) -> None:
+    async def _meet(self, earlier: TargetEntry) -> None:
         """Use an engine that came back while no host can read the store."""
         tables = self._parts.tables
-        report = await self._parts.targets.describe(stranger.earlier.address)
+        service = tables.deployment.services.get(earlier.service)
+        if service is None:
+            return
+        targets = self._parts.targets
+        report = await targets.describe(earlier.address, service.health_path)
         if report is None:
             return
-        entry = adoption.entry_of(tables, stranger.earlier, stranger.id, report)
+        entry = adoption.entry_of(tables, earlier, report)
         if entry is None or entry.key in tables.targets.rows:
             return
         adoption.adopt(tables, entry)
@@ -102,7 +107,7 @@
             "target_adopted",
             target=entry.key,
             address=entry.address,
-            earlier=stranger.earlier.key,
+            earlier=earlier.key,
             view=tables.targets.revision,
         )
         self._parts.tell_change()
@@ -163,6 +168,8 @@
         while not self.should_stop:
             await self.sleep(SLOW_TICK_S)
             now = clock.now()
+            for entry in adoption.to_look_at(tables, now):
+                self.add_future(self._meet(entry))
             for key in discovery.expire(tables.targets, now):
                 log.info("target_gone", target=key, evidence="lapsed entry")
             for name in membership.expire(tables, now):
--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -258,6 +258,9 @@
             if self.state.always == "mute":
                 await asyncio.sleep(3600)
             return web.json_response(self.report())
+        if request.path == "/healthz":
+            headers = {"X-Turmericflow-Instance-Id": self.name}
+            return web.Response(headers=headers)
         faults = self.state.faults
         fault = self.state.always or (faults.pop(0) if faults else "")
         expected = request.headers["X-Turmericflow-Expect-Instance"]
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -156,6 +156,22 @@
     await fleet.until(lambda: fleet.know("model", 1))
 
 
+async def test_a_lost_engine_is_looked_for_while_the_store_is_away(fleet: Fleet):
+    (engine,) = await fleet.add_engines("dc-0")
+    fleet.store.status = 503
+    fleet.store.put("servers", "nudge", {})
+    tables = fleet.hosts[0].tables
+    await fleet.until(lambda: tables.hosts.unanswered)
+    engine.state.always = "reset"
+    async with fleet.request("/stream/1", "r1") as resp:
+        assert resp.status == 502
+    engine.name, engine.state.always = "engine-again", ""
+    await fleet.until(lambda: "engine-again@0" in tables.targets.rows)
+    async with fleet.request("/stream/1", "r2") as resp:
+        assert resp.status == 200
+        await resp.read()
+
+
 async def test_an_answer_without_a_length_is_whole(fleet: Fleet):
     (target,) = await fleet.add_plain(1)
     target.state.always = "unframed"
