--- /dev/null
+++ b/turmericflow/cli/_explain.py
@@ -0,0 +1,50 @@
+"""The command that tells a request's story from hosts' logs."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from turmericflow.cli._exit import CommandError, Exit
+from turmericflow.cli._output import print_error
+
+
+def _lines(files: list[Path]) -> Iterator[str]:
+    if not files:
+        yield from sys.stdin
+    for file in files:
+        try:
+            yield from file.read_text("utf-8", errors="replace").splitlines()
+        except OSError as exc:
+            raise CommandError(f"{file}: {exc.strerror}", Exit.USAGE) from None
+
+
+async def _explain(args: argparse.Namespace) -> Exit:
+    from turmericflow.report import read_logs, tell
+
+    logs = read_logs(_lines(args.files))
+    story = tell(logs, args.request)
+    for line in story:
+        print(line.text())
+    if logs.unreadable:
+        print_error(f"{logs.unreadable} lines could not be read")
+    if not story:
+        raise CommandError(f"no line names request {args.request!r}")
+    return Exit.OK
+
+
+def add_explain_command(commands) -> None:
+    """Add the command that explains a request."""
+    parser = commands.add_parser(
+        "explain",
+        help="Tell a request's story from the logs of hosts.",
+        epilog="example:\n  cat host-*.log | turmericflow explain 5b62683e403da913",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.set_defaults(run=_explain)
+    parser.add_argument("request", help="name of the caller's attempt")
+    parser.add_argument(
+        "files", nargs="*", type=Path, metavar="FILE", help="logs (default: input)"
+    )
--- a/turmericflow/cli/main.py
+++ b/turmericflow/cli/main.py
@@ -9,6 +9,7 @@
 
 from turmericflow.cli._callers import add_caller_commands
 from turmericflow.cli._exit import CommandError, Exit
+from turmericflow.cli._explain import add_explain_command
 from turmericflow.cli._operators import add_operator_commands
 from turmericflow.cli._output import print_error
 from turmericflow.cli._report import add_report_command
@@ -42,6 +43,7 @@
     add_operator_commands(commands)
     add_status_command(commands)
     add_report_command(commands)
+    add_explain_command(commands)
     return parser
 
 
--- /dev/null
+++ b/turmericflow/tests/test_story.py
@@ -0,0 +1,71 @@
+"""Tests of a request's story from hosts' logs."""
+
+from __future__ import annotations
+
+import json
+
+from turmericflow.cli.main import main
+from turmericflow.report import read_logs, tell
+
+
+def line(host: str, second: float, event: str, **fields: object) -> str:
+    at = f"2026-12-04T00:00:{second:06.3f}Z"
+    return json.dumps({"host": host, "timestamp": at, "event": event} | fields)
+
+
+LOST = [
+    line("a", 1.0, "store_lost", kind="targets", reason="TimeoutError()"),
+    line("a", 1.5, "target_changed", target="e1", removed=False),
+    line("a", 1.6, "target_changed", target="e9", removed=False),
+    line("a", 2.0, "stream_sent", request="r", target="e1@0", backup="10.0.0.2:1"),
+    line("a", 2.1, "stream_sent", request="other", target="e1@0"),
+    line("a", 3.0, "target_lost", target="e1@0", evidence="reset"),
+    line("a", 3.0, "attempt_ended", request="r", target="e1@0", ending="lost"),
+    line("a", 3.1, "request_failed", request="r", verdict="MAY_HAVE_RUN"),
+]
+
+
+def events(texts: list[str], request: str = "r") -> list[str]:
+    return [each.event for each in tell(read_logs(texts), request)]
+
+
+def test_a_story_holds_the_request_and_the_beliefs_that_bear_on_it():
+    assert events(LOST) == [
+        "store_lost",
+        "target_changed",
+        "stream_sent",
+        "target_lost",
+        "attempt_ended",
+        "request_failed",
+    ]
+
+
+def test_torn_and_foreign_lines_are_counted_and_passed_over():
+    logs = read_logs([*LOST, '{"host": "a", "eve', "no json", "", "[1]", "{}"])
+    assert logs.unreadable == 4
+    assert len(tell(logs, "r")) == 6
+
+
+def test_lines_with_a_prefix_are_read():
+    assert len(events([f"  12.5 edge-1 {text}" for text in LOST])) == 6
+
+
+def test_a_clock_that_steps_back_keeps_the_order_of_its_host():
+    stepped = [
+        line("a", 9.0, "stream_sent", request="r", target="e1@0"),
+        line("a", 2.0, "request_failed", request="r"),
+        line("b", 5.0, "stream_sent", request="r", target="e2@0"),
+    ]
+    found = tell(read_logs(stepped), "r")
+    own = [each.event for each in found if each.host == "a"]
+    assert own == ["stream_sent", "request_failed"] and len(found) == 3
+
+
+def test_the_command_prints_the_story(tmp_path, capsys):
+    log = tmp_path / "a.log"
+    log.write_text("\n".join([*LOST, "torn"]))
+    assert main(["explain", "r", str(log)]) == 0
+    printed = capsys.readouterr()
+    assert "request_failed" in printed.out and "e9" not in printed.out
+    assert "1 lines could not be read" in printed.err
+    assert main(["explain", "nobody", str(log)]) == 1
