--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -13,10 +13,12 @@
 LOSSES_OF_CENTRE = 2
 ONE_LOSS_COST = 3.0  # a data centre's other targets may be lost too
 FAILURE_COST = 2.0  # for each failure in a row of a target that gets work again
-UNREAD_TOKENS_PER_RUN = 1500.0  # a prompt of this size delays as much as one run
-OTHER_CENTRE_COST = 0.25
+# Costs below are in prompts of this size: what is read first is waited for.
+UNREAD_TOKENS_PER_PROMPT = 1500.0
+ENGINE_RUN_COST = 0.6  # a run shares each step, and its tokens wait for a new prompt
+OTHER_CENTRE_COST = 0.2  # less than one run: bytes between data centres are few
 FULL_COST = 50.0
-RUNS_OF_A_FULL_BATCH = 8.0  # cost of a full batch, in prompts of the size above
+FULL_BATCH_COST = 8.0  # of a plain target whose places are all taken
 LOST_CENTRE_COST = 1000.0
 FAILED_COST = 100_000.0
 
@@ -95,17 +97,19 @@
 
 
 def cost(table: TargetTable, target: Target, wish: Wish, now: float) -> float:
-    """Return how much a request would wait at a target, in runs of its batch."""
+    """Return how much a request would wait at a target, in prompts of 1,500 tokens."""
     entry = target.entry
-    total = RUNS_OF_A_FULL_BATCH * target.runs / max(1, entry.slots)
-    total += target.unread_tokens / UNREAD_TOKENS_PER_RUN
+    total = target.unread_tokens / UNREAD_TOKENS_PER_PROMPT
     if wish.capacity:
+        total += ENGINE_RUN_COST * target.runs
         held = target.memory_tokens
         total += held / wish.capacity
         if held + wish.tokens > wish.capacity:
             total += FULL_COST
-    elif target.runs >= entry.slots:
-        total += FULL_COST * target.runs / entry.slots
+    else:
+        total += FULL_BATCH_COST * target.runs / entry.slots
+        if target.runs >= entry.slots:
+            total += FULL_COST
     if entry.cold_ms > 0:
         total += 1.0
     if entry.data_centre != wish.data_centre:
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -140,6 +140,17 @@
     assert tables.targets.rows["e0@0"].unread_tokens == 0
 
 
+def test_an_idle_engine_elsewhere_goes_before_a_busy_one_near_by(tables: Tables):
+    """Load: a data centre's callers outnumber its engines."""
+    for n in (0, 3):
+        tables.targets.rows[f"e{n}@0"].own = Load(1, 0, 9000)
+    for seed in range(20):
+        found = placement.choose(
+            tables.targets, wish(tokens=9000, capacity=88_000), 0.0, Random(seed)
+        )
+        assert found.entry.data_centre != "dc-0"
+
+
 def test_a_full_memory_is_the_last_choice(tables: Tables):
     for n in range(5):
         tables.targets.rows[f"e{n}@0"].own = Load(0, 0, 85_000)
