Keep gone what left while a host was turned away from the store

Change: changes that the view already has are passed over, and an entry counts as lapsed only if no live host could read the store meanwhile. The test of it fails without the change. A test's fixture failed once in four runs: a port that was free when chosen was taken by an outgoing connection; ports now come from below those.

--- a/turmericflow/relay/_adoption.py
+++ b/turmericflow/relay/_adoption.py
@@ -20,13 +20,8 @@
 
 def is_due(tables: Tables, now: float) -> bool:
     """Return whether no live host can read the store."""
-    hosts = tables.hosts
-    if not hosts.unanswered:
-        return False
-    return not any(
-        membership.is_alive(row, now) and row.news.reads_store
-        for row in hosts.rows.values()
-    )
+    lost = bool(tables.hosts.unanswered)
+    return lost and not membership.peer_reads_store(tables, now)
 
 
 def _fits(service: Service, report: EngineReport) -> bool:
--- a/turmericflow/relay/_feed.py
+++ b/turmericflow/relay/_feed.py
@@ -43,6 +43,7 @@
         self._parts = parts
         self._kind = kind
         self._lost_at: float | None = None
+        self._read_by_none = False
         self._lenient_until = 0.0
 
     @Service.task
@@ -95,10 +96,13 @@
         return changes.revision
 
     def _note_lost(self, exc: StoreFailed) -> None:
-        self._parts.tables.hosts.unanswered.add(self._kind)
+        tables, now = self._parts.tables, self._parts.clock.now()
+        tables.hosts.unanswered.add(self._kind)
         if self._lost_at is None:
-            self._lost_at = self._parts.clock.now()
+            self._lost_at, self._read_by_none = now, True
             log.warning("store_lost", kind=self._kind, reason=str(exc))
+        if membership.peer_reads_store(tables, now):
+            self._read_by_none = False
 
     def _note_regained(self) -> None:
         self._parts.tables.hosts.unanswered.discard(self._kind)
@@ -107,7 +111,7 @@
         now = self._parts.clock.now()
         away_s = now - self._lost_at
         self._lost_at = None
-        if away_s >= OUTAGE_S:
+        if away_s >= OUTAGE_S and self._read_by_none:
             self._lenient_until = now + discovery.LAPSE_S
         if self._kind is Kind.TARGETS:
             adoption.end(self._parts.tables, now + discovery.LAPSE_S)
@@ -149,10 +153,12 @@
 
     def _apply(self, changes: Changes) -> None:
         targets = self._parts.tables.targets
-        if self._kind is Kind.TARGETS and changes.revision <= targets.revision:
+        known = targets.revision if self._kind is Kind.TARGETS else -1
+        if changes.revision <= known:
             return
         for change in changes.changes:
-            self._apply_change(change)
+            if change.row.revision > known:
+                self._apply_change(change)
         if self._kind is Kind.TARGETS:
             targets.revision = changes.revision
 
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -153,6 +153,14 @@
     return hosts.own.name in names[:READERS]
 
 
+def peer_reads_store(tables: Tables, now: float) -> bool:
+    """Return whether the store answers another live host."""
+    return any(
+        is_alive(row, now) and row.news.reads_store
+        for row in tables.hosts.rows.values()
+    )
+
+
 def is_first(tables: Tables, now: float) -> bool:
     """Return whether this host is the first of the live ones by name."""
     hosts = tables.hosts
--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
+import os
 import socket
 from collections import Counter
 from dataclasses import dataclass, field
@@ -27,11 +29,22 @@
 CRASHED_S = 0.3
 
 
+# Below the ports that outgoing connections get, so that none of them takes a port
+# between its choice and its use; processes begin at different places.
+_PORTS = itertools.count(20_000 + os.getpid() % 100 * 100)
+
+
 def free_port() -> int:
     """Return a port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
+    for port in _PORTS:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("no port is free")
 
 
 class Served:
@@ -104,7 +117,8 @@
         stored = self.objects.get(kind, {}).pop(name, None)
         if stored is not None:
             self.revision += 1
-            self._note(kind, stored, True)
+            metadata = stored["metadata"] | {"revision": self.revision}
+            self._note(kind, stored | {"metadata": metadata}, True)
 
     def forget(self) -> None:
         """Drop the history up to now."""
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -397,6 +397,30 @@
     await fleet.until(lambda: host.tables.deployment.value.version == 7, 2.0)
 
 
+async def test_a_target_that_left_while_a_host_was_turned_away_stays_gone(
+    fleet_of_three: Fleet,
+):
+    fleet = fleet_of_three
+    host = fleet.hosts[2]
+    await fleet.until(lambda: all(len(h.tables.hosts.rows) == 2 for h in fleet.hosts))
+    base, host.parts.directory._base = host.parts.directory._base, "http://127.0.0.1:1"
+    nudge = TargetStandIn("nudge", "dc-0")
+    await fleet.add_target(nudge)
+    await fleet.until(lambda: host.tables.hosts.unanswered)
+    left = TargetStandIn("left", "dc-0")
+    await fleet.add_target(left)
+    await fleet.until(lambda: fleet.know("plain", 2))
+    fleet.store.remove("servers", left.name)
+    await fleet.until(lambda: fleet.know("plain", 1))
+    await asyncio.sleep(0.6)
+    host.parts.directory._base = base
+    fleet.store.put("servers", "again", {})
+    await fleet.until(lambda: not host.tables.hosts.unanswered)
+    for _ in range(20):
+        assert fleet.know("plain", 1)
+        await asyncio.sleep(0.05)
+
+
 async def test_a_host_that_knows_no_deployment_says_that_it_did_not_run(tmp_path):
     fleet = Fleet(tmp_path)
     fleet.store.status = 503
