Honour the deployment's idle time, spread callers' returns, reload settings

Cause: idle connections were closed after a constant 15 s whatever the deployment says, so that callers that may reuse them longer would meet a closed one; all callers refused together were told to return together; SIGHUP read settings and used none.

Change: each connection takes the limits in force when it opens; Retry-After is spread by half to either side; bounds are put in force on SIGHUP, bad settings change nothing. Malformed and smuggled requests, resets of settings and idle times have tests.

--- a/turmericflow/platform/__main__.py
+++ b/turmericflow/platform/__main__.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 import time
+from pathlib import Path
 
 import aiohttp
 import msgspec
@@ -124,9 +125,6 @@
         settings.peers,
     )
     tables = Tables(own)
-    tables.budgets.ratio = settings.retry_ratio
-    tables.budgets.window_s = settings.retry_window_s
-    tables.budgets.slack = settings.retry_slack
     targets, store = _open_session(True), _open_session(False)
     directory = StoreClient(store, settings.store.address)
     return Parts(settings, tables, HttpTargets(targets), directory), [targets, store]
@@ -137,8 +135,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload)
     parts, sessions = open_parts(settings)
+    loop.add_signal_handler(signal.SIGHUP, reload, parts, settings_path())
     daemon = Daemon(parts, _callers, faces(parts, settings))
     await daemon.start()
     log.info("started", entry=parts.tables.hosts.own)
@@ -163,14 +161,15 @@
             continue
 
 
-def _reload() -> None:
+def reload(parts: Parts, path: Path) -> None:
     """Read the settings again; those in force stay if they cannot be used."""
     try:
-        settings = read_settings(settings_path())
+        settings = read_settings(path)
     except SettingsInvalid as exc:
         log.warning("settings_kept", reason=str(exc))
         return
-    log.info("reloaded", name=settings.name)
+    parts.put_in_force(settings)
+    log.info("reloaded", settings=settings)
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -26,7 +26,8 @@
 
 MOST_REFUSALS = 8  # a data centre's targets may all be others than expected
 FULL_S = 0.3  # a target that is full gets no work for this time
-RETRY_AFTER_S = 0.4
+RETRY_AFTER_S = 0.4  # a plain target's queue or an engine's place frees by then
+RETRY_SPREAD = 0.5  # share by which callers' returns are spread to either side
 
 log = structlog.get_logger()
 
@@ -152,8 +153,10 @@
         if self.may_have_run:
             failure = Failure(ErrorCode.TARGET_FAILED, Verdict.MAY_HAVE_RUN, message)
         else:
+            spread = RETRY_SPREAD * (2 * self.parts.rng.random() - 1)
+            retry_after_s = RETRY_AFTER_S * (1 + spread)
             failure = Failure(
-                ErrorCode.NO_TARGET, Verdict.NOT_RUN, message, RETRY_AFTER_S
+                ErrorCode.NO_TARGET, Verdict.NOT_RUN, message, retry_after_s
             )
         return RequestFailed(failure)
 
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -24,14 +24,27 @@
 LEAVE_MARGIN_S = 0.4
 FINISH_CHECK_S = 0.05
 BACKLOG = 512
-IDLE_S = 15.0  # callers use idle connections for up to four fifths of this
 LINGER_S = 1.0  # for the rest of a body that was answered early
 
+Options = Callable[[], dict[str, object]]
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 log = structlog.get_logger()
 
 
+class _Server(web.Server):
+    """Serves each connection under the options that hold when it is opened."""
+
+    def __init__(self, handler: Handler, options: Options, **kwargs: object) -> None:
+        super().__init__(handler, **kwargs)
+        self._options = options
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        loop = asyncio.get_running_loop()
+        return web.RequestHandler(self, loop=loop, access_log=None, **self._options())
+
+
 class Face:
     """An address on which something is served over HTTP."""
 
@@ -42,9 +55,9 @@
         self.handler = handler
         self.runner: web.ServerRunner | None = None
 
-    async def open(self, **kwargs: object) -> None:
-        """Begin to listen."""
-        server = web.Server(self.handler, access_log=None, **kwargs)
+    async def open(self, options: Options = dict, **kwargs: object) -> None:
+        """Begin to listen; `options` are asked for with each connection."""
+        server = _Server(self.handler, options, **kwargs)
         self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self.runner.setup()
         ip, _, port = self.address.rpartition(":")
@@ -78,10 +91,7 @@
         await self._callers.open(
             request_factory=self.entry.request,
             handler_cancellation=True,
-            keepalive_timeout=IDLE_S,
-            max_line_size=entry_module.MAX_HEADER_LINE_BYTES,
-            max_field_size=entry_module.MAX_HEADER_LINE_BYTES,
-            lingering_time=LINGER_S,
+            options=self._caller_options,
         )
         for kind in Kind:
             await self.add_runtime_dependency(Feed(parts, kind))
@@ -89,6 +99,14 @@
         await self.add_runtime_dependency(self._links)
         await self.add_runtime_dependency(Watchdog(parts))
 
+    def _caller_options(self) -> dict[str, object]:
+        return {
+            "keepalive_timeout": self.entry.limits.idle_timeout_s,
+            "max_line_size": entry_module.MAX_HEADER_LINE_BYTES,
+            "max_field_size": entry_module.MAX_HEADER_LINE_BYTES,
+            "lingering_time": LINGER_S,
+        }
+
     @Service.task
     async def _become_ready(self) -> None:
         tables = self._parts.tables
--- a/turmericflow/relay/_entry.py
+++ b/turmericflow/relay/_entry.py
@@ -95,7 +95,8 @@
         self.running = 0
 
     @property
-    def _limits(self) -> Limits:
+    def limits(self) -> Limits:
+        """The bounds on what a caller sends that are in force."""
         deployment = self._parts.tables.deployment.value
         return deployment.limits if deployment is not None else Limits()
 
@@ -112,7 +113,7 @@
             writer,
             task,
             asyncio.get_running_loop(),
-            client_max_size=self._limits.body_bytes,
+            client_max_size=self.limits.body_bytes,
         )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -127,7 +128,7 @@
         parts = self._parts
         started_at = parts.clock.now()
         size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
-        if size > self._limits.header_bytes:
+        if size > self.limits.header_bytes:
             return web.Response(status=HEADERS_TOO_LARGE)
         try:
             call = self._codec.decode_call(request)
--- a/turmericflow/relay/_parts.py
+++ b/turmericflow/relay/_parts.py
@@ -82,8 +82,8 @@
         targets: TargetClient,
         directory: Directory,
     ) -> None:
-        self.settings = settings
         self.tables = tables
+        self.put_in_force(settings)
         self.targets = targets
         self.directory = directory
         self.metrics = Metrics()
@@ -92,3 +92,11 @@
         self.suspicions: list[Suspect] = []
         self.strangers: list[TargetEntry] = []
         self.tell_change: Callable[[], None] = _tell_nobody
+
+    def put_in_force(self, settings: HostSettings) -> None:
+        """Use settings from now on; addresses stay those of the start."""
+        self.settings = settings
+        budgets = self.tables.budgets
+        budgets.ratio = settings.retry_ratio
+        budgets.window_s = settings.retry_window_s
+        budgets.slack = settings.retry_slack
--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -509,7 +509,7 @@
     def __init__(self, name: str, data_centre: str, store: str, folder) -> None:
         self.name = name
         self.ports = [free_port() for _ in range(5)]
-        self._path = folder / f"{name}.json"
+        self.path = folder / f"{name}.json"
         settings = {
             "nodeName": name,
             "ip": LOOPBACK,
@@ -525,7 +525,7 @@
             "bounds": {"graceS": 2.0},
             "provider": {"address": store},
         }
-        self._path.write_text(json.dumps(settings))
+        self.path.write_text(json.dumps(settings))
         self.daemon: Daemon | None = None
         self._sessions: list[aiohttp.ClientSession] = []
 
@@ -538,7 +538,7 @@
         return self.parts.tables
 
     async def start(self) -> None:
-        settings = read_settings(self._path)
+        settings = read_settings(self.path)
         self.parts, self._sessions = open_parts(settings)
         kept = faces(self.parts, settings, metrics_port=self.ports[4])
         self.daemon = Daemon(self.parts, _callers, kept)
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
+from turmericflow.platform.__main__ import reload
 from turmericflow.tests.platform_stand_ins import (
     CUSTOMER,
     POISON,
@@ -78,6 +80,36 @@
     assert not target.seen
 
 
+HEAD = b"POST /order/1 HTTP/1.1\r\nHost: site.example\r\n"
+NAMED = HEAD + b"X-Turmericflow-Attempt-Id: a\r\nX-Turmericflow-Key: key-of-a\r\n"
+MALFORMED = {
+    "no name": HEAD + b"Content-Length: 0\r\n\r\n",
+    "two names": NAMED + b"X-Turmericflow-Attempt-Id: b\r\nContent-Length: 0\r\n\r\n",
+    "two lengths": NAMED + b"Content-Length: 0\r\nContent-Length: 5\r\n\r\nabcde",
+    "length and chunks": NAMED
+    + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    + NAMED
+    + b"\r\n",
+    "no header": NAMED + b"what is this\r\n\r\n",
+    "no request": b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n",
+    "chunks cut short": NAMED + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+}
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+async def test_a_malformed_request_reaches_no_target(fleet: Fleet, name: str):
+    (target,) = await fleet.add_plain(1)
+    reader, writer = await asyncio.open_connection("127.0.0.1", fleet.hosts[0].ports[0])
+    writer.write(MALFORMED[name])
+    writer.write_eof()
+    answer = await asyncio.wait_for(reader.read(), 3)
+    assert answer == b"" or answer.startswith((b"HTTP/1.1 400", b"HTTP/1.0 400"))
+    writer.close()
+    async with fleet.request("/order/1", "good") as resp:
+        assert resp.status == 200
+    assert [seen.id for seen in target.seen] == ["good"]
+
+
 async def test_a_body_over_the_limit_is_refused(fleet: Fleet):
     await fleet.add_plain(1)
     async with fleet.request("/order/1", data=b"x" * 100_001) as resp:
@@ -450,7 +482,7 @@
 
     async def named() -> list[str]:
         async with fleet.session.get(resolve) as resp:
-            return (await resp.json())["addresses"]
+            return (await resp.json())["addresses"] if resp.status == 200 else []
 
     async with asyncio.timeout(3):
         while len(await named()) < 3:
@@ -466,6 +498,39 @@
     await leaving
 
 
+async def test_a_reload_takes_new_settings_and_keeps_the_old_for_bad_ones(
+    fleet: Fleet,
+):
+    host = fleet.hosts[0]
+    settings = json.loads(host.path.read_text())
+    settings["bounds"] |= {"retryBudgetRatio": 0.1, "graceS": 1.5}
+    host.path.write_text(json.dumps(settings))
+    reload(host.parts, host.path)
+    assert host.tables.budgets.ratio == 0.1 and host.parts.settings.leave_s == 1.5
+    host.path.write_text("{")
+    reload(host.parts, host.path)
+    assert host.parts.settings.leave_s == 1.5
+
+
+async def test_idle_connections_are_kept_as_long_as_the_deployment_says(fleet: Fleet):
+    await fleet.add_plain(1)
+    limits = {"idleTimeoutMs": 400, "maxBodyBytes": 10_000}
+    fleet.store.put("config", "main", deployment(5, limits=limits))
+    table = fleet.hosts[0].tables.deployment
+    await fleet.until(lambda: table.value.version == 5)
+    ip, port = "127.0.0.1", fleet.hosts[0].ports[0]
+    reader, writer = await asyncio.open_connection(ip, port)
+    loop = asyncio.get_running_loop()
+    head = b"GET /nowhere/ HTTP/1.1\r\nHost: a\r\nX-Turmericflow-Attempt-Id: a\r\n\r\n"
+    writer.write(head)
+    answer = await reader.readuntil(b"\r\n\r\n")
+    answered_at = loop.time()
+    assert answer.startswith(b"HTTP/1.1 404")
+    await reader.read()
+    assert 0.35 < loop.time() - answered_at < 2.0
+    writer.close()
+
+
 async def test_streams_that_start_together_go_to_different_engines(
     fleet_of_three: Fleet,
 ):
