Learn the pace of reading, pass ranks on, count timeouts, and mend names

Cause: reading the change as a newcomer: the pace at which engines read was a constant though a table stood ready for it; ranks of routes and customers were decoded and not sent; a plain target that let the time run out was chosen again at once; a stream went on at a copy whose holder had just been lost; settings, fields and constants that nothing used; names that are not the field's (news, strangers, faces, wish).

Change: each of these, with tests of the first three.

--- a/turmericflow/platform/__main__.py
+++ b/turmericflow/platform/__main__.py
@@ -22,10 +22,10 @@
 from turmericflow.platform._targets import HttpTargets
 from turmericflow.relay import (
     Daemon,
-    Face,
     HostEntry,
     HostSettings,
     HostState,
+    Listener,
     Parts,
     SettingsInvalid,
     Tables,
@@ -93,7 +93,8 @@
         found = addresses(self._parts.tables, self._parts.clock.now())
         if not found:
             return web.Response(status=503)
-        body = msgspec.json.encode({"addresses": found, "ttlS": ADDRESSES_KEEP_S})
+        keep_s = min(ADDRESSES_KEEP_S, self._parts.settings.addresses_keep_s)
+        body = msgspec.json.encode({"addresses": found, "ttlS": keep_s})
         return web.Response(body=body, content_type="application/json")
 
     async def metrics(self, request: web.BaseRequest) -> web.Response:
@@ -101,17 +102,17 @@
         return web.Response(body=self._parts.metrics.text(), content_type="text/plain")
 
 
-def faces(
+def listeners(
     parts: Parts, settings: HostSettings, metrics_port: int = METRICS_PORT
-) -> list[Face]:
+) -> list[Listener]:
     """Return all that is served beside requests, where the settings have an address."""
     answers = _Answers(parts)
     ip = settings.peers.rpartition(":")[0]
-    found = [Face(f"{ip}:{metrics_port}", answers.metrics)]
+    found = [Listener(f"{ip}:{metrics_port}", answers.metrics)]
     if settings.readiness:
-        found.append(Face(settings.readiness, answers.ready))
+        found.append(Listener(settings.readiness, answers.ready))
     if settings.addresses:
-        found.append(Face(settings.addresses, answers.resolve))
+        found.append(Listener(settings.addresses, answers.resolve))
     return found
 
 
@@ -126,7 +127,7 @@
     )
     tables = Tables(own)
     targets, store = _open_session(True), _open_session(False)
-    directory = StoreClient(store, settings.store.address)
+    directory = StoreClient(store, settings.store)
     return Parts(settings, tables, HttpTargets(targets), directory), [targets, store]
 
 
@@ -137,7 +138,7 @@
         loop.add_signal_handler(number, stop.set)
     parts, sessions = open_parts(settings)
     loop.add_signal_handler(signal.SIGHUP, reload, parts, settings_path())
-    daemon = Daemon(parts, _callers, faces(parts, settings))
+    daemon = Daemon(parts, _callers, listeners(parts, settings))
     await daemon.start()
     log.info("started", entry=parts.tables.hosts.own)
     await _wait(daemon, stop)
--- a/turmericflow/platform/_callers.py
+++ b/turmericflow/platform/_callers.py
@@ -11,7 +11,6 @@
 BUDGET = "X-Turmericflow-Deadline-Ms"
 KEY = "X-Turmericflow-Key"
 TOKENS = "X-Turmericflow-Token-Usage"
-PARTS = "X-Turmericflow-Prefix-Hash"
 LAST_EVENT = "Last-Event-Id"
 RECEIPT = "X-Turmericflow-Upstream-Signature"
 NOT_EXECUTED = "X-Turmericflow-Not-Executed"
@@ -84,14 +83,6 @@
     return int(text) if text and text.isascii() and text.isdecimal() else None
 
 
-def _parts(text: str) -> tuple[tuple[str, int], ...]:
-    found = []
-    for part in text.split(",") if text else ():
-        name, _, tokens = part.strip().partition(":")
-        found.append((name, _number(tokens) or 0))
-    return tuple(found)
-
-
 def decode_call(request: web.BaseRequest) -> Call:
     """Translate the head of a caller's request; the body is read later.
 
@@ -115,7 +106,6 @@
     prompt, _, output = headers.get(TOKENS, "").partition(",")
     call.prompt_tokens = _number(prompt.strip()) or 0
     call.output_tokens = _number(output.strip()) or 0
-    call.prompt_parts = _parts(headers.get(PARTS, ""))
     return call
 
 
--- a/turmericflow/platform/_settings.py
+++ b/turmericflow/platform/_settings.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from turmericflow.relay import HostSettings, SettingsInvalid, StoreLimits
+from turmericflow.relay import HostSettings, SettingsInvalid
 
 SETTINGS_VARIABLE = "TURMERICFLOW_NODE_FILE"
 DEFAULT_PATH = Path("/etc/turmericflow/settings.json")
@@ -20,10 +20,7 @@
 
 
 class _Bounds(msgspec.Struct):
-    configApplyMs: float = 2000.0
-    drainMs: float = 2000.0
     graceS: float = 8.0
-    contactMs: float = 3000.0
     retryBudgetRatio: float = 0.8
     budgetWindowS: float = 10.0
     budgetSlack: float = 150.0
@@ -32,8 +29,6 @@
 
 class _Provider(msgspec.Struct):
     address: str = ""
-    writesPerS: float = 0.0
-    readsPerS: float = 0.0
 
 
 class _File(msgspec.Struct):
@@ -75,15 +70,8 @@
         addresses=file.listen.directory,
         peers=f"{file.ip}:{port}",
         seeds=tuple(f"{seed.rpartition(':')[0]}:{port}" for seed in file.seeds),
-        store=StoreLimits(
-            file.provider.address,
-            file.provider.writesPerS,
-            file.provider.readsPerS,
-        ),
+        store=file.provider.address,
         leave_s=bounds.graceS,
-        drain_s=bounds.drainMs / 1000,
-        in_force_s=bounds.configApplyMs / 1000,
-        contact_s=bounds.contactMs / 1000,
         addresses_keep_s=bounds.ttl_max_s,
         retry_ratio=bounds.retryBudgetRatio,
         retry_window_s=bounds.budgetWindowS,
--- a/turmericflow/relay/__init__.py
+++ b/turmericflow/relay/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from turmericflow.relay._call import Call, Copy, Dispatch
-from turmericflow.relay._daemon import Daemon, Face
+from turmericflow.relay._daemon import Daemon, Listener
 from turmericflow.relay._directory import (
     Change,
     Changes,
@@ -31,7 +31,7 @@
     WorkKind,
 )
 from turmericflow.relay._parts import Parts
-from turmericflow.relay._settings import HostSettings, SettingsInvalid, StoreLimits
+from turmericflow.relay._settings import HostSettings, SettingsInvalid
 from turmericflow.relay._tables import HostState, Tables
 
 __all__ = (
@@ -63,12 +63,11 @@
     "StoreFailed",
     # The daemon
     "Daemon",
-    "Face",
+    "Listener",
     "HostSettings",
     "HostState",
     "Parts",
     "SettingsInvalid",
-    "StoreLimits",
     "Tables",
     "addresses",
     "set_up_log",
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -24,6 +24,7 @@
     Verdict,
 )
 
+LEAST_URGENT = 9  # the highest rank that engines know
 MOST_REFUSALS = 8  # a data centre's targets may all be others than expected
 FULL_S = 0.3  # a target that is full gets no work for this time
 RETRY_AFTER_S = 0.4  # a plain target's queue or an engine's place frees by then
@@ -95,11 +96,11 @@
             self._content = crashes.fingerprint(self.call, self._customer())
         return self._content
 
-    def wish(self, not_in: str | None = None) -> placement.Wish:
+    def demand(self, not_in: str | None = None) -> placement.Demand:
         """Return what a target is to be chosen for."""
         service = self.parts.tables.deployment.services.get(self.match.service)
         engine = service and service.engine
-        return placement.Wish(
+        return placement.Demand(
             service=self.match.service,
             data_centre=self.parts.settings.data_centre,
             avoid=frozenset(self.tried),
@@ -120,7 +121,7 @@
         table = tables.crashes
         if table.any and table.is_refused(self.content(), now):
             raise self.failure("the content crashed the targets that ran it")
-        target = placement.choose(tables.targets, self.wish(), now, self.parts.rng)
+        target = placement.choose(tables.targets, self.demand(), now, self.parts.rng)
         if target is None:
             raise self.failure(f"no target of {self.match.service!r} is left to try")
         self.check_budget()
@@ -175,8 +176,18 @@
         entry = target.entry
         dispatch = Dispatch(entry.id, entry.address, max(0.001, self.remaining_s))
         dispatch.customer = self._customer()
+        service = self.parts.tables.deployment.services.get(self.match.service)
+        if service is not None and service.engine is not None:
+            dispatch.priority = self._priority()
         return dispatch
 
+    def _priority(self) -> int:
+        """Return the request's rank at an engine; a customer's goes first."""
+        customer, priority = self.match.customer, self.match.route.priority
+        if customer is not None and customer.priority is not None:
+            priority = customer.priority
+        return min(max(priority, 0), LEAST_URGENT)
+
     def begin(self, target: Target) -> Run:
         """Note that a target works on the request."""
         now = self.parts.clock.listening()
@@ -212,13 +223,22 @@
         self.tried.add(target.entry.key)
         if reply.gone:
             placement.note_gone(target, now)
-            self.parts.strangers.append(target.entry)
-            self.parts.tell_change()
+            self.parts.misdirected.append(target.entry)
+            self.parts.announce()
         else:
             target.out_until = max(target.out_until, now + FULL_S)
         self._log_ended(target, Ending.REFUSED, f"status {reply.status}")
         return Ending.REFUSED
 
+    def note_timeout(self, target: Target) -> Ending:
+        """Take in that the time was over before a target answered."""
+        now = self.parts.clock.now()
+        self.may_have_run += 1
+        if placement.note_loss(self.parts.tables.targets, target, now):
+            self.parts.metrics.losses.labels("timeout").inc()
+        self._log_ended(target, Ending.TIMEOUT, "the time is over")
+        return Ending.TIMEOUT
+
     def note_failed(self, target: Target, reason: str) -> Ending:
         """Take in that a target answered with a failure or with spoiled bytes."""
         self.may_have_run += 1
@@ -238,7 +258,7 @@
                 self.parts.suspicions.append(Suspect(self.content(), target, now))
         if exc.lost and placement.note_loss(self.parts.tables.targets, target, now):
             target.lost_at = now
-            self.parts.tell_change()
+            self.parts.announce()
             self.parts.metrics.losses.labels("connection").inc()
             log.info(
                 "target_lost",
--- a/turmericflow/relay/_call.py
+++ b/turmericflow/relay/_call.py
@@ -27,8 +27,6 @@
         Time for which the caller waits, in seconds, or None.
     prompt_tokens, output_tokens
         Size of the prompt, and the largest size of the output.
-    prompt_parts
-        Names and tokens of the prompt's parts, in order.
     last_event
         Id of the last event that the caller has, or None.
     arrived_at
@@ -46,7 +44,6 @@
         "budget_s",
         "prompt_tokens",
         "output_tokens",
-        "prompt_parts",
         "last_event",
         "arrived_at",
     )
@@ -62,7 +59,6 @@
         self.budget_s: float | None = None
         self.prompt_tokens = 0
         self.output_tokens = 0
-        self.prompt_parts: tuple[tuple[str, int], ...] = ()
         self.last_event: int | None = None
         self.arrived_at = 0.0
 
--- a/turmericflow/relay/_copies.py
+++ b/turmericflow/relay/_copies.py
@@ -37,7 +37,7 @@
     """Return the engine for a new copy of a run's memory, in another data centre."""
     entry = run.target.entry
     engine = tables.deployment.services[entry.service].engine
-    wish = placement.Wish(
+    demand = placement.Demand(
         service=entry.service,
         data_centre=entry.data_centre,
         avoid=frozenset() if run.backup is None else frozenset([run.backup.entry.key]),
@@ -45,4 +45,4 @@
         tokens=run.memory_tokens,
         capacity=engine.memory_tokens,
     )
-    return placement.choose_backup(tables.targets, wish, now, rng)
+    return placement.choose_backup(tables.targets, demand, now, rng)
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -45,7 +45,7 @@
         return web.RequestHandler(self, loop=loop, access_log=None, **self._options())
 
 
-class Face:
+class Listener:
     """An address on which something is served over HTTP."""
 
     __slots__ = ("address", "handler", "runner")
@@ -76,18 +76,20 @@
 class Daemon(Service):
     """One relaying host."""
 
-    def __init__(self, parts: Parts, codec: CallerCodec, faces: list[Face]) -> None:
+    def __init__(
+        self, parts: Parts, codec: CallerCodec, listeners: list[Listener]
+    ) -> None:
         super().__init__()
         self._parts = parts
-        self._faces = faces
+        self._listeners = listeners
         self.entry = Entry(parts, codec)
-        self._callers = Face(parts.settings.callers, self.entry.handle)
+        self._callers = Listener(parts.settings.callers, self.entry.handle)
         self._links = Links(parts)
 
     async def on_start(self) -> None:
         parts = self._parts
-        for face in self._faces:
-            await face.open()
+        for listener in self._listeners:
+            await listener.open()
         await self._callers.open(
             request_factory=self.entry.request,
             handler_cancellation=True,
@@ -114,7 +116,7 @@
             known = tables.deployment.value is not None and tables.targets.revision >= 0
             if known and tables.hosts.state is HostState.STARTING:
                 tables.hosts.state = HostState.READY
-                self._parts.tell_change()
+                self._parts.announce()
                 log.info(
                     "ready",
                     deployment=tables.deployment.revision,
@@ -129,7 +131,7 @@
         settings, clock = self._parts.settings, self._parts.clock
         started_at = clock.now()
         self._parts.tables.hosts.state = HostState.LEAVING
-        self._parts.tell_change()
+        self._parts.announce()
         log.info("leaving", running=self.entry.running)
         await asyncio.sleep(ACCEPT_SHARE * settings.leave_s)
         await self._callers.stop_listening()
@@ -141,5 +143,5 @@
     async def close(self) -> None:
         """Close all that is served."""
         await self._callers.close()
-        for face in self._faces:
-            await face.close()
+        for listener in self._listeners:
+            await listener.close()
--- a/turmericflow/relay/_entry.py
+++ b/turmericflow/relay/_entry.py
@@ -22,7 +22,6 @@
 
 MAX_HEADER_LINE_BYTES = 65_536  # the deployment's own limit is checked on top
 HEADERS_TOO_LARGE = 431
-RETRY_ELSEWHERE_S = 0.05
 CLIENT_GONE = (ConnectionError, asyncio.CancelledError)
 
 log = structlog.get_logger()
--- a/turmericflow/relay/_exchange.py
+++ b/turmericflow/relay/_exchange.py
@@ -90,8 +90,7 @@
                     return attempts.note_refused(target, reply)
                 body = await _read(reply)
         except TimeoutError:
-            attempts.may_have_run += 1
-            return Ending.TIMEOUT
+            return attempts.note_timeout(target)
         except TargetFailed as exc:
             return attempts.note_lost(target, exc, began=True)
         finally:
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -1,4 +1,4 @@
-"""Streams between hosts: news of all hosts, and views that one of two lacks."""
+"""Streams between hosts: status of all hosts, and views that one of two lacks."""
 
 from __future__ import annotations
 
@@ -18,13 +18,13 @@
 )
 from turmericflow.relay._model import Deployment, TargetEntry
 from turmericflow.relay._parts import Parts
-from turmericflow.relay._tables import HostNews
+from turmericflow.relay._tables import HostStatus
 
 CONNECT_TIMEOUT_S = 0.5
 SILENT_S = 1.5  # six beats without a byte
 READ_BYTES = 65_536
 MOST_UNSENT_BYTES = 1_000_000  # a peer that does not read is cut off
-TELL_WITHIN_S = 0.003  # far less than the time between two streams of the fleet
+SEND_WITHIN_S = 0.003  # far less than the time between two streams of the fleet
 VIEW_EVERY_S = 0.5  # time between two sendings of the same view to a peer
 
 log = structlog.get_logger()
@@ -36,10 +36,10 @@
     name: str
 
 
-class News(msgspec.Struct, array_like=True, tag="news"):
+class StatusMessage(msgspec.Struct, array_like=True, tag="status"):
     """What some hosts say of themselves."""
 
-    hosts: list[HostNews]
+    hosts: list[HostStatus]
 
 
 class DeploymentView(msgspec.Struct, array_like=True, tag="deployment"):
@@ -56,7 +56,7 @@
     entries: list[TargetEntry]
 
 
-AnyMessage = Union[Hello, News, DeploymentView, TargetsView]
+AnyMessage = Union[Hello, StatusMessage, DeploymentView, TargetsView]
 _DECODER = msgspec.msgpack.Decoder(AnyMessage)
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -101,10 +101,10 @@
         self._parts = parts
         self._links: set[Link] = set()
         self._dialling: set[str] = set()
-        self._fresh: dict[str, HostNews] = {}
+        self._fresh: dict[str, HostStatus] = {}
         self._server: asyncio.Server | None = None
-        self._telling: asyncio.TimerHandle | None = None
-        parts.tell_change = self.tell_change
+        self._sending: asyncio.TimerHandle | None = None
+        parts.announce = self.announce
 
     async def on_start(self) -> None:
         ip, _, port = self._parts.settings.peers.rpartition(":")
@@ -158,17 +158,17 @@
         match msg:
             case Hello():
                 link.name = msg.name
-                link.send(News([membership.own_news(tables, now)]))
-            case News():
-                for news in msg.hosts:
-                    urgent = membership.is_urgent(tables, news)
-                    if membership.learn(tables, news, now):
-                        self._fresh[news.entry.name] = news
-                        adoption.take_in(tables, news.adopted, now)
+                link.send(StatusMessage([membership.own_status(tables, now)]))
+            case StatusMessage():
+                for status in msg.hosts:
+                    urgent = membership.is_urgent(tables, status)
+                    if membership.learn(tables, status, now):
+                        self._fresh[status.entry.name] = status
+                        adoption.take_in(tables, status.adopted, now)
                         if urgent:
-                            self._tell_soon()
-                    if news.entry.name == link.name:
-                        self._offer_views(link, news)
+                            self._send_soon()
+                    if status.entry.name == link.name:
+                        self._offer_views(link, status)
             case DeploymentView():
                 if routing.put_in_force(tables.deployment, msg.value, msg.revision):
                     log.info(
@@ -181,13 +181,13 @@
                 if discovery.replace(tables.targets, msg.entries, msg.revision):
                     log.info("targets_learned", revision=msg.revision, source=link.name)
 
-    def _offer_views(self, link: Link, news: HostNews) -> None:
+    def _offer_views(self, link: Link, status: HostStatus) -> None:
         """Send a peer the views of which it has an older revision."""
         tables = self._parts.tables
         deployment, targets = tables.deployment, tables.targets
-        if news.deployment_revision < deployment.revision:
+        if status.deployment_revision < deployment.revision:
             self._send_view(link, DeploymentView(deployment.revision, deployment.value))
-        if news.targets_revision < targets.revision:
+        if status.targets_revision < targets.revision:
             entries = [row.entry for row in targets.rows.values()]
             self._send_view(link, TargetsView(targets.revision, entries))
 
@@ -197,26 +197,26 @@
             link.views_sent[type(view)] = now
             link.send(view)
 
-    def tell_change(self) -> None:
-        """Tell all hosts at once of a change on this host."""
+    def announce(self) -> None:
+        """Announce a change on this host to all others at once."""
         self._parts.tables.hosts.urgent += 1
-        self._tell_soon()
+        self._send_soon()
 
-    def _tell_soon(self) -> None:
-        if self._telling is None and not self.should_stop:
+    def _send_soon(self) -> None:
+        if self._sending is None and not self.should_stop:
             loop = asyncio.get_running_loop()
-            self._telling = loop.call_later(TELL_WITHIN_S, self._tell_now)
-
-    def _tell_now(self) -> None:
-        """Send this host's news and all fresh news to the peers."""
-        if self._telling is not None:
-            self._telling.cancel()
-            self._telling = None
-        own = membership.own_news(self._parts.tables, self._parts.clock.now())
+            self._sending = loop.call_later(SEND_WITHIN_S, self._send_now)
+
+    def _send_now(self) -> None:
+        """Send this host's status, and others' that are new here, to the peers."""
+        if self._sending is not None:
+            self._sending.cancel()
+            self._sending = None
+        own = membership.own_status(self._parts.tables, self._parts.clock.now())
         fresh, self._fresh = self._fresh, {}
         for link in self._links:
-            others = [news for name, news in fresh.items() if name != link.name]
-            link.send(News([own, *others]))
+            others = [status for name, status in fresh.items() if name != link.name]
+            link.send(StatusMessage([own, *others]))
 
     def _connect(self) -> None:
         known = {link.name for link in self._links}
@@ -243,5 +243,5 @@
                     log.info("peer_silent", peer=link.name)
                     link.cut()
             self._connect()
-            self._tell_now()
+            self._send_now()
             await self.sleep(membership.BEAT_S)
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -8,27 +8,27 @@
 from turmericflow.relay._model import HostEntry
 from turmericflow.relay._tables import (
     Host,
-    HostNews,
     HostState,
+    HostStatus,
     HostTable,
     Load,
     Tables,
 )
 
 BEAT_S = 0.25
-ALIVE_S = 1.5  # six beats; news of a far host takes a few hops
+ALIVE_S = 1.5  # six beats; the status of a far host takes a few hops
 TOLD_S = 3.0  # for so long losses are told on
 FORGET_S = 20.0  # after this the entry of a silent host is removed
 MOST_ADDRESSES = 64
 READERS = 2  # one may be lost without notice for as long as it counts as alive
 
 
-def own_news(tables: Tables, now: float) -> HostNews:
+def own_status(tables: Tables, now: float) -> HostStatus:
     """Return what this host says of itself now."""
     hosts = tables.hosts
     hosts.number += 1
     rows = tables.targets.rows
-    return HostNews(
+    return HostStatus(
         entry=hosts.own,
         number=hosts.number,
         urgent=hosts.urgent,
@@ -48,11 +48,11 @@
     )
 
 
-def _is_newer(news: HostNews, known: HostNews | None) -> bool:
+def _is_newer(status: HostStatus, known: HostStatus | None) -> bool:
     if known is None:
         return True
-    incarnation = news.entry.incarnation, news.number
-    return incarnation > (known.entry.incarnation, known.number)
+    version = status.entry.incarnation, status.number
+    return version > (known.entry.incarnation, known.number)
 
 
 def note_entry(hosts: HostTable, entry: HostEntry, now: float) -> Host | None:
@@ -65,68 +65,68 @@
     return row
 
 
-def is_urgent(tables: Tables, news: HostNews) -> bool:
-    """Return whether news hold a change that is to be told on at once."""
-    row = tables.hosts.rows.get(news.entry.name)
-    return row is None or row.news is None or news.urgent > row.news.urgent
+def is_urgent(tables: Tables, status: HostStatus) -> bool:
+    """Return whether a status holds a change that is to be forwarded at once."""
+    row = tables.hosts.rows.get(status.entry.name)
+    return row is None or row.status is None or status.urgent > row.status.urgent
 
 
-def learn(tables: Tables, news: HostNews, now: float) -> bool:
-    """Take in a host's news; return whether they were new, to be told on."""
+def learn(tables: Tables, status: HostStatus, now: float) -> bool:
+    """Take in a host's status; return whether it is new, to be forwarded."""
     hosts = tables.hosts
-    if news.entry.name == hosts.own.name:
+    if status.entry.name == hosts.own.name:
         return False
-    row = hosts.rows.get(news.entry.name)
+    row = hosts.rows.get(status.entry.name)
     if row is None:
-        row = hosts.rows[news.entry.name] = Host(news.entry, now)
-    if not _is_newer(news, row.news):
+        row = hosts.rows[status.entry.name] = Host(status.entry, now)
+    if not _is_newer(status, row.status):
         return False
     _forget_loads(tables, row)
-    row.entry, row.news, row.heard_at = news.entry, news, now
-    _take_loads(tables, news)
-    _take_losses(tables, news, now)
+    row.entry, row.status, row.heard_at = status.entry, status, now
+    _take_loads(tables, status)
+    _take_losses(tables, status, now)
     return True
 
 
 def _forget_loads(tables: Tables, row: Host) -> None:
-    for key in row.news.loads if row.news is not None else ():
+    for key in row.status.loads if row.status is not None else ():
         target = tables.targets.rows.get(key)
         if target is not None:
             target.others.pop(row.entry.name, None)
 
 
-def _take_loads(tables: Tables, news: HostNews) -> None:
-    for key, load in news.loads.items():
+def _take_loads(tables: Tables, status: HostStatus) -> None:
+    for key, load in status.loads.items():
         target = tables.targets.rows.get(key)
         if target is not None:
-            target.others[news.entry.name] = load
+            target.others[status.entry.name] = load
 
 
-def _take_losses(tables: Tables, news: HostNews, now: float) -> None:
-    for key, age_s in news.lost.items():
+def _take_losses(tables: Tables, status: HostStatus, now: float) -> None:
+    for key, age_s in status.lost.items():
         target = tables.targets.rows.get(key)
         if target is not None:
             placement.note_loss(tables.targets, target, now - age_s)
-    for key in news.gone:
+    for key in status.gone:
         target = tables.targets.rows.get(key)
         if target is not None:
             target.gone = True
-    for content, target, age_s in news.crashes:
+    for content, target, age_s in status.crashes:
         tables.crashes.note(content, target, now - age_s)
 
 
 def is_alive(host: Host, now: float) -> bool:
     """Return whether a host was heard of lately."""
-    return host.news is not None and now - host.heard_at < ALIVE_S
+    return host.status is not None and now - host.heard_at < ALIVE_S
 
 
 def expire(tables: Tables, now: float) -> list[str]:
     """Drop the loads of hosts that fell silent; return the names of those hosts."""
     silent = []
     for name, row in tables.hosts.rows.items():
-        if row.news is not None and not is_alive(row, now):
+        if row.status is not None and not is_alive(row, now):
             _forget_loads(tables, row)
-            row.news = None
+            row.status = None
             silent.append(name)
     return silent
 
@@ -147,7 +147,7 @@
         return False
     names = [hosts.own.name]
     for name, row in hosts.rows.items():
-        if is_alive(row, now) and row.news.reads_store:
+        if is_alive(row, now) and row.status.reads_store:
             names.append(name)
     names.sort(key=lambda name: xxhash.xxh3_64_intdigest(name.encode()))
     return hosts.own.name in names[:READERS]
@@ -156,7 +156,7 @@
 def peer_reads_store(tables: Tables, now: float) -> bool:
     """Return whether the store answers another live host."""
     return any(
-        is_alive(row, now) and row.news.reads_store
+        is_alive(row, now) and row.status.reads_store
         for row in tables.hosts.rows.values()
     )
 
@@ -173,7 +173,7 @@
     hosts = tables.hosts
     found = [hosts.own.callers] if hosts.state is HostState.READY else []
     for row in hosts.rows.values():
-        if is_alive(row, now) and row.news.state == HostState.READY:
+        if is_alive(row, now) and row.status.state == HostState.READY:
             found.append(row.entry.callers)
     return found[:MOST_ADDRESSES]
 
@@ -182,7 +182,7 @@
     """Return the hosts that this host connects to.
 
     They are the next on a ring of all names, at distances that double, so that
-    news reach all hosts in a logarithmic number of hops.
+    a status reaches all hosts in a logarithmic number of hops.
     """
     hosts = tables.hosts
     names = sorted([hosts.own.name, *hosts.rows])
--- a/turmericflow/relay/_parts.py
+++ b/turmericflow/relay/_parts.py
@@ -45,7 +45,7 @@
         return late_s
 
 
-def _tell_nobody() -> None:
+def _announce_to_nobody() -> None:
     """Stand in until this host has streams to others."""
 
 
@@ -56,10 +56,10 @@
     ----------
     suspicions
         Requests that were cut off, until it is known whether their target crashed.
-    strangers
+    misdirected
         Targets at whose addresses others answered, not yet looked at.
-    tell_change
-        Tells the other hosts at once of a change that bears on their choices.
+    announce
+        Announces a change that bears on other hosts' choices to them at once.
     """
 
     __slots__ = (
@@ -70,9 +70,9 @@
         "metrics",
         "clock",
         "rng",
-        "tell_change",
+        "announce",
         "suspicions",
-        "strangers",
+        "misdirected",
     )
 
     def __init__(
@@ -90,8 +90,8 @@
         self.clock = Clock()
         self.rng = Random(secrets.randbits(64))
         self.suspicions: list[Suspect] = []
-        self.strangers: list[TargetEntry] = []
-        self.tell_change: Callable[[], None] = _tell_nobody
+        self.misdirected: list[TargetEntry] = []
+        self.announce: Callable[[], None] = _announce_to_nobody
 
     def put_in_force(self, settings: HostSettings) -> None:
         """Use settings from now on; addresses stay those of the start."""
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Wish:
+class Demand:
     """What a target is chosen for.
 
     Attributes
@@ -36,7 +36,7 @@
     avoid
         Lives of targets that were tried already.
     not_in
-        Data centre in which no target is taken if another has one.
+        Data centre in which no target is taken, or None.
     tokens, capacity
         Tokens of memory that the request needs, and that an engine has; 0 for
         targets without such memory.
@@ -96,15 +96,15 @@
     target.failures = 0
 
 
-def cost(table: TargetTable, target: Target, wish: Wish, now: float) -> float:
+def cost(table: TargetTable, target: Target, demand: Demand, now: float) -> float:
     """Return how much a request would wait at a target, in prompts of 1,500 tokens."""
     entry = target.entry
     total = target.unread_tokens / UNREAD_TOKENS_PER_PROMPT
-    if wish.capacity:
+    if demand.capacity:
         total += ENGINE_RUN_COST * target.runs
         held = target.memory_tokens
-        total += held / wish.capacity
-        if held + wish.tokens > wish.capacity:
+        total += held / demand.capacity
+        if held + demand.tokens > demand.capacity:
             total += FULL_COST
     else:
         total += FULL_BATCH_COST * target.runs / entry.slots
@@ -112,7 +112,7 @@
             total += FULL_COST
     if entry.cold_ms > 0:
         total += 1.0
-    if entry.data_centre != wish.data_centre:
+    if entry.data_centre != demand.data_centre:
         total += OTHER_CENTRE_COST
     match losses(table, entry.data_centre, entry.service, now):
         case 0:
@@ -127,26 +127,28 @@
     return total
 
 
-def choose(table: TargetTable, wish: Wish, now: float, rng: Random) -> Target | None:
+def choose(
+    table: TargetTable, demand: Demand, now: float, rng: Random
+) -> Target | None:
     """Return the target with the least expected wait, or None if there is none."""
     found = [
         target
-        for target in table.by_service.get(wish.service, ())
-        if usable(target) and target.entry.key not in wish.avoid
+        for target in table.by_service.get(demand.service, ())
+        if usable(target) and target.entry.key not in demand.avoid
     ]
-    if wish.not_in is not None:
-        found = [t for t in found if t.entry.data_centre != wish.not_in]
+    if demand.not_in is not None:
+        found = [t for t in found if t.entry.data_centre != demand.not_in]
     if not found:
         return None
-    costs = [(cost(table, target, wish, now), rng.random()) for target in found]
+    costs = [(cost(table, target, demand, now), rng.random()) for target in found]
     return found[min(range(len(found)), key=costs.__getitem__)]
 
 
 def choose_backup(
-    table: TargetTable, wish: Wish, now: float, rng: Random
+    table: TargetTable, demand: Demand, now: float, rng: Random
 ) -> Target | None:
     """Return the engine that keeps a copy, in another data centre, or None."""
-    target = choose(table, wish, now, rng)
+    target = choose(table, demand, now, rng)
     if target is None or now < target.out_until:
         return None
     return target
--- a/turmericflow/relay/_settings.py
+++ b/turmericflow/relay/_settings.py
@@ -9,15 +9,6 @@
     """Raised when settings cannot be put in force; the message says why."""
 
 
-@dataclass(slots=True, frozen=True)
-class StoreLimits:
-    """Address of the object store, and the calls a second it takes from all hosts."""
-
-    address: str
-    writes_per_s: float
-    reads_per_s: float
-
-
 @dataclass(slots=True, frozen=True)
 class HostSettings:
     """What a host is told when it starts; addresses are IP:PORT, empty for none.
@@ -31,14 +22,10 @@
         Where it takes other hosts' streams.
     seeds
         Streams of hosts that may be there at the start.
+    store
+        The object store.
     leave_s
         Time from the order to stop until the process is ended.
-    drain_s
-        Time after which a leaving target gets no new work.
-    in_force_s
-        Time within which a new deployment is in force.
-    contact_s
-        Time after which a host that was cut off is bound by all limits again.
     addresses_keep_s
         Longest time that callers may keep addresses.
     retry_ratio, retry_window_s, retry_slack
@@ -53,11 +40,8 @@
     addresses: str
     peers: str
     seeds: tuple[str, ...]
-    store: StoreLimits
+    store: str
     leave_s: float
-    drain_s: float
-    in_force_s: float
-    contact_s: float
     addresses_keep_s: float
     retry_ratio: float
     retry_window_s: float
--- a/turmericflow/relay/_silence.py
+++ b/turmericflow/relay/_silence.py
@@ -22,6 +22,7 @@
 GAP_WEIGHT = 0.1
 DEFAULT_READ_RATE = 8000.0  # prompt tokens a second, until one was seen
 RATE_WEIGHT = 0.2
+RATE_CLIP = 3.0  # a prompt that was cached, or waited, says little of the rate
 FIRST_EVENT_S = 0.15  # set-up and the first tokens
 
 
@@ -58,6 +59,14 @@
     return (unread_before + run.call.prompt_tokens) / rate + FIRST_EVENT_S
 
 
+def _learn_read_rate(tables: Tables, run: Run, now: float) -> None:
+    rates, service = tables.targets.read_rates, run.target.entry.service
+    rate = rates.get(service, DEFAULT_READ_RATE)
+    seen = run.call.prompt_tokens / max(0.001, now - run.started_at - FIRST_EVENT_S)
+    seen = min(max(seen, rate / RATE_CLIP), rate * RATE_CLIP)
+    rates[service] = rate + RATE_WEIGHT * (seen - rate)
+
+
 def heard(tables: Tables, run: Run, now: float) -> None:
     """Take in that an event came on a stream."""
     target = run.target
@@ -67,6 +76,8 @@
             target.event_gap_s += GAP_WEIGHT * (gap - target.event_gap_s)
         else:
             target.event_gap_s = gap
+    elif run.reads_alone and run.call.prompt_tokens:
+        _learn_read_rate(tables, run, now)
     run.events += 1
     run.heard_at = target.heard_at = now
 
@@ -92,7 +103,7 @@
             return Step.END
         return None
     entry = target.entry
-    shaken = placement.centre_lost(
+    others_lost = placement.centre_lost(
         tables.targets, entry.data_centre, entry.service, now
     )
     # What came later to the target may be read first: prompts share its time.
@@ -101,7 +112,7 @@
     overdue = silent_s > DUE_FACTOR * run.due_s + DUE_MARGIN_S
     if silent_s > FIRST_SILENCE_S + DUE_FACTOR * run.due_s:
         return Step.END
-    if can_probe and (overdue or shaken) and silent_s > PROBE_SILENCE_S:
+    if can_probe and (overdue or others_lost) and silent_s > PROBE_SILENCE_S:
         return Step.PROBE
     return None
 
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -50,7 +50,6 @@
         "_attempts",
         "_outlet",
         "_copy",
-        "_head",
         "_last_event",
         "_paused_at",
         "begun",
@@ -60,7 +59,6 @@
         self._attempts = attempts
         self._outlet = outlet
         self._copy: Copy | None = None
-        self._head: Reply | None = None
         self._last_event = attempts.call.last_event
         self._paused_at: float | None = None
         self.begun = False
@@ -93,7 +91,8 @@
             table = attempts.parts.tables.targets
             service = attempts.match.service
             holder = placement.at_address(table, service, copy.holder)
-            if holder is not None:
+            now = attempts.parts.clock.now()
+            if holder is not None and now >= holder.out_until:
                 attempts.check_budget()
                 return holder
         self._copy = None
@@ -107,16 +106,18 @@
             return None
         if not attempts.match.route.resumable:
             return None
-        wish = attempts.wish(not_in=target.entry.data_centre)
+        demand = attempts.demand(not_in=target.entry.data_centre)
         now = parts.clock.now()
-        return placement.choose_backup(parts.tables.targets, wish, now, parts.rng)
+        return placement.choose_backup(parts.tables.targets, demand, now, parts.rng)
 
     async def _attempt(self, target: Target) -> Ending:
         attempts = self._attempts
         tables = attempts.parts.tables
+        unread = attempts.call.prompt_tokens
         run = attempts.begin(target)
         dispatch = attempts.dispatch(target)
         dispatch.copy, self._copy = self._copy, None
+        run.reads_alone = dispatch.copy is None and target.unread_tokens == unread
         dispatch.last_event = self._last_event
         backup = self._choose_backup(target)
         if backup is not None:
@@ -135,7 +136,7 @@
         )
         reply = None
         tables.runs.add(run)
-        attempts.parts.tell_change()
+        attempts.parts.announce()
         try:
             async with asyncio.timeout_at(attempts.deadline) as run.scope:
                 reply = await attempts.parts.targets.send(attempts.call, dispatch)
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -165,15 +165,15 @@
     LEAVING = 2
 
 
-class HostNews(msgspec.Struct, array_like=True):
-    """What a host says of itself, told on by others.
+class HostStatus(msgspec.Struct, array_like=True):
+    """What a host says of itself, forwarded by others.
 
     Attributes
     ----------
     number
         Grows with each sending; the higher one of an incarnation is the newer.
     urgent
-        Grows with each change that is told on at once.
+        Grows with each change that is forwarded at once.
     reads_store
         Whether its last call to the store was answered.
     loads
@@ -209,16 +209,16 @@
     Attributes
     ----------
     heard_at
-        Time at which news newer than the known came in.
+        Time at which a newer status came in.
     revision
         Revision of its entry in the store, or None if it has none there.
     """
 
-    __slots__ = ("entry", "news", "heard_at", "revision")
+    __slots__ = ("entry", "status", "heard_at", "revision")
 
     def __init__(self, entry: HostEntry, heard_at: float) -> None:
         self.entry = entry
-        self.news: HostNews | None = None
+        self.status: HostStatus | None = None
         self.heard_at = heard_at
         self.revision: int | None = None
 
@@ -248,7 +248,6 @@
 
     SILENT = "silent"
     LOST = "lost"
-    TIMEOUT = "timeout"
 
 
 class Run:
@@ -274,8 +273,10 @@
         Ends the attempt when it is rescheduled to now.
     fault
         Why it was ended from this side.
-    probed_at, alive_at
-        Time of the last probe of its target, and of the last one answered.
+    probed_at
+        Time of the last probe of its target.
+    reads_alone
+        Whether its target had nothing else to read when it began.
     """
 
     __slots__ = (
@@ -293,7 +294,7 @@
         "scope",
         "fault",
         "probed_at",
-        "alive_at",
+        "reads_alone",
         "memory_tokens",
     )
 
@@ -312,7 +313,7 @@
         self.scope: asyncio.Timeout | None = None
         self.fault: Fault | None = None
         self.probed_at = 0.0
-        self.alive_at = 0.0
+        self.reads_alone = False
         self.memory_tokens = call.prompt_tokens + call.output_tokens
 
     def keep_backup(self, backup: Target) -> None:
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -43,7 +43,7 @@
                 log.info("process_stood_still", late_s=round(late_s, 3))
             self._scan()
             self._look_into_suspicions()
-            self._meet_strangers()
+            self._look_at_misdirected()
             for run in copies.scan(self._parts.tables):
                 run.copying = True
                 self.add_future(self._copy(run))
@@ -78,18 +78,16 @@
         alive = await self._parts.targets.probe(address, PROBE_TIMEOUT_S)
         if run.events or run not in self._parts.tables.runs:
             return
-        if alive:
-            run.alive_at = self._parts.clock.listening()
-        elif run.fault is None:
+        if not alive and run.fault is None:
             self._end(run, Fault.LOST)
 
-    def _meet_strangers(self) -> None:
-        strangers, self._parts.strangers = self._parts.strangers, []
+    def _look_at_misdirected(self) -> None:
+        misdirected, self._parts.misdirected = self._parts.misdirected, []
         if adoption.is_due(self._parts.tables, self._parts.clock.now()):
-            for entry in {each.address: each for each in strangers}.values():
-                self.add_future(self._meet(entry))
+            for entry in {each.address: each for each in misdirected}.values():
+                self.add_future(self._adopt(entry))
 
-    async def _meet(self, earlier: TargetEntry) -> None:
+    async def _adopt(self, earlier: TargetEntry) -> None:
         """Use an engine that came back while no host can read the store."""
         tables = self._parts.tables
         service = tables.deployment.services.get(earlier.service)
@@ -110,7 +108,7 @@
             earlier=earlier.key,
             view=tables.targets.revision,
         )
-        self._parts.tell_change()
+        self._parts.announce()
 
     async def _copy(self, run: Run) -> None:
         """Copy a run's memory again, after its copy was lost."""
@@ -160,7 +158,7 @@
             address=entry.address,
             contents=[suspect.content for suspect in suspects],
         )
-        self._parts.tell_change()
+        self._parts.announce()
 
     @Service.task
     async def _slow_tick(self) -> None:
@@ -169,7 +167,7 @@
             await self.sleep(SLOW_TICK_S)
             now = clock.now()
             for entry in adoption.to_look_at(tables, now):
-                self.add_future(self._meet(entry))
+                self.add_future(self._adopt(entry))
             for key in discovery.expire(tables.targets, now):
                 log.info("target_gone", target=key, evidence="lapsed entry")
             for name in membership.expire(tables, now):
--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -16,7 +16,7 @@
 
 from turmericflow.platform import _callers
 from turmericflow.platform.__main__ import (
-    faces,
+    listeners,
     open_parts,
 )
 from turmericflow.platform._settings import read_settings
@@ -540,7 +540,7 @@
     async def start(self) -> None:
         settings = read_settings(self.path)
         self.parts, self._sessions = open_parts(settings)
-        kept = faces(self.parts, settings, metrics_port=self.ports[4])
+        kept = listeners(self.parts, settings, metrics_port=self.ports[4])
         self.daemon = Daemon(self.parts, _callers, kept)
         await self.daemon.start()
 
--- a/turmericflow/tests/test_platform_adapter.py
+++ b/turmericflow/tests/test_platform_adapter.py
@@ -125,7 +125,7 @@
     path.write_text(json.dumps(settings))
     found = read_settings(path)
     assert (found.peers, found.seeds) == ("10.0.0.1:7200", ("10.0.0.2:7200",))
-    assert (found.leave_s, found.drain_s) == (8.0, 2.0)
+    assert (found.leave_s, found.store) == (8.0, "10.9.9.9:1")
     path.write_text(json.dumps(settings | {"nodeName": 4}))
     with pytest.raises(SettingsInvalid, match="nodeName"):
         read_settings(path)
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -234,6 +234,21 @@
     await fleet.until(lambda: target.seen[0].ended == "cancelled")
 
 
+async def test_a_target_that_let_the_time_run_out_is_chosen_last(fleet: Fleet):
+    targets = await fleet.add_plain(2)
+    for target in targets:
+        target.state.faults = ["mute"]
+    async with fleet.request("/order/1", "r0") as resp:
+        assert resp.status == 504
+    (mute,) = [target for target in targets if target.seen]
+    (other,) = [target for target in targets if not target.seen]
+    other.state.faults.clear()
+    for number in range(6):
+        async with fleet.request("/order/1", f"s{number}") as resp:
+            assert resp.status == 200
+    assert len(other.seen) == 6 and len(mute.seen) == 1
+
+
 async def test_a_target_of_another_life_is_not_used_again(fleet: Fleet):
     first, second = await fleet.add_plain(2)
     first.name = "other"
@@ -290,6 +305,19 @@
     ]
 
 
+@pytest.mark.parametrize("own, sent", [(None, "1"), (3, "3"), (40, "9")])
+async def test_a_customers_rank_goes_before_its_routes(fleet: Fleet, own, sent: str):
+    (engine,) = await fleet.add_engines("dc-0")
+    tenant = {"name": CUSTOMER, "apiKeys": ["key-of-a"], "priority": own}
+    fleet.store.put("config", "main", deployment(5, tenants=[tenant]))
+    table = fleet.hosts[0].tables.deployment
+    await fleet.until(lambda: table.value.version == 5)
+    headers = {"X-Turmericflow-Request-Priority": "0"}
+    async with fleet.request("/stream/1", headers=headers) as resp:
+        await resp.read()
+    assert engine.seen[0].headers["X-Turmericflow-Request-Priority"] == sent
+
+
 async def test_a_stream_goes_on_without_a_copy(fleet: Fleet):
     first, second = await fleet.add_engines("dc-0", "dc-0")
     first.state.always = "cut 5"
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -49,8 +49,8 @@
     return found
 
 
-def wish(**changes: object) -> placement.Wish:
-    return placement.Wish("model", "dc-0", **changes)
+def demand(**changes: object) -> placement.Demand:
+    return placement.Demand("model", "dc-0", **changes)
 
 
 def run_at(tables: Tables, name: str, events: int = 1, heard_at: float = 0.0) -> Run:
@@ -73,15 +73,17 @@
     entry = engine("e6", "dc-0")
     discovery.put(tables.targets, entry)
     for _ in range(20):
-        found = placement.choose(tables.targets, wish(), 10.1, Random(1))
+        found = placement.choose(tables.targets, demand(), 10.1, Random(1))
         assert found.entry.data_centre != "dc-0"
     later = 10.0 + placement.LOSS_COUNTS_S + 0.1
-    found = placement.choose(tables.targets, wish(), later, Random(1))
+    found = placement.choose(tables.targets, demand(), later, Random(1))
     assert found.entry.data_centre == "dc-0"
 
 
 def test_a_copy_is_kept_in_another_data_centre(tables: Tables):
-    found = placement.choose_backup(tables.targets, wish(not_in="dc-0"), 0.0, Random(1))
+    found = placement.choose_backup(
+        tables.targets, demand(not_in="dc-0"), 0.0, Random(1)
+    )
     assert found.entry.data_centre != "dc-0"
 
 
@@ -90,7 +92,7 @@
     placement.note_loss(tables.targets, tables.targets.rows["e1@0"], 10.0)
     for seed in range(20):
         found = placement.choose_backup(
-            tables.targets, wish(not_in="dc-0"), 10.01, Random(seed)
+            tables.targets, demand(not_in="dc-0"), 10.01, Random(seed)
         )
         assert found.entry.data_centre == "dc-2"
 
@@ -98,10 +100,10 @@
 def test_a_target_that_failed_and_has_not_worked_since_is_chosen_last(tables: Tables):
     for name in ("e0@0", "e1@0", "e2@0", "e3@0", "e4@0"):
         placement.note_loss(tables.targets, tables.targets.rows[name], 10.0)
-    found = placement.choose(tables.targets, wish(), 20.0, Random(1))
+    found = placement.choose(tables.targets, demand(), 20.0, Random(1))
     assert found.entry.id == "e5"
     placement.note_success(tables.targets.rows["e0@0"])
-    found = placement.choose(tables.targets, wish(), 20.0, Random(1))
+    found = placement.choose(tables.targets, demand(), 20.0, Random(1))
     assert found.entry.id == "e0"
 
 
@@ -119,7 +121,7 @@
     assert placement.note_loss(tables.targets, target, 10.0)
     target.lost_at = 10.0
     for now in (10.1, 10.4, 10.9, 12.0):
-        membership.learn(other, membership.own_news(tables, now), now)
+        membership.learn(other, membership.own_status(tables, now), now)
     there = other.targets.rows["e0@0"]
     assert there.failures == 1 and there.out_until == pytest.approx(10.5)
     assert there.lost_at < 0
@@ -133,8 +135,8 @@
     discovery.replace(other.targets, [engine(f"e{n}", "dc-0") for n in range(6)], 1)
     for n in (0, 3):
         other.targets.rows[f"e{n}@0"].own = Load(1, 8000, 9000)
-    membership.learn(tables, membership.own_news(other, 0.0), 0.0)
-    found = placement.choose(tables.targets, wish(), 0.1, Random(1))
+    membership.learn(tables, membership.own_status(other, 0.0), 0.0)
+    found = placement.choose(tables.targets, demand(), 0.1, Random(1))
     assert found.entry.id not in ("e0", "e3")
     membership.expire(tables, 10.0)
     assert tables.targets.rows["e0@0"].unread_tokens == 0
@@ -146,7 +148,7 @@
         tables.targets.rows[f"e{n}@0"].own = Load(1, 0, 9000)
     for seed in range(20):
         found = placement.choose(
-            tables.targets, wish(tokens=9000, capacity=88_000), 0.0, Random(seed)
+            tables.targets, demand(tokens=9000, capacity=88_000), 0.0, Random(seed)
         )
         assert found.entry.data_centre != "dc-0"
 
@@ -155,7 +157,7 @@
     for n in range(5):
         tables.targets.rows[f"e{n}@0"].own = Load(0, 0, 85_000)
     found = placement.choose(
-        tables.targets, wish(tokens=9000, capacity=88_000), 0.0, Random(1)
+        tables.targets, demand(tokens=9000, capacity=88_000), 0.0, Random(1)
     )
     assert found.entry.id == "e5"
 
@@ -165,9 +167,9 @@
     other = Tables(host("other"))
     discovery.replace(other.targets, [engine("e0"), engine("e1")], 1)
     placement.note_gone(tables.targets.rows["e0@0"], 10.0)
-    membership.learn(other, membership.own_news(tables, 10.1), 10.1)
+    membership.learn(other, membership.own_status(tables, 10.1), 10.1)
     for seed in range(10):
-        found = placement.choose(other.targets, wish(), 10.2, Random(seed))
+        found = placement.choose(other.targets, demand(), 10.2, Random(seed))
         assert found.entry.id == "e1"
 
 
@@ -202,6 +204,19 @@
     assert found.step is silence.Step.END
 
 
+def test_the_pace_of_reading_is_learned_from_prompts_read_alone(tables: Tables):
+    for _ in range(40):
+        run = run_at(tables, "e0", events=0)
+        run.call.prompt_tokens, run.reads_alone = 8000, True
+        silence.heard(tables, run, 2.0 + silence.FIRST_EVENT_S)
+    rate = tables.targets.read_rates["model"]
+    assert rate == pytest.approx(4000, rel=0.05)
+    run = run_at(tables, "e1", events=0)
+    run.call.prompt_tokens = 4000
+    due_s = silence.first_event_due_s(tables, run, 0)
+    assert due_s == pytest.approx(1.0 + silence.FIRST_EVENT_S, rel=0.05)
+
+
 def test_an_engine_is_asked_when_others_of_its_data_centre_were_lost(tables: Tables):
     run_at(tables, "e0", events=0)
     assert silence.scan(tables, 0.4) == []
@@ -249,7 +264,7 @@
 # Hosts
 
 
-def test_news_reach_every_host_in_a_few_hops():
+def test_a_status_reaches_every_host_in_a_few_hops():
     names = [f"h{n:02}" for n in range(76)]
     links: dict[str, set[str]] = {name: set() for name in names}
     for name in names:
@@ -278,9 +293,9 @@
                 row.revision = 5
     for now in (0.1, 30.0):
         for name in ("a", "b") if now > 1 else everyone:
-            news = membership.own_news(everyone[name], now)
+            status = membership.own_status(everyone[name], now)
             for table in everyone.values():
-                membership.learn(table, news, now)
+                membership.learn(table, status, now)
     assert sorted(membership.addresses(everyone["a"], 30.0)) == ["a:1", "b:1"]
     removers = [
         name for name in ("a", "b") if membership.forgotten(everyone[name], 30.0)
@@ -293,9 +308,9 @@
 
     def readers(now: float) -> list[str]:
         for name, table in everyone.items():
-            news = membership.own_news(table, now)
+            status = membership.own_status(table, now)
             for other in everyone.values():
-                membership.learn(other, news, now)
+                membership.learn(other, status, now)
         return [n for n, table in everyone.items() if membership.is_reader(table, now)]
 
     first = readers(0.0)
