Keep live hosts connected whichever others are lost

Cause: reading the links as a newcomer: a host connects to those at distances 1, 2 and 4 on a ring of all names, dead ones too. Of six hosts, 0 and 3 alone have no link, so each holds the other for dead, names only itself, and learns nothing from it.

Change: a ring of the live hosts beside the ring of all; the test fails without it.

--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -220,7 +220,8 @@
 
     def _connect(self) -> None:
         known = {link.name for link in self._links}
-        wanted = membership.contacts(self._parts.tables)
+        now = self._parts.clock.now()
+        wanted = membership.contacts(self._parts.tables, now)
         for entry in wanted:
             if entry.name not in known:
                 self._start_dial(entry.peers)
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -178,22 +178,31 @@
     return found[:MOST_ADDRESSES]
 
 
-def contacts(tables: Tables) -> list[HostEntry]:
-    """Return the hosts that this host connects to.
-
-    They are the next on a ring of all names, at distances that double, so that
-    a status reaches all hosts in a logarithmic number of hops.
-    """
-    hosts = tables.hosts
-    names = sorted([hosts.own.name, *hosts.rows])
-    start = names.index(hosts.own.name)
+def _on_ring(names: list[str], own: str) -> list[str]:
+    """Return the names at distances 1, 2, 4, ... after one's own."""
+    names = sorted(names)
+    start = names.index(own)
     found, distance = [], 1
     while distance < len(names):
-        found.append(hosts.rows[names[(start + distance) % len(names)]].entry)
+        found.append(names[(start + distance) % len(names)])
         distance *= 2
     return found
 
 
+def contacts(tables: Tables, now: float) -> list[HostEntry]:
+    """Return the hosts that this host connects to.
+
+    They are the next on a ring of the live hosts, at distances that double, so that
+    a status reaches all hosts in a logarithmic number of hops; and the same on a
+    ring of all hosts, so that two sides of a cut find each other again.
+    """
+    hosts = tables.hosts
+    own = hosts.own.name
+    live = [name for name, row in hosts.rows.items() if is_alive(row, now)]
+    names = _on_ring([own, *live], own) + _on_ring([own, *hosts.rows], own)
+    return [hosts.rows[name].entry for name in dict.fromkeys(names)]
+
+
 def forgotten(tables: Tables, now: float) -> list[Host]:
     """Return the hosts whose entries this host is to remove from the store.
 
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -271,7 +271,7 @@
         table = Tables(host(name))
         for other in names:
             membership.note_entry(table.hosts, host(other), 0.0)
-        found = membership.contacts(table)
+        found = membership.contacts(table, 0.0)
         assert len(found) <= 7
         for entry in found:
             links[name].add(entry.name)
@@ -283,6 +283,30 @@
     assert hops <= 4
 
 
+@pytest.mark.parametrize("lost", [("1", "2", "4", "5"), ("0", "1", "2"), ("3",)])
+def test_the_live_hosts_stay_connected_whichever_are_lost(lost: tuple[str, ...]):
+    """Load: hosts are killed together, and those left must find each other."""
+    names = [str(number) for number in range(6)]
+    live = [name for name in names if name not in lost]
+    tables = {name: Tables(host(name)) for name in names}
+    for table in tables.values():
+        for other in names:
+            membership.note_entry(table.hosts, host(other), 0.0)
+        for other in live:
+            status = membership.own_status(tables[other], 5.0)
+            membership.learn(table, status, 5.0)
+    links: dict[str, set[str]] = {name: set() for name in live}
+    for name in live:
+        for entry in membership.contacts(tables[name], 5.1):
+            if entry.name in links:
+                links[name].add(entry.name)
+                links[entry.name].add(name)
+    reached = {live[0]}
+    for _ in live:
+        reached |= {peer for name in reached for peer in links[name]}
+    assert reached == set(live)
+
+
 def test_a_silent_host_is_named_no_more_and_its_entry_is_removed_by_one():
     everyone = {name: Tables(host(name)) for name in ("a", "b", "c")}
     for table in everyone.values():
