End connections whose request's head does not come in time

Cause: the deployment's bound on the time of a head was decoded and not enforced; the HTTP library has no such limit, so a slow sender held a connection for good.

Change: the first bytes of a head start its time; when it is over before the head is whole, the connection ends. The test fails without the change.

--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -24,6 +24,7 @@
 LEAVE_MARGIN_S = 0.4
 FINISH_CHECK_S = 0.05
 BACKLOG = 512
+HEAD_TIMEOUT_S = 3.0  # where no deployment sets another
 LINGER_S = 1.0  # for the rest of a body that was answered early
 
 Options = Callable[[], dict[str, object]]
@@ -32,6 +33,49 @@
 log = structlog.get_logger()
 
 
+class _Connection(web.RequestHandler):
+    """A connection whose peer has a bounded time to send a request's head."""
+
+    __slots__ = ("_head_timeout_s", "_head_timer", "_answering")
+
+    def __init__(self, *args: object, head_timeout_s: float, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)
+        self._head_timeout_s = head_timeout_s
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._answering = False
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes in; the first of a head start its time."""
+        if self._head_timer is None and not self._answering:
+            loop = asyncio.get_running_loop()
+            self._head_timer = loop.call_later(self._head_timeout_s, self._head_late)
+        super().data_received(data)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Take in that the connection is gone."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def head_taken(self) -> None:
+        """Note that a request's head is whole, and that it is being answered."""
+        self._answering = True
+        self._stop_timer()
+
+    def answered(self) -> None:
+        """Note that a request has been answered."""
+        self._answering = False
+
+    def _stop_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _head_late(self) -> None:
+        self._head_timer = None
+        log.info("head_late", timeout_s=self._head_timeout_s)
+        self.force_close()
+
+
 class _Server(web.Server):
     """Serves each connection under the options that hold when it is opened."""
 
@@ -41,8 +85,9 @@
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
+        options = {"head_timeout_s": HEAD_TIMEOUT_S} | self._options()
         loop = asyncio.get_running_loop()
-        return web.RequestHandler(self, loop=loop, access_log=None, **self._options())
+        return _Connection(self, loop=loop, access_log=None, **options)
 
 
 class Listener:
@@ -55,9 +100,17 @@
         self.handler = handler
         self.runner: web.ServerRunner | None = None
 
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        connection: _Connection = request.protocol
+        connection.head_taken()
+        try:
+            return await self.handler(request)
+        finally:
+            connection.answered()
+
     async def open(self, options: Options = dict, **kwargs: object) -> None:
         """Begin to listen; `options` are asked for with each connection."""
-        server = _Server(self.handler, options, **kwargs)
+        server = _Server(self._handle, options, **kwargs)
         self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self.runner.setup()
         ip, _, port = self.address.rpartition(":")
@@ -103,6 +156,7 @@
 
     def _caller_options(self) -> dict[str, object]:
         return {
+            "head_timeout_s": self.entry.limits.header_timeout_s,
             "keepalive_timeout": self.entry.limits.idle_timeout_s,
             "max_line_size": entry_module.MAX_HEADER_LINE_BYTES,
             "max_field_size": entry_module.MAX_HEADER_LINE_BYTES,
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -559,6 +559,28 @@
     writer.close()
 
 
+async def test_a_head_that_does_not_come_in_time_ends_its_connection(fleet: Fleet):
+    (target,) = await fleet.add_plain(1)
+    limits = {"headerTimeoutMs": 300, "maxBodyBytes": 10_000}
+    fleet.store.put("config", "main", deployment(5, limits=limits))
+    table = fleet.hosts[0].tables.deployment
+    await fleet.until(lambda: table.value.version == 5)
+    target.answer_s = 0.5
+    reader, writer = await asyncio.open_connection("127.0.0.1", fleet.hosts[0].ports[0])
+    head = NAMED + b"X-Turmericflow-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n"
+    for _ in range(2):
+        writer.write(head)
+        answer = await asyncio.wait_for(reader.readuntil(b"plain-0 a"), 3)
+        assert answer.startswith(b"HTTP/1.1 200")
+        await asyncio.sleep(0.4)
+    writer.write(NAMED)
+    started_at = asyncio.get_running_loop().time()
+    await asyncio.wait_for(reader.read(), 3)
+    assert 0.2 < asyncio.get_running_loop().time() - started_at < 1.5
+    assert len(target.seen) == 2
+    writer.close()
+
+
 async def test_streams_that_start_together_go_to_different_engines(
     fleet_of_three: Fleet,
 ):
