Read settings that change without a signal; test streams that may not be resumed

Cause: the settings file may change with no SIGHUP, and was then not read. Streams that may not be resumed were held to one run by the same code as calls, untested.

Change: the file's time of change is looked at every two seconds. Tests of both.

--- a/turmericflow/platform/__main__.py
+++ b/turmericflow/platform/__main__.py
@@ -37,6 +37,7 @@
 EXIT_SETTINGS = 2
 EXIT_CRASHED = 3
 CRASH_CHECK_S = 0.5
+SETTINGS_CHECK_S = 2.0  # a look at the file's time of change costs microseconds
 ADDRESSES_KEEP_S = 1.0  # some callers keep an answer three times as long
 CONNECT_TIMEOUT_S = 0.4  # a target accepts within milliseconds
 KEEPALIVE_IDLE_S = 1
@@ -140,11 +141,13 @@
     loop.add_signal_handler(signal.SIGHUP, reload, parts, settings_path())
     daemon = Daemon(parts, _callers, listeners(parts, settings))
     await daemon.start()
+    watch = asyncio.create_task(watch_settings(parts, settings_path()))
     log.info("started", entry=parts.tables.hosts.own)
     await _wait(daemon, stop)
     if daemon.crashed:
         log.error("crashed")
         return EXIT_CRASHED
+    watch.cancel()
     await daemon.leave()
     await daemon.close()
     await daemon.stop()
@@ -162,6 +165,25 @@
             continue
 
 
+async def watch_settings(parts: Parts, path: Path) -> None:
+    """Reload the settings whenever their file changes, with or without a signal."""
+    seen = _changed_at(path)
+    while True:
+        await asyncio.sleep(SETTINGS_CHECK_S)
+        changed_at = _changed_at(path)
+        if changed_at != seen:
+            seen = changed_at
+            reload(parts, path)
+
+
+def _changed_at(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError as exc:
+        log.warning("settings_not_found", path=str(path), reason=str(exc))
+        return 0
+
+
 def reload(parts: Parts, path: Path) -> None:
     """Read the settings again; those in force stay if they cannot be used."""
     try:
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from turmericflow.platform.__main__ import reload
+from turmericflow.platform import __main__ as main_module
+from turmericflow.platform.__main__ import reload, watch_settings
 from turmericflow.tests.platform_stand_ins import (
     CUSTOMER,
     POISON,
@@ -347,6 +348,22 @@
             await resp.read()
 
 
+async def test_a_stream_that_may_not_be_resumed_runs_once(fleet: Fleet):
+    engines = await fleet.add_engines("dc-0", "dc-1", "dc-2")
+    routes = deployment()["routes"]
+    routes[0]["streamResume"] = False
+    fleet.store.put("config", "main", deployment(5, routes=routes))
+    table = fleet.hosts[0].tables.deployment
+    await fleet.until(lambda: table.value.version == 5)
+    for engine in engines:
+        engine.state.always = "cut 5"
+    with pytest.raises(Exception, match="payload|disconnected|reset"):
+        async with fleet.request("/stream/1") as resp:
+            await resp.read()
+    (seen,) = [seen for engine in engines for seen in engine.seen]
+    assert "X-Turmericflow-Kv-Backup" not in seen.headers
+
+
 async def test_a_caller_that_leaves_ends_the_run(fleet: Fleet):
     (engine,) = await fleet.add_engines("dc-0")
     engine.event_s = 0.2
@@ -540,6 +557,23 @@
     assert host.parts.settings.leave_s == 1.5
 
 
+async def test_a_settings_file_that_changes_is_read_without_a_signal(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+):
+    monkeypatch.setattr(main_module, "SETTINGS_CHECK_S", 0.02)
+    host = fleet.hosts[0]
+    watch = asyncio.create_task(watch_settings(host.parts, host.path))
+    await asyncio.sleep(0.05)
+    settings = json.loads(host.path.read_text())
+    settings["bounds"]["graceS"] = 1.25
+    host.path.write_text(json.dumps(settings))
+    await fleet.until(lambda: host.parts.settings.leave_s == 1.25)
+    host.path.unlink()
+    await asyncio.sleep(0.1)
+    assert not watch.done() and host.parts.settings.leave_s == 1.25
+    watch.cancel()
+
+
 async def test_idle_connections_are_kept_as_long_as_the_deployment_says(fleet: Fleet):
     await fleet.add_plain(1)
     limits = {"idleTimeoutMs": 400, "maxBodyBytes": 10_000}
