Count resumes and losses by evidence; name each rule's tests

Cause: a test that compares the metrics page with the code found a counter that nothing counted, and losses by silence counted as broken connections.

Change: both are counted as the page says; a page names each rule's tests and what is left, and a test holds it to the tests that there are.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -246,8 +246,26 @@
         self._log_ended(target, Ending.FAILED, reason)
         return Ending.FAILED
 
-    def note_lost(self, target: Target, exc: TargetFailed, began: bool) -> Ending:
-        """Take in that a target gave no answer."""
+    def note_lost(
+        self,
+        target: Target,
+        exc: TargetFailed,
+        began: bool,
+        evidence: str = "connection",
+    ) -> Ending:
+        """Take in that a target gave no answer.
+
+        Parameters
+        ----------
+        target
+            The target.
+        exc
+            What was seen of it.
+        began
+            Whether the loss may be a crash that the request brought about.
+        evidence
+            What the loss is counted under: ``connection`` or ``silence``.
+        """
         now = self.parts.clock.now()
         self.tried.add(target.entry.key)
         if exc.verdict is Verdict.NOT_RUN:
@@ -259,7 +277,7 @@
         if exc.lost and placement.note_loss(self.parts.tables.targets, target, now):
             target.lost_at = now
             self.parts.announce()
-            self.parts.metrics.losses.labels("connection").inc()
+            self.parts.metrics.losses.labels(evidence).inc()
             log.info(
                 "target_lost",
                 target=target.entry.key,
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -134,6 +134,9 @@
             due_s=round(run.due_s, 3),
             view=tables.targets.revision,
         )
+        if self._paused_at is not None:
+            how = "copy" if dispatch.copy is not None else "prompt"
+            attempts.parts.metrics.resumes.labels(how).inc()
         reply = None
         tables.runs.add(run)
         attempts.parts.announce()
@@ -174,7 +177,7 @@
         message = f"{run.fault}: no event for {now - run.heard_at:.3f} s"
         lost = now - run.target.heard_at >= silence.MIN_SILENCE_S
         failed = TargetFailed(Verdict.MAY_HAVE_RUN, message, lost)
-        return attempts.note_lost(run.target, failed, began=False)
+        return attempts.note_lost(run.target, failed, began=False, evidence="silence")
 
     def _keep_copy(self, run: Run) -> None:
         """Go on from the copy of the run's memory, kept from its first event on."""
--- a/turmericflow/tests/test_docs.py
+++ b/turmericflow/tests/test_docs.py
@@ -11,6 +11,7 @@
 from turmericflow.cfg import Settings
 from turmericflow.cli._exit import Exit
 from turmericflow.cli.main import build_parser
+from turmericflow.relay._metrics import Metrics
 from turmericflow.verdict import ErrorCode
 
 ROOT = Path(__file__).parents[2]
@@ -45,6 +46,22 @@
     assert [code for code in Exit if f"| {int(code)} |" not in page] == []
 
 
+def test_rules_page_names_tests_that_exist():
+    modules = (ROOT / "turmericflow" / "tests").glob("test_*.py")
+    texts = [module.read_text("utf-8") for module in modules]
+    tests = {name for text in texts for name in re.findall(r"def test_(\w+)", text)}
+    named = re.findall(r"`([a-z0-9_]+)`", read("design/platform-rules.md"))
+    assert len(named) > 20 and [name for name in named if name not in tests] == []
+
+
+def test_metrics_page_names_every_metric_of_a_relaying_host():
+    page = read("metrics.md")
+    text = Metrics().text().decode()
+    found = re.findall(r"^# TYPE (\w+) (?:counter|gauge|histogram)", text, re.M)
+    metrics = [name for name in found if not name.endswith("_created")]
+    assert metrics and [name for name in metrics if f"`{name}`" not in page] == []
+
+
 @pytest.mark.parametrize("page", sorted(DOCS.rglob("*.md")) + [ROOT / "README.md"])
 def test_links_lead_somewhere(page):
     links = re.findall(r"\]\(([^)#:]+)\)", page.read_text("utf-8"))
