--- a/turmericflow/platform/__main__.py
+++ b/turmericflow/platform/__main__.py
@@ -40,10 +40,10 @@
 SETTINGS_CHECK_S = 2.0  # a look at the file's time of change costs microseconds
 ADDRESSES_KEEP_S = 1.0  # some callers keep an answer three times as long
 CONNECT_TIMEOUT_S = 0.4  # a target accepts within milliseconds
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_PROBES = 2
-UNACKNOWLEDGED_MS = 3000
-METRICS_PORT = 9108
+KEEPALIVE_IDLE_S = 1  # the shortest that the system takes
+KEEPALIVE_PROBES = 2  # a lost packet alone ends no connection
+UNACKNOWLEDGED_MS = 3000  # as long as idle connections are given
+METRICS_PORT = 9108  # as deploy/system.toml names it
 NS_PER_MS = 1_000_000
 
 log = structlog.get_logger()
