Uncount accepted work that another host runs

Cause: admission counts accepted requests until they come to the queue. A copy of a request that runs at another host never comes to it and counted for 2 s as work ahead. Change: the runner withdraws what was admitted as soon as its claim is answered and this host isn't to run it, or is refused.

--- a/turmericflow/services/_dispatch.py
+++ b/turmericflow/services/_dispatch.py
@@ -101,6 +101,12 @@
             self._stats.count(f"dispatch.refused.{refusal.code}")
         return refusal
 
+    def withdraw(self, new: NewRequest) -> None:
+        """Take back what was accepted here and is not run here."""
+        now = time.monotonic()
+        pool = scheduling.pool_of(self._tables, self._work_of_new(new, now), now)
+        admission.withdraw(pool, new.request_id)
+
     async def place(
         self,
         row: RequestRow,
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -86,10 +86,25 @@
         if refusal is not None:
             row = await self._claimant.seal(new, refusal)
         else:
-            row = await self._claimant.claim(new)
+            row = await self._claim_admitted(new)
         self._take_up(row, content)
         return row
 
+    async def _claim_admitted(self, new: NewRequest) -> RequestRow:
+        """Claim what admission counts, and uncount what another host runs.
+
+        Copies of running requests would else count as work ahead of new
+        requests, which would be refused for a wait that nobody has.
+        """
+        granted = False
+        try:
+            row = await self._claimant.claim(new)
+            granted = self._tables.requests.rows.get(row.request_id) is row
+            return row
+        finally:
+            if not granted:
+                self._dispatch.withdraw(new)
+
     def _take_up(self, row: RequestRow, content: str) -> None:
         """Run a row if it was granted to this host and does not run yet."""
         present = self._tables.requests.rows.get(row.request_id)
--- a/turmericflow/systems/_admission.py
+++ b/turmericflow/systems/_admission.py
@@ -12,7 +12,7 @@
     _limits as limits,
     _routing as routing,
 )
-from turmericflow.tables import Pool, Tables, TargetKind, Work
+from turmericflow.tables import Pool, RequestId, Tables, TargetKind, Work
 from turmericflow.verdict import ErrorCode, Failure, Verdict
 
 EMPTY_SHARE = 0.25
@@ -203,8 +203,13 @@
     return None
 
 
+def withdraw(pool: Pool, request_id: RequestId) -> None:
+    """Forget one accepted request that another host runs, or nobody."""
+    pool.admitted.pop(request_id, None)
+
+
 def forget_admitted(pool: Pool, now: float) -> None:
-    """Forget accepted requests that turned out to run elsewhere."""
+    """Forget accepted requests that never came to the queue."""
     for name in list(pool.admitted):
         if now - pool.admitted[name][0] < ADMITTED_KEEP_S:
             return
