Report a silence again when its second attempt is lost

Cause: a stream's silence is reported once. Change: when a lost attempt leaves only reported ones, they may be reported again; the watch does so at its next scan. Ruled out: the budget of needless attempts (what it holds back is reported again already).

--- a/turmericflow/services/_course.py
+++ b/turmericflow/services/_course.py
@@ -183,6 +183,16 @@
         if attempt in self.attempts:
             self.attempts.remove(attempt)
 
+    def report_again(self) -> None:
+        """Let silent attempts be reported once more if no other is left.
+
+        A silence is reported once; if the attempt that answered it is lost,
+        nothing else would start another.
+        """
+        if all(each.stream.suspected for each in self.attempts):
+            for each in self.attempts:
+                each.stream.suspected = False
+
     def find(self, stream: StreamRow) -> Attempt | None:
         """Return the live attempt that a stream belongs to."""
         for attempt in self.attempts:
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -357,6 +357,7 @@
         if failure.verdict is not Verdict.NOT_RUN:
             self._spawn(self._work.cancel(row, attempt))
         if course.attempts:
+            course.report_again()
             return
         row.dispatched = course.may_have_run
         self._check_time_left(course, failure)
