Spread statuses along two rings, and send views on demand

Cause: with 76 hosts each status was flooded over all streams, so that each host took in some 14 copies of 76 statuses four times a second; a host that learned a newer view pushed it whole (180 targets) to all of its 28 peers; each crash was retold by every host that had heard of it; each change of a host's entry ended the watches of all. Links of 5 Mbit/s and processors were full: at the first herd kill hosts took each other for silent and connections to live engines timed out. Change: a status goes along two rings of differing order, once on each; the beat grows with the number of hosts; new work is announced the less often the more hosts there are; a host that has lagged behind a peer's revision asks one peer for the view; a crash is told only by the host that saw it; changes of the store gather before the next watch; resolve names another part of more than 64 hosts at each host. Bytes to peers are counted by message. Conclusion: kept. test_relay_spread shows the load without a network; the last fault has its test in test_relay_systems.

--- a/turmericflow/relay/_crashes.py
+++ b/turmericflow/relay/_crashes.py
@@ -29,9 +29,10 @@
 class Crashes:
     """Targets that crashed while they ran a content, by fingerprint."""
 
-    __slots__ = ("_losses", "_cleared")
+    __slots__ = ("_losses", "_cleared", "_seen")
 
     def __init__(self) -> None:
+        self._seen: list[tuple[str, str, float]] = []
         self._losses: dict[str, dict[str, float]] = {}
         self._cleared: dict[str, float] = {}
 
@@ -51,6 +52,11 @@
             del self._losses[next(iter(self._losses))]
         return not known
 
+    def note_seen(self, content: str, target: str, at: float) -> None:
+        """Note a crash that this host itself has seen, to be told to the others."""
+        if self.note(content, target, at):
+            self._seen.append((content, target, at))
+
     def clear(self, content: str, now: float) -> None:
         """Note that a content was answered."""
         if self._losses.pop(content, None) is not None:
@@ -68,14 +74,10 @@
         lately = sum(1 for at in losses.values() if now - at < REMEMBERED_S)
         return lately >= LOSSES_TO_REFUSE
 
-    def lately(self, age_s: float, now: float) -> list[tuple[str, str, float]]:
-        """Return the losses of the last seconds: content, target and age."""
-        return [
-            (content, target, now - at)
-            for content, losses in self._losses.items()
-            for target, at in losses.items()
-            if now - at < age_s
-        ]
+    def seen_lately(self, age_s: float, now: float) -> list[tuple[str, str, float]]:
+        """Return what this host saw in the last seconds: content, target and age."""
+        self._seen = [each for each in self._seen if now - each[2] < age_s]
+        return [(content, target, now - at) for content, target, at in self._seen]
 
     def expire(self, now: float) -> None:
         """Forget what no longer counts."""
--- a/turmericflow/relay/_feed.py
+++ b/turmericflow/relay/_feed.py
@@ -54,6 +54,7 @@
             try:
                 revision = await self._step(revision)
                 pause_s = FIRST_PAUSE_S
+                await self.sleep(membership.gather_s(self._parts.tables, self._kind))
             except HistoryGone as exc:
                 log.info("store_history_gone", kind=self._kind, reason=str(exc))
                 revision = None
@@ -129,13 +130,14 @@
         rows = [row for row in listing.rows if self._readable(row)]
         match self._kind:
             case Kind.DEPLOYMENT:
-                for row in rows:
-                    self._put_in_force(row)
+                if any([self._put_in_force(row) for row in rows]):
+                    self._parts.announce()
             case Kind.TARGETS:
                 entries = [row.value for row in rows]
                 if now < self._lenient_until:
                     entries += self._lapsed(entries)
-                discovery.replace(tables.targets, entries, listing.revision)
+                if discovery.replace(tables.targets, entries, listing.revision):
+                    self._parts.announce()
             case Kind.HOSTS:
                 for row in rows:
                     self._note_host(row)
@@ -193,15 +195,17 @@
                 elif self._readable(row):
                     self._note_host(row)
 
-    def _put_in_force(self, row: Row) -> None:
+    def _put_in_force(self, row: Row) -> bool:
         table = self._parts.tables.deployment
-        if routing.put_in_force(table, row.value, row.revision):
+        newer = routing.put_in_force(table, row.value, row.revision)
+        if newer:
             log.info(
                 "deployment_in_force",
                 version=row.value.version,
                 revision=row.revision,
                 source="store",
             )
+        return newer
 
     def _note_host(self, row: Row) -> None:
         hosts, now = self._parts.tables.hosts, self._parts.clock.now()
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Union
+from typing import Union, get_args
 
 import msgspec
 import structlog
 from mode import Service
+from prometheus_client import Counter
 
 from turmericflow._framing import StreamDecoder, WireError
 from turmericflow.relay import (
@@ -15,17 +16,21 @@
     _discovery as discovery,
     _membership as membership,
     _routing as routing,
+    _spread as spread,
 )
+from turmericflow.relay._directory import Kind
 from turmericflow.relay._model import Deployment, TargetEntry
 from turmericflow.relay._parts import Parts
+from turmericflow.relay._spread import Outbox, Rings, Told
 from turmericflow.relay._tables import HostStatus
 
 CONNECT_TIMEOUT_S = 0.5
-SILENT_S = 1.5  # six beats without a byte
 READ_BYTES = 65_536
 MOST_UNSENT_BYTES = 1_000_000  # a peer that does not read is cut off
 SEND_WITHIN_S = 0.003  # far less than the time between two streams of the fleet
-VIEW_EVERY_S = 0.5  # time between two sendings of the same view to a peer
+PASS_ON_WITHIN_S = 0.05  # a fifth of the shortest beat
+VIEW_EVERY_S = 0.5  # time between two questions for the same view
+VIEW_LAG_S = 0.3  # a host that reads the store itself has its changes by then
 
 log = structlog.get_logger()
 
@@ -37,9 +42,16 @@
 
 
 class StatusMessage(msgspec.Struct, array_like=True, tag="status"):
-    """What some hosts say of themselves."""
+    """What some hosts say of themselves, to be passed on."""
 
-    hosts: list[HostStatus]
+    told: list[Told]
+
+
+class ViewsWanted(msgspec.Struct, array_like=True, tag="wanted"):
+    """Asks a peer for what it has newer than these revisions."""
+
+    deployment_revision: int
+    targets_revision: int
 
 
 class DeploymentView(msgspec.Struct, array_like=True, tag="deployment"):
@@ -56,7 +68,7 @@
     entries: list[TargetEntry]
 
 
-AnyMessage = Union[Hello, StatusMessage, DeploymentView, TargetsView]
+AnyMessage = Union[Hello, StatusMessage, ViewsWanted, DeploymentView, TargetsView]
 _DECODER = msgspec.msgpack.Decoder(AnyMessage)
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -68,17 +80,34 @@
     ----------
     name
         The other host, once it has said so.
-    views_sent
-        Times at which views were sent, by the type of the message.
+    dialled
+        Whether this host opened the stream.
+    outbox
+        Statuses to be sent.
     """
 
-    __slots__ = ("_writer", "name", "heard_at", "views_sent")
-
-    def __init__(self, writer: asyncio.StreamWriter, now: float) -> None:
+    __slots__ = (
+        "_writer",
+        "_sent",
+        "name",
+        "dialled",
+        "heard_at",
+        "outbox",
+    )
+
+    def __init__(
+        self,
+        writer: asyncio.StreamWriter,
+        sent: dict[type, Counter],
+        now: float,
+        dialled: bool,
+    ) -> None:
         self._writer = writer
+        self._sent = sent
         self.name = ""
+        self.dialled = dialled
         self.heard_at = now
-        self.views_sent: dict[type, float] = {}
+        self.outbox = Outbox()
 
     def send(self, msg: AnyMessage) -> None:
         """Send a message; the stream is cut if the other side does not read."""
@@ -86,7 +115,9 @@
         if transport.get_write_buffer_size() > MOST_UNSENT_BYTES:
             transport.abort()
         elif not transport.is_closing():
-            self._writer.write(_ENCODER.encode(msg))
+            data = _ENCODER.encode(msg)
+            self._sent[type(msg)].inc(len(data))
+            self._writer.write(data)
 
     def cut(self) -> None:
         """Break the stream off."""
@@ -100,11 +131,22 @@
         super().__init__()
         self._parts = parts
         self._links: set[Link] = set()
+        self._by_name: dict[str, Link] = {}
+        self._rings = Rings(parts.settings.name, [])
+        self._sent = {
+            kind: parts.metrics.peer_bytes.labels(kind.__struct_config__.tag)
+            for kind in get_args(AnyMessage)
+        }
         self._dialling: set[str] = set()
-        self._fresh: dict[str, HostStatus] = {}
         self._server: asyncio.Server | None = None
         self._sending: asyncio.TimerHandle | None = None
+        self._own_at = float("inf")
+        self._told_at = float("-inf")
+        self._wanted: ViewsWanted | None = None
+        self._behind_since = float("-inf")
+        self._asked_at = float("-inf")
         parts.announce = self.announce
+        parts.announce_load = self.announce_load
 
     async def on_start(self) -> None:
         ip, _, port = self._parts.settings.peers.rpartition(":")
@@ -119,7 +161,7 @@
     async def _accepted(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await self._run(reader, writer)
+        await self._run(reader, writer, dialled=False)
 
     async def _dial(self, address: str) -> None:
         ip, _, port = address.rpartition(":")
@@ -130,13 +172,13 @@
             return
         finally:
             self._dialling.discard(address)
-        await self._run(reader, writer)
+        await self._run(reader, writer, dialled=True)
 
     async def _run(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, dialled: bool
     ) -> None:
         clock = self._parts.clock
-        link = Link(writer, clock.listening())
+        link = Link(writer, self._sent, clock.listening(), dialled)
         self._links.add(link)
         decoder = StreamDecoder(_DECODER)
         link.send(Hello(self._parts.settings.name))
@@ -152,78 +194,166 @@
         finally:
             self._links.discard(link)
             link.cut()
+            if self._by_name.get(link.name) is link:
+                del self._by_name[link.name]
+                self._renew_rings()
+
+    def _renew_rings(self) -> None:
+        self._rings = Rings(self._parts.settings.name, self._by_name)
 
     def _take(self, link: Link, msg: AnyMessage) -> None:
-        tables, now = self._parts.tables, self._parts.clock.now()
         match msg:
             case Hello():
-                link.name = msg.name
-                link.send(StatusMessage([membership.own_status(tables, now)]))
+                self._take_hello(link, msg.name)
             case StatusMessage():
-                for status in msg.hosts:
-                    urgent = membership.is_urgent(tables, status)
-                    if membership.learn(tables, status, now):
-                        self._fresh[status.entry.name] = status
-                        adoption.take_in(tables, status.adopted, now)
-                        if urgent:
-                            self._send_soon()
-                    if status.entry.name == link.name:
-                        self._offer_views(link, status)
+                for told in msg.told:
+                    self._take_status(link, told)
             case DeploymentView():
-                if routing.put_in_force(tables.deployment, msg.value, msg.revision):
-                    log.info(
-                        "deployment_in_force",
-                        version=msg.value.version,
-                        revision=msg.revision,
-                        source=link.name,
-                    )
+                self._take_deployment(link, msg)
             case TargetsView():
+                tables = self._parts.tables
                 if discovery.replace(tables.targets, msg.entries, msg.revision):
                     log.info("targets_learned", revision=msg.revision, source=link.name)
+            case ViewsWanted():
+                self._send_views(link, msg)
+
+    def _take_hello(self, link: Link, name: str) -> None:
+        """Keep one stream to each host: of two, the one that the first name opened."""
+        link.name = name
+        own = self._parts.settings.name
+        known = self._by_name.get(name)
+        if known is not None:
+            crossed = known.dialled is not link.dialled
+            kept = known if crossed and known.dialled is (own < name) else link
+            (link if kept is known else known).cut()
+            link = kept
+        self._by_name[name] = link
+        self._renew_rings()
+        now = self._parts.clock.now()
+        status = membership.own_status(self._parts.tables, now)
+        for span in spread.whole(own):
+            link.outbox.put(status, span)
+        self._send_within(SEND_WITHIN_S)
 
-    def _offer_views(self, link: Link, status: HostStatus) -> None:
+    def _take_status(self, link: Link, told: Told) -> None:
+        tables, now = self._parts.tables, self._parts.clock.now()
+        status = told.status
+        name = status.entry.name
+        if name == tables.hosts.own.name or membership.is_outdated(tables, status):
+            return
+        urgent = membership.is_urgent(tables, status)
+        if membership.learn(tables, status, now):
+            adoption.take_in(tables, status.adopted, now)
+        self._tell(status, told.spans)
+        self._send_within(SEND_WITHIN_S if urgent else PASS_ON_WITHIN_S)
+        if membership.knows_more(tables, status):
+            self._ask_for_views()
+
+    def _take_deployment(self, link: Link, msg: DeploymentView) -> None:
+        table = self._parts.tables.deployment
+        if routing.put_in_force(table, msg.value, msg.revision):
+            log.info(
+                "deployment_in_force",
+                version=msg.value.version,
+                revision=msg.revision,
+                source=link.name,
+            )
+
+    def _send_views(self, link: Link, wanted: ViewsWanted) -> None:
         """Send a peer the views of which it has an older revision."""
         tables = self._parts.tables
         deployment, targets = tables.deployment, tables.targets
-        if status.deployment_revision < deployment.revision:
-            self._send_view(link, DeploymentView(deployment.revision, deployment.value))
-        if status.targets_revision < targets.revision:
+        if wanted.deployment_revision < deployment.revision:
+            link.send(DeploymentView(deployment.revision, deployment.value))
+        if wanted.targets_revision < targets.revision:
             entries = [row.entry for row in targets.rows.values()]
-            self._send_view(link, TargetsView(targets.revision, entries))
+            link.send(TargetsView(targets.revision, entries))
 
-    def _send_view(self, link: Link, view: DeploymentView | TargetsView) -> None:
-        now = self._parts.clock.now()
-        if now - link.views_sent.get(type(view), float("-inf")) >= VIEW_EVERY_S:
-            link.views_sent[type(view)] = now
-            link.send(view)
+    def _ask_for_views(self) -> None:
+        """Ask a peer for views that are newer than this host's.
+
+        A host that reads the store itself waits for its own news of them first.
+        """
+        tables, now = self._parts.tables, self._parts.clock.now()
+        rows = (tables.hosts.rows.get(name) for name in self._by_name)
+        newer = [
+            row.entry.name
+            for row in rows
+            if row is not None and membership.knows_more(tables, row.status)
+        ]
+        wanted = ViewsWanted(tables.deployment.revision, tables.targets.revision)
+        if not newer or wanted != self._wanted:
+            self._wanted, self._behind_since = wanted, now
+        if not newer:
+            return
+        lag_s = 0.0
+        if not tables.hosts.unanswered:
+            lag_s = VIEW_LAG_S + membership.gather_s(tables, Kind.TARGETS)
+        lagging = now - self._behind_since >= lag_s
+        if not lagging or now - self._asked_at < VIEW_EVERY_S:
+            return
+        self._asked_at = now
+        self._by_name[self._parts.rng.choice(newer)].send(wanted)
 
     def announce(self) -> None:
         """Announce a change on this host to all others at once."""
         self._parts.tables.hosts.urgent += 1
-        self._send_soon()
-
-    def _send_soon(self) -> None:
-        if self._sending is None and not self.should_stop:
-            loop = asyncio.get_running_loop()
-            self._sending = loop.call_later(SEND_WITHIN_S, self._send_now)
+        self._tell_own_within(SEND_WITHIN_S)
 
-    def _send_now(self) -> None:
-        """Send this host's status, and others' that are new here, to the peers."""
+    def announce_load(self) -> None:
+        """Announce new work at a target, the more hosts there are the less often."""
+        tables = self._parts.tables
+        tables.hosts.urgent += 1
+        elapsed_s = self._parts.clock.now() - self._told_at
+        gap_s = membership.load_gap_s(tables) - elapsed_s
+        self._tell_own_within(max(SEND_WITHIN_S, gap_s))
+
+    def _tell(self, status: HostStatus, spans: list[spread.Span]) -> None:
+        for span in spans:
+            for peer, part in self._rings.shares(span):
+                self._by_name[peer].outbox.put(status, part)
+
+    def _tell_own_within(self, seconds: float) -> None:
+        self._own_at = min(self._own_at, asyncio.get_running_loop().time() + seconds)
+        self._send_within(seconds)
+
+    def _send_within(self, seconds: float) -> None:
+        if self.should_stop:
+            return
+        loop = asyncio.get_running_loop()
+        at = loop.time() + seconds
         if self._sending is not None:
+            if self._sending.when() <= at:
+                return
             self._sending.cancel()
-            self._sending = None
-        own = membership.own_status(self._parts.tables, self._parts.clock.now())
-        fresh, self._fresh = self._fresh, {}
-        for link in self._links:
-            others = [status for name, status in fresh.items() if name != link.name]
-            link.send(StatusMessage([own, *others]))
+        self._sending = loop.call_at(at, self._send)
+
+    def _send(self) -> None:
+        """Send what waits to each peer."""
+        self._sending = None
+        wait_s = self._own_at - asyncio.get_running_loop().time()
+        if wait_s <= 0:
+            self._put_own()
+        elif wait_s < float("inf"):
+            self._send_within(wait_s)
+        for link in self._by_name.values():
+            told = link.outbox.take()
+            if told:
+                link.send(StatusMessage(told))
+
+    def _put_own(self) -> None:
+        self._own_at = float("inf")
+        tables, now = self._parts.tables, self._parts.clock.now()
+        self._told_at = now
+        self._tell(
+            membership.own_status(tables, now), spread.whole(tables.hosts.own.name)
+        )
 
     def _connect(self) -> None:
-        known = {link.name for link in self._links}
         now = self._parts.clock.now()
         wanted = membership.contacts(self._parts.tables, now)
         for entry in wanted:
-            if entry.name not in known:
+            if entry.name not in self._by_name:
                 self._start_dial(entry.peers)
         if not self._links:
             for seed in self._parts.settings.seeds:
@@ -239,10 +369,13 @@
     async def _beat(self) -> None:
         while not self.should_stop:
             now = self._parts.clock.listening()
+            silent_s = membership.alive_s(self._parts.tables)
             for link in list(self._links):
-                if now - link.heard_at > SILENT_S:
+                if now - link.heard_at > silent_s:
                     log.info("peer_silent", peer=link.name)
                     link.cut()
             self._connect()
-            self._send_now()
-            await self.sleep(membership.BEAT_S)
+            self._ask_for_views()
+            self._own_at = now
+            self._send()
+            await self.sleep(membership.beat_s(self._parts.tables))
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -4,7 +4,8 @@
 
 import xxhash
 
-from turmericflow.relay import _placement as placement
+from turmericflow.relay import _placement as placement, _spread as spread
+from turmericflow.relay._directory import Kind
 from turmericflow.relay._model import HostEntry
 from turmericflow.relay._tables import (
     Host,
@@ -15,19 +16,50 @@
     Tables,
 )
 
-BEAT_S = 0.25
-ALIVE_S = 1.5  # six beats; the status of a far host takes a few hops
-TOLD_S = 3.0  # for so long losses are told on
+SHORTEST_BEAT_S = 0.25
+SHORTEST_ALIVE_S = 1.5  # six beats; the status of a far host takes a few hops
+ALIVE_BEATS = 4
+BEATS_PER_S = 150.0  # of all hosts together, so that a host's work does not grow
+CHANGES_PER_S = 150.0  # watches that end with a change, of all hosts together
+HOST_CHANGES_PER_S = 30.0  # hosts learn of each other from their peers as well
+LONGEST_GATHER_S = 1.0  # half of the time in which a new deployment is to be in force
+LOADS_PER_S = 1000.0  # announcements of new work, of all hosts together
+TOLD_BEATS = 2  # in so many statuses losses are told
 FORGET_S = 20.0  # after this the entry of a silent host is removed
 MOST_ADDRESSES = 64
 READERS = 2  # one may be lost without notice for as long as it counts as alive
 
 
+def beat_s(tables: Tables) -> float:
+    """Return the time between two sendings of this host's status, in seconds."""
+    return max(SHORTEST_BEAT_S, (1 + len(tables.hosts.rows)) / BEATS_PER_S)
+
+
+def alive_s(tables: Tables) -> float:
+    """Return for how long a host counts as alive after its last status."""
+    return max(SHORTEST_ALIVE_S, ALIVE_BEATS * beat_s(tables))
+
+
+def load_gap_s(tables: Tables) -> float:
+    """Return the least time between two announcements of new work."""
+    return (1 + len(tables.hosts.rows)) / LOADS_PER_S
+
+
+def gather_s(tables: Tables, kind: Kind) -> float:
+    """Return the time in which the store's changes gather before the next watch.
+
+    It grows with the number of hosts, as a change ends the watches of all.
+    """
+    per_s = HOST_CHANGES_PER_S if kind is Kind.HOSTS else CHANGES_PER_S
+    return min(LONGEST_GATHER_S, (1 + len(tables.hosts.rows)) / per_s)
+
+
 def own_status(tables: Tables, now: float) -> HostStatus:
     """Return what this host says of itself now."""
     hosts = tables.hosts
     hosts.number += 1
     rows = tables.targets.rows
+    told_s = TOLD_BEATS * beat_s(tables)
     return HostStatus(
         entry=hosts.own,
         number=hosts.number,
@@ -40,11 +72,11 @@
         lost={
             key: now - row.lost_at
             for key, row in rows.items()
-            if now - row.lost_at < TOLD_S
+            if now - row.lost_at < told_s
         },
-        gone=[key for key, row in rows.items() if now - row.gone_at < TOLD_S],
+        gone=[key for key, row in rows.items() if now - row.gone_at < told_s],
         adopted=list(tables.targets.adopted.values()),
-        crashes=tables.crashes.lately(TOLD_S, now),
+        crashes=tables.crashes.seen_lately(told_s, now),
     )
 
 
@@ -71,8 +103,15 @@
     return row is None or row.status is None or status.urgent > row.status.urgent
 
 
+def is_outdated(tables: Tables, status: HostStatus) -> bool:
+    """Return whether a newer status of the same host is known."""
+    row = tables.hosts.rows.get(status.entry.name)
+    known = row.status if row is not None else None
+    return known is not None and _is_newer(known, status)
+
+
 def learn(tables: Tables, status: HostStatus, now: float) -> bool:
-    """Take in a host's status; return whether it is new, to be forwarded."""
+    """Take in a host's status; return whether it is new."""
     hosts = tables.hosts
     if status.entry.name == hosts.own.name:
         return False
@@ -115,16 +154,19 @@
         tables.crashes.note(content, target, now - age_s)
 
 
-def is_alive(host: Host, now: float) -> bool:
-    """Return whether a host was heard of lately."""
-    return host.status is not None and now - host.heard_at < ALIVE_S
+def live(tables: Tables, now: float) -> list[Host]:
+    """Return the other hosts that were heard of lately."""
+    since = now - alive_s(tables)
+    rows = tables.hosts.rows.values()
+    return [row for row in rows if row.status is not None and row.heard_at > since]
 
 
 def expire(tables: Tables, now: float) -> list[str]:
     """Drop the loads of hosts that fell silent; return the names of those hosts."""
     silent = []
+    since = now - alive_s(tables)
     for name, row in tables.hosts.rows.items():
-        if row.status is not None and not is_alive(row, now):
+        if row.status is not None and row.heard_at <= since:
             _forget_loads(tables, row)
             row.status = None
             silent.append(name)
@@ -133,7 +175,7 @@
 
 def live_hosts(tables: Tables, now: float) -> int:
     """Return the number of hosts, this one included."""
-    return 1 + sum(1 for row in tables.hosts.rows.values() if is_alive(row, now))
+    return 1 + len(live(tables, now))
 
 
 def is_reader(tables: Tables, now: float) -> bool:
@@ -146,45 +188,53 @@
     if hosts.unanswered:
         return False
     names = [hosts.own.name]
-    for name, row in hosts.rows.items():
-        if is_alive(row, now) and row.status.reads_store:
-            names.append(name)
+    names += [row.entry.name for row in live(tables, now) if row.status.reads_store]
     names.sort(key=lambda name: xxhash.xxh3_64_intdigest(name.encode()))
     return hosts.own.name in names[:READERS]
 
 
 def peer_reads_store(tables: Tables, now: float) -> bool:
     """Return whether the store answers another live host."""
-    return any(
-        is_alive(row, now) and row.status.reads_store
-        for row in tables.hosts.rows.values()
+    return any(row.status.reads_store for row in live(tables, now))
+
+
+def knows_more(tables: Tables, status: HostStatus | None) -> bool:
+    """Return whether a host has a newer deployment or newer targets than this one."""
+    if status is None:
+        return False
+    return (
+        status.deployment_revision > tables.deployment.revision
+        or status.targets_revision > tables.targets.revision
     )
 
 
 def is_first(tables: Tables, now: float) -> bool:
     """Return whether this host is the first of the live ones by name."""
-    hosts = tables.hosts
-    live = (name for name, row in hosts.rows.items() if is_alive(row, now))
-    return all(hosts.own.name < name for name in live)
+    own = tables.hosts.own.name
+    return all(own < row.entry.name for row in live(tables, now))
 
 
 def addresses(tables: Tables, now: float) -> list[str]:
-    """Return the callers' addresses of the hosts that take requests."""
+    """Return the callers' addresses of hosts that take requests.
+
+    Of more hosts than an answer holds, each host leaves out others.
+    """
     hosts = tables.hosts
+    ready = {
+        row.entry.name: row.entry.callers
+        for row in live(tables, now)
+        if row.status.state == HostState.READY
+    }
     found = [hosts.own.callers] if hosts.state is HostState.READY else []
-    for row in hosts.rows.values():
-        if is_alive(row, now) and row.status.state == HostState.READY:
-            found.append(row.entry.callers)
+    found += [ready[name] for name in spread.on_ring(1, ready, hosts.own.name)]
     return found[:MOST_ADDRESSES]
 
 
-def _on_ring(names: list[str], own: str) -> list[str]:
-    """Return the names at distances 1, 2, 4, ... after one's own."""
-    names = sorted(names)
-    start = names.index(own)
+def _spaced(names: list[str]) -> list[str]:
+    """Return the names at distances 1, 2, 4, ... from the start."""
     found, distance = [], 1
-    while distance < len(names):
-        found.append(names[(start + distance) % len(names)])
+    while distance <= len(names):
+        found.append(names[distance - 1])
         distance *= 2
     return found
 
@@ -192,14 +242,16 @@
 def contacts(tables: Tables, now: float) -> list[HostEntry]:
     """Return the hosts that this host connects to.
 
-    They are the next on a ring of the live hosts, at distances that double, so that
-    a status reaches all hosts in a logarithmic number of hops; and the same on a
-    ring of all hosts, so that two sides of a cut find each other again.
+    They are the next on each ring of the live hosts, at distances that double, so
+    that a status reaches all hosts in a logarithmic number of hops; and the same on
+    a ring of all hosts, so that two sides of a cut find each other again.
     """
     hosts = tables.hosts
     own = hosts.own.name
-    live = [name for name, row in hosts.rows.items() if is_alive(row, now)]
-    names = _on_ring([own, *live], own) + _on_ring([own, *hosts.rows], own)
+    alive = [row.entry.name for row in live(tables, now)]
+    names = _spaced(spread.on_ring(0, hosts.rows, own))
+    for ring in range(spread.RINGS):
+        names += _spaced(spread.on_ring(ring, alive, own))
     return [hosts.rows[name].entry for name in dict.fromkeys(names)]
 
 
@@ -209,14 +261,13 @@
     The live host that follows a silent one on the ring of names removes it.
     """
     hosts = tables.hosts
-    live = [hosts.own.name]
-    live += [name for name, row in hosts.rows.items() if is_alive(row, now)]
+    alive = [hosts.own.name, *(row.entry.name for row in live(tables, now))]
     found = []
     for name, row in hosts.rows.items():
         silent = now - row.heard_at >= FORGET_S
         if not silent or row.revision is None:
             continue
-        after = [other for other in live if other > name]
-        if min(after or live) == hosts.own.name:
+        after = [other for other in alive if other > name]
+        if min(after or alive) == hosts.own.name:
             found.append(row)
     return found
--- a/turmericflow/relay/_metrics.py
+++ b/turmericflow/relay/_metrics.py
@@ -18,6 +18,7 @@
         "resumes",
         "losses",
         "store_calls",
+        "peer_bytes",
         "answer_seconds",
         "first_event_seconds",
         "resume_seconds",
@@ -45,6 +46,12 @@
             ["call"],
             registry=registry,
         )
+        self.peer_bytes = Counter(
+            "turmericflow_peer_bytes",
+            "Bytes sent to other hosts",
+            ["message"],
+            registry=registry,
+        )
         self.answer_seconds = Histogram(
             "turmericflow_answer_seconds",
             "Time to a whole answer",
--- a/turmericflow/relay/_parts.py
+++ b/turmericflow/relay/_parts.py
@@ -60,6 +60,8 @@
         Targets at whose addresses others answered, not yet looked at.
     announce
         Announces a change that bears on other hosts' choices to them at once.
+    announce_load
+        Announces new work at a target to them, soon.
     """
 
     __slots__ = (
@@ -71,6 +73,7 @@
         "clock",
         "rng",
         "announce",
+        "announce_load",
         "suspicions",
         "misdirected",
     )
@@ -92,6 +95,7 @@
         self.suspicions: list[Suspect] = []
         self.misdirected: list[TargetEntry] = []
         self.announce: Callable[[], None] = _announce_to_nobody
+        self.announce_load: Callable[[], None] = _announce_to_nobody
 
     def put_in_force(self, settings: HostSettings) -> None:
         """Use settings from now on; addresses stay those of the start."""
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -139,7 +139,7 @@
             attempts.parts.metrics.resumes.labels(how).inc()
         reply = None
         tables.runs.add(run)
-        attempts.parts.announce()
+        attempts.parts.announce_load()
         try:
             async with asyncio.timeout_at(attempts.deadline) as run.scope:
                 reply = await attempts.parts.targets.send(attempts.call, dispatch)
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -151,7 +151,7 @@
         if await self._parts.targets.accepts(entry.address):
             return
         for suspect in suspects:
-            self._parts.tables.crashes.note(suspect.content, entry.key, suspect.at)
+            self._parts.tables.crashes.note_seen(suspect.content, entry.key, suspect.at)
         log.info(
             "target_crashed",
             target=entry.key,
--- /dev/null
+++ b/turmericflow/tests/test_relay_spread.py
@@ -0,0 +1,128 @@
+"""Tests of how a status reaches all hosts, without a network."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+
+import pytest
+
+from turmericflow.relay import _membership as membership, _spread as spread
+from turmericflow.relay._spread import Outbox, Rings, Span
+from turmericflow.relay._tables import HostState, Tables
+from turmericflow.tests.test_relay_systems import host
+
+
+def fleet(size: int) -> dict[str, Tables]:
+    names = [f"h{number:03}" for number in range(size)]
+    tables = {name: Tables(host(name)) for name in names}
+    for table in tables.values():
+        for other in names:
+            membership.note_entry(table.hosts, host(other), 0.0)
+        for other in names:
+            status = membership.own_status(tables[other], 5.0)
+            membership.learn(table, status, 5.0)
+    return tables
+
+
+def streams(tables: dict[str, Tables]) -> dict[str, set[str]]:
+    """Return the hosts that each host has a stream to, whichever opened it."""
+    found: dict[str, set[str]] = {name: set() for name in tables}
+    for name, table in tables.items():
+        for entry in membership.contacts(table, 5.1):
+            found[name].add(entry.name)
+            found[entry.name].add(name)
+    return found
+
+
+def broadcast(
+    links: dict[str, set[str]], origin: str, silent: frozenset[str] = frozenset()
+) -> tuple[Counter, int]:
+    """Return how often each host gets a status, and the most hops that it takes."""
+    rings = {name: Rings(name, peers) for name, peers in links.items()}
+    got: Counter = Counter()
+    hops = 0
+    waiting = [(origin, spread.whole(origin), 0)]
+    while waiting:
+        name, spans, depth = waiting.pop()
+        for span in spans:
+            for peer, part in rings[name].shares(span):
+                if peer not in silent and peer != origin:
+                    got[peer] += 1
+                    hops = max(hops, depth + 1)
+                    waiting.append((peer, [part], depth + 1))
+    return got, hops
+
+
+@pytest.mark.parametrize("size", [2, 6, 30, 76, 300])
+def test_a_status_comes_to_each_host_once_for_each_ring(size: int):
+    """Load: all hosts tell of their work; what a host takes in must not explode."""
+    tables = fleet(size)
+    links = streams(tables)
+    for origin in list(tables)[:3]:
+        got, hops = broadcast(links, origin)
+        assert got == {name: spread.RINGS for name in tables if name != origin}
+        assert hops <= math.ceil(math.log2(size))
+    assert max(map(len, links.values())) <= 45
+
+
+@pytest.mark.parametrize("size", [6, 30, 76])
+def test_a_host_that_passes_nothing_on_keeps_a_status_from_few(size: int):
+    """Load: a host stands still, and is not known to for some beats."""
+    links = streams(fleet(size))
+    missed = 0
+    for silent in links:
+        for origin in links:
+            got, _ = broadcast(links, origin, frozenset([silent]))
+            missed += size - 2 - len(got.keys() - {silent, origin})
+    assert missed <= 0.01 * size**3
+
+
+@pytest.mark.parametrize("size", [6, 30])
+def test_a_host_whose_stream_is_gone_gets_a_status_through_others(size: int):
+    links = streams(fleet(size))
+    for origin in links:
+        for peer in list(links[origin]):
+            links[origin].discard(peer)
+            links[peer].discard(origin)
+            got, _ = broadcast(links, origin)
+            assert len(got) == size - 1
+            links[origin].add(peer)
+            links[peer].add(origin)
+
+
+def test_a_newer_status_takes_over_the_parts_of_an_older_one():
+    table = fleet(3)["h000"]
+    older, newer = (membership.own_status(table, 5.0) for _ in range(2))
+    outbox = Outbox()
+    outbox.put(older, Span(0, "h002"))
+    outbox.put(newer, Span(1, "h000"))
+    (told,) = outbox.take()
+    assert told.status is newer
+    assert told.spans == [Span(0, "h002"), Span(1, "h000")]
+    assert outbox.take() == []
+
+
+@pytest.mark.parametrize("size", [6, 76, 300, 2000])
+def test_what_a_host_takes_in_does_not_grow_with_the_number_of_hosts(size: int):
+    """Load: beats of all hosts come to each of them."""
+    table = Tables(host("h"))
+    for number in range(size - 1):
+        membership.note_entry(table.hosts, host(f"h{number}"), 0.0)
+    per_s = size * spread.RINGS / membership.beat_s(table)
+    assert per_s <= membership.BEATS_PER_S * spread.RINGS
+    assert membership.alive_s(table) >= 4 * membership.beat_s(table)
+
+
+def test_callers_come_to_all_of_more_hosts_than_an_answer_names():
+    """Load: callers spread over the addresses that they are given."""
+    tables = fleet(76)
+    for table in tables.values():
+        table.hosts.state = HostState.READY
+        for row in table.hosts.rows.values():
+            row.status.state = HostState.READY
+    answers = [membership.addresses(table, 5.1) for table in tables.values()]
+    assert {len(answer) for answer in answers} == {membership.MOST_ADDRESSES}
+    named = Counter(address for answer in answers for address in answer)
+    assert len(named) == 76
+    assert max(named.values()) <= 1.25 * sum(named.values()) / 76
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -261,6 +261,20 @@
     assert not crashes.note("c", "t0", 1.0)
 
 
+def test_a_crash_is_told_by_the_host_that_saw_it_only():
+    """Load: targets crash under many requests; all hosts tell what they saw."""
+    seen, heard = Tables(host("a")), Tables(host("b"))
+    for table in (seen, heard):
+        membership.note_entry(table.hosts, host("a"), 0.0)
+    seen.crashes.note_seen("c", "t0", 1.0)
+    status = membership.own_status(seen, 1.1)
+    assert [crash[:2] for crash in status.crashes] == [("c", "t0")]
+    membership.learn(heard, status, 1.2)
+    assert heard.crashes.is_suspect("c")
+    assert membership.own_status(heard, 1.3).crashes == []
+    assert membership.own_status(seen, 9.0).crashes == []
+
+
 # Hosts
 
 
