Let six hosts follow the store's targets and tell the others what changed

An entry removed within the time after an outage counts on wherever it is learned. The entry of a silent host is removed by the first that follows.

--- a/turmericflow/relay/_discovery.py
+++ b/turmericflow/relay/_discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from turmericflow.relay._model import TargetEntry
-from turmericflow.relay._tables import Target, TargetTable
+from turmericflow.relay._tables import Target, TargetsChange, TargetTable
 
 LAPSE_S = 2.5  # entries lapsed in an outage are back about 2 s after its end
 
@@ -41,33 +41,46 @@
     return True
 
 
+def difference(
+    table: TargetTable, entries: list[TargetEntry], revision: int
+) -> TargetsChange:
+    """Return what brings a table to the entries as of a revision."""
+    known = {row.entry.id: row.entry for row in table.rows.values()}
+    written = [entry for entry in entries if known.pop(entry.id, None) != entry]
+    return TargetsChange(table.revision, revision, False, written, list(known))
+
+
 def put(table: TargetTable, entry: TargetEntry) -> None:
     """Take in one entry that was written."""
     _put(table, entry)
     _index(table)
 
 
-def remove(table: TargetTable, name: str, keep_until: float | None) -> None:
-    """Take in that an entry was removed.
-
-    Parameters
-    ----------
-    table
-        The targets.
-    name
-        Id of the target.
-    keep_until
-        Time until which an entry that may have lapsed in an outage counts on,
-        or None.
-    """
+def _remove(table: TargetTable, name: str, now: float) -> None:
     for key, target in list(table.rows.items()):
         if target.entry.id != name:
             continue
-        if keep_until is None:
-            del table.rows[key]
+        if now < table.lenient_until:
+            table.lapsed.setdefault(key, table.lenient_until)
         else:
-            table.lapsed.setdefault(key, keep_until)
+            del table.rows[key]
+
+
+def apply(table: TargetTable, change: TargetsChange, now: float) -> bool:
+    """Take in what changed; return whether it follows on what is known.
+
+    Entries that may have lapsed in an outage count on for a while.
+    """
+    halfway = change.complete and change.since < table.revision < change.revision
+    if change.since != table.revision and not halfway:
+        return False
+    for name in change.removed:
+        _remove(table, name, now)
+    for entry in change.written:
+        _put(table, entry)
+    table.revision = change.revision
     _index(table)
+    return True
 
 
 def expire(table: TargetTable, now: float) -> list[str]:
--- a/turmericflow/relay/_feed.py
+++ b/turmericflow/relay/_feed.py
@@ -22,9 +22,12 @@
     Row,
     StoreFailed,
 )
+from turmericflow.relay._model import TargetEntry
 from turmericflow.relay._parts import Parts
+from turmericflow.relay._tables import TargetsChange
 
 WAIT_S = 15.0  # a waiting watch costs one call whatever it waits
+REGAIN_WAIT_S = 0.1  # after a failed call, to learn soon that the store answers
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0  # within a second of the store's return it is asked again
 READ_EVERY_S = 1.0  # half of the time in which a new deployment is to be in force
@@ -44,7 +47,6 @@
         self._kind = kind
         self._lost_at: float | None = None
         self._read_by_none = False
-        self._lenient_until = 0.0
 
     @Service.task
     async def _follow(self) -> None:
@@ -52,6 +54,9 @@
         pause_s = FIRST_PAUSE_S
         while not self.should_stop:
             try:
+                if revision is not None and not self._is_watched_here():
+                    await self.sleep(membership.beat_s(self._parts.tables))
+                    continue
                 revision = await self._step(revision)
                 pause_s = FIRST_PAUSE_S
                 await self.sleep(membership.gather_s(self._parts.tables, self._kind))
@@ -63,6 +68,12 @@
                 await asyncio.sleep(pause_s * (0.5 + self._parts.rng.random()))
                 pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
 
+    def _is_watched_here(self) -> bool:
+        """Return whether this host follows the kind itself, not through peers."""
+        if self._kind is Kind.DEPLOYMENT:
+            return True
+        return membership.is_watcher(self._parts.tables, self._parts.clock.now())
+
     @Service.task
     async def _read_again(self) -> None:
         if self._kind is Kind.HOSTS:
@@ -90,10 +101,13 @@
             self._note_regained()
             self._replace(listing)
             return listing.revision
+        if self._kind is Kind.TARGETS:
+            revision = max(revision, self._parts.tables.targets.revision)
         calls.labels("watch").inc()
-        changes = await self._parts.directory.changes(self._kind, revision, WAIT_S)
+        wait_s = WAIT_S if self._lost_at is None else REGAIN_WAIT_S
+        changes = await self._parts.directory.changes(self._kind, revision, wait_s)
         self._note_regained()
-        self._apply(changes)
+        self._apply(changes, revision)
         return changes.revision
 
     def _note_lost(self, exc: StoreFailed) -> None:
@@ -113,7 +127,7 @@
         away_s = now - self._lost_at
         self._lost_at = None
         if away_s >= OUTAGE_S and self._read_by_none:
-            self._lenient_until = now + discovery.LAPSE_S
+            self._parts.tables.targets.lenient_until = now + discovery.LAPSE_S
         if self._kind is Kind.TARGETS:
             adoption.end(self._parts.tables, now + discovery.LAPSE_S)
         log.info("store_regained", kind=self._kind, away_s=round(away_s, 3))
@@ -134,10 +148,12 @@
                     self._parts.announce()
             case Kind.TARGETS:
                 entries = [row.value for row in rows]
-                if now < self._lenient_until:
+                if now < tables.targets.lenient_until:
                     entries += self._lapsed(entries)
-                if discovery.replace(tables.targets, entries, listing.revision):
-                    self._parts.announce()
+                change = discovery.difference(tables.targets, entries, listing.revision)
+                newer = discovery.replace(tables.targets, entries, listing.revision)
+                if newer and change.since >= 0:
+                    self._tell(change)
             case Kind.HOSTS:
                 for row in rows:
                     self._note_host(row)
@@ -150,50 +166,62 @@
             row.entry for row in targets.rows.values() if row.entry.id not in names
         ]
         for entry in missing:
-            targets.lapsed.setdefault(entry.key, self._lenient_until)
+            targets.lapsed.setdefault(entry.key, targets.lenient_until)
         return missing
 
-    def _apply(self, changes: Changes) -> None:
-        targets = self._parts.tables.targets
-        known = targets.revision if self._kind is Kind.TARGETS else -1
-        if changes.revision <= known:
-            return
-        for change in changes.changes:
-            if change.row.revision > known:
-                self._apply_change(change)
-        if self._kind is Kind.TARGETS:
-            targets.revision = changes.revision
-
-    def _apply_change(self, change: Change) -> None:
-        row, now = change.row, self._parts.clock.now()
-        targets = self._parts.tables.targets
+    def _apply(self, changes: Changes, since: int) -> None:
         match self._kind:
-            case Kind.DEPLOYMENT:
-                if not change.removed and self._readable(row):
-                    self._put_in_force(row)
             case Kind.TARGETS:
-                if change.removed:
-                    lenient = now < self._lenient_until
-                    until = self._lenient_until if lenient else None
-                    discovery.remove(targets, row.name, until)
-                elif self._readable(row):
-                    discovery.put(targets, row.value)
-                else:
-                    discovery.remove(targets, row.name, None)
-                log.info(
-                    "target_changed",
-                    target=row.name,
-                    removed=change.removed,
-                    entry=row.value,
-                    revision=row.revision,
-                )
+                self._apply_to_targets(changes, since)
+            case Kind.DEPLOYMENT:
+                for change in changes.changes:
+                    if not change.removed and self._readable(change.row):
+                        self._put_in_force(change.row)
             case Kind.HOSTS:
-                if change.removed:
-                    known = self._parts.tables.hosts.rows.get(row.name)
-                    if known is not None:
-                        known.revision = None
-                elif self._readable(row):
-                    self._note_host(row)
+                for change in changes.changes:
+                    self._apply_to_hosts(change)
+
+    def _apply_to_targets(self, changes: Changes, since: int) -> None:
+        targets, now = self._parts.tables.targets, self._parts.clock.now()
+        latest: dict[str, Change] = {}
+        for change in changes.changes:
+            if change.row.revision > targets.revision:
+                latest[change.row.name] = change
+        written: list[TargetEntry] = []
+        removed: list[str] = []
+        for change in latest.values():
+            row = change.row
+            if not change.removed and self._readable(row):
+                written.append(row.value)
+            else:
+                removed.append(row.name)
+            log.info(
+                "target_changed",
+                target=row.name,
+                removed=change.removed,
+                entry=row.value,
+                revision=row.revision,
+            )
+        news = TargetsChange(
+            max(since, targets.revision), changes.revision, True, written, removed
+        )
+        if discovery.apply(targets, news, now) and latest:
+            self._tell(news)
+
+    def _tell(self, change: TargetsChange) -> None:
+        """Tell the other hosts what changed, if this one is to."""
+        tables, now = self._parts.tables, self._parts.clock.now()
+        if membership.is_reader(tables, now):
+            tables.targets.news.append((now, change))
+            self._parts.announce()
+
+    def _apply_to_hosts(self, change: Change) -> None:
+        if change.removed:
+            known = self._parts.tables.hosts.rows.get(change.row.name)
+            if known is not None:
+                known.revision = None
+        elif self._readable(change.row):
+            self._note_host(change.row)
 
     def _put_in_force(self, row: Row) -> bool:
         table = self._parts.tables.deployment
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-import xxhash
-
-from turmericflow.relay import _placement as placement, _spread as spread
+from turmericflow.relay import (
+    _discovery as discovery,
+    _placement as placement,
+    _spread as spread,
+)
 from turmericflow.relay._directory import Kind
 from turmericflow.relay._model import HostEntry
 from turmericflow.relay._tables import (
@@ -14,6 +16,7 @@
     HostTable,
     Load,
     Tables,
+    TargetsChange,
 )
 
 SHORTEST_BEAT_S = 0.25
@@ -27,6 +30,7 @@
 TOLD_BEATS = 2  # in so many statuses losses are told
 FORGET_S = 20.0  # after this the entry of a silent host is removed
 MOST_ADDRESSES = 64
+WATCHERS = 6  # all but one may be lost together without notice
 READERS = 2  # one may be lost without notice for as long as it counts as alive
 
 
@@ -54,6 +58,12 @@
     return min(LONGEST_GATHER_S, (1 + len(tables.hosts.rows)) / per_s)
 
 
+def _news(tables: Tables, told_s: float, now: float) -> list[TargetsChange]:
+    targets = tables.targets
+    targets.news = [each for each in targets.news if now - each[0] < told_s]
+    return [change for _, change in targets.news]
+
+
 def own_status(tables: Tables, now: float) -> HostStatus:
     """Return what this host says of itself now."""
     hosts = tables.hosts
@@ -76,6 +86,7 @@
         },
         gone=[key for key, row in rows.items() if now - row.gone_at < told_s],
         adopted=list(tables.targets.adopted.values()),
+        news=_news(tables, told_s, now),
         crashes=tables.crashes.seen_lately(told_s, now),
     )
 
@@ -123,6 +134,8 @@
     _forget_loads(tables, row)
     row.entry, row.status, row.heard_at = status.entry, status, now
     _take_loads(tables, status)
+    for change in status.news:
+        discovery.apply(tables.targets, change, now)
     _take_losses(tables, status, now)
     return True
 
@@ -178,19 +191,32 @@
     return 1 + len(live(tables, now))
 
 
+def _store_readers(tables: Tables, now: float) -> list[str]:
+    """Return the live hosts that the store answers, in an order all agree on."""
+    hosts = tables.hosts
+    names = [] if hosts.unanswered else [hosts.own.name]
+    names += [row.entry.name for row in live(tables, now) if row.status.reads_store]
+    return sorted(names, key=lambda name: spread.position(1, name))
+
+
 def is_reader(tables: Tables, now: float) -> bool:
     """Return whether this host is one of those that read the store again and again.
 
     A waiting watch can miss a change without a sign of it, so a few hosts read
     all objects every second, and the others learn from them.
     """
-    hosts = tables.hosts
-    if hosts.unanswered:
-        return False
-    names = [hosts.own.name]
-    names += [row.entry.name for row in live(tables, now) if row.status.reads_store]
-    names.sort(key=lambda name: xxhash.xxh3_64_intdigest(name.encode()))
-    return hosts.own.name in names[:READERS]
+    return tables.hosts.own.name in _store_readers(tables, now)[:READERS]
+
+
+def is_watcher(tables: Tables, now: float) -> bool:
+    """Return whether this host follows the store's targets and hosts itself.
+
+    The others learn of changes from these; a host that the store does not answer
+    asks it again.
+    """
+    if tables.hosts.unanswered:
+        return True
+    return tables.hosts.own.name in _store_readers(tables, now)[:WATCHERS]
 
 
 def peer_reads_store(tables: Tables, now: float) -> bool:
@@ -258,16 +284,13 @@
 def forgotten(tables: Tables, now: float) -> list[Host]:
     """Return the hosts whose entries this host is to remove from the store.
 
-    The live host that follows a silent one on the ring of names removes it.
+    Of the hosts that follow the store's entries the first one removes them.
     """
-    hosts = tables.hosts
-    alive = [hosts.own.name, *(row.entry.name for row in live(tables, now))]
-    found = []
-    for name, row in hosts.rows.items():
-        silent = now - row.heard_at >= FORGET_S
-        if not silent or row.revision is None:
-            continue
-        after = [other for other in alive if other > name]
-        if min(after or alive) == hosts.own.name:
-            found.append(row)
-    return found
+    if _store_readers(tables, now)[:1] != [tables.hosts.own.name]:
+        return []
+    rows = tables.hosts.rows.values()
+    return [
+        row
+        for row in rows
+        if row.revision is not None and now - row.heard_at >= FORGET_S
+    ]
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -104,6 +104,29 @@
         return self.own.memory_tokens + others
 
 
+class TargetsChange(msgspec.Struct, array_like=True):
+    """What changed of the targets between two revisions of the store.
+
+    Attributes
+    ----------
+    since, revision
+        The revision before and the one after.
+    complete
+        Whether it holds all that was written or removed in between, and not only
+        what differs in the end: only then it can be taken in halfway.
+    written
+        Entries that were written.
+    removed
+        Ids of targets whose entries were removed or cannot be read.
+    """
+
+    since: int
+    revision: int
+    complete: bool
+    written: list[TargetEntry]
+    removed: list[str]
+
+
 class TargetTable:
     """All targets, as of a revision of the store.
 
@@ -118,6 +141,10 @@
     lapsed
         Targets whose entry went while the store was away, with the time until
         which it may come back.
+    lenient_until
+        Time until which entries that go may have lapsed in an outage of the store.
+    news
+        What this host has read of changes, with the time, to be told to others.
     adopted
         Targets that are used though no entry of theirs could be read.
     read_rates
@@ -130,6 +157,8 @@
         "lost",
         "revision",
         "lapsed",
+        "lenient_until",
+        "news",
         "adopted",
         "read_rates",
     )
@@ -140,6 +169,8 @@
         self.lost: dict[tuple[str, str], list[float]] = {}
         self.revision = -1
         self.lapsed: dict[str, float] = {}
+        self.lenient_until = 0.0
+        self.news: list[tuple[float, TargetsChange]] = []
         self.adopted: dict[str, TargetEntry] = {}
         self.read_rates: dict[str, float] = {}
 
@@ -184,6 +215,8 @@
         Targets whose address was found a moment ago to be another's.
     adopted
         Targets that are used though no entry of theirs could be read.
+    news
+        Changes of the targets that it has read from the store a moment ago.
     crashes
         Fingerprints of requests that were running where a target crashed, the
         target's life, and the age in seconds.
@@ -200,6 +233,7 @@
     lost: dict[str, float]
     gone: list[str]
     adopted: list[TargetEntry]
+    news: list[TargetsChange]
     crashes: list[tuple[str, str, float]]
 
 
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -9,6 +9,7 @@
 
 from turmericflow.platform import __main__ as main_module
 from turmericflow.platform.__main__ import reload, watch_settings
+from turmericflow.relay import _membership as membership
 from turmericflow.tests.platform_stand_ins import (
     CUSTOMER,
     POISON,
@@ -498,6 +499,22 @@
         await asyncio.sleep(0.05)
 
 
+async def test_a_host_that_does_not_follow_the_store_learns_of_targets_from_peers(
+    fleet_of_three: Fleet, monkeypatch: pytest.MonkeyPatch
+):
+    monkeypatch.setattr(membership, "WATCHERS", 1)
+    monkeypatch.setattr(membership, "READERS", 1)
+    fleet = fleet_of_three
+    await fleet.until(lambda: all(len(h.tables.hosts.rows) == 2 for h in fleet.hosts))
+    await asyncio.sleep(0.6)
+    for number in range(3):
+        came = TargetStandIn(f"came-{number}", "dc-0")
+        await fleet.add_target(came)
+    await fleet.until(lambda: fleet.know("plain", 3))
+    fleet.store.remove("servers", "came-0")
+    await fleet.until(lambda: fleet.know("plain", 2))
+
+
 async def test_a_host_that_knows_no_deployment_says_that_it_did_not_run(tmp_path):
     fleet = Fleet(tmp_path)
     fleet.store.status = 503
--- a/turmericflow/tests/test_relay_spread.py
+++ b/turmericflow/tests/test_relay_spread.py
@@ -7,9 +7,14 @@
 
 import pytest
 
-from turmericflow.relay import _membership as membership, _spread as spread
+from turmericflow.relay import (
+    TargetEntry,
+    _discovery as discovery,
+    _membership as membership,
+    _spread as spread,
+)
 from turmericflow.relay._spread import Outbox, Rings, Span
-from turmericflow.relay._tables import HostState, Tables
+from turmericflow.relay._tables import HostState, Tables, TargetsChange
 from turmericflow.tests.test_relay_systems import host
 
 
@@ -126,3 +131,65 @@
     named = Counter(address for answer in answers for address in answer)
     assert len(named) == 76
     assert max(named.values()) <= 1.25 * sum(named.values()) / 76
+
+
+def entry(number: int) -> TargetEntry:
+    return TargetEntry(f"e{number}", 0, "engine", f"e{number}:1", "dc-0", 24)
+
+
+@pytest.mark.parametrize("size", [3, 6, 76])
+def test_few_hosts_follow_the_store_and_others_take_their_place(size: int):
+    """Load: each change ends the waiting calls of all hosts that follow the store."""
+    tables = fleet(size)
+    expected = min(size, membership.WATCHERS)
+
+    def watchers(now: float) -> set[str]:
+        return {n for n, table in tables.items() if membership.is_watcher(table, now)}
+
+    first = watchers(5.1)
+    assert len(first) == expected
+    for name in first:
+        del tables[name]
+    for table in tables.values():
+        for other in tables.values():
+            membership.learn(table, membership.own_status(other, 9.0), 9.0)
+    second = watchers(9.1)
+    assert len(second) == min(size - expected, membership.WATCHERS)
+    assert not first & second
+    for table in tables.values():
+        table.hosts.unanswered.add("targets")
+    assert watchers(9.1) == set(tables)
+
+
+def test_hosts_learn_from_a_status_what_changed():
+    """Load: a third of the engines are killed together and come back."""
+    reader, other, halfway = (Tables(host(name)) for name in "abc")
+    before = [entry(number) for number in range(90)]
+    for table in (reader, other, halfway):
+        discovery.replace(table.targets, before, 10)
+    removed = [f"e{number}" for number in range(30)]
+    change = TargetsChange(10, 40, True, [entry(90)], removed)
+    discovery.apply(halfway.targets, TargetsChange(10, 12, True, [], ["e0"]), 1.0)
+    for table in (reader, other, halfway):
+        assert discovery.apply(table.targets, change, 1.0)
+        assert len(table.targets.rows) == 61
+        assert not discovery.apply(table.targets, change, 1.0)
+
+
+def test_a_difference_of_two_readings_is_not_taken_in_halfway():
+    table, halfway = Tables(host("a")).targets, Tables(host("b")).targets
+    discovery.replace(table, [entry(0), entry(1)], 10)
+    discovery.replace(halfway, [entry(0), entry(1), entry(2)], 11)
+    change = discovery.difference(table, [entry(1), entry(3)], 12)
+    assert ([each.id for each in change.written], change.removed) == (["e3"], ["e0"])
+    assert discovery.apply(table, change, 1.0)
+    assert set(table.rows) == {"e1@0", "e3@0"}
+    assert not discovery.apply(halfway, change, 1.0)
+    assert "e2@0" in halfway.rows
+
+
+def test_news_is_told_for_a_few_beats():
+    table = fleet(6)["h000"]
+    table.targets.news.append((5.0, TargetsChange(1, 2, True, [entry(1)], [])))
+    assert len(membership.own_status(table, 5.1).news) == 1
+    assert membership.own_status(table, 6.0).news == []
