Take the best of a sample of targets, and judge losses by a centre's size

Cause: all hosts take the target of least cost. What is lost at once comes back to all of them at once, and each takes the same few, as none knows yet what the others choose: first events were due after 6 s, on two engines of sixty. And two losses counted as the loss of a data centre also where it has thirty engines, which sent all work to the centre with one loss fewer. Change: the more hosts choose, the fewer targets each looks at, three at least (six hosts look at 16); a data centre counts as lost from 15 % of its targets on, two at least.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -121,7 +121,10 @@
         table = tables.crashes
         if table.any and table.is_refused(self.content(), now):
             raise self.failure("the content crashed the targets that ran it")
-        target = placement.choose(tables.targets, self.demand(), now, self.parts.rng)
+        hosts = membership.live_hosts(tables, now)
+        target = placement.choose(
+            tables.targets, self.demand(), now, self.parts.rng, hosts
+        )
         if target is None:
             raise self.failure(f"no target of {self.match.service!r} is left to try")
         self.check_budget()
--- a/turmericflow/relay/_copies.py
+++ b/turmericflow/relay/_copies.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from turmericflow.relay import _placement as placement
+from turmericflow.relay import _membership as membership, _placement as placement
 from turmericflow.relay._tables import Run, Tables, Target
 
 DONE_SHARE = 0.85  # of its largest output: a run beyond this ends soon
@@ -45,4 +45,5 @@
         tokens=run.memory_tokens,
         capacity=engine.memory_tokens,
     )
-    return placement.choose_backup(tables.targets, demand, now, rng)
+    hosts = membership.live_hosts(tables, now)
+    return placement.choose_backup(tables.targets, demand, now, rng, hosts)
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from random import Random
 
@@ -10,8 +11,9 @@
 FIRST_OUT_S = 0.5  # doubles with each failure in a row
 LONGEST_OUT_S = 4.0
 LOSS_COUNTS_S = 1.5  # losses closer together are taken for one event
-LOSSES_OF_CENTRE = 2
-ONE_LOSS_COST = 3.0  # a data centre's other targets may be lost too
+LOSSES_OF_CENTRE = 2  # fewer are no sign that all of a data centre is lost
+LOST_SHARE = 0.15  # nor is a smaller share of its targets
+LOSSES_COST = 3.0  # a data centre's other targets may be lost too
 FAILURE_COST = 2.0  # for each failure in a row of a target that gets work again
 # Costs below are in prompts of this size: what is read first is waited for.
 UNREAD_TOKENS_PER_PROMPT = 1500.0
@@ -21,6 +23,9 @@
 FULL_BATCH_COST = 8.0  # of a plain target whose places are all taken
 LOST_CENTRE_COST = 1000.0
 FAILED_COST = 100_000.0
+BEARABLE_COST = 500.0  # above all waits, below what a lost target or centre costs
+SMALLEST_SAMPLE = 3
+SAMPLED_BY_ALL = 100  # targets that few hosts look at, together
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,9 +66,30 @@
     return sum(1 for at in times if now - at < LOSS_COUNTS_S)
 
 
+def losses_of_centre(table: TargetTable, data_centre: str, service: str) -> int:
+    """Return how many losses at once are a sign that a data centre is lost."""
+    rows = table.by_service.get(service, ())
+    size = sum(1 for row in rows if row.entry.data_centre == data_centre)
+    return max(LOSSES_OF_CENTRE, math.ceil(LOST_SHARE * size))
+
+
 def centre_lost(table: TargetTable, data_centre: str, service: str, now: float) -> bool:
     """Return whether several targets of a data centre were lost a moment ago."""
-    return losses(table, data_centre, service, now) >= LOSSES_OF_CENTRE
+    lost = losses(table, data_centre, service, now)
+    return lost >= losses_of_centre(table, data_centre, service)
+
+
+def centre_cost(
+    table: TargetTable, data_centre: str, service: str, now: float
+) -> float:
+    """Return what the losses of a data centre add to the cost of its targets."""
+    lost = losses(table, data_centre, service, now)
+    if not lost:
+        return 0.0
+    enough = losses_of_centre(table, data_centre, service)
+    if lost >= enough:
+        return LOST_CENTRE_COST
+    return LOSSES_COST * lost / (enough - 1)
 
 
 def note_loss(table: TargetTable, target: Target, at: float) -> bool:
@@ -96,7 +122,7 @@
     target.failures = 0
 
 
-def cost(table: TargetTable, target: Target, demand: Demand, now: float) -> float:
+def cost(target: Target, demand: Demand, now: float) -> float:
     """Return how much a request would wait at a target, in prompts of 1,500 tokens."""
     entry = target.entry
     total = target.unread_tokens / UNREAD_TOKENS_PER_PROMPT
@@ -114,23 +140,39 @@
         total += 1.0
     if entry.data_centre != demand.data_centre:
         total += OTHER_CENTRE_COST
-    match losses(table, entry.data_centre, entry.service, now):
-        case 0:
-            pass
-        case 1:
-            total += ONE_LOSS_COST
-        case _:
-            total += LOST_CENTRE_COST
     total += FAILURE_COST * target.failures
     if now < target.out_until:
         total += FAILED_COST * (1 + target.failures)
     return total
 
 
+def sample_size(hosts: int) -> int:
+    """Return of how many targets the best is taken.
+
+    Hosts that choose at the same time do not know of each other's choices; the more
+    they are, the fewer targets each looks at, so that they do not all take one.
+    """
+    return max(SMALLEST_SAMPLE, SAMPLED_BY_ALL // max(1, hosts))
+
+
 def choose(
-    table: TargetTable, demand: Demand, now: float, rng: Random
+    table: TargetTable, demand: Demand, now: float, rng: Random, hosts: int = 1
 ) -> Target | None:
-    """Return the target with the least expected wait, or None if there is none."""
+    """Return a target with little expected wait, or None if there is none.
+
+    Parameters
+    ----------
+    table
+        The targets.
+    demand
+        What it is chosen for.
+    now
+        Time in seconds.
+    rng
+        Takes the sample of which the best is chosen.
+    hosts
+        Number of hosts that choose by themselves.
+    """
     found = [
         target
         for target in table.by_service.get(demand.service, ())
@@ -140,15 +182,26 @@
         found = [t for t in found if t.entry.data_centre != demand.not_in]
     if not found:
         return None
-    costs = [(cost(table, target, demand, now), rng.random()) for target in found]
-    return found[min(range(len(found)), key=costs.__getitem__)]
+    centres = {
+        name: centre_cost(table, name, demand.service, now)
+        for name in {target.entry.data_centre for target in found}
+    }
+    costs = [
+        (cost(t, demand, now) + centres[t.entry.data_centre], rng.random())
+        for t in found
+    ]
+    order = sorted(range(len(found)), key=costs.__getitem__)
+    bearable = costs[order[0]][0] + BEARABLE_COST
+    likely = [index for index in order if costs[index][0] <= bearable]
+    sample = rng.sample(likely, min(len(likely), sample_size(hosts)))
+    return found[min(sample, key=costs.__getitem__)]
 
 
 def choose_backup(
-    table: TargetTable, demand: Demand, now: float, rng: Random
+    table: TargetTable, demand: Demand, now: float, rng: Random, hosts: int = 1
 ) -> Target | None:
     """Return the engine that keeps a copy, in another data centre, or None."""
-    target = choose(table, demand, now, rng)
+    target = choose(table, demand, now, rng, hosts)
     if target is None or now < target.out_until:
         return None
     return target
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -8,7 +8,11 @@
 import structlog
 from multidict import CIMultiDict
 
-from turmericflow.relay import _placement as placement, _silence as silence
+from turmericflow.relay import (
+    _membership as membership,
+    _placement as placement,
+    _silence as silence,
+)
 from turmericflow.relay._attempts import Attempts, Ending
 from turmericflow.relay._call import Copy, Reply
 from turmericflow.relay._events import EventReader, EventsInvalid
@@ -108,7 +112,10 @@
             return None
         demand = attempts.demand(not_in=target.entry.data_centre)
         now = parts.clock.now()
-        return placement.choose_backup(parts.tables.targets, demand, now, parts.rng)
+        hosts = membership.live_hosts(parts.tables, now)
+        return placement.choose_backup(
+            parts.tables.targets, demand, now, parts.rng, hosts
+        )
 
     async def _attempt(self, target: Target) -> Ending:
         attempts = self._attempts
