Tell of an adopted target where it was found, and only for a moment

Cause: while no host can read the store, each status held all targets that its host uses without an entry, also those it had heard of. Ruled out: the store's return (the collapse began with its loss).

--- a/turmericflow/relay/_adoption.py
+++ b/turmericflow/relay/_adoption.py
@@ -74,18 +74,23 @@
     )
 
 
-def adopt(tables: Tables, entry: TargetEntry) -> None:
-    """Use an engine without an entry in the store."""
+def _use(tables: Tables, entry: TargetEntry) -> None:
     discovery.put(tables.targets, entry)
     tables.targets.lapsed[entry.key] = math.inf
     tables.targets.adopted[entry.key] = entry
 
 
+def adopt(tables: Tables, entry: TargetEntry, now: float) -> None:
+    """Use an engine without an entry in the store, found by this host."""
+    _use(tables, entry)
+    tables.targets.adopted_here.append((now, entry))
+
+
 def take_in(tables: Tables, entries: list[TargetEntry], now: float) -> None:
     """Use the engines that another host has adopted."""
     for entry in entries:
         if entry.key not in tables.targets.rows and is_due(tables, now):
-            adopt(tables, entry)
+            _use(tables, entry)
 
 
 def end(tables: Tables, until: float) -> None:
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TypeVar
+
 from turmericflow.relay import (
     _discovery as discovery,
     _placement as placement,
@@ -16,9 +18,10 @@
     HostTable,
     Load,
     Tables,
-    TargetsChange,
 )
 
+T = TypeVar("T")
+
 SHORTEST_BEAT_S = 0.25
 SHORTEST_ALIVE_S = 1.5  # six beats; the status of a far host takes a few hops
 ALIVE_BEATS = 4
@@ -58,10 +61,10 @@
     return min(LONGEST_GATHER_S, (1 + len(tables.hosts.rows)) / per_s)
 
 
-def _news(tables: Tables, told_s: float, now: float) -> list[TargetsChange]:
-    targets = tables.targets
-    targets.news = [each for each in targets.news if now - each[0] < told_s]
-    return [change for _, change in targets.news]
+def _lately(told: list[tuple[float, T]], told_s: float, now: float) -> list[T]:
+    """Return what is new, and forget what has been told for long enough."""
+    told[:] = [each for each in told if now - each[0] < told_s]
+    return [what for _, what in told]
 
 
 def own_status(tables: Tables, now: float) -> HostStatus:
@@ -85,8 +88,8 @@
             if now - row.lost_at < told_s
         },
         gone=[key for key, row in rows.items() if now - row.gone_at < told_s],
-        adopted=list(tables.targets.adopted.values()),
-        news=_news(tables, told_s, now),
+        adopted=_lately(tables.targets.adopted_here, told_s, now),
+        news=_lately(tables.targets.news, told_s, now),
         crashes=tables.crashes.seen_lately(told_s, now),
     )
 
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -147,6 +147,8 @@
         What this host has read of changes, with the time, to be told to others.
     adopted
         Targets that are used though no entry of theirs could be read.
+    adopted_here
+        Those that this host has found, with the time, to be told to others.
     read_rates
         Prompt tokens that an engine reads in a second, by service.
     """
@@ -160,6 +162,7 @@
         "lenient_until",
         "news",
         "adopted",
+        "adopted_here",
         "read_rates",
     )
 
@@ -172,6 +175,7 @@
         self.lenient_until = 0.0
         self.news: list[tuple[float, TargetsChange]] = []
         self.adopted: dict[str, TargetEntry] = {}
+        self.adopted_here: list[tuple[float, TargetEntry]] = []
         self.read_rates: dict[str, float] = {}
 
 
@@ -214,7 +218,7 @@
     gone
         Targets whose address was found a moment ago to be another's.
     adopted
-        Targets that are used though no entry of theirs could be read.
+        Targets that it uses since a moment ago though no entry could be read.
     news
         Changes of the targets that it has read from the store a moment ago.
     crashes
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -100,7 +100,7 @@
         entry = adoption.entry_of(tables, earlier, report)
         if entry is None or entry.key in tables.targets.rows:
             return
-        adoption.adopt(tables, entry)
+        adoption.adopt(tables, entry, self._parts.clock.now())
         log.info(
             "target_adopted",
             target=entry.key,
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -7,6 +7,7 @@
 import pytest
 
 from turmericflow.relay import (
+    _adoption as adoption,
     _discovery as discovery,
     _membership as membership,
     _placement as placement,
@@ -278,6 +279,24 @@
 # Hosts
 
 
+def test_an_adopted_target_is_told_by_the_host_that_found_it_only(
+    tables: Tables,
+):
+    """Load: the store is away and a third of the engines comes back by itself."""
+    heard = Tables(host("heard"))
+    membership.note_entry(heard.hosts, host("own"), 0.0)
+    for table in (tables, heard):
+        table.hosts.unanswered.add("targets")
+    adoption.adopt(tables, engine("back"), 1.0)
+    status = membership.own_status(tables, 1.1)
+    membership.learn(heard, status, 1.2)
+    assert [entry.id for entry in status.adopted] == ["back"]
+    adoption.take_in(heard, status.adopted, 1.2)
+    assert "back@0" in heard.targets.rows
+    assert membership.own_status(heard, 1.3).adopted == []
+    assert membership.own_status(tables, 9.0).adopted == []
+
+
 def test_a_status_reaches_every_host_in_a_few_hops():
     names = [f"h{n:02}" for n in range(76)]
     links: dict[str, set[str]] = {name: set() for name in names}
