Give a crashed target no work before its next life

Change: one that broke its work off and refuses connections is out for 4 s at the host that saw it and at those that are told; another life at its address is used at once.

--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -166,8 +166,11 @@
         target = tables.targets.rows.get(key)
         if target is not None:
             target.gone = True
-    for content, target, age_s in status.crashes:
-        tables.crashes.note(content, target, now - age_s)
+    for content, key, age_s in status.crashes:
+        tables.crashes.note(content, key, now - age_s)
+        target = tables.targets.rows.get(key)
+        if target is not None:
+            placement.note_crash(target, now - age_s)
 
 
 def live(tables: Tables, now: float) -> list[Host]:
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -111,6 +111,14 @@
     return True
 
 
+def note_crash(target: Target, at: float) -> None:
+    """Take in that a target broke off its work and refuses connections.
+
+    Its process has most likely ended, and comes back as another life, if at all.
+    """
+    target.out_until = max(target.out_until, at + LONGEST_OUT_S)
+
+
 def note_gone(target: Target, now: float) -> None:
     """Take in that a target's address is another's now."""
     target.gone = True
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -10,6 +10,7 @@
     _copies as copies,
     _discovery as discovery,
     _membership as membership,
+    _placement as placement,
     _silence as silence,
     _stream as stream,
 )
@@ -150,6 +151,7 @@
         entry = suspects[0].target.entry
         if await self._parts.targets.accepts(entry.address):
             return
+        placement.note_crash(suspects[0].target, self._parts.clock.now())
         for suspect in suspects:
             self._parts.tables.crashes.note_seen(suspect.content, entry.key, suspect.at)
         log.info(
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -262,6 +262,24 @@
     assert not crashes.note("c", "t0", 1.0)
 
 
+def test_a_crashed_target_gets_no_work_before_its_next_life(tables: Tables):
+    """Load: engines are killed together; their entries stay for a second or two."""
+    other = Tables(host("other"))
+    discovery.replace(other.targets, [engine("e0"), engine("e1")], 1)
+    membership.note_entry(other.hosts, host("own"), 0.0)
+    placement.note_loss(tables.targets, tables.targets.rows["e0@0"], 1.0)
+    placement.note_crash(tables.targets.rows["e0@0"], 1.0)
+    tables.crashes.note_seen("c", "e0@0", 1.0)
+    membership.learn(other, membership.own_status(tables, 1.1), 1.1)
+    other.targets.rows["e1@0"].own.unread_tokens = 50_000
+    for _ in range(20):
+        found = placement.choose(other.targets, demand(), 2.5, Random(1))
+        assert found.entry.id == "e1"
+    discovery.put(other.targets, TargetEntry("e2", 0, "model", "e0:1", "dc-0", 64))
+    found = placement.choose(other.targets, demand(), 2.6, Random(1))
+    assert found.entry.id == "e2"
+
+
 def test_a_crash_is_told_by_the_host_that_saw_it_only():
     """Load: targets crash under many requests; all hosts tell what they saw."""
     seen, heard = Tables(host("a")), Tables(host("b"))
