--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -231,7 +231,7 @@
     Faults: ``shed`` (503, not run), ``error`` (500), ``reset`` (cut without an
     answer), ``torn`` (cut within the body), ``mute`` (no answer), ``other`` (an
     answer to another request), ``unsigned``, ``unframed`` (no length),
-    ``unframed torn``.
+    ``unframed torn``, ``early`` (an answer before the body is read).
     """
 
     service = "plain"
@@ -284,7 +284,7 @@
         if fault == "shed":
             headers = {"X-Turmericflow-Not-Executed": "1"}
             return web.Response(status=503, headers=headers)
-        body = await request.read()
+        body = b"" if fault == "early" else await request.read()
         seen = Seen(
             request.headers["X-Turmericflow-Attempt-Id"],
             request.method,
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -38,6 +38,17 @@
     assert int(seen.headers["X-Turmericflow-Deadline-Ms"]) <= 800
 
 
+async def test_an_answer_that_comes_before_a_long_body_is_in_is_whole(fleet: Fleet):
+    (target,) = await fleet.add_plain(1)
+    target.state.faults = ["early"]
+    async with fleet.request("/order/1", data=b"b" * 90_000) as resp:
+        body = await resp.read()
+    assert resp.status == 200 and body.endswith(b" r1")
+    async with fleet.request("/order/2", "r2", data=b"next") as resp:
+        assert (await resp.read()).endswith(b" r2")
+    assert [seen.body for seen in target.seen] == [b"", b"next"]
+
+
 RESERVED = {
     "X-Turmericflow-Tenant": "forged",
     "X-Turmericflow-Hold": "h",
