--- a/turmericflow/relay/_budgets.py
+++ b/turmericflow/relay/_budgets.py
@@ -14,10 +14,7 @@
 
 import msgspec
 
-SAFETY = (
-    0.85  # share of the limit that hosts spend; one that is lost takes its count along
-)
-
+SAFETY = 0.85  # of the limit; a host that is lost takes its count along
 FIRST_SHARE = 0.5  # of one send, from which on a host that sent none may send one
 
 
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -24,7 +24,7 @@
 LOST_CENTRE_COST = 1000.0
 FAILED_COST = 100_000.0
 BEARABLE_COST = 500.0  # above all waits, below what a lost target or centre costs
-SMALLEST_SAMPLE = 3
+SMALLEST_SAMPLE = 3  # of two, both are busy or lost too often
 SAMPLED_BY_ALL = 100  # targets that few hosts look at, together
 
 
