Take listings and changes in by one way; drop unreadable entries at once

A listing was taken in by a replacement with a special case for entries that may have lapsed, a change by another rule for the same; and since changes are told on, an entry overwritten by one that cannot be read counted on for up to 2.5 s after an outage, as if it had lapsed (listed as open before). Change: both become a TargetsChange that names unreadable entries apart; pacing by number of hosts has a module of its own (_pace); tests share known_hosts; two constants and defaults got sources or went.

--- a/turmericflow/relay/_budgets.py
+++ b/turmericflow/relay/_budgets.py
@@ -38,9 +38,9 @@
         Time after which all know what a host has spent, in seconds.
     """
 
-    spent: Sequence[Spent] = ()
-    hosts: int = 1
-    told_s: float = 1.0
+    spent: Sequence[Spent]
+    hosts: int
+    told_s: float
 
 
 class _Window:
--- a/turmericflow/relay/_discovery.py
+++ b/turmericflow/relay/_discovery.py
@@ -42,12 +42,17 @@
 
 
 def difference(
-    table: TargetTable, entries: list[TargetEntry], revision: int
+    table: TargetTable,
+    entries: list[TargetEntry],
+    unreadable: list[str],
+    revision: int,
 ) -> TargetsChange:
     """Return what brings a table to the entries as of a revision."""
     known = {row.entry.id: row.entry for row in table.rows.values()}
     written = [entry for entry in entries if known.pop(entry.id, None) != entry]
-    return TargetsChange(table.revision, revision, False, written, list(known))
+    removed = [id for id in known if id not in unreadable]
+    since = table.revision
+    return TargetsChange(since, revision, False, written, removed, unreadable)
 
 
 def put(table: TargetTable, entry: TargetEntry) -> None:
@@ -56,14 +61,14 @@
     _index(table)
 
 
-def _remove(table: TargetTable, name: str, now: float) -> None:
+def _remove(table: TargetTable, ids: list[str], keep_until: float | None) -> None:
     for key, target in list(table.rows.items()):
-        if target.entry.id != name:
+        if target.entry.id not in ids:
             continue
-        if now < table.lenient_until:
-            table.lapsed.setdefault(key, table.lenient_until)
-        else:
+        if keep_until is None:
             del table.rows[key]
+        else:
+            table.lapsed.setdefault(key, keep_until)
 
 
 def apply(table: TargetTable, change: TargetsChange, now: float) -> bool:
@@ -71,11 +76,13 @@
 
     Entries that may have lapsed in an outage count on for a while.
     """
-    halfway = change.complete and change.since < table.revision < change.revision
-    if change.since != table.revision and not halfway:
+    if change.revision <= table.revision or change.since > table.revision:
+        return False
+    if change.since < table.revision and not change.complete:
         return False
-    for name in change.removed:
-        _remove(table, name, now)
+    lenient = now < table.lenient_until
+    _remove(table, change.removed, table.lenient_until if lenient else None)
+    _remove(table, change.unreadable, None)
     for entry in change.written:
         _put(table, entry)
     table.revision = change.revision
--- a/turmericflow/relay/_feed.py
+++ b/turmericflow/relay/_feed.py
@@ -11,6 +11,7 @@
     _adoption as adoption,
     _discovery as discovery,
     _membership as membership,
+    _pace as pace,
     _routing as routing,
 )
 from turmericflow.relay._directory import (
@@ -55,11 +56,11 @@
         while not self.should_stop:
             try:
                 if revision is not None and not self._is_watched_here():
-                    await self.sleep(membership.beat_s(self._parts.tables))
+                    await self.sleep(pace.beat_s(self._parts.tables))
                     continue
                 revision = await self._step(revision)
                 pause_s = FIRST_PAUSE_S
-                await self.sleep(membership.gather_s(self._parts.tables, self._kind))
+                await self.sleep(pace.gather_s(self._parts.tables, self._kind))
             except HistoryGone as exc:
                 log.info("store_history_gone", kind=self._kind, reason=str(exc))
                 revision = None
@@ -140,35 +141,22 @@
         return row.value is not None
 
     def _replace(self, listing: Listing) -> None:
-        tables, now = self._parts.tables, self._parts.clock.now()
+        targets = self._parts.tables.targets
         rows = [row for row in listing.rows if self._readable(row)]
         match self._kind:
             case Kind.DEPLOYMENT:
                 if any([self._put_in_force(row) for row in rows]):
                     self._parts.announce()
             case Kind.TARGETS:
+                unreadable = [row.name for row in listing.rows if row.value is None]
                 entries = [row.value for row in rows]
-                if now < tables.targets.lenient_until:
-                    entries += self._lapsed(entries)
-                change = discovery.difference(tables.targets, entries, listing.revision)
-                newer = discovery.replace(tables.targets, entries, listing.revision)
-                if newer and change.since >= 0:
-                    self._tell(change)
+                self._take(
+                    discovery.difference(targets, entries, unreadable, listing.revision)
+                )
             case Kind.HOSTS:
                 for row in rows:
                     self._note_host(row)
 
-    def _lapsed(self, entries: list) -> list:
-        """Return the entries that are missing and may come back."""
-        targets = self._parts.tables.targets
-        names = {entry.id for entry in entries}
-        missing = [
-            row.entry for row in targets.rows.values() if row.entry.id not in names
-        ]
-        for entry in missing:
-            targets.lapsed.setdefault(entry.key, targets.lenient_until)
-        return missing
-
     def _apply(self, changes: Changes, since: int) -> None:
         match self._kind:
             case Kind.TARGETS:
@@ -182,19 +170,22 @@
                     self._apply_to_hosts(change)
 
     def _apply_to_targets(self, changes: Changes, since: int) -> None:
-        targets, now = self._parts.tables.targets, self._parts.clock.now()
+        targets = self._parts.tables.targets
         latest: dict[str, Change] = {}
         for change in changes.changes:
             if change.row.revision > targets.revision:
                 latest[change.row.name] = change
         written: list[TargetEntry] = []
         removed: list[str] = []
+        unreadable: list[str] = []
         for change in latest.values():
             row = change.row
-            if not change.removed and self._readable(row):
+            if change.removed:
+                removed.append(row.name)
+            elif self._readable(row):
                 written.append(row.value)
             else:
-                removed.append(row.name)
+                unreadable.append(row.name)
             log.info(
                 "target_changed",
                 target=row.name,
@@ -202,18 +193,19 @@
                 entry=row.value,
                 revision=row.revision,
             )
-        news = TargetsChange(
-            max(since, targets.revision), changes.revision, True, written, removed
-        )
-        if discovery.apply(targets, news, now) and latest:
-            self._tell(news)
-
-    def _tell(self, change: TargetsChange) -> None:
-        """Tell the other hosts what changed, if this one is to."""
+        since, revision = max(since, targets.revision), changes.revision
+        self._take(TargetsChange(since, revision, True, written, removed, unreadable))
+
+    def _take(self, change: TargetsChange) -> None:
+        """Take in what changed, and tell the other hosts if this one is to."""
         tables, now = self._parts.tables, self._parts.clock.now()
-        if membership.is_reader(tables, now):
-            tables.targets.news.append((now, change))
-            self._parts.announce()
+        if not discovery.apply(tables.targets, change, now):
+            return
+        empty = not (change.written or change.removed or change.unreadable)
+        if empty or change.since < 0 or not membership.is_reader(tables, now):
+            return
+        tables.targets.news.append((now, change))
+        self._parts.announce()
 
     def _apply_to_hosts(self, change: Change) -> None:
         if change.removed:
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -15,6 +15,7 @@
     _adoption as adoption,
     _discovery as discovery,
     _membership as membership,
+    _pace as pace,
     _routing as routing,
     _spread as spread,
 )
@@ -275,7 +276,7 @@
     def _ask_for_views(self) -> None:
         """Ask a peer for views that are newer than this host's.
 
-        A host that reads the store itself waits for its own news of them first.
+        A host that the store answers waits first for the news that comes by itself.
         """
         tables, now = self._parts.tables, self._parts.clock.now()
         rows = (tables.hosts.rows.get(name) for name in self._by_name)
@@ -291,7 +292,7 @@
             return
         lag_s = 0.0
         if not tables.hosts.unanswered:
-            lag_s = VIEW_LAG_S + membership.gather_s(tables, Kind.TARGETS)
+            lag_s = VIEW_LAG_S + pace.gather_s(tables, Kind.TARGETS)
         lagging = now - self._behind_since >= lag_s
         if not lagging or now - self._asked_at < VIEW_EVERY_S:
             return
@@ -308,7 +309,7 @@
         tables = self._parts.tables
         tables.hosts.urgent += 1
         elapsed_s = self._parts.clock.now() - self._told_at
-        gap_s = membership.load_gap_s(tables) - elapsed_s
+        gap_s = pace.load_gap_s(tables) - elapsed_s
         self._tell_own_within(max(SEND_WITHIN_S, gap_s))
 
     def _tell(self, status: HostStatus, spans: list[spread.Span]) -> None:
@@ -372,7 +373,7 @@
     async def _beat(self) -> None:
         while not self.should_stop:
             now = self._parts.clock.listening()
-            silent_s = membership.alive_s(self._parts.tables)
+            silent_s = pace.alive_s(self._parts.tables)
             for link in list(self._links):
                 if now - link.heard_at > silent_s:
                     log.info("peer_silent", peer=link.name)
@@ -381,4 +382,4 @@
             self._ask_for_views()
             self._own_at = now
             self._send()
-            await self.sleep(membership.beat_s(self._parts.tables))
+            await self.sleep(pace.beat_s(self._parts.tables))
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -6,11 +6,11 @@
 
 from turmericflow.relay import (
     _discovery as discovery,
+    _pace as pace,
     _placement as placement,
     _spread as spread,
 )
 from turmericflow.relay._budgets import Others, Spent
-from turmericflow.relay._directory import Kind
 from turmericflow.relay._model import HostEntry
 from turmericflow.relay._tables import (
     Host,
@@ -23,47 +23,12 @@
 
 T = TypeVar("T")
 
-SHORTEST_BEAT_S = 0.25
-SHORTEST_ALIVE_S = 1.5  # six beats; the status of a far host takes a few hops
-ALIVE_BEATS = 4
-BEATS_PER_S = 150.0  # of all hosts together, so that a host's work does not grow
-CHANGES_PER_S = 150.0  # watches that end with a change, of all hosts together
-HOST_CHANGES_PER_S = 30.0  # hosts learn of each other from their peers as well
-LONGEST_GATHER_S = 1.0  # half of the time in which a new deployment is to be in force
-TOLD_GAPS = 3  # between announcements, in which one of them has come to all
-SHORTEST_TOLD_S = 0.1  # a few hops and waits for a processor
-LOADS_PER_S = 1000.0  # announcements of new work, of all hosts together
-TOLD_BEATS = 2  # in so many statuses losses are told
 FORGET_S = 20.0  # after this the entry of a silent host is removed
 MOST_ADDRESSES = 64
 WATCHERS = 6  # all but one may be lost together without notice
 READERS = 2  # one may be lost without notice for as long as it counts as alive
 
 
-def beat_s(tables: Tables) -> float:
-    """Return the time between two sendings of this host's status, in seconds."""
-    return max(SHORTEST_BEAT_S, (1 + len(tables.hosts.rows)) / BEATS_PER_S)
-
-
-def alive_s(tables: Tables) -> float:
-    """Return for how long a host counts as alive after its last status."""
-    return max(SHORTEST_ALIVE_S, ALIVE_BEATS * beat_s(tables))
-
-
-def load_gap_s(tables: Tables) -> float:
-    """Return the least time between two announcements of new work."""
-    return (1 + len(tables.hosts.rows)) / LOADS_PER_S
-
-
-def gather_s(tables: Tables, kind: Kind) -> float:
-    """Return the time in which the store's changes gather before the next watch.
-
-    It grows with the number of hosts, as a change ends the watches of all.
-    """
-    per_s = HOST_CHANGES_PER_S if kind is Kind.HOSTS else CHANGES_PER_S
-    return min(LONGEST_GATHER_S, (1 + len(tables.hosts.rows)) / per_s)
-
-
 def _lately(told: list[tuple[float, T]], told_s: float, now: float) -> list[T]:
     """Return what is new, and forget what has been told for long enough."""
     told[:] = [each for each in told if now - each[0] < told_s]
@@ -75,7 +40,7 @@
     hosts = tables.hosts
     hosts.number += 1
     rows = tables.targets.rows
-    told_s = TOLD_BEATS * beat_s(tables)
+    told_s = pace.told_s(tables)
     return HostStatus(
         entry=hosts.own,
         number=hosts.number,
@@ -179,7 +144,7 @@
 
 def live(tables: Tables, now: float) -> list[Host]:
     """Return the other hosts that were heard of lately."""
-    since = now - alive_s(tables)
+    since = now - pace.alive_s(tables)
     rows = tables.hosts.rows.values()
     return [row for row in rows if row.status is not None and row.heard_at > since]
 
@@ -187,7 +152,7 @@
 def expire(tables: Tables, now: float) -> list[str]:
     """Drop the loads of hosts that fell silent; return the names of those hosts."""
     silent = []
-    since = now - alive_s(tables)
+    since = now - pace.alive_s(tables)
     for name, row in tables.hosts.rows.items():
         if row.status is not None and row.heard_at <= since:
             _forget_loads(tables, row)
@@ -208,9 +173,9 @@
     """
     nothing = Spent()
     spent = [row.status.spent.get(service, nothing) for row in live(tables, now)]
-    told_s = TOLD_BEATS * beat_s(tables)
+    told_s = pace.told_s(tables)
     if announced:
-        told_s = min(told_s, max(SHORTEST_TOLD_S, TOLD_GAPS * load_gap_s(tables)))
+        told_s = min(told_s, pace.announced_s(tables))
     return Others(spent, 1 + len(tables.hosts.rows), told_s)
 
 
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -22,7 +22,7 @@
 NOT_EVENTS = 300  # answers with this status or a higher one are no streams
 SERVER_FAILED = 500
 BUDGET_WAIT_S = 0.5  # a pause that most routes still allow
-BUDGET_PAUSE_S = 0.05
+BUDGET_PAUSE_S = 0.05  # half of the shortest time in which spending is known
 
 log = structlog.get_logger()
 
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -117,7 +117,9 @@
     written
         Entries that were written.
     removed
-        Ids of targets whose entries were removed or cannot be read.
+        Ids of targets whose entries were removed.
+    unreadable
+        Ids of targets whose entries cannot be read, and name no target to use.
     """
 
     since: int
@@ -125,6 +127,7 @@
     complete: bool
     written: list[TargetEntry]
     removed: list[str]
+    unreadable: list[str]
 
 
 class TargetTable:
--- a/turmericflow/tests/test_relay_spread.py
+++ b/turmericflow/tests/test_relay_spread.py
@@ -11,21 +11,19 @@
     TargetEntry,
     _discovery as discovery,
     _membership as membership,
+    _pace as pace,
     _spread as spread,
 )
 from turmericflow.relay._spread import Outbox, Rings, Span
 from turmericflow.relay._tables import HostState, Tables, TargetsChange
-from turmericflow.tests.test_relay_systems import host
+from turmericflow.tests.test_relay_systems import host, known_hosts
 
 
 def fleet(size: int) -> dict[str, Tables]:
-    names = [f"h{number:03}" for number in range(size)]
-    tables = {name: Tables(host(name)) for name in names}
+    tables = known_hosts([f"h{number:03}" for number in range(size)])
     for table in tables.values():
-        for other in names:
-            membership.note_entry(table.hosts, host(other), 0.0)
-        for other in names:
-            status = membership.own_status(tables[other], 5.0)
+        for other in tables.values():
+            status = membership.own_status(other, 5.0)
             membership.learn(table, status, 5.0)
     return tables
 
@@ -114,9 +112,9 @@
     table = Tables(host("h"))
     for number in range(size - 1):
         membership.note_entry(table.hosts, host(f"h{number}"), 0.0)
-    per_s = size * spread.RINGS / membership.beat_s(table)
-    assert per_s <= membership.BEATS_PER_S * spread.RINGS
-    assert membership.alive_s(table) >= 4 * membership.beat_s(table)
+    per_s = size * spread.RINGS / pace.beat_s(table)
+    assert per_s <= pace.BEATS_PER_S * spread.RINGS
+    assert pace.alive_s(table) >= 4 * pace.beat_s(table)
 
 
 def test_callers_come_to_all_of_more_hosts_than_an_answer_names():
@@ -168,8 +166,8 @@
     for table in (reader, other, halfway):
         discovery.replace(table.targets, before, 10)
     removed = [f"e{number}" for number in range(30)]
-    change = TargetsChange(10, 40, True, [entry(90)], removed)
-    discovery.apply(halfway.targets, TargetsChange(10, 12, True, [], ["e0"]), 1.0)
+    change = TargetsChange(10, 40, True, [entry(90)], removed, [])
+    discovery.apply(halfway.targets, TargetsChange(10, 12, True, [], ["e0"], []), 1.0)
     for table in (reader, other, halfway):
         assert discovery.apply(table.targets, change, 1.0)
         assert len(table.targets.rows) == 61
@@ -180,7 +178,7 @@
     table, halfway = Tables(host("a")).targets, Tables(host("b")).targets
     discovery.replace(table, [entry(0), entry(1)], 10)
     discovery.replace(halfway, [entry(0), entry(1), entry(2)], 11)
-    change = discovery.difference(table, [entry(1), entry(3)], 12)
+    change = discovery.difference(table, [entry(1), entry(3)], [], 12)
     assert ([each.id for each in change.written], change.removed) == (["e3"], ["e0"])
     assert discovery.apply(table, change, 1.0)
     assert set(table.rows) == {"e1@0", "e3@0"}
@@ -190,6 +188,6 @@
 
 def test_news_is_told_for_a_few_beats():
     table = fleet(6)["h000"]
-    table.targets.news.append((5.0, TargetsChange(1, 2, True, [entry(1)], [])))
+    table.targets.news.append((5.0, TargetsChange(1, 2, True, [entry(1)], [], [])))
     assert len(membership.own_status(table, 5.1).news) == 1
     assert membership.own_status(table, 6.0).news == []
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -39,6 +39,15 @@
     return HostEntry(name, incarnation, data_centre, f"{name}:1", f"{name}:2")
 
 
+def known_hosts(names: list[str]) -> dict[str, Tables]:
+    """Return the tables of hosts that all know of each other's entries."""
+    found = {name: Tables(host(name)) for name in names}
+    for table in found.values():
+        for other in names:
+            membership.note_entry(table.hosts, host(other), 0.0)
+    return found
+
+
 def engine(name: str, data_centre: str = "dc-0", slots: int = 64) -> TargetEntry:
     return TargetEntry(name, 0, "model", f"{name}:1", data_centre, slots)
 
@@ -370,10 +379,7 @@
 def test_a_status_reaches_every_host_in_a_few_hops():
     names = [f"h{n:02}" for n in range(76)]
     links: dict[str, set[str]] = {name: set() for name in names}
-    for name in names:
-        table = Tables(host(name))
-        for other in names:
-            membership.note_entry(table.hosts, host(other), 0.0)
+    for name, table in known_hosts(names).items():
         found = membership.contacts(table, 0.0)
         assert len(found) <= 7
         for entry in found:
@@ -391,10 +397,8 @@
     """Load: hosts are killed together, and those left must find each other."""
     names = [str(number) for number in range(6)]
     live = [name for name in names if name not in lost]
-    tables = {name: Tables(host(name)) for name in names}
+    tables = known_hosts(names)
     for table in tables.values():
-        for other in names:
-            membership.note_entry(table.hosts, host(other), 0.0)
         for other in live:
             status = membership.own_status(tables[other], 5.0)
             membership.learn(table, status, 5.0)
@@ -451,15 +455,34 @@
     tables: Tables,
 ):
     table = tables.targets
-    discovery.apply(table, TargetsChange(table.revision, 101, True, [], ["e2"]), 9.0)
+    discovery.apply(table, TargetsChange(1, 101, True, [], ["e2"], []), 9.0)
     table.lenient_until = 12.5
-    discovery.apply(table, TargetsChange(101, 102, True, [], ["e0", "e1"]), 10.0)
+    discovery.apply(table, TargetsChange(101, 102, True, [], ["e0", "e1"], []), 10.0)
     assert set(tables.targets.rows) == {"e0@0", "e1@0", "e3@0", "e4@0", "e5@0"}
     discovery.put(tables.targets, engine("e0"))
     assert discovery.expire(tables.targets, 12.6) == ["e1@0"]
     assert "e0@0" in tables.targets.rows
 
 
+def test_an_entry_that_cannot_be_read_names_no_target_even_after_an_outage(
+    tables: Tables,
+):
+    table = tables.targets
+    table.lenient_until = 12.5
+    change = discovery.difference(table, [engine("e0")], ["e1"], 9)
+    assert discovery.apply(table, change, 10.0)
+    assert "e1@0" not in table.rows and "e1@0" not in table.lapsed
+    assert set(table.lapsed) == {"e2@0", "e3@0", "e4@0", "e5@0"}
+
+
+def test_a_reading_that_is_older_than_the_view_is_not_taken_in(tables: Tables):
+    table = tables.targets
+    for revision in (0, table.revision):
+        change = discovery.difference(table, [], [], revision)
+        assert not discovery.apply(table, change, 10.0)
+    assert len(table.rows) == 6
+
+
 # Events
 
 
