--- a/turmericflow/relay/__init__.py
+++ b/turmericflow/relay/__init__.py
@@ -15,6 +15,7 @@
     StoreFailed,
 )
 from turmericflow.relay._entry import RequestInvalid
+from turmericflow.relay._host_tables import HostState
 from turmericflow.relay._log import set_up_log
 from turmericflow.relay._membership import addresses
 from turmericflow.relay._model import (
@@ -32,7 +33,7 @@
 )
 from turmericflow.relay._parts import Parts
 from turmericflow.relay._settings import HostSettings, SettingsInvalid
-from turmericflow.relay._tables import HostState, Tables
+from turmericflow.relay._tables import Tables
 
 __all__ = (
     # Declarations and entries
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -16,7 +16,8 @@
 from turmericflow.relay._model import WorkKind
 from turmericflow.relay._parts import Parts
 from turmericflow.relay._routing import Match
-from turmericflow.relay._tables import Run, Suspect, Target
+from turmericflow.relay._tables import Run, Suspect
+from turmericflow.relay._target_tables import Target
 from turmericflow.verdict import (
     ErrorCode,
     Failure,
--- a/turmericflow/relay/_copies.py
+++ b/turmericflow/relay/_copies.py
@@ -5,7 +5,8 @@
 from random import Random
 
 from turmericflow.relay import _membership as membership, _placement as placement
-from turmericflow.relay._tables import Run, Tables, Target
+from turmericflow.relay._tables import Run, Tables
+from turmericflow.relay._target_tables import Target
 
 DONE_SHARE = 0.85  # of its largest output: a run beyond this ends soon
 
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -13,10 +13,10 @@
 from turmericflow.relay._directory import Kind
 from turmericflow.relay._entry import CallerCodec, Entry
 from turmericflow.relay._feed import Feed
+from turmericflow.relay._host_tables import HostState
 from turmericflow.relay._links import Links
 from turmericflow.relay._parts import Parts
 from turmericflow.relay._registration import Registration
-from turmericflow.relay._tables import HostState
 from turmericflow.relay._watchdog import Watchdog
 
 READY_CHECK_S = 0.02
--- a/turmericflow/relay/_discovery.py
+++ b/turmericflow/relay/_discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from turmericflow.relay._model import TargetEntry
-from turmericflow.relay._tables import Target, TargetsChange, TargetTable
+from turmericflow.relay._target_tables import Target, TargetsChange, TargetTable
 
 LAPSE_S = 2.5  # entries lapsed in an outage are back about 2 s after its end
 
--- a/turmericflow/relay/_entry.py
+++ b/turmericflow/relay/_entry.py
@@ -14,10 +14,10 @@
 from turmericflow.relay._attempts import Attempts
 from turmericflow.relay._call import Call
 from turmericflow.relay._exchange import Exchange
+from turmericflow.relay._host_tables import HostState
 from turmericflow.relay._model import Limits, WorkKind
 from turmericflow.relay._parts import Parts
 from turmericflow.relay._stream import Stream
-from turmericflow.relay._tables import HostState
 from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict, not_run
 
 MAX_HEADER_LINE_BYTES = 65_536  # the deployment's own limit is checked on top
--- a/turmericflow/relay/_exchange.py
+++ b/turmericflow/relay/_exchange.py
@@ -8,7 +8,7 @@
 
 from turmericflow.relay._attempts import Attempts, Ending
 from turmericflow.relay._call import Reply
-from turmericflow.relay._tables import Target
+from turmericflow.relay._target_tables import Target
 from turmericflow.verdict import RequestFailed, TargetFailed, Verdict
 
 MAX_ANSWER_BYTES = 16_000_000
--- a/turmericflow/relay/_feed.py
+++ b/turmericflow/relay/_feed.py
@@ -25,7 +25,7 @@
 )
 from turmericflow.relay._model import TargetEntry
 from turmericflow.relay._parts import Parts
-from turmericflow.relay._tables import TargetsChange
+from turmericflow.relay._target_tables import TargetsChange
 
 WAIT_S = 15.0  # a waiting watch costs one call whatever it waits
 REGAIN_WAIT_S = 0.1  # after a failed call, to learn soon that the store answers
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -20,10 +20,10 @@
     _spread as spread,
 )
 from turmericflow.relay._directory import Kind
+from turmericflow.relay._host_tables import HostStatus
 from turmericflow.relay._model import Deployment, TargetEntry
 from turmericflow.relay._parts import Parts
 from turmericflow.relay._spread import Outbox, Rings, Told
-from turmericflow.relay._tables import HostStatus
 
 CONNECT_TIMEOUT_S = 0.5
 READ_BYTES = 65_536
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -11,15 +11,10 @@
     _spread as spread,
 )
 from turmericflow.relay._budgets import Others, Spent
+from turmericflow.relay._host_tables import Host, HostState, HostStatus, HostTable
 from turmericflow.relay._model import HostEntry
-from turmericflow.relay._tables import (
-    Host,
-    HostState,
-    HostStatus,
-    HostTable,
-    Load,
-    Tables,
-)
+from turmericflow.relay._tables import Tables
+from turmericflow.relay._target_tables import Load
 
 T = TypeVar("T")
 
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from turmericflow.relay._tables import Target, TargetTable
+from turmericflow.relay._target_tables import Target, TargetTable
 
 FIRST_OUT_S = 0.5  # doubles with each failure in a row
 LONGEST_OUT_S = 4.0
--- a/turmericflow/relay/_spread.py
+++ b/turmericflow/relay/_spread.py
@@ -16,7 +16,7 @@
 import msgspec
 import xxhash
 
-from turmericflow.relay._tables import HostStatus
+from turmericflow.relay._host_tables import HostStatus
 
 RINGS = 2
 
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -16,7 +16,8 @@
 from turmericflow.relay._attempts import Attempts, BudgetUsedUp, Ending
 from turmericflow.relay._call import Copy, Reply
 from turmericflow.relay._events import EventReader, EventsInvalid
-from turmericflow.relay._tables import Fault, Run, Target
+from turmericflow.relay._tables import Fault, Run
+from turmericflow.relay._target_tables import Target
 from turmericflow.verdict import TargetFailed, Verdict
 
 NOT_EVENTS = 300  # answers with this status or a higher one are no streams
--- a/turmericflow/tests/test_relay_herd.py
+++ b/turmericflow/tests/test_relay_herd.py
@@ -19,7 +19,7 @@
     _placement as placement,
 )
 from turmericflow.relay._placement import Demand
-from turmericflow.relay._tables import Load, TargetTable
+from turmericflow.relay._target_tables import Load, TargetTable
 
 TOKENS = 8000
 READ_S = 1.0
--- a/turmericflow/tests/test_relay_spread.py
+++ b/turmericflow/tests/test_relay_spread.py
@@ -14,8 +14,10 @@
     _pace as pace,
     _spread as spread,
 )
+from turmericflow.relay._host_tables import HostState
 from turmericflow.relay._spread import Outbox, Rings, Span
-from turmericflow.relay._tables import HostState, Tables, TargetsChange
+from turmericflow.relay._tables import Tables
+from turmericflow.relay._target_tables import TargetsChange
 from turmericflow.tests.test_relay_systems import host, known_hosts
 
 
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -18,8 +18,10 @@
 from turmericflow.relay._call import Call
 from turmericflow.relay._crashes import LOSSES_TO_REFUSE, Crashes
 from turmericflow.relay._events import EventReader, EventsInvalid
+from turmericflow.relay._host_tables import HostState
 from turmericflow.relay._model import HostEntry, Route, Share, TargetEntry, WorkKind
-from turmericflow.relay._tables import HostState, Load, Run, Tables, TargetsChange
+from turmericflow.relay._tables import Run, Tables
+from turmericflow.relay._target_tables import Load, TargetsChange
 
 ROUTE = Route(
     "stream",
