Log what closed a connection and what it left unanswered

Cause: the hypotheses on the lost requests could not be told apart. A handler that was cancelled at the end of a drain logged caller_left, as if the caller had closed the connection, or nothing for a plain service; a connection that this host closed left no line; no line said that a request arrived while the host was leaving. A cut at the end of a drain counts as cut. What is answered and closed is unchanged.

--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -13,6 +13,7 @@
 from turmericflow.relay import _routing as routing
 from turmericflow.relay._attempts import Attempts
 from turmericflow.relay._call import Call
+from turmericflow.relay._connections import ClosedBy, Connection
 from turmericflow.relay._context import HostContext
 from turmericflow.relay._exchange import Exchange
 from turmericflow.relay._host_tables import HostState
@@ -22,7 +23,6 @@
 
 MAX_HEADER_LINE_BYTES = 65_536  # the deployment's limit is checked in addition
 STATUS_HEADERS_TOO_LARGE = 431
-CALLER_DISCONNECT_ERRORS = (ConnectionError, asyncio.CancelledError)
 
 log = structlog.get_logger()
 
@@ -72,9 +72,8 @@
 
     def abort(self) -> None:
         """Abort the connection, so that the response cannot look complete."""
-        transport = self._request.transport
-        if transport is not None:
-            transport.abort()
+        conn: Connection = self._request.protocol
+        conn.abort()
 
 
 class CallerHandler:
@@ -144,10 +143,16 @@
                 not_run(ErrorCode.TOO_LARGE, "body too large").failure
             )
         call.arrived_at = started_at
+        leaving_s = ctx.tables.hosts.leaving_s(started_at)
+        if leaving_s is not None:
+            log.info("request_while_leaving", request=call.id, leaving_s=leaving_s)
         try:
             return await self._serve(request, call)
         except RequestFailed as exc:
             return self._failure_response(call, exc.failure)
+        except asyncio.CancelledError:
+            self._log_cancelled(request, call)
+            raise
         except ConnectionError:
             raise
         except Exception as exc:
@@ -188,7 +193,7 @@
             writer.abort()
             self._log_failed(attempts.call, exc.failure, begun=True)
             self._ctx.metrics.requests.labels("cut").inc()
-        except CALLER_DISCONNECT_ERRORS:
+        except ConnectionError:
             self._ctx.metrics.requests.labels("caller_left").inc()
             log.info("caller_left", request=attempts.call.id, begun=stream.begun)
             raise
@@ -196,6 +201,21 @@
             self._ctx.metrics.requests.labels("answered").inc()
         return writer.resp
 
+    def _log_cancelled(self, request: web.BaseRequest, call: Call) -> None:
+        """Log a request whose connection closed before its response was complete."""
+        ctx = self._ctx
+        now = ctx.clock.now()
+        conn: Connection = request.protocol
+        by_caller = conn.closed_by is ClosedBy.CALLER
+        ctx.metrics.requests.labels("caller_left" if by_caller else "cut").inc()
+        log.info(
+            "caller_left" if by_caller else "request_cut",
+            request=call.id,
+            closed_by=conn.closed_by,
+            after_s=round(now - call.arrived_at, 3),
+            leaving_s=ctx.tables.hosts.leaving_s(now),
+        )
+
     def _failure_response(self, call: Call, failure: Failure) -> web.Response:
         self._log_failed(call, failure, begun=False)
         outcome = "refused" if failure.verdict is Verdict.NOT_RUN else "failed"
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -103,6 +103,8 @@
         Entry of this host.
     state
         Lifecycle state of this host.
+    leaving_since
+        Time of the order to leave on the event loop's clock, or None before it.
     rows
         The other hosts by name.
     status_number, urgent_changes
@@ -114,6 +116,7 @@
     __slots__ = (
         "own",
         "state",
+        "leaving_since",
         "rows",
         "status_number",
         "urgent_changes",
@@ -123,7 +126,14 @@
     def __init__(self, own: HostEntry) -> None:
         self.own = own
         self.state = HostState.STARTING
+        self.leaving_since: float | None = None
         self.rows: dict[str, Host] = {}
         self.status_number = 0
         self.urgent_changes = 0
         self.unanswered_kinds: set[str] = set()
+
+    def leaving_s(self, now: float) -> float | None:
+        """Return the time since the order to leave in seconds, or None before it."""
+        if self.leaving_since is None:
+            return None
+        return round(now - self.leaving_since, 3)
