Test what a leaving host accepts, closes and answers, failing

What callers saw: streams that were accepted on kept connections late after SIGTERM and cut at the end of the drain.

--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+from collections.abc import AsyncIterator
 
 import aiohttp
 import pytest
+from aiohttp import web
 from structlog.testing import capture_logs
 
-from turmericflow.tests.platform_stand_ins import Fleet
+from turmericflow.tests.platform_stand_ins import EngineStandIn, Fleet
 
 
 async def test_a_cut_at_the_end_of_a_drain_is_not_logged_as_the_callers_doing(
@@ -39,3 +42,163 @@
         await fleet.until(lambda: any(e["event"] == "caller_left" for e in lines))
         await asyncio.sleep(0.05)
     assert not [line for line in lines if line["event"] == "request_cut"]
+
+
+HEAD = (
+    b"POST /%s/1 HTTP/1.1\r\nHost: site.example\r\nX-Turmericflow-Key: key-of-a\r\n"
+    b"X-Turmericflow-Deadline-Ms: %d\r\nX-Turmericflow-Attempt-Id: %s\r\n"
+    b"X-Turmericflow-Token-Usage: 100,120\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+class Connection:
+    """A caller's connection that is kept between requests."""
+
+    def __init__(self, reader, writer) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(cls, fleet: Fleet, receive_buffer: int | None = None) -> Connection:
+        sock = socket.socket()
+        if receive_buffer is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        sock.connect(("127.0.0.1", fleet.hosts[0].ports[0]))
+        return cls(*await asyncio.open_connection(sock=sock))
+
+    async def send(self, route: str, id: str, timeout_ms: int = 10_000) -> bytes:
+        """Send a request and return the head of its response."""
+        self.writer.write(HEAD % (route.encode(), timeout_ms, id.encode()))
+        return await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), 5)
+
+
+async def _leave(fleet: Fleet) -> None:
+    """Stop a host as its process does after SIGTERM."""
+    daemon = fleet.hosts[0].daemon
+    await daemon.leave()
+    await daemon.close()
+
+
+@pytest.fixture
+async def kept(fleet: Fleet) -> AsyncIterator[Connection]:
+    """Open a connection and use it once."""
+    await fleet.add_plain(1)
+    conn = await Connection.open(fleet)
+    answer = await conn.send("order", "first")
+    assert answer.startswith(b"HTTP/1.1 200")
+    await conn.reader.readuntil(b"plain-0 first")
+    yield conn
+    conn.writer.close()
+
+
+# Guards against streams that are accepted late in a drain and cut at its end.
+async def test_a_stream_that_a_leaving_host_cannot_finish_is_refused(
+    fleet: Fleet, kept: Connection
+):
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.event_interval_s = 0.1
+    host = fleet.hosts[0]
+    leaving = asyncio.create_task(_leave(fleet))
+    kept.writer.write((HEAD % (b"stream", 10_000, b"late"))[:50])
+    await asyncio.sleep(0.5 * host.ctx.settings.leave_s)
+    kept.writer.write((HEAD % (b"stream", 10_000, b"late"))[50:])
+    answer = await kept.reader.read()
+    await leaving
+    assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
+    assert b"Connection: close" in answer and not engine.received
+
+
+# Guards against a plain request that is refused although its route's timeout ends it
+# before the drain does.
+async def test_a_leaving_host_accepts_what_it_can_finish(
+    fleet: Fleet, kept: Connection
+):
+    host = fleet.hosts[0]
+    leaving = asyncio.create_task(_leave(fleet))
+    head = HEAD % (b"order", 300, b"late")
+    kept.writer.write(head[:50])
+    await asyncio.sleep(0.5 * host.ctx.settings.leave_s)
+    kept.writer.write(head[50:])
+    answer = await kept.reader.read()
+    await leaving
+    assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"plain-0 late")
+
+
+@pytest.fixture
+async def long_stream(fleet: Fleet) -> AsyncIterator[EngineStandIn]:
+    """Run a stream that lasts for nearly the whole drain; yield its engine."""
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.event_interval_s = 0.07
+    async with fleet.request("/stream/1", "long") as request:
+        yield engine
+        assert (await request.read()).count(b"id: ") == 20
+
+
+# Guards against connections that stay open, unused, until the process ends, so that
+# a request on them meets a host that has no time left.
+async def test_a_leaving_host_closes_idle_connections(
+    fleet: Fleet, kept: Connection, long_stream: EngineStandIn
+):
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    leaving = asyncio.create_task(_leave(fleet))
+    assert await asyncio.wait_for(kept.reader.read(), 5) == b""
+    assert loop.time() - started_at < 0.5 * fleet.hosts[0].ctx.settings.leave_s
+    await leaving
+
+
+# Guards against a connection that stays open after a stream that began before the
+# order to leave, whose headers could not say that it will be closed.
+async def test_a_connection_is_closed_after_a_stream_that_began_before_the_drain(
+    fleet: Fleet, kept: Connection, long_stream: EngineStandIn
+):
+    long_stream.events = 6
+    head = await kept.send("stream", "r1")
+    assert b"Connection: close" not in head
+    started_at = asyncio.get_running_loop().time()
+    leaving = asyncio.create_task(_leave(fleet))
+    body = await asyncio.wait_for(kept.reader.read(), 5)
+    assert body.endswith(b"0\r\n\r\n") and body.count(b"id: ") == 6
+    assert asyncio.get_running_loop().time() - started_at < 1.0
+    await leaving
+
+
+# Guards against a connection that is closed without an answer at the end of a drain.
+async def test_a_request_that_has_no_answer_at_the_end_of_a_drain_gets_one(
+    fleet: Fleet, kept: Connection
+):
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.prefill_s = 3.0
+    kept.writer.write(HEAD % (b"stream", 10_000, b"r1"))
+    await fleet.until(lambda: engine.received)
+    leaving = asyncio.create_task(_leave(fleet))
+    answer = await asyncio.wait_for(kept.reader.read(), 5)
+    await leaving
+    assert answer.startswith(b"HTTP/1.1 502")
+    await fleet.until(lambda: engine.received[0].outcome == "cancelled")
+
+
+# Guards against an end of the process while a caller still reads an answer.
+async def test_a_leaving_host_waits_until_answers_are_sent(
+    fleet: Fleet, kept: Connection, monkeypatch: pytest.MonkeyPatch
+):
+    body = b"b" * 12_000_000  # more than the sockets buffer
+    target = fleet.targets["plain-0"]
+
+    async def run(request, received, fault):
+        return web.Response(headers=target._signed(request), body=body)
+
+    monkeypatch.setattr(target, "run", run)
+    conn = await Connection.open(fleet, receive_buffer=65_536)
+    await conn.send("order", "large")
+    leaving = asyncio.create_task(_leave(fleet))
+    received, received_before_end = 0, 0
+    slow_until = asyncio.get_running_loop().time() + 1.2
+    while data := await conn.reader.read(65_536):
+        received += len(data)
+        if not leaving.done():
+            received_before_end = received
+        if asyncio.get_running_loop().time() < slow_until:
+            await asyncio.sleep(0.02)
+    await leaving
+    assert received == len(body) and received_before_end > len(body) / 2
