Let the time limit of a head end with the head

What callers saw: a whole request, sent in time, was closed without an answer. Also, connections were closed as if a head were late after an early answer to a body that was still coming, and after empty lines between requests.

Cause: the timer of a head ran from the first bytes that came while no handler ran until the next handler began, though neither follows the bytes. After a stall of the process the rest of the head is read, and the timer fires, in the same pass of the event loop, before the handler begins. The rest of a body after an early answer, and empty lines, are not parts of a head.

The timer now runs only while a part of a head was received: it stops when the parser has read a whole head, and bytes of a body or empty lines do not start it. Whether a request is unanswered is now counted from its head being read to its response being complete, which the log line `connection_lost` uses too; before, a response that was still being written counted as complete.

--- a/turmericflow/relay/_connections.py
+++ b/turmericflow/relay/_connections.py
@@ -8,6 +8,7 @@
 
 import structlog
 from aiohttp import web
+from aiohttp.streams import EMPTY_PAYLOAD
 
 LISTEN_BACKLOG = 512
 DEFAULT_HEAD_TIMEOUT_S = 3.0  # unless the deployment sets another
@@ -27,6 +28,14 @@
     SERVER = "server"  # the idle timeout, a malformed request, or a failed response
 
 
+class Unanswered(enum.StrEnum):
+    """What a connection received of a request that has no complete response."""
+
+    HEAD = "head"  # a part of it
+    WHOLE_HEAD = "whole_head"
+    REQUEST = "request"  # it is being served
+
+
 class Connection(web.RequestHandler):
     """A connection that is closed if a request's head takes too long to arrive.
 
@@ -39,7 +48,8 @@
     __slots__ = (
         "_head_timeout_s",
         "_head_timer",
-        "_answering",
+        "_last_payload",
+        "_answered",
         "_received_at",
         "closed_by",
     )
@@ -48,18 +58,31 @@
         super().__init__(*args, **kwargs)
         self._head_timeout_s = head_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
-        self._answering = False
+        self._last_payload = EMPTY_PAYLOAD  # of the last head that was read whole
+        self._answered = 0
         self._received_at = self._loop.time()
         self.closed_by: ClosedBy | None = None
 
+    @property
+    def unanswered(self) -> Unanswered | None:
+        """What was received of requests whose responses are not complete."""
+        if self._request_in_progress:
+            return Unanswered.REQUEST
+        if self._request_count > self._answered:
+            return Unanswered.WHOLE_HEAD
+        return Unanswered.HEAD if self._head_timer is not None else None
+
     def data_received(self, data: bytes) -> None:
-        """Receive bytes; the first bytes of a head start its timer."""
+        """Receive bytes; the timer runs while a part of a head was received."""
         self._received_at = self._loop.time()
-        if self._head_timer is None and not self._answering:
-            self._head_timer = self._loop.call_later(
-                self._head_timeout_s, self._on_head_timeout
-            )
+        in_body = not self._last_payload.is_eof()
+        heads = self._request_count
         super().data_received(data)
+        if self._request_count > heads:
+            self._last_payload = self._messages[-1][1]
+            self._stop_timer()
+        elif self._head_timer is None and not in_body and data.strip(b"\r\n"):
+            self._start_timer()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer of a lost connection; log what remains unanswered."""
@@ -88,17 +111,11 @@
         await super().shutdown(timeout)
 
     def _log_unanswered(self, exc: BaseException | None) -> None:
-        if self._answering:
-            unanswered = "request"
-        elif self._messages:
-            unanswered = "whole_head"
-        elif self._head_timer is not None:
-            unanswered = "head"
-        else:
+        if self.unanswered is None:
             return
         log.info(
             "connection_lost",
-            unanswered=unanswered,
+            unanswered=self.unanswered,
             closed_by=self.closed_by,
             received_s=round(self._loop.time() - self._received_at, 3),
             head_timeout_s=self._head_timeout_s,
@@ -106,14 +123,16 @@
             reason=repr(exc),
         )
 
-    def request_started(self) -> None:
-        """Stop the timer, as a request's head is complete and is being answered."""
-        self._answering = True
-        self._stop_timer()
+    async def _handle_request(self, *args: object) -> tuple[web.StreamResponse, bool]:
+        try:
+            return await super()._handle_request(*args)
+        finally:
+            self._answered += 1
 
-    def request_finished(self) -> None:
-        """Let the next bytes start the timer of another head."""
-        self._answering = False
+    def _start_timer(self) -> None:
+        self._head_timer = self._loop.call_later(
+            self._head_timeout_s, self._on_head_timeout
+        )
 
     def _stop_timer(self) -> None:
         if self._head_timer is not None:
@@ -121,7 +140,9 @@
             self._head_timer = None
 
     def _on_head_timeout(self) -> None:
-        self._head_timer = None
+        if self._request_count > self._answered:
+            self._start_timer()  # closing would cut off the response before this head
+            return
         self.closed_by = ClosedBy.HEAD_TIMEOUT
         log.info("header_timeout", timeout_s=self._head_timeout_s)
         self.force_close()
@@ -151,14 +172,6 @@
         self.handler = handler
         self.runner: web.ServerRunner | None = None
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        conn: Connection = request.protocol
-        conn.request_started()
-        try:
-            return await self.handler(request)
-        finally:
-            conn.request_finished()
-
     @property
     def connections(self) -> int:
         """Number of open connections."""
@@ -174,7 +187,7 @@
         **kwargs
             Options of the server.
         """
-        server = _Server(self._handle, options, **kwargs)
+        server = _Server(self.handler, options, **kwargs)
         self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self.runner.setup()
         ip, _, port = self.address.rpartition(":")
