Let the idle timeout end with the first bytes of a head

What callers saw: a request whose head came in two parts, within its time limit, was closed without an answer if the connection had been idle for nearly the idle timeout when the head began.

Cause: the HTTP server's idle timeout asks whether a handler runs, and closes a connection that holds a part of a head.

Evidence: the test added here failed before: a head that began after 0.3 s of an idle timeout of 0.4 s, and was whole 0.4 s later, found the connection closed.

The idle timeout now closes only connections that hold nothing unanswered; the time limit of the head bounds the others.

--- a/turmericflow/relay/_connections.py
+++ b/turmericflow/relay/_connections.py
@@ -129,6 +129,12 @@
         finally:
             self._answered += 1
 
+    def _process_keepalive(self) -> None:
+        if self.unanswered is None:
+            super()._process_keepalive()
+        else:
+            self._keepalive_handle = None  # the next response starts it again
+
     def _start_timer(self) -> None:
         self._head_timer = self._loop.call_later(
             self._head_timeout_s, self._on_head_timeout
--- a/turmericflow/tests/test_relay_limits_of_connections.py
+++ b/turmericflow/tests/test_relay_limits_of_connections.py
@@ -113,6 +113,17 @@
     assert await conn.request(b"next") == (200, b"plain-0 next")
 
 
+# Guards against a head that arrives in time and is closed by the idle timeout.
+async def test_the_idle_timeout_ends_with_the_first_bytes_of_a_head(limited: Limit):
+    conn = await limited(idleTimeoutMs=400)
+    assert await conn.request(b"first") == (200, b"plain-0 first")
+    await asyncio.sleep(0.3)
+    conn.send(HEAD[:60])
+    await asyncio.sleep(0.4)
+    conn.send(HEAD[60:] % b"next")
+    assert await conn.answer() == (200, b"plain-0 next")
+
+
 async def test_a_head_that_comes_too_slowly_closes_the_connection(limited: Limit):
     conn = await limited(headerTimeoutMs=300)
     assert await conn.request(b"first") == (200, b"plain-0 first")
