Apply changed time limits to open connections

What callers saw: after a configuration with a longer idle timeout or a longer time for heads, connections that were opened before it were closed by the older limits, on callers that kept to the newer ones. Connections that were opened before a host had a configuration kept the defaults.

Cause: the limits were options of a connection, fixed when it was opened.

Connections now look the limits up when a timer ends, and wait on if the limit has become longer. A shorter limit applies after the next request, so that a connection that is idle already is not closed on a caller that cannot know of it yet. Not covered: a limit below the time in which a configuration comes into force, in the waits that begin within that time.

--- a/turmericflow/relay/_connections.py
+++ b/turmericflow/relay/_connections.py
@@ -5,20 +5,36 @@
 import asyncio
 import enum
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import structlog
 from aiohttp import web
 from aiohttp.streams import EMPTY_PAYLOAD
 
 LISTEN_BACKLOG = 512
-DEFAULT_HEAD_TIMEOUT_S = 3.0  # unless the deployment sets another
+IDLE_CHECK_S = 0.1  # the current idle timeout is first applied after this time
 
-Options = Callable[[], dict[str, object]]
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 log = structlog.get_logger()
 
 
+@dataclass(slots=True, frozen=True)
+class Timeouts:
+    """Time limits of a connection, in seconds.
+
+    Attributes
+    ----------
+    head_s
+        Time from the first byte of a request's head to its last.
+    idle_s
+        Time without a request or a part of one.
+    """
+
+    head_s: float = 3.0
+    idle_s: float = 3600.0
+
+
 class ClosedBy(enum.StrEnum):
     """What closed a connection."""
 
@@ -46,7 +62,8 @@
     """
 
     __slots__ = (
-        "_head_timeout_s",
+        "_current_timeouts",
+        "_timeouts",
         "_head_timer",
         "_last_payload",
         "_answered",
@@ -54,9 +71,12 @@
         "closed_by",
     )
 
-    def __init__(self, *args: object, head_timeout_s: float, **kwargs: object) -> None:
-        super().__init__(*args, **kwargs)
-        self._head_timeout_s = head_timeout_s
+    def __init__(
+        self, *args: object, timeouts: Callable[[], Timeouts], **kwargs: object
+    ) -> None:
+        super().__init__(*args, keepalive_timeout=IDLE_CHECK_S, **kwargs)
+        self._current_timeouts = timeouts
+        self._timeouts = timeouts()  # those at the start of the last request
         self._head_timer: asyncio.TimerHandle | None = None
         self._last_payload = EMPTY_PAYLOAD  # of the last head that was read whole
         self._answered = 0
@@ -82,7 +102,7 @@
             self._last_payload = self._messages[-1][1]
             self._stop_timer()
         elif self._head_timer is None and not in_body and data.strip(b"\r\n"):
-            self._start_timer()
+            self._start_timer(self._received_at)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer of a lost connection; log what remains unanswered."""
@@ -118,26 +138,42 @@
             unanswered=self.unanswered,
             closed_by=self.closed_by,
             received_s=round(self._loop.time() - self._received_at, 3),
-            head_timeout_s=self._head_timeout_s,
-            idle_timeout_s=self.keepalive_timeout,
+            head_timeout_s=self._longest().head_s,
+            idle_timeout_s=self._longest().idle_s,
             reason=repr(exc),
         )
 
     async def _handle_request(self, *args: object) -> tuple[web.StreamResponse, bool]:
+        self._timeouts = self._current_timeouts()
         try:
             return await super()._handle_request(*args)
         finally:
             self._answered += 1
 
+    def _longest(self) -> Timeouts:
+        """Return the longer of the current time limits and of those before.
+
+        A caller may not know yet that a limit is shorter now.
+        """
+        old, new = self._timeouts, self._current_timeouts()
+        return Timeouts(max(old.head_s, new.head_s), max(old.idle_s, new.idle_s))
+
     def _process_keepalive(self) -> None:
-        if self.unanswered is None:
-            super()._process_keepalive()
+        self._keepalive_handle = None
+        if self.unanswered is not None:
+            return  # the next response starts it again
+        idle_since = self._next_keepalive_close_time - IDLE_CHECK_S
+        close_at = idle_since + self._longest().idle_s
+        if self._loop.time() < close_at:
+            self._keepalive_handle = self._loop.call_at(
+                close_at, self._process_keepalive
+            )
         else:
-            self._keepalive_handle = None  # the next response starts it again
+            super()._process_keepalive()
 
-    def _start_timer(self) -> None:
-        self._head_timer = self._loop.call_later(
-            self._head_timeout_s, self._on_head_timeout
+    def _start_timer(self, started_at: float) -> None:
+        self._head_timer = self._loop.call_at(
+            started_at + self._longest().head_s, self._on_head_timeout, started_at
         )
 
     def _stop_timer(self) -> None:
@@ -145,27 +181,38 @@
             self._head_timer.cancel()
             self._head_timer = None
 
-    def _on_head_timeout(self) -> None:
+    def _on_head_timeout(self, started_at: float) -> None:
+        now, timeout_s = self._loop.time(), self._longest().head_s
         if self._request_count > self._answered:
-            self._start_timer()  # closing would cut off the response before this head
-            return
-        self.closed_by = ClosedBy.HEAD_TIMEOUT
-        log.info("header_timeout", timeout_s=self._head_timeout_s)
-        self.force_close()
+            self._start_timer(now)  # closing would cut off the response before it
+        elif now < started_at + timeout_s:
+            self._start_timer(started_at)
+        else:
+            self.closed_by = ClosedBy.HEAD_TIMEOUT
+            log.info("header_timeout", timeout_s=timeout_s)
+            self.force_close()
 
 
 class _Server(web.Server):
-    """Applies the options that are current when a connection is opened."""
-
-    def __init__(self, handler: Handler, options: Options, **kwargs: object) -> None:
+    """Creates the protocol handlers of connections."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        timeouts: Callable[[], Timeouts],
+        options: dict[str, object],
+        **kwargs: object,
+    ) -> None:
         super().__init__(handler, **kwargs)
+        self._timeouts = timeouts
         self._options = options
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol handler of a new connection."""
-        options = {"head_timeout_s": DEFAULT_HEAD_TIMEOUT_S} | self._options()
         loop = asyncio.get_running_loop()
-        return Connection(self, loop=loop, access_log=None, **options)
+        return Connection(
+            self, loop=loop, access_log=None, timeouts=self._timeouts, **self._options
+        )
 
 
 class Listener:
@@ -183,17 +230,25 @@
         """Number of open connections."""
         return len(self.runner.server.connections)
 
-    async def open(self, options: Options = dict, **kwargs: object) -> None:
+    async def open(
+        self,
+        timeouts: Callable[[], Timeouts] = Timeouts,
+        options: dict[str, object] | None = None,
+        **kwargs: object,
+    ) -> None:
         """Start to listen.
 
         Parameters
         ----------
+        timeouts
+            Returns the current time limits of connections; changes apply to open
+            connections too.
         options
-            Returns the handler options; called for each new connection.
+            Options of the protocol handlers of connections.
         **kwargs
             Options of the server.
         """
-        server = _Server(self.handler, options, **kwargs)
+        server = _Server(self.handler, timeouts, options or {}, **kwargs)
         self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self.runner.setup()
         ip, _, port = self.address.rpartition(":")
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -9,7 +9,7 @@
 
 from turmericflow.relay import _caller_handler as caller_handler
 from turmericflow.relay._caller_handler import CallerCodec, CallerHandler
-from turmericflow.relay._connections import Listener
+from turmericflow.relay._connections import Listener, Timeouts
 from turmericflow.relay._context import HostContext
 from turmericflow.relay._host_tables import HostState
 from turmericflow.relay._links import Links
@@ -22,7 +22,11 @@
 DRAIN_ACCEPT_SHARE = 3 / 8  # of the drain time, in which requests are still accepted
 DRAIN_MARGIN_S = 0.4
 DRAIN_POLL_S = 0.05
-LINGER_S = 1.0  # to read the rest of a body after an early answer
+CALLER_OPTIONS = {
+    "max_line_size": caller_handler.MAX_HEADER_LINE_BYTES,
+    "max_field_size": caller_handler.MAX_HEADER_LINE_BYTES,
+    "lingering_time": 1.0,  # to read the rest of a body after an early answer
+}
 
 log = structlog.get_logger()
 
@@ -47,7 +51,8 @@
         await self._callers.open(
             request_factory=self.caller_handler.build_request,
             handler_cancellation=True,
-            options=self._caller_options,
+            timeouts=self._caller_timeouts,
+            options=CALLER_OPTIONS,
         )
         for kind in Kind:
             await self.add_runtime_dependency(StoreWatch(ctx, kind))
@@ -55,14 +60,9 @@
         await self.add_runtime_dependency(self._links)
         await self.add_runtime_dependency(Watchdog(ctx))
 
-    def _caller_options(self) -> dict[str, object]:
-        return {
-            "head_timeout_s": self.caller_handler.limits.header_timeout_s,
-            "keepalive_timeout": self.caller_handler.limits.idle_timeout_s,
-            "max_line_size": caller_handler.MAX_HEADER_LINE_BYTES,
-            "max_field_size": caller_handler.MAX_HEADER_LINE_BYTES,
-            "lingering_time": LINGER_S,
-        }
+    def _caller_timeouts(self) -> Timeouts:
+        limits = self.caller_handler.limits
+        return Timeouts(limits.header_timeout_s, limits.idle_timeout_s)
 
     @Service.task
     async def _become_ready(self) -> None:
--- a/turmericflow/tests/test_relay_limits_of_connections.py
+++ b/turmericflow/tests/test_relay_limits_of_connections.py
@@ -148,6 +148,39 @@
     assert await conn.answer() == (200, b"plain-0 next")
 
 
+# Guards against connections that keep the limits under which they were opened, and are
+# closed on callers that rely on a longer limit of a later configuration.
+async def test_a_longer_idle_timeout_applies_to_open_connections(limited: Limit):
+    conn = await limited(idleTimeoutMs=400)
+    assert await conn.request(b"first") == (200, b"plain-0 first")
+    await limited(idleTimeoutMs=2_000, opens=False)
+    assert await conn.is_open(1.2)
+    assert await conn.request(b"next") == (200, b"plain-0 next")
+    assert await conn.is_open(1.2)
+    assert await conn.request(b"last") == (200, b"plain-0 last")
+
+
+async def test_a_longer_time_for_heads_applies_to_open_connections(limited: Limit):
+    conn = await limited(headerTimeoutMs=300)
+    conn.send(HEAD[:60])
+    await limited(headerTimeoutMs=2_000, opens=False)
+    await asyncio.sleep(0.8)
+    conn.send(HEAD[60:] % b"a")
+    assert await conn.answer() == (200, b"plain-0 a")
+
+
+# Guards against a connection that is closed on a caller that cannot know of a shorter
+# limit yet, and against one that keeps a longer limit for good.
+async def test_a_shorter_idle_timeout_applies_from_the_next_wait_on(limited: Limit):
+    conn = await limited(idleTimeoutMs=2_000)
+    assert await conn.request(b"first") == (200, b"plain-0 first")
+    await limited(idleTimeoutMs=300, opens=False)
+    assert await conn.is_open(1.0)
+    assert await conn.request(b"next") == (200, b"plain-0 next")
+    assert await conn.is_open(0.2)
+    assert not await conn.is_open(1.0)
+
+
 async def test_pipelined_requests_are_all_answered_in_order(limited: Limit):
     conn = await limited()
     no_route = HEAD.replace(b"/order/", b"/nowhere/") % b"no-route"
