Refuse what a leaving host has no time to finish

Cause: what a leaving host accepted depended on its listening socket, which bounds new connections only. A request on an open connection was accepted at any time, whatever time was left. Change: once the time in which any request is accepted has passed, a request is accepted only if its deadline passes before the host ends its responses; others get status 503 with Connection: close and a Retry-After of 0 if another host is ready. The rule looks at the time left when the request is read whole, so it holds for any connection. Result: test_a_stream_that_a_leaving_host_cannot_finish_is_refused failed before (status 200, cut after 10 of 20 events) and passes.

test_a_leaving_host_is_no_longer_listed_and_finishes_its_streams sent its second stream after the time in which any request is accepted, and ended before the drain cut it; it now sends it within that time, with the same checks.

--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -10,7 +10,7 @@
 from aiohttp.http import HttpVersion11
 from multidict import CIMultiDict
 
-from turmericflow.relay import _routing as routing
+from turmericflow.relay import _leaving as leaving, _routing as routing
 from turmericflow.relay._attempts import Attempts
 from turmericflow.relay._call import Call
 from turmericflow.relay._connections import ClosedBy, Connection
@@ -164,9 +164,11 @@
 
     async def _serve(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         ctx = self._ctx
+        now = ctx.clock.now()
         match = routing.match_request(ctx.tables.deployment, call, ctx.rng)
-        ctx.tables.retry_budgets.record_request(match.service, ctx.clock.now())
         attempts = Attempts(ctx, match, call)
+        leaving.check_accepted(ctx.tables, attempts.deadline, ctx.settings.leave_s, now)
+        ctx.tables.retry_budgets.record_request(match.service, now)
         if match.route.kind is WorkKind.STREAM:
             return await self._stream(request, attempts)
         answer = await Exchange(attempts).run()
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -7,7 +7,7 @@
 import structlog
 from mode import Service
 
-from turmericflow.relay import _caller_handler as caller_handler
+from turmericflow.relay import _caller_handler as caller_handler, _leaving as leaving
 from turmericflow.relay._caller_handler import CallerCodec, CallerHandler
 from turmericflow.relay._connections import Listener
 from turmericflow.relay._context import HostContext
@@ -19,8 +19,6 @@
 from turmericflow.relay._watchdog import Watchdog
 
 READY_POLL_S = 0.02
-DRAIN_ACCEPT_SHARE = 3 / 8  # of the drain time, in which requests are still accepted
-DRAIN_MARGIN_S = 0.4
 DRAIN_POLL_S = 0.05
 LINGER_S = 1.0  # to read the rest of a body after an early answer
 
@@ -86,10 +84,10 @@
     async def leave(self) -> None:
         """Drain this host within the setting ``leave_s``.
 
-        Requests are accepted for a part of that time, so that callers and other
+        Connections are accepted for a part of that time, so that callers and other
         hosts learn that this host is leaving; running requests may then finish.
         """
-        settings, clock = self._ctx.settings, self._ctx.clock
+        leave_s, clock = self._ctx.settings.leave_s, self._ctx.clock
         started_at = clock.now()
         hosts = self._ctx.tables.hosts
         hosts.state = HostState.LEAVING
@@ -100,9 +98,10 @@
             running=self.caller_handler.running,
             connections=self._callers.connections,
         )
-        await asyncio.sleep(DRAIN_ACCEPT_SHARE * settings.leave_s)
+        accept_until = leaving.accept_until(started_at, leave_s)
+        await asyncio.sleep(accept_until - clock.now())
         await self._callers.stop_listening()
-        deadline = started_at + settings.leave_s - DRAIN_MARGIN_S
+        deadline = leaving.serve_until(started_at, leave_s)
         while self.caller_handler.running and clock.now() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
         log.info(
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -570,10 +570,10 @@
     leaving = asyncio.create_task(fleet.hosts[0].daemon.leave())
     await asyncio.sleep(0.2)
     assert len(await listed()) == 2
-    assert _event_ids(await request.read()) == list(range(1, 21))
     async with fleet.request("/stream/1", "r2") as resp:
         assert resp.headers["Connection"] == "close"
         assert _event_ids(await resp.read()) == list(range(1, 21))
+    assert _event_ids(await request.read()) == list(range(1, 21))
     await leaving
 
 
--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -91,23 +91,6 @@
     conn.writer.close()
 
 
-# Guards against streams that are accepted late in a drain and cut at its end.
-async def test_a_stream_that_a_leaving_host_cannot_finish_is_refused(
-    fleet: Fleet, kept: Connection
-):
-    (engine,) = await fleet.add_engines("dc-0")
-    engine.event_interval_s = 0.1
-    host = fleet.hosts[0]
-    leaving = asyncio.create_task(_leave(fleet))
-    kept.writer.write((HEAD % (b"stream", 10_000, b"late"))[:50])
-    await asyncio.sleep(0.5 * host.ctx.settings.leave_s)
-    kept.writer.write((HEAD % (b"stream", 10_000, b"late"))[50:])
-    answer = await kept.reader.read()
-    await leaving
-    assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
-    assert b"Connection: close" in answer and not engine.received
-
-
 # Guards against a plain request that is refused although its route's timeout ends it
 # before the drain does.
 async def test_a_leaving_host_accepts_what_it_can_finish(
@@ -134,6 +117,22 @@
         assert (await request.read()).count(b"id: ") == 20
 
 
+# Guards against streams that are accepted late in a drain and cut at its end.
+async def test_a_stream_that_a_leaving_host_cannot_finish_is_refused(
+    fleet: Fleet, kept: Connection, long_stream: EngineStandIn
+):
+    leaving = asyncio.create_task(_leave(fleet))
+    head = HEAD % (b"stream", 10_000, b"late")
+    kept.writer.write(head[:50])
+    await asyncio.sleep(0.5 * fleet.hosts[0].ctx.settings.leave_s)
+    kept.writer.write(head[50:])
+    answer = await kept.reader.read()
+    await leaving
+    assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
+    assert b"Connection: close" in answer
+    assert [seen.id for seen in long_stream.received] == ["long"]
+
+
 # Guards against connections that stay open, unused, until the process ends, so that
 # a request on them meets a host that has no time left.
 async def test_a_leaving_host_closes_idle_connections(
