Drain connections instead of running handlers

What callers saw: a leaving host stopped as soon as no handler ran, and closed connections on which a request's head had begun to arrive or an answer was still being read; idle connections, and those of streams that began before SIGTERM, stayed open until the process ended and met it with the caller's next request. Cause: the drain counted running handlers. A handler runs from the end of a head to the return of its response, a request from its first byte to the last byte that the caller reads. Change: the drain ends when no connection is open. Once the host accepts no connections, each open one is closed as soon as it holds no bytes that await a response; a caller whose request crosses that close has not been read.

--- a/turmericflow/relay/_connections.py
+++ b/turmericflow/relay/_connections.py
@@ -75,6 +75,13 @@
             self.closed_by = ClosedBy.SERVER
             self.transport.abort()
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless it holds bytes that await a response."""
+        waiting = self._waiter is not None and not self._waiter.done()
+        if waiting and self._head_timer is None:
+            self.closed_by = ClosedBy.LEAVING
+            self.force_close()
+
     def force_close(self) -> None:
         """Close the connection; a response that is being written is cut off."""
         if self.closed_by is None:
@@ -185,6 +192,11 @@
         for site in list(self.runner.sites):
             await site.stop()
 
+    def close_idle_connections(self) -> None:
+        """Close the connections that hold no bytes that await a response."""
+        for conn in self.runner.server.connections:
+            conn.close_if_idle()
+
     async def close(self) -> None:
         """Close all connections."""
         await self.runner.cleanup()
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -85,7 +85,8 @@
         """Drain this host within the setting ``leave_s``.
 
         Connections are accepted for a part of that time, so that callers and other
-        hosts learn that this host is leaving; running requests may then finish.
+        hosts learn that this host is leaving. Then each connection is closed once it
+        holds no bytes that await a response.
         """
         leave_s, clock = self._ctx.settings.leave_s, self._ctx.clock
         started_at = clock.now()
@@ -102,7 +103,10 @@
         await asyncio.sleep(accept_until - clock.now())
         await self._callers.stop_listening()
         deadline = leaving.serve_until(started_at, leave_s)
-        while self.caller_handler.running and clock.now() < deadline:
+        # The first wait lets connections that were just accepted be counted.
+        await asyncio.sleep(DRAIN_POLL_S)
+        while self._callers.connections and clock.now() < deadline:
+            self._callers.close_idle_connections()
             await asyncio.sleep(DRAIN_POLL_S)
         log.info(
             "left",
