Answer the requests that a drain ends before their response has begun

What callers saw: at the end of a drain, a connection that was closed without an answer, though the host had read the request and knew what had become of it. Cause: the host closed its connections, and the handlers were cancelled with them. Change: at the end of a drain the host first ends the running requests.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -190,6 +190,14 @@
             )
         return self.build_failure(message)
 
+    def build_interruption(self, message: str) -> RequestFailed:
+        """Build the final failure of a request that is ended within an attempt."""
+        if self._sends > self._refusals:
+            return RequestFailed(
+                Failure(ErrorCode.TARGET_FAILED, Verdict.MAY_HAVE_RUN, message)
+            )
+        return self.build_failure(message)
+
     def build_dispatch(self, target: Target) -> Dispatch:
         """Build the parameters of the next send to a target, and count the send."""
         self._sends += 1
--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol
+from collections.abc import Awaitable
+from typing import Protocol, TypeVar
 
 import structlog
 from aiohttp import web
@@ -24,6 +25,8 @@
 MAX_HEADER_LINE_BYTES = 65_536  # the deployment's limit is checked in addition
 STATUS_HEADERS_TOO_LARGE = 431
 
+T = TypeVar("T")
+
 log = structlog.get_logger()
 
 
@@ -85,11 +88,12 @@
         Number of requests that have no final response yet.
     """
 
-    __slots__ = ("_ctx", "_codec", "running")
+    __slots__ = ("_ctx", "_codec", "_scopes", "running")
 
     def __init__(self, ctx: HostContext, codec: CallerCodec) -> None:
         self._ctx = ctx
         self._codec = codec
+        self._scopes: set[asyncio.Timeout] = set()
         self.running = 0
 
     @property
@@ -124,6 +128,31 @@
         finally:
             self.running -= 1
 
+    def end_running(self) -> None:
+        """End all running requests; cut those whose response has begun."""
+        now = self._ctx.clock.now()
+        for scope in self._scopes:
+            scope.reschedule(now)
+
+    async def _run_until_ended(self, attempts: Attempts, work: Awaitable[T]) -> T:
+        """Await the work for a request.
+
+        Raises
+        ------
+        RequestFailed
+            If the work fails, or `end_running` ended it.
+        """
+        try:
+            async with asyncio.timeout(None) as scope:
+                self._scopes.add(scope)
+                return await work
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            raise attempts.build_interruption("this host stops") from None
+        finally:
+            self._scopes.discard(scope)
+
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         ctx = self._ctx
         started_at = ctx.clock.now()
@@ -171,7 +200,7 @@
         ctx.tables.retry_budgets.record_request(match.service, now)
         if match.route.kind is WorkKind.STREAM:
             return await self._stream(request, attempts)
-        answer = await Exchange(attempts).run()
+        answer = await self._run_until_ended(attempts, Exchange(attempts).run())
         resp = web.Response(
             status=answer.status, headers=answer.headers, body=answer.body
         )
@@ -188,7 +217,7 @@
         writer = HttpResponseWriter(request, self._leaving)
         stream = Stream(attempts, writer)
         try:
-            await stream.run()
+            await self._run_until_ended(attempts, stream.run())
         except RequestFailed as exc:
             if not stream.begun:
                 raise
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -108,6 +108,8 @@
         while self._callers.connections and clock.now() < deadline:
             self._callers.close_idle_connections()
             await asyncio.sleep(DRAIN_POLL_S)
+        self.caller_handler.end_running()
+        await asyncio.sleep(DRAIN_POLL_S)
         log.info(
             "left",
             running=self.caller_handler.running,
