--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -7,7 +7,7 @@
 import structlog
 from mode import Service
 
-from turmericflow.relay import _caller_handler as caller_handler
+from turmericflow.relay import _caller_handler as caller_handler, _leaving as leaving
 from turmericflow.relay._caller_handler import CallerCodec, CallerHandler
 from turmericflow.relay._connections import Listener, Timeouts
 from turmericflow.relay._context import HostContext
@@ -19,8 +19,6 @@
 from turmericflow.relay._watchdog import Watchdog
 
 READY_POLL_S = 0.02
-DRAIN_ACCEPT_SHARE = 3 / 8  # of the drain time, in which requests are still accepted
-DRAIN_MARGIN_S = 0.4
 DRAIN_POLL_S = 0.05
 CALLER_OPTIONS = {
     "max_line_size": caller_handler.MAX_HEADER_LINE_BYTES,
@@ -86,10 +84,11 @@
     async def leave(self) -> None:
         """Drain this host within the setting ``leave_s``.
 
-        Requests are accepted for a part of that time, so that callers and other
-        hosts learn that this host is leaving; running requests may then finish.
+        Connections are accepted for a part of that time, so that callers and other
+        hosts learn that this host is leaving. Then each connection is closed once it
+        holds no bytes that await a response.
         """
-        settings, clock = self._ctx.settings, self._ctx.clock
+        leave_s, clock = self._ctx.settings.leave_s, self._ctx.clock
         started_at = clock.now()
         hosts = self._ctx.tables.hosts
         hosts.state = HostState.LEAVING
@@ -100,11 +99,17 @@
             running=self.caller_handler.running,
             connections=self._callers.connections,
         )
-        await asyncio.sleep(DRAIN_ACCEPT_SHARE * settings.leave_s)
+        accept_until = leaving.accept_until(started_at, leave_s)
+        await asyncio.sleep(accept_until - clock.now())
         await self._callers.stop_listening()
-        deadline = started_at + settings.leave_s - DRAIN_MARGIN_S
-        while self.caller_handler.running and clock.now() < deadline:
+        deadline = leaving.serve_until(started_at, leave_s)
+        # The first wait lets connections that were just accepted be counted.
+        await asyncio.sleep(DRAIN_POLL_S)
+        while self._callers.connections and clock.now() < deadline:
+            self._callers.close_idle_connections()
             await asyncio.sleep(DRAIN_POLL_S)
+        self.caller_handler.end_running()
+        await asyncio.sleep(DRAIN_POLL_S)
         log.info(
             "left",
             running=self.caller_handler.running,
