Cut a stream in which an internal error occurs

What callers saw: the head of a second response, status 502, within the body of the first.

Cause: an error other than a failure of the request was answered as if no response had begun.

Evidence: the test added here injects an error at the fifth event; before, the connection stayed open with two heads on it.

An error after the response has begun now aborts the connection, as failures do, so that the response cannot look complete.

--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -185,7 +185,7 @@
         except ConnectionError:
             raise
         except Exception as exc:
-            log.exception("request_crashed", request=call.id)
+            log.exception("request_crashed", request=call.id, begun=False)
             message = f"internal error: {type(exc).__name__}"
             return self._failure_response(
                 call, Failure(ErrorCode.TARGET_FAILED, Verdict.MAY_HAVE_RUN, message)
@@ -228,6 +228,12 @@
             self._ctx.metrics.requests.labels("caller_left").inc()
             log.info("caller_left", request=attempts.call.id, begun=stream.begun)
             raise
+        except Exception:
+            if not stream.begun:
+                raise
+            writer.abort()
+            log.exception("request_crashed", request=attempts.call.id, begun=True)
+            self._ctx.metrics.requests.labels("cut").inc()
         else:
             self._ctx.metrics.requests.labels("answered").inc()
         return writer.resp
--- /dev/null
+++ b/turmericflow/tests/test_relay_answers.py
@@ -0,0 +1,49 @@
+"""Tests that a request ends in one whole answer, or visibly without one."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from structlog.testing import capture_logs
+
+from turmericflow.relay import _stream as stream
+from turmericflow.tests.platform_stand_ins import Fleet
+
+LINES = (
+    b"POST /%s/1 HTTP/1.1\r\nHost: site.example\r\nX-Turmericflow-Key: key-of-a\r\n"
+    b"X-Turmericflow-Deadline-Ms: 500\r\nX-Turmericflow-Attempt-Id: a\r\n"
+)
+
+
+async def _send(fleet: Fleet, data: bytes) -> tuple[asyncio.StreamReader, ...]:
+    port = fleet.hosts[0].ports[0]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    return reader, writer
+
+
+# Guards against the head of a second response within the body of the first.
+async def test_an_error_within_a_stream_cuts_it(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+):
+    (engine,) = await fleet.add_engines("dc-0")
+    feed = stream.EventReader.feed
+
+    def fail(self, chunk: bytes):
+        if b"token-5" in chunk:
+            raise LookupError("injected")
+        return feed(self, chunk)
+
+    monkeypatch.setattr(stream.EventReader, "feed", fail)
+    reader, writer = await _send(
+        fleet, LINES % b"stream" + b"Content-Length: 0\r\n\r\n"
+    )
+    with capture_logs() as lines:
+        answer = await asyncio.wait_for(reader.read(), 3)
+        await fleet.until(lambda: engine.received[0].outcome == "cancelled")
+    writer.close()
+    assert b"token-4" in answer and answer.count(b"HTTP/1.1") == 1
+    assert not answer.endswith(b"0\r\n\r\n")
+    (line,) = [line for line in lines if line["event"] == "request_crashed"]
+    assert line["begun"]
