Answer requests whose errors only look like the caller's

What callers would see: status 500, or a connection closed without an answer, while they wait. No source of such an error is known on the platform; the tests inject it into the client of the targets.

Cause: each `ConnectionError` and each cancellation that reached the handler counted as the loss of the caller's connection, whatever connection or task it came from.

Evidence: the tests added here failed before, with status 500 for a `ConnectionResetError` and a closed connection for a `CancelledError`.

An error now counts as the caller's only if the connection is closed or closing, or if the handler itself was cancelled; all others are internal errors, which are answered 502. The loss of a connection is logged in one place.

--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -46,6 +46,19 @@
         ...
 
 
+def _is_connection_loss(exc: BaseException, conn: Connection) -> bool:
+    """Return whether an error is due to the caller's connection being closed.
+
+    A target's connection, or a task that is awaited, may end with the same errors.
+    """
+    match exc:
+        case asyncio.CancelledError():
+            return asyncio.current_task().cancelling() > 0
+        case ConnectionError():
+            return conn.closed
+    return False
+
+
 class HttpResponseWriter:
     """Writes a stream to a caller as one chunked response."""
 
@@ -179,12 +192,10 @@
             return await self._serve(request, call)
         except RequestFailed as exc:
             return self._failure_response(call, exc.failure)
-        except asyncio.CancelledError:
-            self._log_cancelled(request, call)
-            raise
-        except ConnectionError:
-            raise
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError) as exc:
+            if _is_connection_loss(exc, request.protocol):
+                self._log_connection_loss(request.protocol, call)
+                raise
             log.exception("request_crashed", request=call.id, begun=False)
             message = f"internal error: {type(exc).__name__}"
             return self._failure_response(
@@ -224,12 +235,8 @@
             writer.abort()
             self._log_failed(attempts.call, exc.failure, begun=True)
             self._ctx.metrics.requests.labels("cut").inc()
-        except ConnectionError:
-            self._ctx.metrics.requests.labels("caller_left").inc()
-            log.info("caller_left", request=attempts.call.id, begun=stream.begun)
-            raise
-        except Exception:
-            if not stream.begun:
+        except (Exception, asyncio.CancelledError) as exc:
+            if not stream.begun or _is_connection_loss(exc, request.protocol):
                 raise
             writer.abort()
             log.exception("request_crashed", request=attempts.call.id, begun=True)
@@ -238,12 +245,12 @@
             self._ctx.metrics.requests.labels("answered").inc()
         return writer.resp
 
-    def _log_cancelled(self, request: web.BaseRequest, call: Call) -> None:
+    def _log_connection_loss(self, conn: Connection, call: Call) -> None:
         """Log a request whose connection closed before its response was complete."""
         ctx = self._ctx
         now = ctx.clock.now()
-        conn: Connection = request.protocol
-        by_caller = conn.closed_by is ClosedBy.CALLER
+        # A write may fail before the connection is reported as lost.
+        by_caller = conn.closed_by in (None, ClosedBy.CALLER)
         ctx.metrics.requests.labels("caller_left" if by_caller else "cut").inc()
         log.info(
             "caller_left" if by_caller else "request_cut",
--- a/turmericflow/relay/_connections.py
+++ b/turmericflow/relay/_connections.py
@@ -92,6 +92,11 @@
             return Unanswered.WHOLE_HEAD
         return Unanswered.HEAD if self._head_timer is not None else None
 
+    @property
+    def closed(self) -> bool:
+        """Whether the connection was lost or is being closed."""
+        return self.transport is None or self.transport.is_closing()
+
     def data_received(self, data: bytes) -> None:
         """Receive bytes; the timer runs while a part of a head was received."""
         self._received_at = self._loop.time()
--- a/turmericflow/tests/test_relay_answers.py
+++ b/turmericflow/tests/test_relay_answers.py
@@ -47,3 +47,22 @@
     assert not answer.endswith(b"0\r\n\r\n")
     (line,) = [line for line in lines if line["event"] == "request_crashed"]
     assert line["begun"]
+
+
+# Guards against an error that counts as the caller's closing, so that the caller gets
+# no answer.
+@pytest.mark.parametrize("error", [ConnectionResetError, asyncio.CancelledError])
+@pytest.mark.parametrize("route", ["stream", "order"])
+async def test_an_error_that_is_not_the_callers_is_answered(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch, error: type, route: str
+):
+    await fleet.add_plain(1)
+    await fleet.add_engines("dc-0")
+
+    async def send(*args: object) -> None:
+        raise error("injected")
+
+    client = type(fleet.hosts[0].ctx.target_client)
+    monkeypatch.setattr(client, "send", send)
+    async with fleet.request(f"/{route}/1") as resp:
+        assert resp.status == 502
