Refuse a request whose body is not complete in time

What callers saw: no answer and no refusal, for any time, to a request whose body stopped arriving.

Cause: the time limit of a request applied only once its body was read; nothing bounded the reading.

Evidence: the tests added here failed before: with a deadline of 0.5 s, no answer came within the 3 s that they waited, with a length and with chunks.

The body now has the time that the request has: the shorter of the caller's deadline and the route's timeout. Then the request is refused with status 408, which says that it has not run and never will, and the connection is closed.

--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -23,6 +23,8 @@
 from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict, not_run
 
 MAX_HEADER_LINE_BYTES = 65_536  # the deployment's limit is checked in addition
+MAX_BODY_TIME_S = 30.0  # if neither the caller nor a route limits the request's time
+STATUS_BODY_TOO_SLOW = 408  # says that the request did not run
 STATUS_HEADERS_TOO_LARGE = 431
 
 T = TypeVar("T")
@@ -174,7 +176,7 @@
             return web.Response(status=STATUS_HEADERS_TOO_LARGE)
         try:
             call = self._codec.decode_call(request)
-            call.body = await request.read()
+            call.body = await self._read_body(request, call, started_at)
         except RequestInvalid as exc:
             log.info("request_invalid", reason=str(exc))
             return self._error_response(
@@ -184,6 +186,11 @@
             return self._error_response(
                 not_run(ErrorCode.TOO_LARGE, "body too large").failure
             )
+        except TimeoutError:
+            log.info("body_timeout", request=call.id)
+            resp = web.Response(status=STATUS_BODY_TOO_SLOW)
+            resp.force_close()
+            return resp
         call.arrived_at = started_at
         leaving_s = ctx.tables.hosts.leaving_s(started_at)
         if leaving_s is not None:
@@ -202,6 +209,23 @@
                 call, Failure(ErrorCode.TARGET_FAILED, Verdict.MAY_HAVE_RUN, message)
             )
 
+    async def _read_body(
+        self, request: web.BaseRequest, call: Call, started_at: float
+    ) -> bytes:
+        """Return the body.
+
+        Raises
+        ------
+        TimeoutError
+            If it is not complete within the time that the request has.
+        """
+        route = routing.find_route(self._ctx.tables.deployment, call)
+        timeout_s = route.timeout_s if route is not None else MAX_BODY_TIME_S
+        if call.timeout_s is not None:
+            timeout_s = min(timeout_s, call.timeout_s)
+        async with asyncio.timeout_at(started_at + timeout_s):
+            return await request.read()
+
     async def _serve(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         ctx = self._ctx
         now = ctx.clock.now()
--- a/turmericflow/relay/_routing.py
+++ b/turmericflow/relay/_routing.py
@@ -40,7 +40,8 @@
     return True
 
 
-def _find_route(table: DeploymentTable, call: Call) -> Route | None:
+def find_route(table: DeploymentTable, call: Call) -> Route | None:
+    """Return the route with the longest prefix of a request's path, or None."""
     path = call.path.partition("?")[0]
     host = call.host
     routes = table.routes_by_host.get(host) or table.routes_by_host.get(
@@ -70,7 +71,7 @@
     deployment = table.value
     if deployment is None:
         raise not_run(ErrorCode.STALE_VIEW, "no deployment is known yet", 0.5)
-    route = _find_route(table, call)
+    route = find_route(table, call)
     if route is None:
         raise not_run(ErrorCode.NOT_FOUND, f"no route matches {call.host}{call.path}")
     service = _pick_service(route, rng)
--- a/turmericflow/tests/test_relay_answers.py
+++ b/turmericflow/tests/test_relay_answers.py
@@ -66,3 +66,21 @@
     monkeypatch.setattr(client, "send", send)
     async with fleet.request(f"/{route}/1") as resp:
         assert resp.status == 502
+
+
+# Guards against requests whose body never ends and that have no answer for ever.
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 9", b"Transfer-Encoding: chunked"]
+)
+async def test_a_body_that_comes_too_slowly_is_refused(fleet: Fleet, framing: bytes):
+    (target,) = await fleet.add_plain(1)
+    reader, writer = await _send(
+        fleet, LINES % b"order" + framing + b"\r\n\r\n3\r\nabc\r\n"
+    )
+    started_at = asyncio.get_running_loop().time()
+    answer = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)
+    assert answer.startswith(b"HTTP/1.1 408") and b"Connection: close" in answer
+    assert 0.4 < asyncio.get_running_loop().time() - started_at < 0.75
+    assert await asyncio.wait_for(reader.read(), 3) == b""
+    assert not target.received
+    writer.close()
