Refuse a request whose body turns out to be malformed

What callers saw: no answer to a request with a malformed chunk that arrived after the head.

Cause: the parser's error was queued as a request of its own, behind the one whose body it was found in; that one waited for the rest of its body.

Evidence: the test added here failed before, with no answer within 3 s.

The error now also ends the body, so that the request is refused with status 400 at once, and the connection is closed.

--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -186,6 +186,13 @@
             return self._error_response(
                 not_run(ErrorCode.TOO_LARGE, "body too large").failure
             )
+        except web.RequestPayloadError as exc:
+            log.info("request_invalid", reason=str(exc))
+            resp = self._error_response(
+                not_run(ErrorCode.BAD_REQUEST, str(exc)).failure
+            )
+            resp.force_close()
+            return resp
         except TimeoutError:
             log.info("body_timeout", request=call.id)
             resp = web.Response(status=STATUS_BODY_TOO_SLOW)
--- a/turmericflow/relay/_connections.py
+++ b/turmericflow/relay/_connections.py
@@ -100,12 +100,16 @@
     def data_received(self, data: bytes) -> None:
         """Receive bytes; the timer runs while a part of a head was received."""
         self._received_at = self._loop.time()
-        in_body = not self._last_payload.is_eof()
+        payload = self._last_payload
+        in_body = not payload.is_eof()
         heads = self._request_count
         super().data_received(data)
         if self._request_count > heads:
             self._last_payload = self._messages[-1][1]
             self._stop_timer()
+            if not payload.is_eof():  # the parser found an error in it
+                payload.set_exception(web.RequestPayloadError("malformed body"))
+                payload.feed_eof()
         elif self._head_timer is None and not in_body and data.strip(b"\r\n"):
             self._start_timer(self._received_at)
 
--- a/turmericflow/tests/test_relay_answers.py
+++ b/turmericflow/tests/test_relay_answers.py
@@ -84,3 +84,18 @@
     assert await asyncio.wait_for(reader.read(), 3) == b""
     assert not target.received
     writer.close()
+
+
+# Guards against a request without an answer, as the error in its body is noticed only
+# by the parser.
+async def test_a_malformed_body_is_a_bad_request(fleet: Fleet):
+    (target,) = await fleet.add_plain(1)
+    reader, writer = await _send(
+        fleet, LINES % b"order" + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+    )
+    await asyncio.sleep(0.1)
+    writer.write(b"zz\r\n")
+    answer = await asyncio.wait_for(reader.read(), 3)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert answer.count(b"HTTP/1.") == 1 and not target.received
+    writer.close()
