Pass on encoded bodies as they were sent

What callers saw: a request with a `Content-Encoding` was passed on with its body decoded, under the same header, and one whose body could not be decoded failed with status 500.

Cause: the HTTP server decodes bodies unless it is told not to. So did the test stand-in of targets, which hid it.

Evidence: the test added here failed before: the target got `body` instead of the encoded bytes; a body that is not encoded got status 500.

Neither the hosts nor the stand-ins decode bodies now.

--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -24,6 +24,7 @@
     "max_line_size": caller_handler.MAX_HEADER_LINE_BYTES,
     "max_field_size": caller_handler.MAX_HEADER_LINE_BYTES,
     "lingering_time": 1.0,  # to read the rest of a body after an early answer
+    "auto_decompress": False,  # targets get bodies as they were sent
 }
 
 log = structlog.get_logger()
--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -62,7 +62,9 @@
         raise NotImplementedError
 
     async def start(self) -> None:
-        server = web.Server(self.handle, handler_cancellation=True)
+        server = web.Server(
+            self.handle, handler_cancellation=True, auto_decompress=False
+        )
         self.runner = web.ServerRunner(server, shutdown_timeout=0.05)
         await self.runner.setup()
         site = web.TCPSite(self.runner, LOOPBACK, self.port, reuse_address=True)
--- a/turmericflow/tests/test_relay_answers.py
+++ b/turmericflow/tests/test_relay_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 
 import pytest
 from structlog.testing import capture_logs
@@ -99,3 +100,16 @@
     assert answer.startswith(b"HTTP/1.1 400")
     assert answer.count(b"HTTP/1.") == 1 and not target.received
     writer.close()
+
+
+# Guards against a body that a target gets decoded, or that is refused as it cannot be.
+@pytest.mark.parametrize(
+    "body", [gzip.compress(b"body"), b"not encoded"], ids=["encoded", "plain"]
+)
+async def test_an_encoded_body_is_passed_on_unchanged(fleet: Fleet, body: bytes):
+    (target,) = await fleet.add_plain(1)
+    headers = {"Content-Encoding": "gzip"}
+    async with fleet.request("/order/1", data=body, headers=headers) as resp:
+        assert resp.status == 200
+    assert target.received[0].headers["Content-Encoding"] == "gzip"
+    assert target.received[0].body == body
