Set the times of a drain once, at its start

Cause: the end of a drain was taken from the settings at the order to leave, what is accepted from the settings at each request; a change of the settings in between, which comes with a SIGHUP, let them disagree. Change: HostTable.drain holds the times. request_while_leaving says how long after the order a request came; request_cut no longer repeats it.

--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -172,8 +172,9 @@
                 not_run(ErrorCode.TOO_LARGE, "body too large").failure
             )
         call.arrived_at = started_at
-        leaving_s = ctx.tables.hosts.leaving_s(started_at)
-        if leaving_s is not None:
+        drain = ctx.tables.hosts.drain
+        if drain is not None:
+            leaving_s = round(started_at - drain.since, 3)
             log.info("request_while_leaving", request=call.id, leaving_s=leaving_s)
         try:
             return await self._serve(request, call)
@@ -196,7 +197,7 @@
         now = ctx.clock.now()
         match = routing.match_request(ctx.tables.deployment, call, ctx.rng)
         attempts = Attempts(ctx, match, call)
-        leaving.check_accepted(ctx.tables, attempts.deadline, ctx.settings.leave_s, now)
+        leaving.check_accepted(ctx.tables, attempts.deadline, now)
         ctx.tables.retry_budgets.record_request(match.service, now)
         if match.route.kind is WorkKind.STREAM:
             return await self._stream(request, attempts)
@@ -244,7 +245,6 @@
             request=call.id,
             closed_by=conn.closed_by,
             after_s=round(now - call.arrived_at, 3),
-            leaving_s=ctx.tables.hosts.leaving_s(now),
         )
 
     def _failure_response(self, call: Call, failure: Failure) -> web.Response:
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -7,11 +7,11 @@
 import structlog
 from mode import Service
 
-from turmericflow.relay import _caller_handler as caller_handler, _leaving as leaving
+from turmericflow.relay import _caller_handler as caller_handler
 from turmericflow.relay._caller_handler import CallerCodec, CallerHandler
 from turmericflow.relay._connections import Listener
 from turmericflow.relay._context import HostContext
-from turmericflow.relay._host_tables import HostState
+from turmericflow.relay._host_tables import Drain, HostState
 from turmericflow.relay._links import Links
 from turmericflow.relay._registration import Registration
 from turmericflow.relay._store import Kind
@@ -88,24 +88,20 @@
         hosts learn that this host is leaving. Then each connection is closed once it
         holds no bytes that await a response.
         """
-        leave_s, clock = self._ctx.settings.leave_s, self._ctx.clock
-        started_at = clock.now()
-        hosts = self._ctx.tables.hosts
-        hosts.state = HostState.LEAVING
-        hosts.leaving_since = started_at
+        clock, hosts = self._ctx.clock, self._ctx.tables.hosts
+        drain = Drain(clock.now(), self._ctx.settings.leave_s)
+        hosts.state, hosts.drain = HostState.LEAVING, drain
         self._ctx.announce()
         log.info(
             "leaving",
             running=self.caller_handler.running,
             connections=self._callers.connections,
         )
-        accept_until = leaving.accept_until(started_at, leave_s)
-        await asyncio.sleep(accept_until - clock.now())
+        await asyncio.sleep(drain.accept_until - clock.now())
         await self._callers.stop_listening()
-        deadline = leaving.serve_until(started_at, leave_s)
         # The first wait lets connections that were just accepted be counted.
         await asyncio.sleep(DRAIN_POLL_S)
-        while self._callers.connections and clock.now() < deadline:
+        while self._callers.connections and clock.now() < drain.serve_until:
             self._callers.close_idle_connections()
             await asyncio.sleep(DRAIN_POLL_S)
         self.caller_handler.end_running()
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -10,6 +10,11 @@
 from turmericflow.relay._model import HostEntry, TargetEntry
 from turmericflow.relay._target_tables import Load, TargetsChange
 
+# Of the time to leave; callers' lists of addresses expire in it.
+DRAIN_ACCEPT_SHARE = 3 / 8
+# To end responses and close connections before the process is killed.
+DRAIN_END_MARGIN_S = 0.4
+
 
 class HostState(enum.IntEnum):
     """Lifecycle state of a host."""
@@ -94,6 +99,27 @@
         self.revision: int | None = None
 
 
+class Drain:
+    """Times of a host's drain, on the event loop's clock.
+
+    Attributes
+    ----------
+    since
+        Time of the order to leave.
+    accept_until
+        Time until which requests of any length and connections are accepted.
+    serve_until
+        Time at which responses that are not complete are ended.
+    """
+
+    __slots__ = ("since", "accept_until", "serve_until")
+
+    def __init__(self, since: float, leave_s: float) -> None:
+        self.since = since
+        self.accept_until = since + DRAIN_ACCEPT_SHARE * leave_s
+        self.serve_until = since + leave_s - DRAIN_END_MARGIN_S
+
+
 class HostTable:
     """The other entry hosts, and this host's own state.
 
@@ -103,8 +129,8 @@
         Entry of this host.
     state
         Lifecycle state of this host.
-    leaving_since
-        Time of the order to leave on the event loop's clock, or None before it.
+    drain
+        Times of this host's drain, or None before the order to leave.
     rows
         The other hosts by name.
     status_number, urgent_changes
@@ -116,7 +142,7 @@
     __slots__ = (
         "own",
         "state",
-        "leaving_since",
+        "drain",
         "rows",
         "status_number",
         "urgent_changes",
@@ -126,14 +152,8 @@
     def __init__(self, own: HostEntry) -> None:
         self.own = own
         self.state = HostState.STARTING
-        self.leaving_since: float | None = None
+        self.drain: Drain | None = None
         self.rows: dict[str, Host] = {}
         self.status_number = 0
         self.urgent_changes = 0
         self.unanswered_kinds: set[str] = set()
-
-    def leaving_s(self, now: float) -> float | None:
-        """Return the time since the order to leave in seconds, or None before it."""
-        if self.leaving_since is None:
-            return None
-        return round(now - self.leaving_since, 3)
