Refuse a stream that outlasts a drain if another host can serve it

Change: a stream that is expected to outlast the drain is refused at once if another host is ready; if none is, the host still serves as much of it as it can. Result: test_a_stream_that_outlasts_the_drain_is_refused_if_another_host_is_ready failed before with another host (status 200) and passes; a stream that fits is served whole.

--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -197,7 +197,7 @@
         now = ctx.clock.now()
         match = routing.match_request(ctx.tables.deployment, call, ctx.rng)
         attempts = Attempts(ctx, match, call)
-        leaving.check_accepted(ctx.tables, attempts.deadline, now)
+        leaving.check_accepted(ctx.tables, attempts, now)
         ctx.tables.retry_budgets.record_request(match.service, now)
         if match.route.kind is WorkKind.STREAM:
             return await self._stream(request, attempts)
--- a/turmericflow/relay/_leaving.py
+++ b/turmericflow/relay/_leaving.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from turmericflow.relay import _membership as membership
+from turmericflow.relay import _membership as membership, _silence as silence
+from turmericflow.relay._attempts import Attempts
 from turmericflow.relay._tables import Tables
 from turmericflow.verdict import ErrorCode, not_run
 
@@ -10,21 +11,21 @@
 RETRY_LATER_S = 1.0  # a host restarts within this time
 
 
-def check_accepted(tables: Tables, deadline: float, now: float) -> None:
+def check_accepted(tables: Tables, attempts: Attempts, now: float) -> None:
     """Check that this host has the time to serve a request.
 
-    A host that leaves accepts requests of any length for a part of its time, so that
-    callers learn that it leaves; then only those whose deadline passes before it
-    stops.
+    A host that leaves accepts requests for a part of its time, so that callers learn
+    that it leaves, unless they are expected to outlast it and another host is ready.
+    Then it accepts only those whose deadline passes before it stops.
 
     Parameters
     ----------
     tables
         The tables.
-    deadline
-        Deadline of the request on the event loop's clock, in seconds.
+    attempts
+        Attempts of the request, with its deadline.
     now
-        Time of the event loop.
+        Time of the event loop, in seconds.
 
     Raises
     ------
@@ -32,11 +33,19 @@
         If the host may stop before the request has its response.
     """
     drain = tables.hosts.drain
-    if drain is None or now < drain.accept_until or deadline <= drain.serve_until:
+    if drain is None or attempts.deadline <= drain.serve_until:
         return
     ready_elsewhere = bool(membership.addresses(tables, now))
+    if now < drain.accept_until:
+        expected_s = silence.expected_stream_s(
+            tables, attempts.match.service, attempts.call
+        )
+        fits = expected_s is None or now + expected_s <= drain.serve_until
+        if fits or not ready_elsewhere:
+            return
     raise not_run(
         ErrorCode.STOPPING,
-        f"this host stops {deadline - drain.serve_until:.1f} s before the deadline",
+        f"this host stops {attempts.deadline - drain.serve_until:.1f} s before the"
+        " request's deadline",
         RETRY_ELSEWHERE_S if ready_elsewhere else RETRY_LATER_S,
     )
--- a/turmericflow/relay/_silence.py
+++ b/turmericflow/relay/_silence.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from turmericflow.relay import _placement as placement
+from turmericflow.relay._call import Call
 from turmericflow.relay._tables import Run, Tables
 
 MIN_SILENCE_S = 0.25  # several events of a fast stream, and one prefill
@@ -61,6 +62,24 @@
     ) / rate + FIRST_EVENT_OVERHEAD_S
 
 
+def expected_stream_s(tables: Tables, service: str, call: Call) -> float | None:
+    """Return how long a stream takes at an engine without a queue, in seconds.
+
+    Returns None if the request does not say how long its output may be, or if the
+    service's engines have sent no streams yet.
+    """
+    spec = tables.deployment.services.get(service)
+    engine = spec and spec.engine
+    rows = tables.targets.by_service.get(service, ())
+    gaps_s = [row.event_gap_s for row in rows if row.event_gap_s]
+    if engine is None or not call.output_tokens or not gaps_s:
+        return None
+    rate = tables.targets.prefill_rates.get(service, DEFAULT_PREFILL_TOKENS_PER_S)
+    first_event_s = call.prompt_tokens / rate + FIRST_EVENT_OVERHEAD_S
+    events = call.output_tokens / engine.tokens_per_event - (call.last_event_id or 0)
+    return first_event_s + max(0.0, events) * sum(gaps_s) / len(gaps_s)
+
+
 def _update_prefill_rate(tables: Tables, run: Run, now: float) -> None:
     rates, service = tables.targets.prefill_rates, run.target.entry.service
     rate = rates.get(service, DEFAULT_PREFILL_TOKENS_PER_S)
--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from structlog.testing import capture_logs
 
+from turmericflow.relay import _membership as membership
 from turmericflow.tests.platform_stand_ins import EngineStandIn, Fleet
 
 
@@ -202,3 +203,33 @@
             await asyncio.sleep(0.02)
     await leaving
     assert received == len(body) and received_before_end > len(body) / 2
+
+
+# Guards against a stream that is accepted, and cut, though another host could have
+# served it whole.
+@pytest.mark.parametrize("others, status", [(0, 200), (1, 503)])
+async def test_a_stream_that_outlasts_the_drain_is_refused_if_another_host_is_ready(
+    fleet: Fleet, others: int, status: int
+):
+    for number in range(others):
+        await fleet.add_host(f"other-{number}", "dc-1")
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.event_interval_s = 0.1
+    host = fleet.hosts[0]
+    await fleet.until(
+        lambda: len(membership.addresses(host.tables, host.ctx.clock.now()))
+        == 1 + others
+    )
+    async with fleet.request("/stream/1", "first") as resp:
+        await resp.read()
+    leaving = asyncio.create_task(_leave(fleet))
+    await asyncio.sleep(0.05)
+    async with fleet.request("/stream/1", "second") as resp:
+        assert resp.status == status
+        assert resp.headers.get("Retry-After") == ("0.000" if others else None)
+    headers = {"X-Turmericflow-Token-Usage": "100,60"}
+    engine.events = 10
+    async with fleet.request("/stream/1", "short", headers=headers) as resp:
+        assert resp.status == 200
+        assert (await resp.read()).count(b"id: ") == 10
+    await leaving
