Count a drain from the stall in which its order came

Cause: the time of the order was the time at which it was handled. Change: a drain begins with the last tick before a stall that lasts or has just ended, the earliest time at which the signal can have come. leaving says how late it is. Result: test_a_drain_begins_with_the_stall_in_which_the_order_came failed before (0.6 s late) and passes. A machine that is suspended while it drains still counts its steady clock, which does not run then.

--- a/turmericflow/relay/_context.py
+++ b/turmericflow/relay/_context.py
@@ -20,11 +20,12 @@
 class Clock:
     """The event loop's clock, and one that stops while the process is stalled."""
 
-    __slots__ = ("_stalled_s", "_last_tick_at")
+    __slots__ = ("_stalled_s", "_last_tick_at", "_ran_until")
 
     def __init__(self) -> None:
         self._stalled_s = 0.0
         self._last_tick_at: float | None = None
+        self._ran_until = float("-inf")
 
     @staticmethod
     def now() -> float:
@@ -38,12 +39,28 @@
         """
         return self.now() - self._stalled_s
 
+    def earliest_arrival(self) -> float:
+        """Return the earliest time at which a signal that is handled now can have come.
+
+        This is the time of the last tick before a stall that lasts or has just ended,
+        else the current time.
+        """
+        now, last_tick_at = self.now(), self._last_tick_at
+        if last_tick_at is None:
+            return now
+        if now - last_tick_at > MIN_STALL_S:
+            return last_tick_at
+        if last_tick_at - self._ran_until > MIN_STALL_S:
+            return self._ran_until
+        return now
+
     def tick(self, every_s: float) -> float:
         """Record a periodic tick; return how late it came, in seconds."""
         now = self.now()
         late_s = (
             0.0 if self._last_tick_at is None else now - self._last_tick_at - every_s
         )
+        self._ran_until = now if self._last_tick_at is None else self._last_tick_at
         self._last_tick_at = now
         if late_s > MIN_STALL_S:
             self._stalled_s += late_s
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -89,11 +89,12 @@
         holds no bytes that await a response.
         """
         clock, hosts = self._ctx.clock, self._ctx.tables.hosts
-        drain = Drain(clock.now(), self._ctx.settings.leave_s)
+        drain = Drain(clock.earliest_arrival(), self._ctx.settings.leave_s)
         hosts.state, hosts.drain = HostState.LEAVING, drain
         self._ctx.announce()
         log.info(
             "leaving",
+            late_s=round(clock.now() - drain.since, 3),
             running=self.caller_handler.running,
             connections=self._callers.connections,
         )
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -105,7 +105,7 @@
     Attributes
     ----------
     since
-        Time of the order to leave.
+        Earliest time at which the order to leave can have come.
     accept_until
         Time until which requests of any length and connections are accepted.
     serve_until
--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -233,3 +234,27 @@
         assert resp.status == 200
         assert (await resp.read()).count(b"id: ") == 10
     await leaving
+
+
+# Guards against a host that was stopped when SIGTERM came, counts its time from the
+# moment at which it runs again, and is killed while it still serves.
+async def test_a_drain_begins_with_the_stall_in_which_the_order_came(fleet: Fleet):
+    host = fleet.hosts[0]
+    await asyncio.sleep(0.2)
+    stalled_at = host.ctx.clock.now()
+    time.sleep(0.6)
+    leaving = asyncio.create_task(_leave(fleet))
+    await fleet.until(lambda: host.tables.hosts.drain is not None)
+    assert stalled_at - 0.1 < host.tables.hosts.drain.since <= stalled_at
+    await leaving
+    assert host.ctx.clock.now() - stalled_at < host.ctx.settings.leave_s
+
+
+async def test_a_drain_begins_at_once_in_a_host_that_has_not_stalled(fleet: Fleet):
+    host = fleet.hosts[0]
+    await asyncio.sleep(0.2)
+    ordered_at = host.ctx.clock.now()
+    leaving = asyncio.create_task(_leave(fleet))
+    await fleet.until(lambda: host.tables.hosts.drain is not None)
+    assert 0 <= host.tables.hosts.drain.since - ordered_at < 0.1
+    await leaving
