--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -11,6 +12,7 @@
 from aiohttp import web
 from structlog.testing import capture_logs
 
+from turmericflow.relay import _membership as membership
 from turmericflow.tests.platform_stand_ins import EngineStandIn, Fleet
 
 
@@ -202,3 +204,57 @@
             await asyncio.sleep(0.02)
     await leaving
     assert received == len(body) and received_before_end > len(body) / 2
+
+
+# Guards against a stream that is accepted, and cut, though another host could have
+# served it whole.
+@pytest.mark.parametrize("others, status", [(0, 200), (1, 503)])
+async def test_a_stream_that_outlasts_the_drain_is_refused_if_another_host_is_ready(
+    fleet: Fleet, others: int, status: int
+):
+    for number in range(others):
+        await fleet.add_host(f"other-{number}", "dc-1")
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.event_interval_s = 0.1
+    host = fleet.hosts[0]
+    await fleet.until(
+        lambda: len(membership.addresses(host.tables, host.ctx.clock.now()))
+        == 1 + others
+    )
+    async with fleet.request("/stream/1", "first") as resp:
+        await resp.read()
+    leaving = asyncio.create_task(_leave(fleet))
+    await asyncio.sleep(0.05)
+    async with fleet.request("/stream/1", "second") as resp:
+        assert resp.status == status
+        assert resp.headers.get("Retry-After") == ("0.000" if others else None)
+    headers = {"X-Turmericflow-Token-Usage": "100,60"}
+    engine.events = 10
+    async with fleet.request("/stream/1", "short", headers=headers) as resp:
+        assert resp.status == 200
+        assert (await resp.read()).count(b"id: ") == 10
+    await leaving
+
+
+# Guards against a host that was stopped when SIGTERM came, counts its time from the
+# moment at which it runs again, and is killed while it still serves.
+async def test_a_drain_begins_with_the_stall_in_which_the_order_came(fleet: Fleet):
+    host = fleet.hosts[0]
+    await asyncio.sleep(0.2)
+    stalled_at = host.ctx.clock.now()
+    time.sleep(0.6)
+    leaving = asyncio.create_task(_leave(fleet))
+    await fleet.until(lambda: host.tables.hosts.drain is not None)
+    assert stalled_at - 0.1 < host.tables.hosts.drain.since <= stalled_at
+    await leaving
+    assert host.ctx.clock.now() - stalled_at < host.ctx.settings.leave_s
+
+
+async def test_a_drain_begins_at_once_in_a_host_that_has_not_stalled(fleet: Fleet):
+    host = fleet.hosts[0]
+    await asyncio.sleep(0.2)
+    ordered_at = host.ctx.clock.now()
+    leaving = asyncio.create_task(_leave(fleet))
+    await fleet.until(lambda: host.tables.hosts.drain is not None)
+    assert 0 <= host.tables.hosts.drain.since - ordered_at < 0.1
+    await leaving
