Keep a host running when a run ends before its copy is made again

What callers saw: all requests of a host ended without an answer, as its process ended.

Cause: the KV cache copies of runs whose backup engine is lost are made again by tasks that start one pass of the event loop after the check. In between, a run may end, which drops its copy, or a configuration may remove its service. The task then failed with an error, which ends the service that it belongs to, and with it the process.

The task now does nothing for a run that has ended, and finds no holder for a service that is gone.

--- a/turmericflow/relay/_copies.py
+++ b/turmericflow/relay/_copies.py
@@ -43,7 +43,9 @@
     The engine that held the lost copy is not chosen again.
     """
     entry = run.target.entry
-    engine = tables.deployment.services[entry.service].engine
+    service = tables.deployment.services.get(entry.service)
+    if service is None or service.engine is None:
+        return None
     demand = placement.Demand(
         service=entry.service,
         data_centre=entry.data_centre,
@@ -52,7 +54,7 @@
         ),
         excluded_data_centre=entry.data_centre,
         tokens=run.memory_tokens,
-        capacity=engine.memory_tokens,
+        capacity=service.engine.memory_tokens,
     )
     hosts = membership.count_live_hosts(tables, now)
     return placement.choose_backup(tables.targets, demand, now, rng, hosts)
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -119,6 +119,8 @@
         If this fails, the run continues without a copy.
         """
         ctx = self._ctx
+        if run.backup is None:
+            return  # the run has ended
         lost_holder = run.backup.entry.key
         holder = copies.choose_holder(ctx.tables, run, ctx.clock.now(), ctx.rng)
         run.drop_copy()
