Finish running requests after the crash of a service

What callers saw: all requests of a host end without an answer when an internal error ends one of its services, such as the error in making a lost copy again. Cause: the process ended at once. Change: a host whose service has crashed closes its listener, ends its connections as they become idle and finishes its requests as at SIGTERM, then exits with the same code as before. It accepts no connections, as its tables no longer follow changes. Result: test_a_crash_of_a_service_cuts_no_request failed before (the process had ended while its stream ran) and passes.

--- a/turmericflow/platform/__main__.py
+++ b/turmericflow/platform/__main__.py
@@ -152,17 +152,17 @@
     watch = asyncio.create_task(watch_settings(ctx, settings_path()))
     log.info("started", entry=ctx.tables.hosts.own)
     await _wait_until_stopped(daemon, stop)
-    if daemon.crashed:
+    crashed = daemon.crashed
+    if crashed:
         log.error("crashed")
-        return EXIT_CRASHED
     watch.cancel()
-    await daemon.leave()
+    await daemon.leave(accepts=not crashed)
     await daemon.close()
     await daemon.stop()
     for session in sessions:
         await session.close()
     log.info("stopped")
-    return EXIT_OK
+    return EXIT_CRASHED if crashed else EXIT_OK
 
 
 async def _wait_until_stopped(daemon: Daemon, stop: asyncio.Event) -> None:
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -81,15 +81,22 @@
                 return
             await self.sleep(READY_POLL_S)
 
-    async def leave(self) -> None:
+    async def leave(self, accepts: bool = True) -> None:
         """Drain this host within the setting ``leave_s``.
 
         Connections are accepted for a part of that time, so that callers and other
         hosts learn that this host is leaving. Then each connection is closed once it
         holds no bytes that await a response.
+
+        Parameters
+        ----------
+        accepts
+            Whether connections are accepted at first; False for a host whose tables
+            no longer follow changes.
         """
         clock, hosts = self._ctx.clock, self._ctx.tables.hosts
-        drain = Drain(clock.earliest_arrival(), self._ctx.settings.leave_s)
+        leave_s = self._ctx.settings.leave_s
+        drain = Drain(clock.earliest_arrival(), leave_s, accepts)
         hosts.state, hosts.drain = HostState.LEAVING, drain
         self._ctx.announce()
         log.info(
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -114,9 +114,9 @@
 
     __slots__ = ("since", "accept_until", "serve_until")
 
-    def __init__(self, since: float, leave_s: float) -> None:
+    def __init__(self, since: float, leave_s: float, accepts: bool = True) -> None:
         self.since = since
-        self.accept_until = since + DRAIN_ACCEPT_SHARE * leave_s
+        self.accept_until = since + (DRAIN_ACCEPT_SHARE * leave_s if accepts else 0.0)
         self.serve_until = since + leave_s - DRAIN_END_MARGIN_S
 
 
--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -6,13 +6,16 @@
 import socket
 import time
 from collections.abc import AsyncIterator
+from functools import partial
 
 import aiohttp
 import pytest
 from aiohttp import web
 from structlog.testing import capture_logs
 
-from turmericflow.relay import _membership as membership
+from turmericflow.platform import __main__ as main_module
+from turmericflow.platform._settings import read_settings
+from turmericflow.relay import _membership as membership, _silence as silence
 from turmericflow.tests.platform_stand_ins import EngineStandIn, Fleet
 
 
@@ -258,3 +261,37 @@
     await fleet.until(lambda: host.tables.hosts.drain is not None)
     assert 0 <= host.tables.hosts.drain.since - ordered_at < 0.1
     await leaving
+
+
+# Guards against an internal error of a background service that cuts all requests.
+async def test_a_crash_of_a_service_cuts_no_request(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+):
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.event_interval_s = 0.05
+    host = fleet.hosts[0]
+    await host.stop()
+    monkeypatch.setenv("TURMERICFLOW_NODE_FILE", str(host.path))
+    listeners = partial(main_module.listeners, metrics_port=host.ports[4])
+    monkeypatch.setattr(main_module, "listeners", listeners)
+    process = asyncio.create_task(main_module._serve(read_settings(host.path)))
+    async with asyncio.timeout(5):
+        while await _status(fleet, "/nowhere/", "probe") != 404:
+            await asyncio.sleep(0.02)
+    async with fleet.request("/stream/1") as resp:
+
+        def fail(*args):
+            raise KeyError("an entry that is gone")
+
+        monkeypatch.setattr(silence, "find_silent_streams", fail)
+        assert (await resp.read()).count(b"id: ") == 20
+        assert not process.done()
+    assert await asyncio.wait_for(process, 5) == main_module.EXIT_CRASHED
+
+
+async def _status(fleet: Fleet, path: str, id: str) -> int | None:
+    try:
+        async with fleet.request(path, id) as resp:
+            return resp.status
+    except aiohttp.ClientConnectionError:
+        return None
