Read what arrived during a stop before a limit closes a connection

What callers saw: a request that they sent in time, on a kept connection or as the rest of a head, was closed without an answer if the host's process was stopped meanwhile until the limit had passed.

Cause: a process that goes on after a stop returns from the selector without any events, as the selector's timeout has passed, and runs the timers that are due before it reads its connections. So the timers closed connections with bytes that nobody had read.

The two tests added here do the same to the selector and failed before, with the connection reset.

A limit that has passed now closes a connection only after one more read.

--- a/turmericflow/relay/_connections.py
+++ b/turmericflow/relay/_connections.py
@@ -174,6 +174,15 @@
         old, new = self._timeouts, self._current_timeouts()
         return Timeouts(max(old.head_s, new.head_s), max(old.idle_s, new.idle_s))
 
+    def _call_after_read(
+        self, callback: Callable[..., None], *args: object
+    ) -> asyncio.TimerHandle:
+        """Call a function once the bytes that have arrived by now were read.
+
+        When a stopped process goes on, the timers that are due run before that.
+        """
+        return self._loop.call_later(0, callback, *args)
+
     def _process_keepalive(self) -> None:
         self._keepalive_handle = None
         if self.unanswered is not None:
@@ -185,6 +194,11 @@
                 close_at, self._process_keepalive
             )
         else:
+            self._keepalive_handle = self._call_after_read(self._close_idle)
+
+    def _close_idle(self) -> None:
+        self._keepalive_handle = None
+        if self.unanswered is None:
             super()._process_keepalive()
 
     def _start_timer(self, started_at: float) -> None:
@@ -204,9 +218,12 @@
         elif now < started_at + timeout_s:
             self._start_timer(started_at)
         else:
-            self.closed_by = ClosedBy.HEAD_TIMEOUT
-            log.info("header_timeout", timeout_s=timeout_s)
-            self.force_close()
+            self._head_timer = self._call_after_read(self._close_late, timeout_s)
+
+    def _close_late(self, timeout_s: float) -> None:
+        self.closed_by = ClosedBy.HEAD_TIMEOUT
+        log.info("header_timeout", timeout_s=timeout_s)
+        self.force_close()
 
 
 class _Server(web.Server):
--- a/turmericflow/tests/test_relay_limits_of_connections.py
+++ b/turmericflow/tests/test_relay_limits_of_connections.py
@@ -124,6 +124,51 @@
     assert await conn.answer() == (200, b"plain-0 next")
 
 
+@pytest.fixture
+def stall(monkeypatch: pytest.MonkeyPatch) -> Callable[[float], None]:
+    """Return a function that stalls the process as SIGSTOP and SIGCONT do.
+
+    The selector then returns no events, as its timeout has passed.
+    """
+
+    def run(seconds: float) -> None:
+        selector = asyncio.get_running_loop()._selector
+        select = selector.select
+
+        def select_nothing(timeout: float | None = None) -> list:
+            monkeypatch.setattr(selector, "select", select)
+            return []
+
+        time.sleep(seconds)
+        monkeypatch.setattr(selector, "select", select_nothing)
+
+    return run
+
+
+# Guards against a request that arrives while the process is stopped, and is closed
+# unread, as the timers that are due run before the connections are read.
+async def test_a_head_that_arrives_while_the_process_is_stopped_is_answered(
+    limited: Limit, stall: Callable[[float], None]
+):
+    conn = await limited(headerTimeoutMs=300)
+    conn.send(HEAD[:60])
+    await asyncio.sleep(0.1)
+    conn.send(HEAD[60:] % b"a")
+    stall(1.0)
+    assert await conn.answer() == (200, b"plain-0 a")
+
+
+async def test_a_request_that_arrives_while_the_process_is_stopped_is_answered(
+    limited: Limit, stall: Callable[[float], None]
+):
+    conn = await limited(idleTimeoutMs=400)
+    assert await conn.request(b"first") == (200, b"plain-0 first")
+    await asyncio.sleep(0.2)
+    conn.send(HEAD % b"next")
+    stall(1.0)
+    assert await conn.answer() == (200, b"plain-0 next")
+
+
 async def test_a_head_that_comes_too_slowly_closes_the_connection(limited: Limit):
     conn = await limited(headerTimeoutMs=300)
     assert await conn.request(b"first") == (200, b"plain-0 first")
