Say that a caller that ends its sending side counts as gone

A caller that sends a whole request and then ends its sending side gets no answer: asyncio closes the connection at the end of its input, which cancels the request. By the custom of HTTP the request is still owed an answer. It is left so, because a caller that closes sends the same FIN, and its work has to end within half a second; the reset that would tell them apart comes only after the host has written, which it does not before there is an answer. Common proxies treat it the same way.

A test pins the behaviour: the target's work is cancelled within 0.5 s.

--- a/turmericflow/tests/test_relay_limits_of_connections.py
+++ b/turmericflow/tests/test_relay_limits_of_connections.py
@@ -235,3 +235,16 @@
     answers = [await conn.answer() for _ in range(5)]
     assert [status for status, _ in answers] == [200, 404, 400, 413, 200]
     assert answers[-1][1] == b"plain-0 b"
+
+
+async def test_a_caller_that_ends_its_sending_side_counts_as_gone(
+    fleet: Fleet, limited: Limit
+):
+    conn = await limited()
+    target = fleet.targets["plain-0"]
+    target.response_delay_s = 0.6
+    conn.send(HEAD % b"a")
+    await fleet.until(lambda: target.received)
+    conn.writer.write_eof()
+    await fleet.until(lambda: target.received[0].outcome == "cancelled", 0.5)
+    assert await conn.reader.read() == b""
