Count a head that cannot be passed on as the target's failure

What callers saw: no answer to a request that a target had run, as the connection was closed, if a header of the target's response held a control character; and a response with status 101, or 99, that never ended.

Cause: the HTTP client accepts such heads from a target, and the HTTP server refuses to write the first kind, after the handler has returned; nothing answers the request then.

Evidence: the test added here failed before in all six cases: both kinds of routes with a control character, status 101 and status 099. A caller's request with a control character is refused with status 400, as another test shows that passed before too.

Such a head is now a failure of the target, like a response to another request: the request goes to another target if it may run again, or fails with 502.

--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -21,6 +22,8 @@
 _SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 # Like the header NOT_EXECUTED, this status says that the request did not run.
 MISDIRECTED_STATUS = 421
+MIN_FINAL_STATUS = 200
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _CONNECTION_ERRORS = (
     aiohttp.ClientError,
     OSError,
@@ -71,6 +74,17 @@
     return headers
 
 
+def _check_head(resp: aiohttp.ClientResponse) -> None:
+    """Raise `TargetFailed` if the head of a response cannot be passed on."""
+    if resp.status < MIN_FINAL_STATUS:
+        message = f"got status {resp.status}, expected a final one"
+        raise TargetFailed(Verdict.MAY_HAVE_RUN, message)
+    for name, value in resp.headers.items():
+        if _CONTROL_CHARACTER.search(name + value):
+            message = f"got a control character in the header {name!r}"
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, message)
+
+
 class HttpReply:
     """A target's response whose body has not been read yet; see `relay.Reply`."""
 
@@ -162,6 +176,11 @@
             raise TargetFailed(Verdict.NOT_RUN, repr(exc), lost=True) from exc
         except _CONNECTION_ERRORS as exc:
             raise TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc), lost=True) from exc
+        try:
+            _check_head(resp)
+        except TargetFailed:
+            resp.close()
+            raise
         return HttpReply(call, resp)
 
     async def copy_kv_cache(self, call: Call, source: str, holder: str) -> KvCopy:
--- a/turmericflow/tests/test_relay_answers.py
+++ b/turmericflow/tests/test_relay_answers.py
@@ -113,3 +113,43 @@
         assert resp.status == 200
     assert target.received[0].headers["Content-Encoding"] == "gzip"
     assert target.received[0].body == body
+
+
+# Guards against a connection that is closed without an answer, or a response that never
+# ends, as the head that a target sent cannot be passed on.
+@pytest.mark.parametrize("status", [b"200 OK", b"101 Switching Protocols", b"099 None"])
+@pytest.mark.parametrize("route", [b"order", b"stream"])
+async def test_a_targets_head_that_cannot_be_passed_on_is_a_failure(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch, route: bytes, status: bytes
+):
+    targets = [*await fleet.add_plain(1), *await fleet.add_engines("dc-0")]
+    header = b"X-A: a\x01b" if status.startswith(b"200") else b"X-A: ab"
+
+    async def run(request, received, fault):
+        request.transport.write(
+            b"HTTP/1.1 %s\r\n%s\r\nX-Turmericflow-Attempt-Id: a\r\n"
+            b"X-Turmericflow-Upstream-Signature: receipt\r\n"
+            b"Content-Length: 7\r\n\r\nid: 1\n\n" % (status, header)
+        )
+        await asyncio.sleep(3600)
+
+    for target in targets:
+        monkeypatch.setattr(target, "run", run)
+    reader, writer = await _send(fleet, LINES % route + b"Content-Length: 0\r\n\r\n")
+    answer = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)
+    assert answer.startswith(b"HTTP/1.1 502")
+    assert sum(len(target.received) for target in targets) == 1
+    writer.close()
+
+
+# Guards against targets that count as lost because of what a caller sent.
+async def test_a_callers_control_character_is_a_bad_request(fleet: Fleet):
+    (target,) = await fleet.add_plain(1)
+    reader, writer = await _send(
+        fleet, LINES % b"order" + b"X-A: a\x01b\r\nContent-Length: 0\r\n\r\n"
+    )
+    answer = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)
+    writer.close()
+    assert answer.startswith((b"HTTP/1.1 400", b"HTTP/1.0 400"))
+    (row,) = fleet.hosts[0].tables.targets.by_service["plain"]
+    assert not row.failures and not target.received
