Test streams whose engines are silent for a second or so, failing

What callers saw: a stream whose engine fell silent for 1.3 s and then went on was cut after 0.3 to 1.1 s, or answered 502 before its first event, where it could not go on elsewhere: a route without resumption, the last permitted attempt, the only engine, a retry budget that is used up, or a silence of all engines.

--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -230,12 +230,14 @@
 
     Faults: ``shed`` (status 503, not run), ``error`` (status 500), ``reset``
     (connection aborted without a response), ``torn`` (connection aborted within the
-    body), ``mute`` (no response), ``other`` (response to another request),
+    body), ``mute`` (no response), ``pause`` (silent for `pause_s` before the
+    response), ``other`` (response to another request),
     ``unsigned`` (no receipt), ``unframed`` (body without a length), ``unframed
     torn``, ``early`` (response before the request body is read).
     """
 
     service = "plain"
+    pause_s = 1.3
 
     def __init__(self, name: str, data_centre: str) -> None:
         super().__init__()
@@ -244,6 +246,17 @@
         self.injected = InjectedFaults()
         self.received: list[ReceivedRequest] = []
         self.response_delay_s = 0.005
+        self._silent_until = 0.0
+
+    def fall_silent(self, seconds: float) -> None:
+        """Send nothing, answers to probes included, for a time, and then go on."""
+        self._silent_until = asyncio.get_running_loop().time() + seconds
+
+    async def end_of_silence(self) -> None:
+        """Wait until the target is not silent."""
+        loop = asyncio.get_running_loop()
+        while (remaining_s := self._silent_until - loop.time()) > 0:
+            await asyncio.sleep(remaining_s)
 
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return the object that the target writes into the store."""
@@ -269,6 +282,7 @@
         }
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        await self.end_of_silence()
         if request.path == "/v1/report":
             if self.injected.always == "mute":
                 await asyncio.sleep(3600)
@@ -318,6 +332,9 @@
     ) -> web.StreamResponse:
         """Run a request with a fault and return the response."""
         await asyncio.sleep(self.response_delay_s)
+        if fault == "pause":
+            self.fall_silent(self.pause_s)
+        await self.end_of_silence()
         text = f"{self.name} {received.id}".encode()
         headers = self._signed(request)
         match fault:
@@ -362,9 +379,9 @@
 class EngineStandIn(TargetStandIn):
     """Target of a model engine that streams events and holds KV cache copies.
 
-    Further faults: ``silent N`` (no event after event N), ``cut N`` (connection
-    aborted after event N), ``tear N`` (connection aborted within event N),
-    ``double N`` (event N sent twice).
+    Further faults: ``silent N`` (no event after event N), ``pause N`` (silent for
+    `pause_s` after event N), ``cut N`` (connection aborted after event N), ``tear N``
+    (connection aborted within event N), ``double N`` (event N sent twice).
 
     Attributes
     ----------
@@ -416,6 +433,9 @@
         else:
             await asyncio.sleep(self.prefill_s)
         kind, _, at = fault.partition(" ")
+        if fault == "pause 0":
+            self.fall_silent(self.pause_s)
+        await self.end_of_silence()
         resp = web.StreamResponse(headers=self._signed(request))
         resp.content_type = "text/event-stream"
         resp.enable_chunked_encoding()
@@ -427,6 +447,8 @@
             match kind:
                 case "silent" if number > int(at):
                     await asyncio.sleep(3600)
+                case "pause" if number == int(at) + 1:
+                    self.fall_silent(self.pause_s)
                 case "cut" if number > int(at):
                     request.transport.abort()
                     return resp
@@ -436,6 +458,7 @@
                     return resp
                 case "double" if number == int(at):
                     event += event
+            await self.end_of_silence()
             await resp.write(event)
             backup = request.headers.get("X-Turmericflow-Kv-Backup")
             if backup in self.peers:
