End a silent attempt only if its stream can resume elsewhere

What callers saw: a stream was cut, or answered 502, 0.3 to 1.1 s after its engine fell silent, although the engine was sound and went on a moment later.

Cause: the failure detector ended the attempt first, and only then was it checked whether the request may be sent again. If it may not (a route without resumption, no attempt left, no other engine, no retry budget), the response was aborted. A silence of all engines used up one attempt after another. Failure detection by silence is a guess, and the guess was treated as a failed connection.

The decision is now made before the attempt ends, over the tables: attempts left, a target that is neither silent nor in backoff (the copy's holder first), and last the retry budget, which is charged at that moment and not again when the next attempt begins, so that streams that fall silent together cannot count on the same retry. Otherwise the attempt continues until data, a failure of its connection or the deadline, and is checked again at each tick. Its target still counts as lost for new work; data from it ends that backoff. The old attempt is closed before the next begins, as before. An attempt that follows a silent one has two seconds to its first event, since two silent engines suggest a fault of the path. If all others refuse a stream, an engine that was only silent is tried again. The time-outs are as before where another engine can take over: a stream with a copy goes on after about 0.3 s.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from dataclasses import replace
 
 import structlog
 
@@ -32,9 +33,46 @@
 RETRY_AFTER_S = 0.4  # a target's queue or an engine's slot frees up within this time
 RETRY_AFTER_JITTER = 0.5  # random fraction, to spread callers' retries
 
+# Labels of the metric of losses.
+CONNECTION = "connection"
+SILENCE = "silence"
+
 log = structlog.get_logger()
 
 
+def record_target_loss(
+    ctx: HostContext, target: Target, evidence: str, reason: str
+) -> None:
+    """Record a target's loss, unless it is known, and announce it to other hosts.
+
+    Parameters
+    ----------
+    ctx
+        The host's context.
+    target
+        The target.
+    evidence
+        Label of the loss metric: `CONNECTION` or `SILENCE`.
+    reason
+        What was observed, for the log.
+    """
+    now = ctx.clock.now()
+    if not placement.record_loss(ctx.tables.targets, target, now):
+        return
+    target.silent = evidence == SILENCE
+    target.lost_at = now
+    ctx.announce()
+    ctx.metrics.losses.labels(evidence).inc()
+    log.info(
+        "target_lost",
+        target=target.entry.key,
+        address=target.entry.address,
+        data_centre=target.entry.data_centre,
+        evidence=reason,
+        out_s=round(target.backoff_until - now, 3),
+    )
+
+
 class AttemptOutcome(enum.StrEnum):
     """Outcome of one attempt."""
 
@@ -71,6 +109,7 @@
         "may_have_run",
         "_refusals",
         "_sends",
+        "_silent",
         "_fingerprint",
     )
 
@@ -86,6 +125,7 @@
         self.may_have_run = 0
         self._refusals = 0
         self._sends = 0
+        self._silent: set[str] = set()
         self._fingerprint = ""
 
     @property
@@ -117,22 +157,41 @@
             capacity=engine.memory_tokens if engine else 0,
         )
 
+    def check_content(self) -> None:
+        """Check that the content did not crash the targets that ran it.
+
+        Raises
+        ------
+        RequestFailed
+            If it crashed so many targets that it must not be sent again.
+        """
+        table = self.ctx.tables.crashes
+        if table.has_crashes and table.is_refused(
+            self.content_fingerprint(), self.ctx.clock.now()
+        ):
+            raise self.build_failure("the content crashed the targets that ran it")
+
+    def _place(self, demand: placement.Demand) -> Target | None:
+        tables, now = self.ctx.tables, self.ctx.clock.now()
+        hosts = membership.count_live_hosts(tables, now)
+        return placement.choose(tables.targets, demand, now, self.ctx.rng, hosts)
+
     def choose(self) -> Target:
         """Return the target to try next.
 
+        Targets that were only silent are tried again if no other is left.
+
         Raises
         ------
         RequestFailed
             If no target is left, or the request must not be sent again.
         """
-        tables, now = self.ctx.tables, self.ctx.clock.now()
-        table = tables.crashes
-        if table.has_crashes and table.is_refused(self.content_fingerprint(), now):
-            raise self.build_failure("the content crashed the targets that ran it")
-        hosts = membership.count_live_hosts(tables, now)
-        target = placement.choose(
-            tables.targets, self.placement_demand(), now, self.ctx.rng, hosts
-        )
+        self.check_content()
+        demand = self.placement_demand()
+        target = self._place(demand)
+        if target is None and self._silent:
+            excluded = frozenset(self.tried - self._silent)
+            target = self._place(replace(demand, excluded_targets=excluded))
         if target is None:
             raise self.build_failure(
                 f"no target of {self.match.service!r} is left to try"
@@ -162,10 +221,9 @@
             raise self.build_failure(f"{route.max_attempts} targets may have run it")
         if self._refusals >= MAX_REFUSALS:
             raise self.build_failure(f"{self._refusals} targets refused it")
-        others = membership.peer_retry_usage(
+        if not membership.try_spend_retry(
             ctx.tables, self.match.service, route.kind is WorkKind.STREAM, now
-        )
-        if not ctx.tables.retry_budgets.try_spend(self.match.service, others, now):
+        ):
             failure = self.build_failure("the budget for repeats is used up").failure
             raise RetryBudgetExhausted(failure)
 
@@ -215,6 +273,14 @@
         run.first_event_due_s = silence.first_event_due_s(
             self.ctx.tables, run, target.pending_prefill_tokens
         )
+        route = self.match.route
+        if route.repeatable and self._refusals < MAX_REFUSALS:
+            run.attempts_left = route.max_attempts - self.may_have_run - 1
+        demand = self.placement_demand()
+        run.demand = replace(
+            demand, excluded_targets=demand.excluded_targets | {target.entry.key}
+        )
+        run.follows_silence = bool(self._silent)
         target.own_load.runs += 1
         target.own_load.pending_prefill_tokens += self.call.prompt_tokens
         target.own_load.memory_tokens += run.memory_tokens
@@ -271,7 +337,7 @@
         target: Target,
         exc: TargetFailed,
         may_be_crash: bool,
-        evidence: str = "connection",
+        evidence: str = CONNECTION,
     ) -> AttemptOutcome:
         """Record that the connection to a target failed or its stream stalled.
 
@@ -296,18 +362,10 @@
                 self.ctx.crash_suspects.append(
                     CrashSuspect(self.content_fingerprint(), target, now)
                 )
-        if exc.lost and placement.record_loss(self.ctx.tables.targets, target, now):
-            target.lost_at = now
-            self.ctx.announce()
-            self.ctx.metrics.losses.labels(evidence).inc()
-            log.info(
-                "target_lost",
-                target=target.entry.key,
-                address=target.entry.address,
-                data_centre=target.entry.data_centre,
-                evidence=str(exc),
-                out_s=round(target.backoff_until - now, 3),
-            )
+        if evidence == SILENCE:
+            self._silent.add(target.entry.key)
+        if exc.lost:
+            record_target_loss(self.ctx, target, evidence, str(exc))
         self._log_outcome(target, AttemptOutcome.LOST, str(exc))
         return AttemptOutcome.LOST
 
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -197,6 +197,15 @@
     return PeerRetryUsage(usages, 1 + len(tables.hosts.rows), propagation_s)
 
 
+def try_spend_retry(tables: Tables, service: str, announced: bool, now: float) -> bool:
+    """Charge one retry to a service's budget; return whether it is allowed.
+
+    The parameters are those of `peer_retry_usage`.
+    """
+    others = peer_retry_usage(tables, service, announced, now)
+    return tables.retry_budgets.try_spend(service, others, now)
+
+
 def _hosts_reading_store(tables: Tables, now: float) -> list[str]:
     """Return the live hosts that can read the store, in the same order on all hosts."""
     hosts = tables.hosts
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -111,6 +111,7 @@
         return False
     backoff_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**target.failures)
     target.failures += 1
+    target.silent = False
     target.backoff_until = at + backoff_s
     domain = (target.entry.data_centre, target.entry.service)
     times = [
@@ -140,6 +141,14 @@
     target.failures = 0
 
 
+def record_end_of_silence(target: Target) -> None:
+    """Record that a silent target sent data again, which ends its backoff."""
+    if target.silent:
+        target.silent = False
+        target.failures = 0
+        target.backoff_until = 0.0
+
+
 def cost(target: Target, demand: Demand, now: float) -> float:
     """Return the cost of placing a request at a target, in prompts of 1,500 tokens.
 
--- a/turmericflow/relay/_silence.py
+++ b/turmericflow/relay/_silence.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from collections.abc import Set
+from dataclasses import dataclass, replace
+from random import Random
 
-from turmericflow.relay import _placement as placement
+from turmericflow.relay import _membership as membership, _placement as placement
+from turmericflow.relay._call import KvCopy
 from turmericflow.relay._tables import Run, Tables
+from turmericflow.relay._target_tables import Target
 
 MIN_SILENCE_S = 0.25  # several events of a fast stream, and one prefill
 SILENT_EVENT_GAPS = 6.0  # average gaps without an event
 TARGET_ALIVE_WITHIN_S = 0.1  # since the last event of any stream of the target
 LIVE_TARGET_SILENCE_S = 0.45  # if other streams of the target are active
 NO_COPY_SILENCE_S = 1.0  # resuming without a copy repeats the whole prefill
+# After an attempt ended for silence: two silent targets suggest a fault of the path.
+SECOND_SILENCE_S = 2.0
+MAX_DESTINATION_SILENCE_SHARE = 0.5  # of the silence after which it is suspected
 PREFILL_ALLOWANCE_S = 0.15
 FIRST_EVENT_DUE_FACTOR = 1.5
 FIRST_EVENT_DUE_MARGIN_S = 0.4
@@ -27,7 +34,10 @@
 
 
 class Action(enum.StrEnum):
-    """Action to take on a silent stream."""
+    """Action to take on a silent stream.
+
+    ``END`` ends the attempt if its stream can resume elsewhere at once.
+    """
 
     PROBE = "probe"
     END = "end"
@@ -85,29 +95,105 @@
     elif run.prefills_alone and run.call.prompt_tokens:
         _update_prefill_rate(tables, run, now)
     run.events += 1
+    run.held = False
     run.last_event_at = target.last_event_at = now
+    placement.record_end_of_silence(target)
 
 
-def _silence_timeout_s(run: Run, now: float) -> float:
-    target = run.target
+def _target_silence_timeout_s(target: Target) -> float:
     timeout_s = max(MIN_SILENCE_S, SILENT_EVENT_GAPS * target.event_gap_s)
     if target.pending_prefill_tokens:
         timeout_s += PREFILL_ALLOWANCE_S
+    return timeout_s
+
+
+def find_silent_targets(tables: Tables, now: float) -> set[str]:
+    """Return the keys of targets that may be silent, at which no stream resumes.
+
+    Parameters
+    ----------
+    tables
+        The tables.
+    now
+        Time of a clock that stops while this process is stalled.
+    """
+    found = set()
+    for run in tables.runs:
+        target = run.target
+        timeout_s = MAX_DESTINATION_SILENCE_SHARE * _target_silence_timeout_s(target)
+        silent_s = now - max(run.last_event_at, target.last_event_at)
+        expects_event = run.held or (run.events and not run.waiting_on_caller)
+        if expects_event and silent_s >= timeout_s:
+            found.add(target.entry.key)
+    return found
+
+
+def find_destination(
+    tables: Tables,
+    demand: placement.Demand,
+    copy: KvCopy | None,
+    silent: Set[str],
+    now: float,
+    rng: Random,
+) -> Target | None:
+    """Return the target at which a silent stream can resume at once, or None.
+
+    It is the engine that holds the copy of the KV cache, or another one. An engine
+    that is silent or in backoff is not returned.
+
+    Parameters
+    ----------
+    tables
+        The tables.
+    demand
+        Constraints on the target.
+    copy
+        Copy of the KV cache, or None.
+    silent
+        Keys of the targets that are silent.
+    now
+        Time of the event loop's clock.
+    rng
+        Source of randomness for the choice.
+    """
+    if copy is not None:
+        holder = placement.find_at_address(tables.targets, demand.service, copy.holder)
+        if (
+            holder is not None
+            and now >= holder.backoff_until
+            and holder.entry.key not in silent
+        ):
+            return holder
+    demand = replace(demand, excluded_targets=demand.excluded_targets | silent)
+    hosts = membership.count_live_hosts(tables, now)
+    return placement.choose_backup(tables.targets, demand, now, rng, hosts)
+
+
+def _silence_timeout_s(run: Run, silent: Set[str], now: float) -> float:
+    target = run.target
+    timeout_s = _target_silence_timeout_s(target)
     if now - target.last_event_at < TARGET_ALIVE_WITHIN_S:
         timeout_s = max(timeout_s, LIVE_TARGET_SILENCE_S)
-    if run.backup is None:
+    if run.backup is None or run.backup.entry.key in silent:
         timeout_s = max(timeout_s, NO_COPY_SILENCE_S)
     return timeout_s
 
 
-def _next_action(tables: Tables, run: Run, now: float) -> Action | None:
+def _next_action(
+    tables: Tables, run: Run, silent: Set[str], now: float
+) -> Action | None:
     silent_s = now - run.last_event_at
     target = run.target
-    can_probe = now - run.probed_at >= PROBE_INTERVAL_S
+    # A further probe of a stream that cannot resume elsewhere would change nothing.
+    can_probe = now - run.probed_at >= PROBE_INTERVAL_S and (
+        run.attempts_left > 0 or not run.held
+    )
     if run.events:
-        if silent_s >= _silence_timeout_s(run, now):
+        if silent_s >= _silence_timeout_s(run, silent, now):
             return Action.END
         return None
+    if run.follows_silence and silent_s < SECOND_SILENCE_S:
+        return None
     entry = target.entry
     in_lost_data_centre = placement.data_centre_lost(
         tables.targets, entry.data_centre, entry.service, now
@@ -147,10 +233,11 @@
         Time of a clock that stops while this process is stalled.
     """
     found = []
+    silent = find_silent_targets(tables, now)
     for run in tables.runs:
         if run.waiting_on_caller or run.abort_reason is not None:
             continue
-        action = _next_action(tables, run, now)
+        action = _next_action(tables, run, silent, now)
         if action is not None:
             found.append(SilentStream(run, action, now - run.last_event_at))
     return found
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Set
 from typing import Protocol
 
 import structlog
@@ -13,7 +14,12 @@
     _placement as placement,
     _silence as silence,
 )
-from turmericflow.relay._attempts import AttemptOutcome, Attempts, RetryBudgetExhausted
+from turmericflow.relay._attempts import (
+    SILENCE,
+    AttemptOutcome,
+    Attempts,
+    RetryBudgetExhausted,
+)
 from turmericflow.relay._call import KvCopy, Reply
 from turmericflow.relay._events import EventReader, EventsInvalid
 from turmericflow.relay._tables import AbortReason, Run
@@ -59,6 +65,7 @@
         "_kv_copy",
         "_last_event_id",
         "_paused_at",
+        "_interrupted",
         "begun",
     )
 
@@ -68,6 +75,7 @@
         self._kv_copy: KvCopy | None = None
         self._last_event_id = attempts.call.last_event_id
         self._paused_at: float | None = None
+        self._interrupted: Run | None = None
         self.begun = False
 
     async def run(self) -> None:
@@ -105,9 +113,25 @@
     def _choose(self) -> Target:
         """Return the engine that holds the copy of the KV cache, or another one.
 
-        This charges the retry budget, except for the first send.
+        This charges the retry budget, except for the first send, and unless it was
+        charged when the last attempt was cancelled.
         """
         attempts, copy = self._attempts, self._kv_copy
+        interrupted, self._interrupted = self._interrupted, None
+        if interrupted is not None:
+            attempts.check_content()
+            destination = silence.find_destination(
+                attempts.ctx.tables,
+                attempts.placement_demand(),
+                copy,
+                interrupted.silent_targets,
+                attempts.ctx.clock.now(),
+                attempts.ctx.rng,
+            )
+            if destination is not None:
+                if copy is not None and copy.holder != destination.entry.address:
+                    self._kv_copy = None
+                return destination
         if copy is not None:
             table = attempts.ctx.tables.targets
             service = attempts.match.service
@@ -188,6 +212,7 @@
             self._save_kv_copy(run)
             return attempts.record_lost(target, exc, may_be_crash=True)
         finally:
+            self._interrupted = run if run.abort_reason is not None else None
             tables.runs.discard(run)
             attempts.end_run(run)
             if reply is not None:
@@ -204,7 +229,7 @@
         lost = now - run.target.last_event_at >= silence.MIN_SILENCE_S
         failed = TargetFailed(Verdict.MAY_HAVE_RUN, message, lost)
         return attempts.record_lost(
-            run.target, failed, may_be_crash=False, evidence="silence"
+            run.target, failed, may_be_crash=False, evidence=SILENCE
         )
 
     def _save_kv_copy(self, run: Run) -> None:
@@ -271,7 +296,15 @@
             if not self.begun:
                 elapsed_s = ctx.clock.now() - attempts.call.arrived_at
                 ctx.metrics.first_event_seconds.observe(elapsed_s)
-        silence.record_event(ctx.tables, run, ctx.clock.unstalled_now())
+        now = ctx.clock.unstalled_now()
+        if run.held:
+            log.info(
+                "stream_continued",
+                request=attempts.call.id,
+                target=run.target.entry.key,
+                silent_s=round(now - run.last_event_at, 3),
+            )
+        silence.record_event(ctx.tables, run, now)
         if self._paused_at is not None:
             pause_s = ctx.clock.now() - self._paused_at
             self._paused_at = None
@@ -307,8 +340,14 @@
             run.waiting_on_caller = False
 
 
-def interrupt(run: Run, reason: AbortReason, now: float) -> None:
-    """Cancel a running attempt so that its stream resumes at another target."""
+def interrupt(
+    run: Run, reason: AbortReason, silent_targets: Set[str], now: float
+) -> None:
+    """Cancel a running attempt so that its stream resumes at another target.
+
+    The retry budget must have been charged for the next attempt.
+    """
     run.abort_reason = reason
+    run.silent_targets = silent_targets
     if run.timeout is not None:
         run.timeout.reschedule(now)
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import enum
+from collections.abc import Set
 
 from turmericflow.relay._budgets import RetryBudgets
 from turmericflow.relay._call import Call, KvCopy
 from turmericflow.relay._crashes import CrashTable
 from turmericflow.relay._host_tables import HostTable
 from turmericflow.relay._model import Customer, Deployment, HostEntry, Route, Service
+from turmericflow.relay._placement import Demand
 from turmericflow.relay._target_tables import Target, TargetTable
 
 
@@ -61,6 +63,16 @@
         Time of the last probe of its target.
     prefills_alone
         Whether its target had no other prompt to prefill at the start.
+    attempts_left
+        Number of attempts that may follow if this one ends without an answer.
+    demand
+        Constraints on the target of a next attempt.
+    follows_silence
+        Whether an earlier attempt ended because its target was silent.
+    held
+        Whether it is silent and continues, as its stream cannot resume elsewhere.
+    silent_targets
+        Keys of the silent targets when this attempt was cancelled.
     """
 
     __slots__ = (
@@ -80,6 +92,11 @@
         "probed_at",
         "prefills_alone",
         "memory_tokens",
+        "attempts_left",
+        "demand",
+        "follows_silence",
+        "held",
+        "silent_targets",
     )
 
     def __init__(self, call: Call, route: Route, target: Target, now: float) -> None:
@@ -99,6 +116,11 @@
         self.probed_at = 0.0
         self.prefills_alone = False
         self.memory_tokens = call.prompt_tokens + call.output_tokens
+        self.attempts_left = 0
+        self.demand: Demand | None = None
+        self.follows_silence = False
+        self.held = False
+        self.silent_targets: Set[str] = frozenset()
 
     def set_backup(self, backup: Target) -> None:
         """Set the engine to which the run's KV cache is copied as it grows."""
--- a/turmericflow/relay/_target_tables.py
+++ b/turmericflow/relay/_target_tables.py
@@ -38,6 +38,8 @@
         Time until which the target is avoided after a failure or refusal.
     failures
         Number of consecutive failures.
+    silent
+        Whether its last failure is a silence that this host detected.
     gone, gone_at
         Whether another target has its address, and when this host itself found out;
         other hosts' findings do not set the time, as they are not gossiped again.
@@ -56,6 +58,7 @@
         "other_loads",
         "backoff_until",
         "failures",
+        "silent",
         "gone",
         "gone_at",
         "lost_at",
@@ -69,6 +72,7 @@
         self.other_loads: dict[str, Load] = {}
         self.backoff_until = 0.0
         self.failures = 0
+        self.silent = False
         self.gone = False
         self.gone_at = float("-inf")
         self.lost_at = float("-inf")
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
+
 import structlog
 from mode import Service
 
@@ -14,6 +16,7 @@
     _silence as silence,
     _stream as stream,
 )
+from turmericflow.relay._attempts import SILENCE, record_target_loss
 from turmericflow.relay._context import HostContext
 from turmericflow.relay._model import TargetEntry
 from turmericflow.relay._store import Conflict, StoreFailed
@@ -50,19 +53,63 @@
                 self.add_future(self._copy_kv_cache(run))
 
     def _check_silent_streams(self) -> None:
-        clock = self._ctx.clock
-        for silent in silence.find_silent_streams(
-            self._ctx.tables, clock.unstalled_now()
-        ):
+        tables, now = self._ctx.tables, self._ctx.clock.unstalled_now()
+        found = silence.find_silent_streams(tables, now)
+        silent_targets = silence.find_silent_targets(tables, now) if found else set()
+        for silent in found:
             run = silent.run
             match silent.action:
                 case silence.Action.END:
-                    self._abort_run(run, AbortReason.SILENT)
+                    self._resume_elsewhere(run, AbortReason.SILENT, silent_targets)
                 case silence.Action.PROBE:
-                    run.probed_at = clock.unstalled_now()
+                    run.probed_at = now
                     self.add_future(self._probe(run))
 
-    def _abort_run(self, run: Run, reason: AbortReason) -> None:
+    def _resume_elsewhere(
+        self, run: Run, reason: AbortReason, silent_targets: Set[str]
+    ) -> None:
+        """End a silent attempt if its stream can resume elsewhere; else keep it."""
+        if self._may_resume_elsewhere(run, silent_targets):
+            self._abort_run(run, reason, silent_targets)
+        else:
+            self._hold_run(run)
+
+    def _may_resume_elsewhere(self, run: Run, silent_targets: Set[str]) -> bool:
+        """Charge the retry budget if a stream can resume; return whether it can."""
+        if run.attempts_left <= 0:
+            return False
+        ctx, tables, now = self._ctx, self._ctx.tables, self._ctx.clock.now()
+        copy = run.kv_copy if run.events else None
+        destination = silence.find_destination(
+            tables, run.demand, copy, silent_targets, now, ctx.rng
+        )
+        if destination is None:
+            return False
+        service = run.target.entry.service
+        return membership.try_spend_retry(tables, service, True, now)
+
+    def _hold_run(self, run: Run) -> None:
+        """Keep a silent attempt, and avoid its target for new work."""
+        clock, target = self._ctx.clock, run.target
+        now = clock.unstalled_now()
+        silent_s = round(now - run.last_event_at, 3)
+        if not run.held:
+            run.held = True
+            log.info(
+                "stream_held",
+                request=run.call.id,
+                target=target.entry.key,
+                silent_s=silent_s,
+                events=run.events,
+                attempts_left=run.attempts_left,
+            )
+        if now - target.last_event_at >= silence.MIN_SILENCE_S:
+            reason = f"silent: no event for {silent_s:.3f} s"
+            record_target_loss(self._ctx, target, SILENCE, reason)
+
+    def _abort_run(
+        self, run: Run, reason: AbortReason, silent_targets: Set[str]
+    ) -> None:
         clock = self._ctx.clock
         log.info(
             "stream_silent",
@@ -74,7 +121,7 @@
             due_s=round(run.first_event_due_s, 3),
             fault=reason.value,
         )
-        stream.interrupt(run, reason, clock.now())
+        stream.interrupt(run, reason, silent_targets, clock.now())
 
     async def _probe(self, run: Run) -> None:
         address = run.target.entry.address
@@ -82,7 +129,9 @@
         if run.events or run not in self._ctx.tables.runs:
             return
         if not alive and run.abort_reason is None:
-            self._abort_run(run, AbortReason.LOST)
+            tables, now = self._ctx.tables, self._ctx.clock.unstalled_now()
+            silent_targets = silence.find_silent_targets(tables, now)
+            self._resume_elsewhere(run, AbortReason.LOST, silent_targets)
 
     def _probe_misdirected(self) -> None:
         misdirected, self._ctx.misdirected = self._ctx.misdirected, []
--- a/turmericflow/tests/test_relay_silence.py
+++ b/turmericflow/tests/test_relay_silence.py
@@ -239,8 +239,9 @@
     first, second = await fleet.add_engines("dc-0", "dc-0")
     await _deploy(fleet, maxAttempts=1)
     first.injected.faults, second.injected.faults = ["pause 7"], ["pause 7"]
+    first.pause_s = second.pause_s = 3.0
     reading = asyncio.create_task(_read(fleet, "held"))
-    await asyncio.sleep(1.0)
+    await asyncio.sleep(1.3)
     (other,) = [engine for engine in (first, second) if not engine.received]
     other.injected.faults.clear()
     for number in range(4):
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -15,7 +15,7 @@
     _silence as silence,
 )
 from turmericflow.relay._budgets import PeerRetryUsage, RetryBudgets, RetryUsage
-from turmericflow.relay._call import Call
+from turmericflow.relay._call import Call, KvCopy
 from turmericflow.relay._crashes import MIN_CRASHES_TO_REFUSE, CrashTable
 from turmericflow.relay._events import EventReader, EventsInvalid
 from turmericflow.relay._host_tables import HostState
@@ -244,6 +244,84 @@
     assert silence.find_silent_streams(tables, 30.0) == []
 
 
+def destination(tables: Tables, silent: set[str], now: float = 1.0, **changes) -> str:
+    """Return the name of the engine at which a stream of e0 resumes, or ""."""
+    copy = KvCopy("e1:1", "e1:1", "r") if changes.pop("copied", False) else None
+    excluded = frozenset(["e0@0"])
+    found = silence.find_destination(
+        tables, demand(excluded_targets=excluded), copy, silent, now, Random(1)
+    )
+    return "" if found is None else found.entry.id
+
+
+def test_a_silent_stream_resumes_at_the_holder_of_its_copy(tables: Tables):
+    assert destination(tables, set(), copied=True) == "e1"
+    assert destination(tables, {"e1@0"}, copied=True) not in ("", "e0", "e1")
+    placement.record_loss(tables.targets, tables.targets.rows["e1@0"], 0.9)
+    assert destination(tables, set(), copied=True) not in ("", "e0", "e1")
+
+
+def test_a_silent_stream_resumes_at_no_silent_or_lost_engine(tables: Tables):
+    silent = {f"e{n}@0" for n in range(5)}
+    assert destination(tables, silent) == "e5"
+    placement.record_loss(tables.targets, tables.targets.rows["e5@0"], 0.9)
+    assert destination(tables, silent) == ""
+    assert destination(tables, silent, now=1.5) == "e5"
+    assert destination(tables, silent | {"e5@0"}, now=1.5, copied=True) == ""
+
+
+def test_engines_that_fall_silent_together_are_all_silent(tables: Tables):
+    """Their last events differ by up to an event gap, as their steps do."""
+    for number in range(6):
+        run = run_at(tables, f"e{number}", heard_at=0.01 * number)
+        run.target.event_gap_s = 0.03
+    assert silence.find_silent_targets(tables, 0.1) == set()
+    assert len(silence.find_silent_targets(tables, 0.25)) == 6
+
+
+def test_a_live_engine_is_not_silent_for_one_silent_stream(tables: Tables):
+    run_at(tables, "e0").target.last_event_at = 0.9
+    run_at(tables, "e1", events=0)
+    assert silence.find_silent_targets(tables, 1.0) == set()
+    run_at(tables, "e2", events=0).held = True
+    assert silence.find_silent_targets(tables, 1.0) == {"e2@0"}
+
+
+def test_a_stream_whose_copy_is_at_a_silent_engine_waits_as_if_it_had_none(
+    tables: Tables,
+):
+    run = run_at(tables, "e0")
+    run.backup = tables.targets.rows["e1@0"]
+    assert [found.run for found in silence.find_silent_streams(tables, 0.3)] == [run]
+    run_at(tables, "e1").waiting_on_caller = True
+    assert [found.run for found in silence.find_silent_streams(tables, 0.3)] == [run]
+    run_at(tables, "e1")
+    assert silence.find_silent_streams(tables, 0.3) == []
+    assert len(silence.find_silent_streams(tables, 1.0)) == 2
+
+
+def test_an_engine_tried_after_a_silent_one_is_not_probed_at_once(tables: Tables):
+    run = run_at(tables, "e0", events=0)
+    run.follows_silence, run.first_event_due_s = True, 0.2
+    assert silence.find_silent_streams(tables, 1.9) == []
+    (found,) = silence.find_silent_streams(tables, 2.1)
+    assert found.action is silence.Action.PROBE
+
+
+def test_the_end_of_a_silence_ends_its_backoff_only(tables: Tables):
+    run = run_at(tables, "e0")
+    target = run.target
+    for silent, failures in ((True, 0), (False, 1)):
+        target.backoff_until, target.failures = 0.0, 0
+        assert placement.record_loss(tables.targets, target, 10.0)
+        target.silent = silent
+        target.last_event_at = 0.0
+        silence.record_event(tables, run, 10.1)
+        assert target.failures == failures
+        assert (target.backoff_until > 10.1) == bool(failures)
+        target.last_event_at = 0.0
+
+
 # Retry budgets and crashes
 
 
