Fail an attempt at once when its body cannot be parsed

What callers saw: status 504 at the route's timeout, though another target could have answered, when a target sent the head of an answer and, in a later read, bytes that are no chunks. A stream went on only after 3.5 s of silence.

Cause: the HTTP client reports an error of the parser to whoever waits for the head. A body that is already being read gets neither the error nor an end.

Change: connections to targets hand the error on to the body.

The tests play targets that send bytes without end, in a head or a body. Before the change, "later broken chunks" failed for a plain request that runs once and for one that may run elsewhere (504 after 0.8 s); both pass now.

--- a/turmericflow/platform/__main__.py
+++ b/turmericflow/platform/__main__.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 import time
+from functools import partial
 from pathlib import Path
 
 import aiohttp
@@ -29,6 +30,7 @@
     Listener,
     SettingsInvalid,
     Tables,
+    TargetConnection,
     addresses,
     set_up_log,
 )
@@ -79,6 +81,12 @@
     return session
 
 
+def _open_target_session() -> aiohttp.ClientSession:
+    session = _open_session(force_close=True)
+    session.connector._factory = partial(TargetConnection, asyncio.get_running_loop())
+    return session
+
+
 class _HttpHandlers:
     """Handlers of readiness checks, address lookups and metrics."""
 
@@ -132,7 +140,7 @@
         settings.peers,
     )
     tables = Tables(own)
-    target_session, store_session = _open_session(True), _open_session(False)
+    target_session, store_session = _open_target_session(), _open_session(False)
     client = StoreClient(store_session, settings.store)
     return HostContext(settings, tables, HttpTargets(target_session), client), [
         target_session,
--- a/turmericflow/relay/__init__.py
+++ b/turmericflow/relay/__init__.py
@@ -35,6 +35,7 @@
     StoreFailed,
 )
 from turmericflow.relay._tables import Tables
+from turmericflow.relay._target_connections import TargetConnection
 
 __all__ = (
     # Declarations and entries
@@ -54,6 +55,7 @@
     "KvCopy",
     "Dispatch",
     "RequestInvalid",
+    "TargetConnection",
     # The object store
     "Change",
     "Changes",
--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -8,6 +8,7 @@
 import os
 import socket
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -219,10 +220,90 @@
 
 @dataclass
 class InjectedFaults:
-    """Faults of the next requests in order, and of all requests; "" is no fault."""
+    """Faults of the next requests in order, and of all requests; "" is no fault.
+
+    `report`, `health` and `copy` are keys of `ENDLESS` for the target's own calls.
+    """
 
     faults: list[str] = field(default_factory=list)
     always: str = ""
+    report: str = ""
+    health: str = ""
+    copy: str = ""
+
+
+OK = b"HTTP/1.1 200 OK\r\n%s"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+# Bytes that a faulty target sends once, and those that it then repeats without end.
+# ``%s`` is replaced by the headers that each target sends.
+ENDLESS = {
+    "no HTTP": (b"", b"\x00\xff no HTTP"),
+    "empty lines": (b"", b"\r\n"),
+    "status line": (b"HTTP/1.1 200 ", b"x"),
+    "header name": (OK, b"x"),
+    "header line": (OK + b"X-Long: ", b"x"),
+    "headers": (OK, b"X-More: 1\r\n"),
+    "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "body": (OK + b"\r\n", b"x"),
+    "long body": (OK + b"Content-Length: 99999999999\r\n\r\n", b"x"),
+    "encoded body": (OK + b"Content-Encoding: gzip\r\n\r\n", b"x"),
+    "chunks": (OK + CHUNKED, b"400\r\n%s\r\n" % (b"x" * 1024)),
+    "small chunks": (OK + CHUNKED, b"1\r\nx\r\n"),
+    "chunk size": (OK + CHUNKED, b"0"),
+    "chunk extension": (OK + CHUNKED + b"5;", b"x"),
+    "broken chunks": (OK + CHUNKED + b"5\r\nwhole\r\n", b"no chunk"),
+    "trailers": (
+        OK + CHUNKED + b"5\r\nwhole\r\n0\r\n",
+        b"X-More: 1\r\n",
+    ),
+    "trailer line": (
+        OK + CHUNKED + b"5\r\nwhole\r\n0\r\nX-Long: ",
+        b"x",
+    ),
+    "excess": (OK + b"Content-Length: 5\r\n\r\nwhole", b"x"),
+    "excess answers": (
+        OK + b"Content-Length: 5\r\n\r\nwhole",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother",
+    ),
+    "error": (b"HTTP/1.1 500 Failed\r\n%s\r\n", b"x"),
+    "not found": (b"HTTP/1.1 404 Not Found\r\n%s\r\n", b"x"),
+    "refusal": (
+        b"HTTP/1.1 503 Full\r\n%sX-Turmericflow-Not-Executed: 1\r\n\r\n",
+        b"x",
+    ),
+    "misdirected": (b"HTTP/1.1 421 Misdirected\r\n%s\r\n", b"x"),
+    "one event": (OK + b"\r\nid: 1\ndata: ", b"x"),
+    "event id": (OK + b"\r\nid: 1", b"1"),
+    "comments": (OK + b"\r\n", b": c\n"),
+    "comment blocks": (OK + b"\r\n", b": c\n\n"),
+    "blank lines": (OK + b"\r\n", b"\n"),
+    "blocks without id": (OK + b"\r\n", b"no event\n\n"),
+    "seen events": (OK + b"\r\n", b"id: 1\ndata: token-1\n\n"),
+}
+ENDLESS_PIECE_BYTES = 65_536
+ENDLESS_PAUSE_S = 0.05  # separates reads
+
+
+def endless_bytes(kind: str, headers: dict[str, str]) -> Iterator[bytes]:
+    """Yield what a faulty target sends, without end; `kind` is a key of `ENDLESS`."""
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    if kind == "events":
+        yield (OK + b"\r\n") % lines.encode()
+        for first in itertools.count(1, 1000):
+            ids = range(first, first + 1000)
+            yield b"".join(b"id: %d\ndata: token-%d\n\n" % (n, n) for n in ids)
+    head, repeated = ENDLESS[kind]
+    yield head.replace(b"%s", lines.encode(), 1)
+    yield from itertools.repeat(repeated * (ENDLESS_PIECE_BYTES // len(repeated)))
+
+
+@dataclass(slots=True)
+class EndlessSend:
+    """Bytes that a target sent without end, until the connection was closed."""
+
+    path: str
+    size: int = 0
+    closed_at: float | None = None
 
 
 class TargetStandIn(HttpServer):
@@ -232,7 +313,9 @@
     (connection aborted without a response), ``torn`` (connection aborted within the
     body), ``mute`` (no response), ``other`` (response to another request),
     ``unsigned`` (no receipt), ``unframed`` (body without a length), ``unframed
-    torn``, ``early`` (response before the request body is read).
+    torn``, ``early`` (response before the request body is read), ``endless KIND``
+    (`ENDLESS`, until the connection is closed), ``endless later KIND`` (the
+    repeated bytes come after a pause).
     """
 
     service = "plain"
@@ -243,6 +326,7 @@
         self.data_centre = data_centre
         self.injected = InjectedFaults()
         self.received: list[ReceivedRequest] = []
+        self.endless_sends: list[EndlessSend] = []
         self.response_delay_s = 0.005
 
     def entry(self, state: str = "ready") -> dict[str, object]:
@@ -272,9 +356,15 @@
         if request.path == "/v1/report":
             if self.injected.always == "mute":
                 await asyncio.sleep(3600)
+            if self.injected.report:
+                return await self._send_endlessly(request, self.injected.report)
             return web.json_response(self.report())
         if request.path == "/healthz":
             headers = {"X-Turmericflow-Instance-Id": self.name}
+            if self.injected.health:
+                return await self._send_endlessly(
+                    request, self.injected.health, headers
+                )
             return web.Response(headers=headers)
         faults = self.injected.faults
         fault = self.injected.always or (faults.pop(0) if faults else "")
@@ -320,6 +410,9 @@
         await asyncio.sleep(self.response_delay_s)
         text = f"{self.name} {received.id}".encode()
         headers = self._signed(request)
+        if fault.startswith("endless "):
+            kind = fault.removeprefix("endless ")
+            return await self._send_endlessly(request, kind, headers)
         match fault:
             case "error":
                 return web.Response(status=500, headers=headers, body=b"failed")
@@ -342,6 +435,27 @@
                 return await self._unframed(request, headers, text, "torn" in fault)
         return web.Response(headers=headers, body=text)
 
+    async def _send_endlessly(
+        self, request: web.BaseRequest, kind: str, headers: dict[str, str] = {}
+    ) -> web.StreamResponse:
+        sent = EndlessSend(request.path)
+        self.endless_sends.append(sent)
+        transport = request.transport
+        pause_s = ENDLESS_PAUSE_S if kind.startswith("later ") else 0.0
+        try:
+            for piece in endless_bytes(kind.removeprefix("later "), headers):
+                if sent.size:
+                    await asyncio.sleep(pause_s)
+                    pause_s = 0.0
+                transport.write(piece)
+                sent.size += len(piece)
+                await request.protocol._drain_helper()
+                if transport.is_closing():
+                    break
+        finally:
+            sent.closed_at = asyncio.get_running_loop().time()
+        return web.Response()
+
     async def _unframed(
         self, request: web.BaseRequest, headers: dict, text: bytes, torn: bool
     ) -> web.StreamResponse:
@@ -396,6 +510,8 @@
         body = json.loads(await request.read())
         if body["target"] not in self.peers:
             return web.Response(status=503)
+        if self.injected.copy:
+            return await self._send_endlessly(request, self.injected.copy)
         self.copies_made += 1
         handle = f"move-{self.copies_made}"
         self.peers[body["target"]].kv_copies.add(handle)
@@ -404,7 +520,7 @@
     async def run(
         self, request: web.BaseRequest, received: ReceivedRequest, fault: str
     ) -> web.StreamResponse:
-        if fault in ("error", "reset", "mute"):
+        if fault in ("error", "reset", "mute") or fault.startswith("endless "):
             return await super().run(request, received, fault)
         copy = request.headers.get("Kv-From", "")
         if copy:
