Bound the bytes of a target's response that belong to no body

What callers saw: status 504 at the route's timeout, though another target could have answered, when a target sent empty lines or interim responses without end, or a chunk size (zeros) or chunk extension without end, or chunks of one byte.

Cause: the parser bounds lines and fields of a head and of trailers, but not these.

Change: a connection fails once heads, interim responses, chunk headers and trailers have 64 KiB more than the body. Received bytes are parsed in pieces of 16 KiB, so that the bound is checked before a large read has been parsed as a whole.

--- a/turmericflow/relay/_target_connections.py
+++ b/turmericflow/relay/_target_connections.py
@@ -1,13 +1,37 @@
-"""Connections to targets whose responses may be malformed."""
+"""Connections to targets, with a bound on bytes that belong to no body."""
 
 from __future__ import annotations
 
+import asyncio
+
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 
+# Head, interim responses, chunk headers and trailers may have this many bytes more
+# than the body.
+MAX_FRAMING_BYTES = 65_536
+PARSE_BYTES = 16_384  # bytes parsed before the bound is checked
+
 
 class TargetConnection(ResponseHandler):
-    """Reads one response, and fails its body too if it cannot be parsed."""
+    """Reads one response, and fails once it has too many bytes outside its body."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._parsed_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; without any, parse those held back by flow control."""
+        if self._parser is None or not data:
+            super().data_received(data)
+            return
+        position = 0
+        while position < len(data) and self.is_connected():
+            end = self._next_end(data, position)
+            self._parsed_bytes += end - position
+            super().data_received(data[position:end])
+            self._check_framing()
+            position = end
 
     def set_exception(
         self, exc: BaseException, exc_cause: BaseException | None = None
@@ -17,3 +41,22 @@
         body = self._payload
         if body is not None and not body.is_eof() and body.exception() is None:
             body.set_exception(ClientPayloadError(repr(exc)), exc)
+
+    def _next_end(self, data: bytes, position: int) -> int:
+        if self._reading_paused:
+            return len(data)
+        return min(position + PARSE_BYTES, len(data))
+
+    def _check_framing(self) -> None:
+        # While reading is paused, the parser holds back bytes of the body.
+        if self._reading_paused or not self.is_connected():
+            return
+        body_bytes = 0 if self._payload is None else self._payload.total_bytes
+        if self._parsed_bytes - 2 * body_bytes <= MAX_FRAMING_BYTES:
+            return
+        self.set_exception(
+            ClientPayloadError(
+                f"got over {MAX_FRAMING_BYTES} bytes that belong to no body"
+            )
+        )
+        self.transport.abort()
