Answer with a complete response that excess bytes follow at once

What callers saw: status 502 instead of the whole answer, which had run, when a target sent more bytes right after it.

Cause: the head, the body and the excess bytes came in one read. The parser raises for the excess bytes and drops the messages that it has parsed in the same call.

Change: the head is parsed by itself, so that the response is handed on before its body and what follows are parsed.

--- a/turmericflow/relay/_target_connections.py
+++ b/turmericflow/relay/_target_connections.py
@@ -6,15 +6,21 @@
 
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import EMPTY_PAYLOAD
 
 # Head, interim responses, chunk headers and trailers may have this many bytes more
 # than the body.
 MAX_FRAMING_BYTES = 65_536
 PARSE_BYTES = 16_384  # bytes parsed before the bound is checked
+_HEAD_END = b"\r\n\r\n"
 
 
 class TargetConnection(ResponseHandler):
-    """Reads one response, and fails once it has too many bytes outside its body."""
+    """Reads one response, and fails once it has too many bytes outside its body.
+
+    The head is parsed by itself, so that a complete response counts although bytes
+    that belong to no response follow it at once.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
@@ -45,7 +51,12 @@
     def _next_end(self, data: bytes, position: int) -> int:
         if self._reading_paused:
             return len(data)
-        return min(position + PARSE_BYTES, len(data))
+        end = min(position + PARSE_BYTES, len(data))
+        if self._payload is None or self._payload is EMPTY_PAYLOAD:
+            head_end = data.find(_HEAD_END, position, end)
+            if head_end >= 0:
+                return head_end + len(_HEAD_END)
+        return end
 
     def _check_framing(self) -> None:
         # While reading is paused, the parser holds back bytes of the body.
