Hold answers of streaming routes that are no streams until they are complete

What callers saw: bytes without end, until the route's timeout, when an engine sent a status such as 404 with a body that never ended; then the connection was aborted. Another engine was not tried, as the response had begun.

Cause: such answers were forwarded as they came, without a bound.

Change: they are read as a whole, with the bound of plain answers (16 MB), before the response begins. What reads them moves to a module of its own.

"not found" failed before (404 instead of the stream of the second engine) and passes now.

--- a/turmericflow/relay/_exchange.py
+++ b/turmericflow/relay/_exchange.py
@@ -4,40 +4,14 @@
 
 import asyncio
 
-from multidict import CIMultiDict
-
+from turmericflow.relay._answers import Answer, read_answer
 from turmericflow.relay._attempts import AttemptOutcome, Attempts
-from turmericflow.relay._call import Reply
 from turmericflow.relay._target_tables import Target
-from turmericflow.verdict import RequestFailed, TargetFailed, Verdict
+from turmericflow.verdict import RequestFailed, TargetFailed
 
-MAX_ANSWER_BYTES = 16_000_000
 MIN_SERVER_ERROR_STATUS = 500
 
 
-class Answer:
-    """A target's complete response."""
-
-    __slots__ = ("status", "headers", "body")
-
-    def __init__(self, status: int, headers: CIMultiDict[str], body: bytes) -> None:
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
-async def _read_body(reply: Reply) -> bytes:
-    chunks, size = [], 0
-    async for chunk in reply.chunks():
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            raise TargetFailed(
-                Verdict.MAY_HAVE_RUN, f"got an answer over {MAX_ANSWER_BYTES} bytes"
-            )
-    return b"".join(chunks)
-
-
 class Exchange:
     """Send one request to targets until one answers without a server error."""
 
@@ -88,7 +62,7 @@
                 reply = await attempts.ctx.target_client.send(attempts.call, dispatch)
                 if reply.not_run:
                     return attempts.record_refused(target, reply)
-                body = await _read_body(reply)
+                answer = await read_answer(reply)
         except TimeoutError:
             return attempts.record_timeout(target)
         except TargetFailed as exc:
@@ -101,7 +75,7 @@
             return attempts.record_failed(
                 target, "the answer is to another request or has no receipt"
             )
-        self.answer = Answer(reply.status, reply.headers, body)
+        self.answer = answer
         if reply.status >= MIN_SERVER_ERROR_STATUS:
             return attempts.record_failed(target, f"status {reply.status}")
         attempts.record_done(target)
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -13,6 +13,7 @@
     _placement as placement,
     _silence as silence,
 )
+from turmericflow.relay._answers import read_answer
 from turmericflow.relay._attempts import AttemptOutcome, Attempts, RetryBudgetExhausted
 from turmericflow.relay._call import KvCopy, Reply
 from turmericflow.relay._events import EventReader, EventsInvalid
@@ -240,9 +241,8 @@
             raise EventsInvalid(
                 f"got status {reply.status} for a resumed stream, expected events"
             )
-        async for chunk in reply.chunks():
-            await self._write(run, reply, chunk)
-        await self._send_headers(reply)
+        answer = await read_answer(reply)
+        await self._write(run, reply, answer.body)
         await self._writer.end()
 
     def _is_next_event(self, id: int | None) -> bool:
