--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -14,6 +14,7 @@
     _placement as placement,
     _silence as silence,
 )
+from turmericflow.relay._answers import read_answer
 from turmericflow.relay._attempts import (
     SILENCE,
     AttemptOutcome,
@@ -265,9 +266,8 @@
             raise EventsInvalid(
                 f"got status {reply.status} for a resumed stream, expected events"
             )
-        async for chunk in reply.chunks():
-            await self._write(run, reply, chunk)
-        await self._send_headers(reply)
+        answer = await read_answer(reply)
+        await self._write(run, reply, answer.body)
         await self._writer.end()
 
     def _is_next_event(self, id: int | None) -> bool:
--- /dev/null
+++ b/turmericflow/relay/_target_connections.py
@@ -0,0 +1,73 @@
+"""Connections to targets, with a bound on bytes that belong to no body."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import EMPTY_PAYLOAD
+
+# Head, interim responses, chunk headers and trailers may have this many bytes more
+# than the body.
+MAX_FRAMING_BYTES = 65_536
+PARSE_BYTES = 16_384  # bytes parsed before the bound is checked
+_HEAD_END = b"\r\n\r\n"
+
+
+class TargetConnection(ResponseHandler):
+    """Reads one response, and fails once it has too many bytes outside its body.
+
+    The head is parsed by itself, so that a complete response counts although bytes
+    that belong to no response follow it at once.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._parsed_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; without any, parse those held back by flow control."""
+        if self._parser is None or not data:
+            super().data_received(data)
+            return
+        position = 0
+        while position < len(data) and self.is_connected():
+            end = self._next_end(data, position)
+            self._parsed_bytes += end - position
+            super().data_received(data[position:end])
+            self._check_framing()
+            position = end
+
+    def set_exception(
+        self, exc: BaseException, exc_cause: BaseException | None = None
+    ) -> None:
+        """Fail the response, and also its body if that is being read."""
+        super().set_exception(exc, exc_cause or exc)
+        body = self._payload
+        if body is not None and not body.is_eof() and body.exception() is None:
+            body.set_exception(ClientPayloadError(repr(exc)), exc)
+
+    def _next_end(self, data: bytes, position: int) -> int:
+        if self._reading_paused:
+            return len(data)
+        end = min(position + PARSE_BYTES, len(data))
+        if self._payload is None or self._payload is EMPTY_PAYLOAD:
+            head_end = data.find(_HEAD_END, position, end)
+            if head_end >= 0:
+                return head_end + len(_HEAD_END)
+        return end
+
+    def _check_framing(self) -> None:
+        # While reading is paused, the parser holds back bytes of the body.
+        if self._reading_paused or not self.is_connected():
+            return
+        body_bytes = 0 if self._payload is None else self._payload.total_bytes
+        if self._parsed_bytes - 2 * body_bytes <= MAX_FRAMING_BYTES:
+            return
+        self.set_exception(
+            ClientPayloadError(
+                f"got over {MAX_FRAMING_BYTES} bytes that belong to no body"
+            )
+        )
+        self.transport.abort()
