Let stand-ins vary their steps, events and bodies

Cause: a soak needs streams of different lengths, targets that pause, and responses that name their request, from the same stand-ins as the tests.

Change: EngineStandIn reads events and interval_s from a request's query; steps, events and bodies are methods that a subclass may replace.

--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -262,6 +262,14 @@
         """Return the body of the target's report."""
         return {}
 
+    async def pace(self, seconds: float) -> None:
+        """Wait between steps of a run."""
+        await asyncio.sleep(seconds)
+
+    def text(self, received: ReceivedRequest) -> bytes:
+        """Return the body of the response to a request."""
+        return f"{self.name} {received.id}".encode()
+
     def _signed(self, request: web.BaseRequest) -> dict[str, str]:
         return {
             "X-Turmericflow-Attempt-Id": request.headers["X-Turmericflow-Attempt-Id"],
@@ -317,8 +325,8 @@
         self, request: web.BaseRequest, received: ReceivedRequest, fault: str
     ) -> web.StreamResponse:
         """Run a request with a fault and return the response."""
-        await asyncio.sleep(self.response_delay_s)
-        text = f"{self.name} {received.id}".encode()
+        await self.pace(self.response_delay_s)
+        text = self.text(received)
         headers = self._signed(request)
         match fault:
             case "error":
@@ -369,7 +377,8 @@
     Attributes
     ----------
     events, event_interval_s, prefill_s
-        Number of events of a stream, time between them, and time before the first.
+        Number of events of a stream, time between them, and time before the first;
+        ``events`` and ``interval_s`` in a request's query take precedence.
     kv_copies
         Ids of runs whose KV cache this engine holds a copy of.
     """
@@ -390,6 +399,10 @@
     def report(self) -> dict[str, object]:
         return {"models": [{"name": "m"}], "kvTotal": self.kv_cache_tokens, "queued": 0}
 
+    def event(self, received: ReceivedRequest, number: int) -> bytes:
+        """Return an event of a stream."""
+        return b"id: %d\ndata: token-%d\n\n" % (number, number)
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != "/v1/kv-move":
             return await super().handle(request)
@@ -414,16 +427,18 @@
                 return web.Response(status=503, headers=headers)
             self.kv_copies.discard(run)
         else:
-            await asyncio.sleep(self.prefill_s)
+            await self.pace(self.prefill_s)
         kind, _, at = fault.partition(" ")
         resp = web.StreamResponse(headers=self._signed(request))
         resp.content_type = "text/event-stream"
         resp.enable_chunked_encoding()
         await resp.prepare(request)
         last = request.headers.get("Last-Event-Id")
-        for number in range(1 if last is None else int(last) + 1, self.events + 1):
-            await asyncio.sleep(self.event_interval_s)
-            event = b"id: %d\ndata: token-%d\n\n" % (number, number)
+        events = int(request.query.get("events", self.events))
+        interval_s = float(request.query.get("interval_s", self.event_interval_s))
+        for number in range(1 if last is None else int(last) + 1, events + 1):
+            await self.pace(interval_s)
+            event = self.event(received, number)
             match kind:
                 case "silent" if number > int(at):
                     await asyncio.sleep(3600)
