Show what the soak excuses

Cause: a channel that ends without an answer for an excused reason can still lead to a fault.

Change: the report names these cases with the same traces as findings.

--- a/turmericflow/tests/soak/_checks.py
+++ b/turmericflow/tests/soak/_checks.py
@@ -50,8 +50,8 @@
     checks
         Number of checks made, by rule.
     excused
-        Number of channels that ended without a complete answer, by the reason for
-        which the rules do not count them.
+        Channels that ended without a complete answer, with the reason for which the
+        rules do not count them.
     """
 
     def __init__(self, fleet: Fleet, grace_s: float, customer: str) -> None:
@@ -62,7 +62,7 @@
         for run in fleet.runs:
             self._runs[run.received.id].append(run)
         self.checks: Counter[str] = Counter()
-        self.excused: Counter[str] = Counter()
+        self.excused: list[Finding] = []
         self.findings: list[Finding] = []
         self._config_cuts: list[tuple[bool, Attempt]] = []
         self._kept_cuts: list[Attempt] = []
@@ -81,7 +81,7 @@
             elif attempt.ending == "closed":
                 self._check_lost(attempt)
             elif attempt.ending == "gave_up":
-                self.excused["no answer within the time budget"] += 1
+                self._excused("no answer within the time budget", attempt)
             if attempt.status == 200:
                 self._check_answer(attempt)
         self._check_config_cuts(attempts)
@@ -96,6 +96,9 @@
     def _add(self, rule: str, what: str, attempt: Attempt | None) -> None:
         self.findings.append(Finding(rule, what, attempt))
 
+    def _excused(self, reason: str, attempt: Attempt) -> None:
+        self.excused.append(Finding("LOST", reason, attempt))
+
     def _check_asked(self, run: Run, attempt: Attempt | None) -> None:
         self.checks["UNASKED"] += 1
         got = run.received
@@ -172,12 +175,12 @@
         """Judge a channel that ended without a complete answer."""
         self.checks["LOST"] += 1
         if attempt.sent_at is None:
-            self.excused["not sent whole"] += 1
+            self._excused("not sent whole", attempt)
             return
         host = self._fleet.hosts[attempt.host]
         runs = self._runs[attempt.id]
         if reason := self._excuse(attempt, host, runs):
-            self.excused[reason] += 1
+            self._excused(reason, attempt)
             return
         ended_at = attempt.ended_at
         for stopped_at in host.stops:
@@ -185,7 +188,9 @@
                 late_at = stopped_at + self._grace_s * (1 - LATE_WORK_SHARE)
                 early = attempt.sent_at <= stopped_at + SENT_EARLY_S
                 if early and any(run.ended_at >= late_at for run in runs):
-                    self.excused["sent early, at work late in the grace period"] += 1
+                    self._excused(
+                        "sent early, at work late in the grace period", attempt
+                    )
                 else:
                     self._add("LOST", "no whole answer around SIGTERM", attempt)
                 return
@@ -243,4 +248,4 @@
                     self._add("LOST", "no whole answer beside a config", attempt)
                 elif attempt.host == host.number:
                     reason = "beside a config, at the usual rate"
-                    self.excused[reason if beside else "at other times"] += 1
+                    self._excused(reason if beside else "at other times", attempt)
--- a/turmericflow/tests/soak/_run.py
+++ b/turmericflow/tests/soak/_run.py
@@ -271,7 +271,8 @@
     def report(self) -> str:
         """Return the findings with their traces, and the table."""
         cfg = self._cfg
-        parts = [self._describe(finding) for finding in self.findings]
+        parts = [self._describe("FINDING", finding) for finding in self.findings]
+        parts += [self._describe("EXCUSED", each) for each in self._checker.excused]
         ended = Counter(attempt.ending for attempt in self.attempts)
         statuses = Counter(a.status for a in self.attempts if a.ending == "complete")
         rows = [
@@ -280,14 +281,14 @@
             ("requests", f"{len(self.attempts)}, by ending {dict(ended)}"),
             ("statuses", dict(sorted(statuses.items()))),
             ("checks", dict(sorted(self._checker.checks.items()))),
-            ("ended, not counted", dict(self._checker.excused.most_common())),
+            ("excused", dict(Counter(each.what for each in self._checker.excused))),
             ("findings", dict(Counter(f.rule for f in self.findings))),
         ]
         parts += [f"{name:<20} {value}" for name, value in rows]
         return "\n".join(parts)
 
-    def _describe(self, finding: Finding) -> str:
-        lines = [f"FINDING {finding.rule} seed {self._cfg.seed}: {finding.what}"]
+    def _describe(self, label: str, finding: Finding) -> str:
+        lines = [f"{label} {finding.rule} seed {self._cfg.seed}: {finding.what}"]
         if (a := finding.attempt) is None:
             return lines[0]
         host = self.fleet.hosts[a.host]
