--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -11,7 +11,7 @@
 from turmericflow.relay._caller_handler import CallerCodec, CallerHandler
 from turmericflow.relay._connections import Listener
 from turmericflow.relay._context import HostContext
-from turmericflow.relay._host_tables import HostState
+from turmericflow.relay._host_tables import Drain, HostState
 from turmericflow.relay._links import Links
 from turmericflow.relay._registration import Registration
 from turmericflow.relay._store import Kind
@@ -19,8 +19,6 @@
 from turmericflow.relay._watchdog import Watchdog
 
 READY_POLL_S = 0.02
-DRAIN_ACCEPT_SHARE = 3 / 8  # of the drain time, in which requests are still accepted
-DRAIN_MARGIN_S = 0.4
 DRAIN_POLL_S = 0.05
 LINGER_S = 1.0  # to read the rest of a body after an early answer
 
@@ -86,25 +84,29 @@
     async def leave(self) -> None:
         """Drain this host within the setting ``leave_s``.
 
-        Requests are accepted for a part of that time, so that callers and other
-        hosts learn that this host is leaving; running requests may then finish.
+        Connections are accepted for a part of that time, so that callers and other
+        hosts learn that this host is leaving. Then each connection is closed once it
+        holds no bytes that await a response.
         """
-        settings, clock = self._ctx.settings, self._ctx.clock
-        started_at = clock.now()
-        hosts = self._ctx.tables.hosts
-        hosts.state = HostState.LEAVING
-        hosts.leaving_since = started_at
+        clock, hosts = self._ctx.clock, self._ctx.tables.hosts
+        drain = Drain(clock.earliest_arrival(), self._ctx.settings.leave_s)
+        hosts.state, hosts.drain = HostState.LEAVING, drain
         self._ctx.announce()
         log.info(
             "leaving",
+            late_s=round(clock.now() - drain.since, 3),
             running=self.caller_handler.running,
             connections=self._callers.connections,
         )
-        await asyncio.sleep(DRAIN_ACCEPT_SHARE * settings.leave_s)
+        await asyncio.sleep(drain.accept_until - clock.now())
         await self._callers.stop_listening()
-        deadline = started_at + settings.leave_s - DRAIN_MARGIN_S
-        while self.caller_handler.running and clock.now() < deadline:
+        # The first wait lets connections that were just accepted be counted.
+        await asyncio.sleep(DRAIN_POLL_S)
+        while self._callers.connections and clock.now() < drain.serve_until:
+            self._callers.close_idle_connections()
             await asyncio.sleep(DRAIN_POLL_S)
+        self.caller_handler.end_running()
+        await asyncio.sleep(DRAIN_POLL_S)
         log.info(
             "left",
             running=self.caller_handler.running,
