Let a soak's streams state their true length

Cause: each stream named 120 output tokens, whatever its events held; hosts now estimate from them how long a stream takes, and no engine exceeds them.

Change: X-Turmericflow-Token-Usage names the tokens of the stream's events.

--- a/turmericflow/tests/soak/_run.py
+++ b/turmericflow/tests/soak/_run.py
@@ -28,6 +28,7 @@
 STREAM_BUDGET_S, PLAIN_BUDGET_S = 10.0, 4.0
 STREAM_SHARE = 0.6
 EVENT_INTERVALS_S = (0.1, 0.25)
+TOKENS_PER_EVENT = 6  # as the configuration of the stand-ins says
 MAX_IDLE_S = 4.0
 IDLE_LIMIT_SHARE = 0.8  # of the idle timeout that the hosts allow
 PIECES_SHARE, SLOW_READER_SHARE = 0.15, 0.05
@@ -180,6 +181,8 @@
             interval_s = rng.uniform(*EVENT_INTERVALS_S)
             events = max(1, round(rng.uniform(*self._cfg.stream_s) / interval_s))
             attempt.path += f"?events={events}&interval_s={interval_s:.3f}"
+            usage = f"100,{events * TOKENS_PER_EVENT}"
+            attempt.headers["X-Turmericflow-Token-Usage"] = usage
         elif not short and rng.random() < SLOW_READER_SHARE:
             attempt.path += f"?bytes={BIG_ANSWER_BYTES}"
             attempt.read_pause_s = SLOW_READ_PAUSE_S
