Check that no request reaches a target that left

Cause: the soak let targets leave and judged nothing of it.

Change: the check DRAIN, with drainMs from the store's acknowledgement; plain requests take 0.1 s, so that what happens to a target can meet them.

--- a/turmericflow/tests/soak/_checks.py
+++ b/turmericflow/tests/soak/_checks.py
@@ -7,12 +7,13 @@
 from dataclasses import dataclass
 
 from turmericflow.tests.soak._client import Attempt
-from turmericflow.tests.soak._fleet import Fleet, HostProcess, Run, plain_answer
+from turmericflow.tests.soak._fleet import Fleet, Run, plain_answer
 
 # Bounds of the settings, in seconds.
 CONTACT_S = 3.0
 LOSS_SLACK_S = 0.2
 CONFIG_APPLY_S = 2.0
+DRAIN_S = 2.0
 # Figures of the rule LOST.
 AFTER_GRACE_S = 1.0
 AFTER_CONFIG_S = 1.0
@@ -72,7 +73,10 @@
         by_id = {attempt.id: attempt for attempt in attempts}
         for runs in self._runs.values():
             for run in runs:
-                self._check_asked(run, by_id.get(run.received.id))
+                attempt = by_id.get(run.received.id)
+                self._check_asked(run, attempt)
+                if attempt is not None and attempt.host >= 0:
+                    self._check_drain(run, attempt)
         denied = [a for a in attempts if a.status in (400, 401, 403, 404, 413, 431)]
         for attempt in attempts:
             self._check_runs(attempt)
@@ -123,6 +127,18 @@
         if changed:
             self._add("UNASKED", f"{run.target} got other {changed}", attempt)
 
+    def _check_drain(self, run: Run, attempt: Attempt) -> None:
+        self.checks["DRAIN"] += 1
+        late_s = run.started_at - run.left_at - DRAIN_S
+        if late_s > 0 and not self._disrupted(attempt, run.started_at):
+            self._add("DRAIN", f"reached {run.target} {late_s:.3f} s late", attempt)
+
+    def _disrupted(self, attempt: Attempt, until: float) -> bool:
+        """Whether an unplanned fault of the host was near a request."""
+        since = attempt.began_at - CONTACT_S
+        disruptions = self._fleet.hosts[attempt.host].disruptions
+        return any(begin <= until and end >= since for begin, end in disruptions)
+
     def _check_runs(self, attempt: Attempt) -> None:
         if attempt.route not in AT_MOST_ONCE:
             return
@@ -179,7 +195,7 @@
             return
         host = self._fleet.hosts[attempt.host]
         runs = self._runs[attempt.id]
-        if reason := self._excuse(attempt, host, runs):
+        if reason := self._excuse(attempt, runs):
             self._excused(reason, attempt)
             return
         ended_at = attempt.ended_at
@@ -204,7 +220,7 @@
         if attempt.kept and runs:
             self._kept_cuts.append(attempt)
 
-    def _excuse(self, attempt: Attempt, host: HostProcess, runs: list[Run]) -> str:
+    def _excuse(self, attempt: Attempt, runs: list[Run]) -> str:
         crossed = attempt.ended_at - attempt.sent_at <= LOSS_SLACK_S
         if not runs and crossed:
             return "not passed on, closed within the slack"
@@ -212,11 +228,7 @@
             return "the target broke off"
         if attempt.ended_at - attempt.began_at >= self._time_s(attempt):
             return "time budget or timeout of the route"
-        since = attempt.began_at - CONTACT_S
-        if any(
-            begin <= attempt.ended_at and end >= since
-            for begin, end in host.disruptions
-        ):
+        if self._disrupted(attempt, attempt.ended_at):
             return "unplanned fault of the host"
         return ""
 
--- a/turmericflow/tests/soak/_fleet.py
+++ b/turmericflow/tests/soak/_fleet.py
@@ -34,6 +34,7 @@
 INTERNAL_PORTS = [7200, 7215]
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
+WORK_S = 0.1  # of a plain request
 CONNECTION_EVENTS = ("connection_lost", "header_timeout", "leaving", "left")
 LINES_WITHIN_S = 0.15  # of the end of a request
 STREAM_TIMEOUT_MS, PLAIN_TIMEOUT_MS = 10_000, 4_000
@@ -42,11 +43,20 @@
 
 @dataclass(slots=True)
 class Run:
-    """A run of a request at a target."""
+    """A run of a request at a target.
+
+    Attributes
+    ----------
+    left_at
+        When the store acknowledged that the target leaves.
+    broken_off
+        Whether the target stopped before the run's end.
+    """
 
     received: ReceivedRequest
     target: str
     started_at: float
+    left_at: float
     ended_at: float = 0.0
     broken_off: bool = False
 
@@ -58,7 +68,7 @@
         super().__init__(name, data_centre)
         self.runs = runs
         self.silent_until = 0.0
-        self.leaving = False
+        self.left_at = float("inf")
         self.stopping = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -73,7 +83,7 @@
     async def run(
         self, request: web.BaseRequest, received: ReceivedRequest, fault: str
     ) -> web.StreamResponse:
-        run = Run(received, self.name, time.time())
+        run = Run(received, self.name, time.time(), self.left_at)
         self.runs.append(run)
         try:
             return await super().run(request, received, fault)
@@ -89,6 +99,10 @@
 class SoakTarget(_Recorded, TargetStandIn):
     """A plain target whose responses name it and have the length that is asked for."""
 
+    def __init__(self, name: str, data_centre: str, runs: list[Run]) -> None:
+        super().__init__(name, data_centre, runs)
+        self.response_delay_s = WORK_S
+
     def text(self, received: ReceivedRequest) -> bytes:
         return plain_answer(self.name, received.id, received.path)
 
@@ -339,13 +353,13 @@
         Return False if the target is leaving already.
         """
         target = self.targets[number]
-        if target.leaving:
+        if target.left_at < time.time():
             return False
-        target.leaving = True
         if draining:
             self.store.put("servers", target.name, target.entry("draining"))
         else:
             self.store.remove("servers", target.name)
+        target.left_at = time.time()
         await asyncio.sleep(seconds)
         self.store.remove("servers", target.name)
         await target.stop()
--- a/turmericflow/tests/soak/_run.py
+++ b/turmericflow/tests/soak/_run.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 from turmericflow.tests.platform_stand_ins import CUSTOMER, KEY
-from turmericflow.tests.soak._checks import Checker, Finding
+from turmericflow.tests.soak._checks import DRAIN_S, Checker, Finding
 from turmericflow.tests.soak._client import Attempt, Channel, Directory
 from turmericflow.tests.soak._fleet import Fleet, HostProcess, base_config
 from turmericflow.tests.soak._schedule import (
@@ -42,7 +42,6 @@
 AIM_SPREAD_S = 0.05
 ACCEPT_SHARE = 3 / 8  # of the grace period, in which a leaving host listens
 DRAIN_MARGIN_S = 0.4
-DRAIN_S = 2.0  # drainMs of the settings
 
 
 @dataclass(slots=True, frozen=True)
