Let targets crash in a soak

Change: a crash of a target; plain requests, and streams before their first event, take 0.3 s. A request is reported once for each rule.

--- a/turmericflow/tests/soak/_checks.py
+++ b/turmericflow/tests/soak/_checks.py
@@ -90,13 +90,20 @@
                 self._check_answer(attempt)
         self._check_config_cuts(attempts)
         if len(self._kept_cuts) > MAX_KEPT_CUTS:
+            lost = self._attempts_found()
             for attempt in self._kept_cuts:
-                self._add("LOST", "cut on a kept channel, in touch", attempt)
+                if attempt.id not in lost:
+                    self._add("LOST", "cut on a kept channel, in touch", attempt)
         if len(denied) > MAX_DENIED + DENIED_SHARE * len(attempts):
             for attempt in denied:
                 self._add("DENIED", f"status {attempt.status}", attempt)
+        found = self._attempts_found()
+        self.excused = [each for each in self.excused if each.attempt.id not in found]
         return self.findings
 
+    def _attempts_found(self) -> set[str]:
+        return {each.attempt.id for each in self.findings if each.attempt}
+
     def _add(self, rule: str, what: str, attempt: Attempt | None) -> None:
         self.findings.append(Finding(rule, what, attempt))
 
--- a/turmericflow/tests/soak/_fleet.py
+++ b/turmericflow/tests/soak/_fleet.py
@@ -34,7 +34,8 @@
 INTERNAL_PORTS = [7200, 7215]
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
-WORK_S = 0.1  # of a plain request
+WORK_S = 0.3  # of a plain request, and of a stream before its first event
+ENTRY_KEPT_S = 1.0  # after a crash
 CONNECTION_EVENTS = ("connection_lost", "header_timeout", "leaving", "left")
 LINES_WITHIN_S = 0.15  # of the end of a request
 STREAM_TIMEOUT_MS, PLAIN_TIMEOUT_MS = 10_000, 4_000
@@ -110,6 +111,10 @@
 class SoakEngine(_Recorded, EngineStandIn):
     """An engine whose events name their request and the engine."""
 
+    def __init__(self, name: str, data_centre: str, runs: list[Run]) -> None:
+        super().__init__(name, data_centre, runs)
+        self.prefill_s = WORK_S
+
     def event(self, received: ReceivedRequest, number: int) -> bytes:
         return stream_event(self.name, received.id, number)
 
@@ -353,7 +358,7 @@
         Return False if the target is leaving already.
         """
         target = self.targets[number]
-        if target.left_at < time.time():
+        if target.left_at < float("inf"):
             return False
         if draining:
             self.store.put("servers", target.name, target.entry("draining"))
@@ -366,6 +371,18 @@
         await self.start_target(number)
         return True
 
+    async def crash_target(self, number: int, seconds: float) -> None:
+        """Stop a target at once and start a new one after some time."""
+        target = self.targets[number]
+        if target.left_at < float("inf"):
+            return
+        target.left_at = time.time() + ENTRY_KEPT_S
+        await target.stop()
+        await asyncio.sleep(ENTRY_KEPT_S)
+        self.store.remove("servers", target.name)
+        await asyncio.sleep(seconds)
+        await self.start_target(number)
+
     async def stop(self) -> None:
         """End all processes and stand-ins."""
         for keeper in self._keepers:
--- a/turmericflow/tests/soak/_run.py
+++ b/turmericflow/tests/soak/_run.py
@@ -134,6 +134,8 @@
                 seconds = DRAIN_S + fault.seconds
                 if not await fleet.replace_target(fault.subject, draining, seconds):
                     self.injected["target that leaves already, left out"] += 1
+            case FaultKind.CRASH_TARGET:
+                await fleet.crash_target(fault.subject, fault.seconds)
             case FaultKind.STOP:
                 await self._stop_host(fleet.hosts[fault.subject], fault)
             case FaultKind.KILL:
--- a/turmericflow/tests/soak/_schedule.py
+++ b/turmericflow/tests/soak/_schedule.py
@@ -31,11 +31,18 @@
     CONFIG = "config"
     DRAIN_TARGET = "drain_target"
     REMOVE_TARGET = "remove_target"  # leaves without a draining state
+    CRASH_TARGET = "crash_target"
     SILENCE = "silence"  # a sound target pauses and goes on
 
 
 UNPLANNED = (FaultKind.KILL, FaultKind.FREEZE)
 PLANNED = (FaultKind.STOP, FaultKind.STOP, FaultKind.RELOAD)
+TARGET_FAULTS = (
+    FaultKind.DRAIN_TARGET,
+    FaultKind.REMOVE_TARGET,
+    FaultKind.CRASH_TARGET,
+    *[FaultKind.SILENCE] * 3,
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -95,13 +102,17 @@
 
 
 def _target_fault(rng: random.Random, start_s: float, size: Size) -> Fault:
-    kind = rng.choice(
-        (FaultKind.DRAIN_TARGET, FaultKind.REMOVE_TARGET, *[FaultKind.SILENCE] * 3)
-    )
-    spans = SILENCE_S if kind is FaultKind.SILENCE else TARGET_EXTRA_S
+    kind = rng.choice(TARGET_FAULTS)
+    spans_s = {FaultKind.SILENCE: SILENCE_S, FaultKind.CRASH_TARGET: DOWN_S}
     target = rng.randrange(size.engines + size.plain_targets)
     at_s = start_s + rng.uniform(0, SERIES_SPREAD_S)
-    return Fault(at_s, kind, target, rng.uniform(*spans), rng.getrandbits(32))
+    return Fault(
+        at_s,
+        kind,
+        target,
+        rng.uniform(*spans_s.get(kind, TARGET_EXTRA_S)),
+        rng.getrandbits(32),
+    )
 
 
 def _config_changes(rng: random.Random, start_s: float) -> list[Fault]:
