Forward valid events before an invalid one, and bound bytes without a new event

What callers saw: a stream in which an event was missing, if its engine sent an invalid event in the same read right after a valid one; bytes that are no events, or comments and events already seen without end, until the route's timeout; and after an event id of 5,000 digits a stream that neither went on nor ended.

Cause: the id of the last event was recorded before the event was written, and an invalid event discarded what came before it, so that the next attempt went on after an event that no caller had got. Blocks without an id were forwarded, and any block counted as a sign of life of its engine. An id that int() refuses to parse raised ValueError.

Change: events before an invalid one are written first. Only new events count as signs of life.

--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -16,7 +16,12 @@
 from turmericflow.relay._answers import read_answer
 from turmericflow.relay._attempts import AttemptOutcome, Attempts, RetryBudgetExhausted
 from turmericflow.relay._call import KvCopy, Reply
-from turmericflow.relay._events import EventReader, EventsInvalid
+from turmericflow.relay._events import (
+    MAX_EVENT_BYTES,
+    Event,
+    EventReader,
+    EventsInvalid,
+)
 from turmericflow.relay._tables import AbortReason, Run
 from turmericflow.relay._target_tables import Target
 from turmericflow.verdict import TargetFailed, Verdict
@@ -218,16 +223,18 @@
 
     async def _forward_events(self, run: Run, reply: Reply) -> None:
         reader = EventReader()
+        idle_bytes = 0  # received since the last new event
         async for chunk in reply.chunks():
-            events = reader.feed(chunk)
-            data = []
-            for event in events:
-                if self._is_next_event(event.id):
-                    data.append(event.data)
-            if events:
-                self._record_event(run)
-            if data:
-                await self._write(run, reply, b"".join(data))
+            try:
+                events = reader.feed(chunk)
+            except EventsInvalid as exc:
+                await self._forward_new(run, reply, exc.preceding)
+                raise
+            idle_bytes += len(chunk)
+            if await self._forward_new(run, reply, events):
+                idle_bytes = 0
+            if idle_bytes > MAX_EVENT_BYTES:
+                raise EventsInvalid(f"got {idle_bytes} bytes without a new event")
         if reader.remainder.strip():
             raise EventsInvalid(
                 "stream ended within an event, expected a complete event"
@@ -235,6 +242,21 @@
         await self._send_headers(reply)
         await self._writer.end()
 
+    async def _forward_new(self, run: Run, reply: Reply, events: list[Event]) -> bool:
+        """Forward the events that are new; return whether there were any."""
+        last, data = self._last_event_id, []
+        try:
+            for event in events:
+                if self._is_next_event(event.id):
+                    data.append(event.data)
+        finally:
+            # Also events before an invalid one, as the next attempt goes on after them.
+            if self._last_event_id != last:
+                self._record_event(run)
+            if data:
+                await self._write(run, reply, b"".join(data))
+        return self._last_event_id != last
+
     async def _forward_response(self, run: Run, reply: Reply) -> None:
         """Forward a response that is not an event stream unchanged."""
         if self.begun:
@@ -246,7 +268,9 @@
         await self._writer.end()
 
     def _is_next_event(self, id: int | None) -> bool:
-        """Return whether an event is the next one; False for a duplicate.
+        """Return whether to forward an event: the next one, not a duplicate.
+
+        Comments are forwarded once the response has begun.
 
         Raises
         ------
@@ -254,7 +278,7 @@
             If events are missing in between.
         """
         if id is None:
-            return True
+            return self.begun
         last = self._last_event_id
         if last is not None and id <= last:
             return False
--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -478,7 +478,9 @@
 
     Further faults: ``silent N`` (no event after event N), ``cut N`` (connection
     aborted after event N), ``tear N`` (connection aborted within event N),
-    ``double N`` (event N sent twice).
+    ``double N`` (event N sent twice), ``skip N`` (event N + 2 follows at once),
+    ``garble N`` (bytes that are no event follow at once), ``long id N`` (an event
+    whose id has 5,000 digits follows at once).
 
     Attributes
     ----------
@@ -531,7 +533,7 @@
             self.kv_copies.discard(run)
         else:
             await asyncio.sleep(self.prefill_s)
-        kind, _, at = fault.partition(" ")
+        kind, _, at = fault.rpartition(" ")
         resp = web.StreamResponse(headers=self._signed(request))
         resp.content_type = "text/event-stream"
         resp.enable_chunked_encoding()
@@ -552,6 +554,12 @@
                     return resp
                 case "double" if number == int(at):
                     event += event
+                case "skip" if number == int(at):
+                    event += b"id: %d\ndata: skipped\n\n" % (number + 2)
+                case "garble" if number == int(at):
+                    event += b"no event\n\n"
+                case "long id" if number == int(at):
+                    event += b"id: %s\ndata: x\n\n" % (b"1" * 5000)
             await resp.write(event)
             backup = request.headers.get("X-Turmericflow-Kv-Backup")
             if backup in self.peers:
--- a/turmericflow/tests/test_relay_endless.py
+++ b/turmericflow/tests/test_relay_endless.py
@@ -111,3 +111,14 @@
                     last += 1
     assert asyncio.get_running_loop().time() - started_at < STREAM_TIMEOUT_S + LATE_S
     await _check_closed(engines)
+
+
+# Guards against an event that is lost because an invalid one follows in the same read.
+@pytest.mark.parametrize("fault", ["skip 7", "garble 7", "long id 7"])
+async def test_a_stream_resumes_after_the_last_valid_event(fleet: Fleet, fault: str):
+    engines = await fleet.add_engines("dc-0", "dc-1")
+    engines[0].injected = engines[1].injected = InjectedFaults(faults=[fault])
+    async with fleet.request("/stream/1") as resp:
+        body = await resp.read()
+    assert _event_ids(body) == list(range(1, 21))
+    assert b"skipped" not in body and b"no event" not in body
