Try an engine without the copy that it refused to resume from

What callers saw: a stream that was cut although an engine could have run it, when the engine that was to hold the copy of its KV cache had none.

Cause: an engine without the copy refuses as a full one does (503, not run), and an engine that refused is not tried again. With no third engine the stream failed.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -236,11 +236,17 @@
         if table.has_crashes and table.is_recorded(self.content_fingerprint()):
             table.clear(self.content_fingerprint(), self.ctx.clock.now())
 
-    def record_refused(self, target: Target, reply: Reply) -> AttemptOutcome:
-        """Record that a target refused the request without running it."""
+    def record_refused(
+        self, target: Target, reply: Reply, had_copy: bool = False
+    ) -> AttemptOutcome:
+        """Record that a target refused the request without running it.
+
+        A target that was to resume from a copy may still run the request without it.
+        """
         now = self.ctx.clock.now()
         self._refusals += 1
-        self.tried.add(target.entry.key)
+        if reply.misdirected or not had_copy:
+            self.tried.add(target.entry.key)
         if reply.misdirected:
             placement.record_gone(target, now)
             self.ctx.misdirected.append(target.entry)
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -176,7 +176,8 @@
             async with asyncio.timeout_at(attempts.deadline) as run.timeout:
                 reply = await attempts.ctx.target_client.send(attempts.call, dispatch)
                 if reply.not_run:
-                    return attempts.record_refused(target, reply)
+                    had_copy = dispatch.kv_copy is not None
+                    return attempts.record_refused(target, reply, had_copy)
                 if not reply.genuine or reply.status >= MIN_SERVER_ERROR_STATUS:
                     return attempts.record_failed(target, f"status {reply.status}")
                 if reply.status >= MIN_NON_STREAM_STATUS:
