Abort a stream that has begun when an internal error ends it

What callers saw: a stream that neither went on nor ended, on a connection that stayed open.

Cause: an unexpected exception was answered with an error response, also when the head and a part of the body had been sent.

Change: the connection is aborted if the response has begun, as for other failures.

The test failed before (no end within 2 s) and passes now.

--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -197,6 +197,12 @@
             self._ctx.metrics.requests.labels("caller_left").inc()
             log.info("caller_left", request=attempts.call.id, begun=stream.begun)
             raise
+        except Exception:
+            if not stream.begun:
+                raise
+            writer.abort()
+            log.exception("request_crashed", request=attempts.call.id)
+            self._ctx.metrics.requests.labels("cut").inc()
         else:
             self._ctx.metrics.requests.labels("answered").inc()
         return writer.resp
--- a/turmericflow/tests/test_relay_endless.py
+++ b/turmericflow/tests/test_relay_endless.py
@@ -11,6 +11,7 @@
 import aiohttp
 import pytest
 
+from turmericflow.relay import _silence as silence
 from turmericflow.tests.platform_stand_ins import (
     ENDLESS,
     Fleet,
@@ -122,3 +123,21 @@
         body = await resp.read()
     assert _event_ids(body) == list(range(1, 21))
     assert b"skipped" not in body and b"no event" not in body
+
+
+# Guards against an error response that is written into a body that has begun.
+async def test_an_internal_error_within_a_stream_aborts_it(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+):
+    await fleet.add_engines("dc-0")
+    monkeypatch.setattr(silence, "record_event", _raise_at_third_event)
+    async with asyncio.timeout(2):
+        with pytest.raises(aiohttp.ClientPayloadError):
+            async with fleet.request("/stream/1") as resp:
+                await resp.read()
+
+
+def _raise_at_third_event(tables, run, now) -> None:
+    run.events += 1
+    if run.events == 3:
+        raise ValueError("an internal error")
