Bound what is read of a report, a probe and the answer to a copy order

What operators would see: a host that reaches its memory limit. A target that sent a body without end had 85 to 405 MB read by one report or probe, and 0.4 to 1.4 GB by one copy order, all held in memory.

Cause: these calls had a timeout (0.2 to 1 s) but no bound on the size of a body.

Change: at most 1 MB is read; a longer body counts as a failure.

--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -18,6 +18,7 @@
 KV_MOVE_PATH = "/v1/kv-move"
 COPY_TIMEOUT_S = 1.0  # even a large run is copied within milliseconds
 CHECK_TIMEOUT_S = 0.3
+MAX_CONTROL_BYTES = 1_000_000  # body of a report or of the answer to a copy order
 _SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 # Like the header NOT_EXECUTED, this status says that the request did not run.
 MISDIRECTED_STATUS = 421
@@ -71,6 +72,16 @@
     return headers
 
 
+async def _read_control(resp: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a response; raises `ValueError` if it is too long."""
+    body = bytearray()
+    async for chunk in resp.content.iter_any():
+        body += chunk
+        if len(body) > MAX_CONTROL_BYTES:
+            raise ValueError(f"got a response over {MAX_CONTROL_BYTES} bytes")
+    return bytes(body)
+
+
 class HttpReply:
     """A target's response whose body has not been read yet; see `relay.Reply`."""
 
@@ -178,7 +189,7 @@
                 async with self._session.post(
                     f"http://{source}{KV_MOVE_PATH}", data=body, headers=_JSON_HEADERS
                 ) as resp:
-                    content = await resp.read()
+                    content = await _read_control(resp)
             if resp.status != 200:
                 message = f"no copy made: status {resp.status}"
                 raise TargetFailed(Verdict.NOT_RUN, message)
@@ -195,7 +206,9 @@
                 async with self._session.get(base + health_path) as resp:
                     id = resp.headers.get(header_names.INSTANCE_ID, "")
                 async with self._session.get(base + REPORT_PATH) as resp:
-                    report = msgspec.json.decode(await resp.read(), type=_Report)
+                    report = msgspec.json.decode(
+                        await _read_control(resp), type=_Report
+                    )
         except (*_CONNECTION_ERRORS, TimeoutError, msgspec.MsgspecError):
             return None
         models = tuple(model.name for model in report.models)
@@ -223,7 +236,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._session.get(f"http://{address}{REPORT_PATH}") as resp:
-                    await resp.read()
+                    await _read_control(resp)
         except (*_CONNECTION_ERRORS, TimeoutError):
             return False
         return True
--- a/turmericflow/tests/test_relay_endless.py
+++ b/turmericflow/tests/test_relay_endless.py
@@ -11,17 +11,19 @@
 import aiohttp
 import pytest
 
-from turmericflow.relay import _silence as silence
+from turmericflow.relay import Call, _silence as silence
 from turmericflow.tests.platform_stand_ins import (
     ENDLESS,
     Fleet,
     InjectedFaults,
     TargetStandIn,
 )
+from turmericflow.verdict import TargetFailed
 
 ROUTE_TIMEOUT_S = 0.8  # of the plain routes
 STREAM_TIMEOUT_S = 2.0
 LATE_S = 0.5  # after its timeout, a request must have its answer
+REPORT_SEND_BYTES = 16_000_000  # with what the sockets' buffers hold
 CLOSE_S = 0.2  # from an answer to the close of the target's connection
 
 EVENTS = {"one event", "event id", "comments", "comment blocks", "blank lines"}
@@ -141,3 +143,54 @@
     run.events += 1
     if run.events == 3:
         raise ValueError("an internal error")
+
+
+async def _fetch_report(fleet: Fleet, target: TargetStandIn):
+    client = fleet.hosts[0].ctx.target_client
+    return await client.fetch_report(target.address, "/healthz")
+
+
+# Guards against a report that is read without a bound.
+@pytest.mark.parametrize("kind", [kind for kind in PLAIN if kind not in WHOLE])
+async def test_endless_bytes_are_no_report(fleet: Fleet, kind: str):
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.injected.report = kind
+    assert await _fetch_report(fleet, engine) is None
+    await _check_closed([engine])
+    assert engine.endless_sends[0].size < REPORT_SEND_BYTES
+
+
+@pytest.mark.parametrize(
+    "kind", ["no HTTP", "headers", "interim", "body", "chunk size"]
+)
+async def test_endless_bytes_of_a_health_check_are_not_read(fleet: Fleet, kind: str):
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.injected.health = kind
+    report = await _fetch_report(fleet, engine)
+    assert report is None if kind not in ("body", "chunk size") else report.id
+    await _check_closed([engine])
+    assert engine.endless_sends[0].size < REPORT_SEND_BYTES
+
+
+# Guards against a target that counts as alive because it sends bytes without end.
+@pytest.mark.parametrize("kind", [kind for kind in PLAIN if kind not in WHOLE])
+async def test_endless_bytes_do_not_answer_a_probe(fleet: Fleet, kind: str):
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.injected.report = kind
+    client = fleet.hosts[0].ctx.target_client
+    assert not await client.probe(engine.address, 0.2)
+    await _check_closed([engine])
+    assert engine.endless_sends[0].size < REPORT_SEND_BYTES
+
+
+# Guards against the answer to an order to copy that is read without a bound.
+@pytest.mark.parametrize("kind", [kind for kind in PLAIN if kind not in WHOLE])
+async def test_endless_bytes_are_no_copy(fleet: Fleet, kind: str):
+    first, second = await fleet.add_engines("dc-0", "dc-1")
+    first.injected.copy = kind
+    call = Call("r1", "POST", "site.example", "/stream/1")
+    client = fleet.hosts[0].ctx.target_client
+    with pytest.raises(TargetFailed):
+        await client.copy_kv_cache(call, first.address, second.address)
+    await _check_closed([first])
+    assert first.endless_sends[0].size < REPORT_SEND_BYTES
