Bound the memory of all answers that a host holds until they are complete

What operators would see: a host that reaches its memory limit (300 MB) when some twenty targets send bodies without end at the same time.

Cause: one answer is bounded (16 MB), the sum of all answers was not.

--- a/turmericflow/relay/_context.py
+++ b/turmericflow/relay/_context.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from random import Random
 
+from turmericflow.relay._answers import AnswerMemory
 from turmericflow.relay._call import TargetClient
 from turmericflow.relay._metrics import Metrics
 from turmericflow.relay._model import TargetEntry
@@ -76,6 +77,7 @@
         "tables",
         "target_client",
         "store",
+        "answer_memory",
         "metrics",
         "clock",
         "rng",
@@ -96,6 +98,7 @@
         self.apply_settings(settings)
         self.target_client = target_client
         self.store = store
+        self.answer_memory = AnswerMemory()
         self.metrics = Metrics()
         self.clock = Clock()
         self.rng = Random(secrets.randbits(64))
--- a/turmericflow/relay/_exchange.py
+++ b/turmericflow/relay/_exchange.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from turmericflow.relay._answers import Answer, read_answer
+from turmericflow.relay._answers import Answer
 from turmericflow.relay._attempts import AttemptOutcome, Attempts
 from turmericflow.relay._target_tables import Target
 from turmericflow.verdict import RequestFailed, TargetFailed
@@ -62,7 +62,7 @@
                 reply = await attempts.ctx.target_client.send(attempts.call, dispatch)
                 if reply.not_run:
                     return attempts.record_refused(target, reply)
-                answer = await read_answer(reply)
+                answer = await attempts.ctx.answer_memory.read(reply)
         except TimeoutError:
             return attempts.record_timeout(target)
         except TargetFailed as exc:
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -13,7 +13,6 @@
     _placement as placement,
     _silence as silence,
 )
-from turmericflow.relay._answers import read_answer
 from turmericflow.relay._attempts import AttemptOutcome, Attempts, RetryBudgetExhausted
 from turmericflow.relay._call import KvCopy, Reply
 from turmericflow.relay._events import (
@@ -264,7 +263,7 @@
             raise EventsInvalid(
                 f"got status {reply.status} for a resumed stream, expected events"
             )
-        answer = await read_answer(reply)
+        answer = await self._attempts.ctx.answer_memory.read(reply)
         await self._write(run, reply, answer.body)
         await self._writer.end()
 
--- /dev/null
+++ b/turmericflow/tests/test_relay_endless_memory.py
@@ -0,0 +1,116 @@
+"""Tests of a host's own process beside targets that send bytes without end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from turmericflow.tests.platform_stand_ins import (
+    EngineStandIn,
+    Fleet,
+    HostStandIn,
+    TargetStandIn,
+)
+
+MEMORY_LIMIT_BYTES = 300_000_000  # of a host's process, in the deployment
+ANSWER_S = 0.8 + 0.5  # the routes' timeout, and how late its answer may be
+AT_ONCE = 40
+
+
+class HostProcess(HostStandIn):
+    """A host in a process of its own."""
+
+    process: asyncio.subprocess.Process
+
+    async def start(self) -> None:
+        # An address of its own, as the port of the metrics is fixed.
+        settings = json.loads(self.path.read_text())
+        settings["ip"] = f"127.{os.getpid() >> 8 & 255}.{os.getpid() & 255}.7"
+        self.path.write_text(json.dumps(settings))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "turmericflow.platform",
+            env=os.environ | {"TURMERICFLOW_NODE_FILE": str(self.path)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+
+    async def stop(self) -> None:
+        self.process.kill()
+        await self.process.wait()
+
+    def peak_memory_bytes(self) -> int:
+        """Return the largest resident size of the process so far."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        (line,) = [line for line in status.splitlines() if line.startswith("VmHWM")]
+        return int(line.split()[1]) * 1024
+
+
+@pytest.fixture
+async def process_fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+    """Run a host in its own process, with two plain targets and two engines."""
+    fleet = Fleet(tmp_path)
+    await fleet.start(hosts=0)
+    host = HostProcess("host-0", "dc-0", fleet.store.address, tmp_path)
+    fleet.hosts.append(host)
+    await host.start()
+    for number in range(2):
+        await fleet.add_target(TargetStandIn(f"plain-{number}", f"dc-{number}"))
+        await fleet.add_target(EngineStandIn(f"engine-{number}", f"dc-{number}"))
+    ready = f"http://127.0.0.1:{host.ports[1]}/v1/readyz"
+    async with asyncio.timeout(10):
+        while True:
+            try:
+                async with fleet.session.get(ready) as resp:
+                    if resp.status == 200:
+                        break
+            except OSError:
+                pass
+            await asyncio.sleep(0.05)
+    await asyncio.sleep(0.3)
+    yield fleet
+    await fleet.stop()
+
+
+async def _request(fleet: Fleet, path: str, id: str) -> tuple[int, float]:
+    """Return the status of a request, and after how many seconds it was read."""
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    headers = {"X-Turmericflow-Deadline-Ms": "800"}
+    async with fleet.request(path, id, headers=headers) as resp:
+        await resp.read()
+    return resp.status, loop.time() - started_at
+
+
+# Guards against a host whose memory or time endless answers use up.
+@pytest.mark.parametrize(
+    "kind",
+    ["body", "long body", "chunks", "small chunks", "interim", "chunk extension"],
+)
+async def test_a_host_stays_within_its_limits_beside_endless_answers(
+    process_fleet: Fleet, kind: str
+):
+    fleet = process_fleet
+    for target in fleet.targets.values():
+        if target.service == "plain":
+            target.injected.always = f"endless {kind}"
+        else:
+            target.events, target.prefill_s = 3, 0.005
+    endless = asyncio.gather(
+        *(_request(fleet, "/order/1", f"r{n}") for n in range(AT_ONCE))
+    )
+    others = []
+    while not endless.done():
+        others.append(await _request(fleet, "/stream/1", f"s{len(others)}"))
+    answers = await endless
+    assert {status for status, _ in answers} <= {502, 503, 504}
+    assert max(seconds for _, seconds in answers) < ANSWER_S
+    assert {status for status, _ in others} == {200}
+    assert max(seconds for _, seconds in others) < ANSWER_S
+    assert fleet.hosts[0].peak_memory_bytes() < MEMORY_LIMIT_BYTES
