Do not forward a status below 200 as an answer

What callers saw: status 101, with the target's receipt and no body, which is no final response; a stream ended as complete without an event.

Cause: the HTTP client returns status 101 as the final response of a request, and any status below 300 with a receipt counted as an answer.

Change: a status below 200 is a failure of the target, also for a probe.

"upgrade" failed before for plain requests, streams and probes, and passes now.

--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -22,6 +22,7 @@
 _SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 # Like the header NOT_EXECUTED, this status says that the request did not run.
 MISDIRECTED_STATUS = 421
+MIN_FINAL_STATUS = 200
 _CONNECTION_ERRORS = (
     aiohttp.ClientError,
     OSError,
@@ -105,7 +106,8 @@
         self.misdirected = resp.status == MISDIRECTED_STATUS
         self.not_run = self.misdirected or header_names.NOT_EXECUTED in resp.headers
         echoed = resp.headers.get(header_names.ATTEMPT_ID)
-        if echoed is not None and echoed != call.id:
+        interim = resp.status < MIN_FINAL_STATUS
+        if interim or (echoed is not None and echoed != call.id):
             self.genuine = False
         else:
             self.genuine = (
@@ -239,4 +241,4 @@
                     await _read_control(resp)
         except (*_CONNECTION_ERRORS, TimeoutError):
             return False
-        return True
+        return resp.status >= MIN_FINAL_STATUS
--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -244,6 +244,11 @@
     "header line": (OK + b"X-Long: ", b"x"),
     "headers": (OK, b"X-More: 1\r\n"),
     "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "upgrade": (
+        b"HTTP/1.1 101 Switching Protocols\r\n%sConnection: upgrade\r\n"
+        b"Upgrade: other\r\n\r\n",
+        b"x",
+    ),
     "body": (OK + b"\r\n", b"x"),
     "long body": (OK + b"Content-Length: 99999999999\r\n\r\n", b"x"),
     "encoded body": (OK + b"Content-Encoding: gzip\r\n\r\n", b"x"),
