--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Set
+from collections.abc import AsyncIterator, Set
 from typing import Protocol
 
 import structlog
@@ -14,7 +14,6 @@
     _placement as placement,
     _silence as silence,
 )
-from turmericflow.relay._answers import read_answer
 from turmericflow.relay._attempts import (
     SILENCE,
     AttemptOutcome,
@@ -22,7 +21,7 @@
     RetryBudgetExhausted,
 )
 from turmericflow.relay._call import KvCopy, Reply
-from turmericflow.relay._events import EventReader, EventsInvalid
+from turmericflow.relay._events import Event, EventReader, EventsInvalid
 from turmericflow.relay._tables import AbortReason, Run
 from turmericflow.relay._target_tables import Target
 from turmericflow.verdict import TargetFailed, Verdict
@@ -31,6 +30,8 @@
 MIN_SERVER_ERROR_STATUS = 500
 MAX_BUDGET_WAIT_S = 0.5  # most routes allow a pause this long
 BUDGET_RETRY_INTERVAL_S = 0.05  # half of the least time for usage to reach all hosts
+MAX_IDLE_BYTES = 65_536  # of complete events, none of them new
+PIECE_BYTES = 4096  # events that are handled before other requests have their turn
 
 log = structlog.get_logger()
 
@@ -195,7 +196,8 @@
             async with asyncio.timeout_at(attempts.deadline) as run.timeout:
                 reply = await attempts.ctx.target_client.send(attempts.call, dispatch)
                 if reply.not_run:
-                    return attempts.record_refused(target, reply)
+                    had_copy = dispatch.kv_copy is not None
+                    return attempts.record_refused(target, reply, had_copy)
                 if not reply.genuine or reply.status >= MIN_SERVER_ERROR_STATUS:
                     return attempts.record_failed(target, f"status {reply.status}")
                 if reply.status >= MIN_NON_STREAM_STATUS:
@@ -243,16 +245,18 @@
 
     async def _forward_events(self, run: Run, reply: Reply) -> None:
         reader = EventReader()
-        async for chunk in reply.chunks():
-            events = reader.feed(chunk)
-            data = []
-            for event in events:
-                if self._is_next_event(event.id):
-                    data.append(event.data)
-            if events:
-                self._record_event(run)
-            if data:
-                await self._write(run, reply, b"".join(data))
+        idle_bytes = 0  # of comments and events already seen, since the last new event
+        async for piece in _pieces(reply):
+            try:
+                events = reader.feed(piece)
+            except EventsInvalid as exc:
+                await self._forward_new(run, reply, exc.preceding)
+                raise
+            idle_bytes += sum(len(event.data) for event in events)
+            if await self._forward_new(run, reply, events):
+                idle_bytes = 0
+            if idle_bytes > MAX_IDLE_BYTES:
+                raise EventsInvalid(f"got {idle_bytes} bytes without a new event")
         if reader.remainder.strip():
             raise EventsInvalid(
                 "stream ended within an event, expected a complete event"
@@ -260,18 +264,35 @@
         await self._send_headers(reply)
         await self._writer.end()
 
+    async def _forward_new(self, run: Run, reply: Reply, events: list[Event]) -> bool:
+        """Forward the events that are new; return whether there were any."""
+        last, data = self._last_event_id, []
+        try:
+            for event in events:
+                if self._is_next_event(event.id):
+                    data.append(event.data)
+        finally:
+            # Also events before an invalid one, as the next attempt goes on after them.
+            if self._last_event_id != last:
+                self._record_event(run)
+            if data:
+                await self._write(run, reply, b"".join(data))
+        return self._last_event_id != last
+
     async def _forward_response(self, run: Run, reply: Reply) -> None:
         """Forward a response that is not an event stream unchanged."""
         if self.begun:
             raise EventsInvalid(
                 f"got status {reply.status} for a resumed stream, expected events"
             )
-        answer = await read_answer(reply)
+        answer = await self._attempts.ctx.answer_memory.read(reply)
         await self._write(run, reply, answer.body)
         await self._writer.end()
 
     def _is_next_event(self, id: int | None) -> bool:
-        """Return whether an event is the next one; False for a duplicate.
+        """Return whether to forward an event: the next one, not a duplicate.
+
+        Comments are forwarded once the response has begun.
 
         Raises
         ------
@@ -279,7 +300,7 @@
             If events are missing in between.
         """
         if id is None:
-            return True
+            return self.begun
         last = self._last_event_id
         if last is not None and id <= last:
             return False
@@ -340,6 +361,15 @@
             run.waiting_on_caller = False
 
 
+async def _pieces(reply: Reply) -> AsyncIterator[bytes]:
+    """Yield the body; other tasks run between the pieces of a large chunk."""
+    async for chunk in reply.chunks():
+        for start in range(0, len(chunk), PIECE_BYTES):
+            if start:
+                await asyncio.sleep(0)
+            yield chunk[start : start + PIECE_BYTES]
+
+
 def interrupt(
     run: Run, reason: AbortReason, silent_targets: Set[str], now: float
 ) -> None:
