Test that a reload signal during the start ends no process, failing

Cause: the platform may send SIGHUP at any time; the handler is installed after the imports, until which the signal's default action ends the process.

--- a/turmericflow/tests/test_platform_adapter.py
+++ b/turmericflow/tests/test_platform_adapter.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import json
+import os
+import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
 
 import turmericflow
+from turmericflow.platform.__main__ import EXIT_SETTINGS
 from turmericflow.platform._objects import decode_deployment, decode_target
-from turmericflow.platform._settings import read_settings
+from turmericflow.platform._settings import PATH_VARIABLE, read_settings
 from turmericflow.relay import SettingsInvalid, WorkKind
 from turmericflow.tests.platform_stand_ins import deployment
 
@@ -131,3 +135,16 @@
     path.write_text(json.dumps(settings | {"nodeName": 4}))
     with pytest.raises(SettingsInvalid, match="nodeName"):
         read_settings(path)
+
+
+def test_reload_signal_during_the_start_does_not_end_the_process(
+    tmp_path: Path,
+) -> None:
+    env = os.environ | {PATH_VARIABLE: str(tmp_path / "missing.json")}
+    command = (sys.executable, "-m", "turmericflow.platform")
+    process = subprocess.Popen(command, env=env, stderr=subprocess.DEVNULL)
+    maps = Path(f"/proc/{process.pid}/maps")
+    while "aiohttp" not in maps.read_text():  # until the imports have begun
+        time.sleep(0.002)
+    process.send_signal(signal.SIGHUP)
+    assert process.wait(10) == EXIT_SETTINGS
