Retry targets that were only silent when a begun stream has no other

What callers saw: a stream whose engine was lost was cut 0.4 s later, as the only other engine accepted no connection for a second.

Cause: a connection that is not set up within 0.4 s was treated like a refused one: the target was never tried again for this request. Like silence within a stream, it shows only that the target did not answer in time.

Evidence: test_a_lost_stream_waits_for_an_engine_that_accepts_no_connection failed before, with request_failed begun=True, no target of 'model' is left to try, 0.54 s after the request and with 9.5 s left.

TargetFailed now says whether the target was only silent. If a request may have run and no other target is left, such targets are tried again, within the attempts, the retry budget and eight refusals. A target that then fails in another way is not. A request that has not run is refused as before, which is true: nothing was sent, as a test with a full listen queue shows. The metric of losses counts such a connection as silence.

--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -158,7 +158,11 @@
                 skip_auto_headers=_SKIPPED_AUTO_HEADERS,
                 allow_redirects=False,
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        except aiohttp.ConnectionTimeoutError as exc:
+            raise TargetFailed(
+                Verdict.NOT_RUN, repr(exc), lost=True, silent=True
+            ) from exc
+        except aiohttp.ClientConnectorError as exc:
             raise TargetFailed(Verdict.NOT_RUN, repr(exc), lost=True) from exc
         except _CONNECTION_ERRORS as exc:
             raise TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc), lost=True) from exc
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -110,6 +110,7 @@
         "_refusals",
         "_sends",
         "_silent",
+        "_ended_for_silence",
         "_fingerprint",
     )
 
@@ -126,6 +127,7 @@
         self._refusals = 0
         self._sends = 0
         self._silent: set[str] = set()
+        self._ended_for_silence = False
         self._fingerprint = ""
 
     @property
@@ -179,7 +181,8 @@
     def choose(self) -> Target:
         """Return the target to try next.
 
-        Targets that were only silent are tried again if no other is left.
+        If the request may have run, which no refusal can undo, and no other target
+        is left, targets that were only silent are tried again.
 
         Raises
         ------
@@ -189,7 +192,7 @@
         self.check_content()
         demand = self.placement_demand()
         target = self._place(demand)
-        if target is None and self._silent:
+        if target is None and self.may_have_run and self._silent:
             excluded = frozenset(self.tried - self._silent)
             target = self._place(replace(demand, excluded_targets=excluded))
         if target is None:
@@ -280,7 +283,8 @@
         run.demand = replace(
             demand, excluded_targets=demand.excluded_targets | {target.entry.key}
         )
-        run.follows_silence = bool(self._silent)
+        run.follows_silence = self._ended_for_silence
+        self._silent.discard(target.entry.key)
         target.own_load.runs += 1
         target.own_load.pending_prefill_tokens += self.call.prompt_tokens
         target.own_load.memory_tokens += run.memory_tokens
@@ -337,7 +341,6 @@
         target: Target,
         exc: TargetFailed,
         may_be_crash: bool,
-        evidence: str = CONNECTION,
     ) -> AttemptOutcome:
         """Record that the connection to a target failed or its stream stalled.
 
@@ -349,8 +352,6 @@
             The failure, with the verdict on whether the request may have run.
         may_be_crash
             Whether the request itself may have crashed the target.
-        evidence
-            Label of the loss metric: ``connection`` or ``silence``.
         """
         now = self.ctx.clock.now()
         self.tried.add(target.entry.key)
@@ -358,13 +359,15 @@
             self._refusals += 1
         else:
             self.may_have_run += 1
+            self._ended_for_silence |= exc.silent
             if may_be_crash and exc.lost:
                 self.ctx.crash_suspects.append(
                     CrashSuspect(self.content_fingerprint(), target, now)
                 )
-        if evidence == SILENCE:
+        if exc.silent:
             self._silent.add(target.entry.key)
         if exc.lost:
+            evidence = SILENCE if exc.silent else CONNECTION
             record_target_loss(self.ctx, target, evidence, str(exc))
         self._log_outcome(target, AttemptOutcome.LOST, str(exc))
         return AttemptOutcome.LOST
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -14,12 +14,7 @@
     _placement as placement,
     _silence as silence,
 )
-from turmericflow.relay._attempts import (
-    SILENCE,
-    AttemptOutcome,
-    Attempts,
-    RetryBudgetExhausted,
-)
+from turmericflow.relay._attempts import AttemptOutcome, Attempts, RetryBudgetExhausted
 from turmericflow.relay._call import KvCopy, Reply
 from turmericflow.relay._events import EventReader, EventsInvalid
 from turmericflow.relay._tables import AbortReason, Run
@@ -227,10 +222,8 @@
         now = attempts.ctx.clock.unstalled_now()
         message = f"{run.abort_reason}: no event for {now - run.last_event_at:.3f} s"
         lost = now - run.target.last_event_at >= silence.MIN_SILENCE_S
-        failed = TargetFailed(Verdict.MAY_HAVE_RUN, message, lost)
-        return attempts.record_lost(
-            run.target, failed, may_be_crash=False, evidence=SILENCE
-        )
+        failed = TargetFailed(Verdict.MAY_HAVE_RUN, message, lost, silent=True)
+        return attempts.record_lost(run.target, failed, may_be_crash=False)
 
     def _save_kv_copy(self, run: Run) -> None:
         """Use the run's KV cache copy for the next attempt.
--- a/turmericflow/tests/test_relay_silence.py
+++ b/turmericflow/tests/test_relay_silence.py
@@ -144,6 +144,18 @@
     assert await _read(fleet) == WHOLE_STREAM
 
 
+# Guards against sends in a row to an engine that was silent and now refuses them.
+async def test_a_silent_engine_that_then_refuses_a_stream_is_not_tried_again(
+    fleet: Fleet,
+):
+    first, second = await fleet.add_engines("dc-0", "dc-1")
+    first.injected.faults = ["silent 7"] + ["shed"] * 20
+    second.injected.always = "shed"
+    with pytest.raises(aiohttp.ClientError):
+        await _read(fleet)
+    assert (_runs([first, second]), _retries(fleet)) == (1, 2)
+
+
 # All engines silent at the same time
 
 
@@ -323,6 +335,27 @@
             conn.close()
 
 
+# Guards against a stream that is cut, as the only engine left accepts no connection.
+async def test_a_lost_stream_waits_for_an_engine_that_accepts_no_connection(
+    fleet: Fleet,
+):
+    first, second = EngineStandIn("first", "dc-0"), EngineStandIn("second", "dc-0")
+    first.injected.faults = ["cut 7"]
+    await fleet.add_target(first)
+    queue = _listen_with_full_queue(second)
+    fleet.store.put("servers", second.name, second.entry())
+    await fleet.until(lambda: fleet.all_hosts_have_targets("model", 2))
+    reading = asyncio.create_task(_read(fleet))
+    await fleet.until(lambda: first.received)
+    await asyncio.sleep(SILENCE_S)
+    for sock in queue:
+        sock.close()
+    await second.start()
+    fleet.targets[second.name] = second
+    assert await reading == WHOLE_STREAM
+    assert [len(engine.received) for engine in (first, second)] == [1, 1]
+
+
 # Guards against a request that is said not to have run, though its target received it.
 @pytest.mark.parametrize("others, status", [(0, 503), (1, 200)])
 async def test_a_target_that_accepts_no_connection_receives_no_request(
--- a/turmericflow/verdict.py
+++ b/turmericflow/verdict.py
@@ -128,12 +128,21 @@
         else ``MAY_HAVE_RUN``.
     lost
         Whether the connection to the target failed.
+    silent
+        Whether the target only did not answer in time.
     """
 
-    def __init__(self, verdict: Verdict, message: str, lost: bool = False) -> None:
+    def __init__(
+        self,
+        verdict: Verdict,
+        message: str,
+        lost: bool = False,
+        silent: bool = False,
+    ) -> None:
         super().__init__(message)
         self.verdict = verdict
         self.lost = lost
+        self.silent = silent
 
 
 def not_run(code: ErrorCode, message: str, retry_after_s: float | None = None):
