Let a deadline and a silence end a stream in the same pass

What callers saw: all requests of a host would end, as its process ended. Cause: a stream that is found to be silent in the pass of the event loop in which its deadline ends it had its timeout rescheduled, which raises an error; the error ended the watchdog, and with it the process. Change: a timeout that has expired is left alone. Result: test_a_stream_that_its_deadline_ends_may_be_interrupted_too failed before (RuntimeError: cannot change state of an expiring timeout) and passes.

--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -372,5 +372,5 @@
     """
     run.abort_reason = reason
     run.silent_targets = silent_targets
-    if run.timeout is not None:
+    if run.timeout is not None and not run.timeout.expired():
         run.timeout.reschedule(now)
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from collections import deque
 from random import Random
 
@@ -13,6 +15,7 @@
     _membership as membership,
     _placement as placement,
     _silence as silence,
+    _stream as stream,
 )
 from turmericflow.relay._budgets import PeerRetryUsage, RetryBudgets, RetryUsage
 from turmericflow.relay._call import Call, KvCopy
@@ -20,7 +23,7 @@
 from turmericflow.relay._events import EventReader, EventsInvalid
 from turmericflow.relay._host_tables import HostState
 from turmericflow.relay._model import HostEntry, Route, Share, TargetEntry, WorkKind
-from turmericflow.relay._tables import Run, Tables
+from turmericflow.relay._tables import AbortReason, Run, Tables
 from turmericflow.relay._target_tables import Load, TargetsChange
 
 ROUTE = Route(
@@ -585,3 +588,26 @@
 def test_an_event_id_that_is_no_number_is_refused():
     with pytest.raises(EventsInvalid):
         EventReader().feed(b"id: x\ndata: y\n\n")
+
+
+# Guards against a crash of the host, which ends all of its requests, if a stream is
+# found to be silent in the pass of the event loop in which its deadline ends it.
+async def test_a_stream_that_its_deadline_ends_may_be_interrupted_too(tables: Tables):
+    run = run_at(tables, "e0")
+    loop = asyncio.get_running_loop()
+    interrupted = loop.create_future()
+
+    def interrupt() -> None:
+        try:
+            stream.interrupt(run, AbortReason.SILENT, set(), loop.time())
+        except RuntimeError as exc:
+            interrupted.set_exception(exc)
+        else:
+            interrupted.set_result(None)
+
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.01) as run.timeout:
+            loop.call_later(0.02, interrupt)
+            time.sleep(0.05)
+            await asyncio.sleep(1)
+    await interrupted
