Accept what was established during a stop before a listener closes

Cause: a process that goes on after a stop returns from its selector without events, and runs the timers that are due first. So the listener closed with established connections in its queue, which resets them. Change: the listener closes one poll after the end of the time in which it accepts. The fixture that stalls a process moves to conftest, as two modules use it.

--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -107,6 +107,8 @@
             connections=self._callers.connections,
         )
         await asyncio.sleep(drain.accept_until - clock.now())
+        # A process that was stopped runs its timers before it accepts connections.
+        await asyncio.sleep(DRAIN_POLL_S)
         await self._callers.stop_listening()
         # The first wait lets connections that were just accepted be counted.
         await asyncio.sleep(DRAIN_POLL_S)
--- a/turmericflow/tests/conftest.py
+++ b/turmericflow/tests/conftest.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
-from collections.abc import AsyncIterator, Iterator
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
 from pathlib import Path
 
 import pytest
@@ -57,3 +59,24 @@
     await running.start(3)
     yield running
     await running.stop()
+
+
+@pytest.fixture
+def stall(monkeypatch: pytest.MonkeyPatch) -> Callable[[float], None]:
+    """Return a function that stalls the process as SIGSTOP and SIGCONT do.
+
+    The selector then returns no events, as its timeout has passed.
+    """
+
+    def run(seconds: float) -> None:
+        selector = asyncio.get_running_loop()._selector
+        select = selector.select
+
+        def select_nothing(timeout: float | None = None) -> list:
+            monkeypatch.setattr(selector, "select", select)
+            return []
+
+        time.sleep(seconds)
+        monkeypatch.setattr(selector, "select", select_nothing)
+
+    return run
--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from functools import partial
 
 import aiohttp
@@ -295,3 +295,19 @@
             return resp.status
     except aiohttp.ClientConnectionError:
         return None
+
+
+# Guards against connections that were established while the process was stopped, and
+# are reset as the listener closes before it has accepted them.
+async def test_a_listener_accepts_what_was_established_during_a_stop_before_it_closes(
+    fleet: Fleet, kept: Connection, stall: Callable[[float], None]
+):
+    leaving = asyncio.create_task(_leave(fleet))
+    await asyncio.sleep(0.5)
+    sock = socket.create_connection(("127.0.0.1", fleet.hosts[0].ports[0]))
+    sock.send(HEAD % (b"order", 300, b"new"))
+    stall(0.6)
+    reader, writer = await asyncio.open_connection(sock=sock)
+    assert (await reader.read()).startswith(b"HTTP/1.1 200")
+    writer.close()
+    await leaving
--- a/turmericflow/tests/test_relay_limits_of_connections.py
+++ b/turmericflow/tests/test_relay_limits_of_connections.py
@@ -124,27 +124,6 @@
     assert await conn.answer() == (200, b"plain-0 next")
 
 
-@pytest.fixture
-def stall(monkeypatch: pytest.MonkeyPatch) -> Callable[[float], None]:
-    """Return a function that stalls the process as SIGSTOP and SIGCONT do.
-
-    The selector then returns no events, as its timeout has passed.
-    """
-
-    def run(seconds: float) -> None:
-        selector = asyncio.get_running_loop()._selector
-        select = selector.select
-
-        def select_nothing(timeout: float | None = None) -> list:
-            monkeypatch.setattr(selector, "select", select)
-            return []
-
-        time.sleep(seconds)
-        monkeypatch.setattr(selector, "select", select_nothing)
-
-    return run
-
-
 # Guards against a request that arrives while the process is stopped, and is closed
 # unread, as the timers that are due run before the connections are read.
 async def test_a_head_that_arrives_while_the_process_is_stopped_is_answered(
