Read at most 32 heads of a target's response

What callers saw: all answers of a host up to 0.7 s late while 40 targets sent interim responses without end.

Cause: an interim response is short but costly to parse, and 64 KiB, the bound of bytes that belong to no body, hold over 2,000 of them.

Change: a connection fails at the 33rd head.

--- a/turmericflow/relay/_target_connections.py
+++ b/turmericflow/relay/_target_connections.py
@@ -11,6 +11,7 @@
 # Head, interim responses, chunk headers and trailers may have this many bytes more
 # than the body.
 MAX_FRAMING_BYTES = 65_536
+MAX_HEADS = 32  # interim responses and the final one
 PARSE_BYTES = 16_384  # bytes parsed before the bound is checked
 _HEAD_END = b"\r\n\r\n"
 
@@ -25,6 +26,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._parsed_bytes = 0
+        self._heads = 0
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; without any, parse those held back by flow control."""
@@ -55,6 +57,7 @@
         if self._payload is None or self._payload is EMPTY_PAYLOAD:
             head_end = data.find(_HEAD_END, position, end)
             if head_end >= 0:
+                self._heads += 1
                 return head_end + len(_HEAD_END)
         return end
 
@@ -63,11 +66,11 @@
         if self._reading_paused or not self.is_connected():
             return
         body_bytes = 0 if self._payload is None else self._payload.total_bytes
-        if self._parsed_bytes - 2 * body_bytes <= MAX_FRAMING_BYTES:
+        if self._heads > MAX_HEADS:
+            message = f"got over {MAX_HEADS} interim responses"
+        elif self._parsed_bytes - 2 * body_bytes > MAX_FRAMING_BYTES:
+            message = f"got over {MAX_FRAMING_BYTES} bytes that belong to no body"
+        else:
             return
-        self.set_exception(
-            ClientPayloadError(
-                f"got over {MAX_FRAMING_BYTES} bytes that belong to no body"
-            )
-        )
+        self.set_exception(ClientPayloadError(message))
         self.transport.abort()
