Append to an incomplete event in place

Cause: an incomplete event was copied and searched from its start for each piece of a stream, so that one event without end cost time that grew with the square of its length.

--- a/turmericflow/relay/_events.py
+++ b/turmericflow/relay/_events.py
@@ -53,7 +53,7 @@
     __slots__ = ("_remainder",)
 
     def __init__(self) -> None:
-        self._remainder = b""
+        self._remainder = bytearray()
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Add a chunk and return the events that it completes.
@@ -63,8 +63,12 @@
         EventsInvalid
             If an event has no numeric id, or is too long.
         """
-        data = self._remainder + chunk if self._remainder else chunk
-        *complete, self._remainder = data.split(_EVENT_END)
+        searched = max(0, len(self._remainder) - 1)
+        self._remainder += chunk
+        complete: list[bytes] = []
+        if _EVENT_END in self._remainder[searched:]:
+            *complete, rest = bytes(self._remainder).split(_EVENT_END)
+            self._remainder = bytearray(rest)
         events: list[Event] = []
         try:
             for event in complete:
@@ -79,4 +83,4 @@
     @property
     def remainder(self) -> bytes:
         """Bytes of the last, incomplete event."""
-        return self._remainder
+        return bytes(self._remainder)
