--- a/turmericflow/tests/test_relay_endless.py
+++ b/turmericflow/tests/test_relay_endless.py
@@ -99,6 +99,23 @@
     await _check_closed(engines)
 
 
+# Guards against endless bytes that look like a complete stream.
+@pytest.mark.parametrize("kind", STREAM)
+async def test_a_stream_of_endless_bytes_is_never_complete(fleet: Fleet, kind: str):
+    engines = await fleet.add_engines("dc-0")
+    _share_faults(engines, kind)
+    headers = {"X-Turmericflow-Deadline-Ms": str(int(STREAM_TIMEOUT_S * 1000))}
+    started_at = asyncio.get_running_loop().time()
+    resp = await fleet.request("/stream/1", headers=headers)
+    if resp.status == 200:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await resp.read()
+    else:
+        assert resp.status == (503 if kind in NOT_RUN else 502)
+    assert asyncio.get_running_loop().time() - started_at < STREAM_TIMEOUT_S + LATE_S
+    await _check_closed(engines)
+
+
 # Guards against an endless stream of valid events that outlasts its timeout.
 async def test_endless_events_end_with_the_streams_timeout(fleet: Fleet):
     engines = await fleet.add_engines("dc-0")
