Ignore the reload signal until its handler is set

Cause: SIGHUP ends a process by default, and the handler is set after the imports, some 0.3 s after the start. Change: the program ignores the signal before it imports anything else; its code moves to platform/_process. The settings are read after that. The start of the interpreter itself remains.

--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -16,7 +16,7 @@
 from multidict import CIMultiDictProxy
 
 from turmericflow.platform import _callers
-from turmericflow.platform.__main__ import (
+from turmericflow.platform._process import (
     listeners,
     open_context,
 )
--- a/turmericflow/tests/test_platform_adapter.py
+++ b/turmericflow/tests/test_platform_adapter.py
@@ -13,8 +13,8 @@
 import pytest
 
 import turmericflow
-from turmericflow.platform.__main__ import EXIT_SETTINGS
 from turmericflow.platform._objects import decode_deployment, decode_target
+from turmericflow.platform._process import EXIT_SETTINGS
 from turmericflow.platform._settings import PATH_VARIABLE, read_settings
 from turmericflow.relay import SettingsInvalid, WorkKind
 from turmericflow.tests.platform_stand_ins import deployment
@@ -70,7 +70,7 @@
 
 def test_the_daemon_imports_nothing_of_keyed_requests_or_reports():
     code = (
-        "import sys, turmericflow.platform.__main__\n"
+        "import sys, turmericflow.platform._process\n"
         "names = ('pydantic', 'yaml', 'numpy', 'matplotlib', 'hdrh', 'statsd',"
         " 'turmericflow.cfg', 'turmericflow.wire', 'turmericflow.systems',"
         " 'turmericflow.tables', 'turmericflow.services', 'turmericflow.testing')\n"
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from turmericflow.platform import __main__ as main_module
-from turmericflow.platform.__main__ import reload_settings, watch_settings
+from turmericflow.platform import _process as process_module
+from turmericflow.platform._process import reload_settings, watch_settings
 from turmericflow.relay import _membership as membership
 from turmericflow.tests.platform_stand_ins import (
     CRASHING_BODY,
@@ -594,7 +594,7 @@
 async def test_a_settings_file_that_changes_is_read_without_a_signal(
     fleet: Fleet, monkeypatch: pytest.MonkeyPatch
 ):
-    monkeypatch.setattr(main_module, "SETTINGS_CHECK_INTERVAL_S", 0.02)
+    monkeypatch.setattr(process_module, "SETTINGS_CHECK_INTERVAL_S", 0.02)
     host = fleet.hosts[0]
     watch = asyncio.create_task(watch_settings(host.ctx, host.path))
     await asyncio.sleep(0.05)
--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 from structlog.testing import capture_logs
 
-from turmericflow.platform import __main__ as main_module
+from turmericflow.platform import _process as process_module
 from turmericflow.platform._settings import read_settings
 from turmericflow.relay import _membership as membership, _silence as silence
 from turmericflow.tests.platform_stand_ins import EngineStandIn, Fleet
@@ -272,9 +272,9 @@
     host = fleet.hosts[0]
     await host.stop()
     monkeypatch.setenv("TURMERICFLOW_NODE_FILE", str(host.path))
-    listeners = partial(main_module.listeners, metrics_port=host.ports[4])
-    monkeypatch.setattr(main_module, "listeners", listeners)
-    process = asyncio.create_task(main_module._serve(read_settings(host.path)))
+    listeners = partial(process_module.listeners, metrics_port=host.ports[4])
+    monkeypatch.setattr(process_module, "listeners", listeners)
+    process = asyncio.create_task(process_module._serve(read_settings(host.path)))
     async with asyncio.timeout(5):
         while await _status(fleet, "/nowhere/", "probe") != 404:
             await asyncio.sleep(0.02)
@@ -286,7 +286,7 @@
         monkeypatch.setattr(silence, "find_silent_streams", fail)
         assert (await resp.read()).count(b"id: ") == 20
         assert not process.done()
-    assert await asyncio.wait_for(process, 5) == main_module.EXIT_CRASHED
+    assert await asyncio.wait_for(process, 5) == process_module.EXIT_CRASHED
 
 
 async def _status(fleet: Fleet, path: str, id: str) -> int | None:
