--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -4,13 +4,18 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import AsyncIterator
+from functools import partial
 
 import aiohttp
 import pytest
 from aiohttp import web
 from structlog.testing import capture_logs
 
+from turmericflow.platform import __main__ as main_module
+from turmericflow.platform._settings import read_settings
+from turmericflow.relay import _membership as membership, _silence as silence
 from turmericflow.tests.platform_stand_ins import EngineStandIn, Fleet
 
 
@@ -28,8 +33,9 @@
             await request.read()
     events = {line["event"]: line for line in lines}
     assert "caller_left" not in events
-    assert events["request_cut"]["request"] == "r1"
-    assert events["request_cut"]["closed_by"] == "leaving"
+    failed = events["request_failed"]
+    assert (failed["request"], failed["begun"]) == ("r1", True)
+    assert failed["reason"] == "this host stops"
     assert events["leaving"]["connections"] == 1
 
 
@@ -91,23 +97,6 @@
     conn.writer.close()
 
 
-# Guards against streams that are accepted late in a drain and cut at its end.
-async def test_a_stream_that_a_leaving_host_cannot_finish_is_refused(
-    fleet: Fleet, kept: Connection
-):
-    (engine,) = await fleet.add_engines("dc-0")
-    engine.event_interval_s = 0.1
-    host = fleet.hosts[0]
-    leaving = asyncio.create_task(_leave(fleet))
-    kept.writer.write((HEAD % (b"stream", 10_000, b"late"))[:50])
-    await asyncio.sleep(0.5 * host.ctx.settings.leave_s)
-    kept.writer.write((HEAD % (b"stream", 10_000, b"late"))[50:])
-    answer = await kept.reader.read()
-    await leaving
-    assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
-    assert b"Connection: close" in answer and not engine.received
-
-
 # Guards against a plain request that is refused although its route's timeout ends it
 # before the drain does.
 async def test_a_leaving_host_accepts_what_it_can_finish(
@@ -134,6 +123,22 @@
         assert (await request.read()).count(b"id: ") == 20
 
 
+# Guards against streams that are accepted late in a drain and cut at its end.
+async def test_a_stream_that_a_leaving_host_cannot_finish_is_refused(
+    fleet: Fleet, kept: Connection, long_stream: EngineStandIn
+):
+    leaving = asyncio.create_task(_leave(fleet))
+    head = HEAD % (b"stream", 10_000, b"late")
+    kept.writer.write(head[:50])
+    await asyncio.sleep(0.5 * fleet.hosts[0].ctx.settings.leave_s)
+    kept.writer.write(head[50:])
+    answer = await kept.reader.read()
+    await leaving
+    assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
+    assert b"Connection: close" in answer
+    assert [seen.id for seen in long_stream.received] == ["long"]
+
+
 # Guards against connections that stay open, unused, until the process ends, so that
 # a request on them meets a host that has no time left.
 async def test_a_leaving_host_closes_idle_connections(
@@ -202,3 +207,91 @@
             await asyncio.sleep(0.02)
     await leaving
     assert received == len(body) and received_before_end > len(body) / 2
+
+
+# Guards against a stream that is accepted, and cut, though another host could have
+# served it whole.
+@pytest.mark.parametrize("others, status", [(0, 200), (1, 503)])
+async def test_a_stream_that_outlasts_the_drain_is_refused_if_another_host_is_ready(
+    fleet: Fleet, others: int, status: int
+):
+    for number in range(others):
+        await fleet.add_host(f"other-{number}", "dc-1")
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.event_interval_s = 0.1
+    host = fleet.hosts[0]
+    await fleet.until(
+        lambda: len(membership.addresses(host.tables, host.ctx.clock.now()))
+        == 1 + others
+    )
+    async with fleet.request("/stream/1", "first") as resp:
+        await resp.read()
+    leaving = asyncio.create_task(_leave(fleet))
+    await asyncio.sleep(0.05)
+    async with fleet.request("/stream/1", "second") as resp:
+        assert resp.status == status
+        assert resp.headers.get("Retry-After") == ("0.000" if others else None)
+    headers = {"X-Turmericflow-Token-Usage": "100,60"}
+    engine.events = 10
+    async with fleet.request("/stream/1", "short", headers=headers) as resp:
+        assert resp.status == 200
+        assert (await resp.read()).count(b"id: ") == 10
+    await leaving
+
+
+# Guards against a host that was stopped when SIGTERM came, counts its time from the
+# moment at which it runs again, and is killed while it still serves.
+async def test_a_drain_begins_with_the_stall_in_which_the_order_came(fleet: Fleet):
+    host = fleet.hosts[0]
+    await asyncio.sleep(0.2)
+    stalled_at = host.ctx.clock.now()
+    time.sleep(0.6)
+    leaving = asyncio.create_task(_leave(fleet))
+    await fleet.until(lambda: host.tables.hosts.drain is not None)
+    assert stalled_at - 0.1 < host.tables.hosts.drain.since <= stalled_at
+    await leaving
+    assert host.ctx.clock.now() - stalled_at < host.ctx.settings.leave_s
+
+
+async def test_a_drain_begins_at_once_in_a_host_that_has_not_stalled(fleet: Fleet):
+    host = fleet.hosts[0]
+    await asyncio.sleep(0.2)
+    ordered_at = host.ctx.clock.now()
+    leaving = asyncio.create_task(_leave(fleet))
+    await fleet.until(lambda: host.tables.hosts.drain is not None)
+    assert 0 <= host.tables.hosts.drain.since - ordered_at < 0.1
+    await leaving
+
+
+# Guards against an internal error of a background service that cuts all requests.
+async def test_a_crash_of_a_service_cuts_no_request(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+):
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.event_interval_s = 0.05
+    host = fleet.hosts[0]
+    await host.stop()
+    monkeypatch.setenv("TURMERICFLOW_NODE_FILE", str(host.path))
+    listeners = partial(main_module.listeners, metrics_port=host.ports[4])
+    monkeypatch.setattr(main_module, "listeners", listeners)
+    process = asyncio.create_task(main_module._serve(read_settings(host.path)))
+    async with asyncio.timeout(5):
+        while await _status(fleet, "/nowhere/", "probe") != 404:
+            await asyncio.sleep(0.02)
+    async with fleet.request("/stream/1") as resp:
+
+        def fail(*args):
+            raise KeyError("an entry that is gone")
+
+        monkeypatch.setattr(silence, "find_silent_streams", fail)
+        assert (await resp.read()).count(b"id: ") == 20
+        assert not process.done()
+    assert await asyncio.wait_for(process, 5) == main_module.EXIT_CRASHED
+
+
+async def _status(fleet: Fleet, path: str, id: str) -> int | None:
+    try:
+        async with fleet.request(path, id) as resp:
+            return resp.status
+    except aiohttp.ClientConnectionError:
+        return None
