--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -23,6 +23,8 @@
 from turmericflow.verdict import ErrorCode, Failure, RequestFailed, Verdict, not_run
 
 MAX_HEADER_LINE_BYTES = 65_536  # the deployment's limit is checked in addition
+MAX_BODY_TIME_S = 30.0  # if neither the caller nor a route limits the request's time
+STATUS_BODY_TOO_SLOW = 408  # says that the request did not run
 STATUS_HEADERS_TOO_LARGE = 431
 
 T = TypeVar("T")
@@ -46,6 +48,19 @@
         ...
 
 
+def _is_connection_loss(exc: BaseException, conn: Connection) -> bool:
+    """Return whether an error is due to the caller's connection being closed.
+
+    A target's connection, or a task that is awaited, may end with the same errors.
+    """
+    match exc:
+        case asyncio.CancelledError():
+            return asyncio.current_task().cancelling() > 0
+        case ConnectionError():
+            return conn.closed
+    return False
+
+
 class HttpResponseWriter:
     """Writes a stream to a caller as one chunked response."""
 
@@ -161,7 +176,7 @@
             return web.Response(status=STATUS_HEADERS_TOO_LARGE)
         try:
             call = self._codec.decode_call(request)
-            call.body = await request.read()
+            call.body = await self._read_body(request, call, started_at)
         except RequestInvalid as exc:
             log.info("request_invalid", reason=str(exc))
             return self._error_response(
@@ -171,6 +186,18 @@
             return self._error_response(
                 not_run(ErrorCode.TOO_LARGE, "body too large").failure
             )
+        except web.RequestPayloadError as exc:
+            log.info("request_invalid", reason=str(exc))
+            resp = self._error_response(
+                not_run(ErrorCode.BAD_REQUEST, str(exc)).failure
+            )
+            resp.force_close()
+            return resp
+        except TimeoutError:
+            log.info("body_timeout", request=call.id)
+            resp = web.Response(status=STATUS_BODY_TOO_SLOW)
+            resp.force_close()
+            return resp
         call.arrived_at = started_at
         drain = ctx.tables.hosts.drain
         if drain is not None:
@@ -180,18 +207,33 @@
             return await self._serve(request, call)
         except RequestFailed as exc:
             return self._failure_response(call, exc.failure)
-        except asyncio.CancelledError:
-            self._log_cancelled(request, call)
-            raise
-        except ConnectionError:
-            raise
-        except Exception as exc:
-            log.exception("request_crashed", request=call.id)
+        except (Exception, asyncio.CancelledError) as exc:
+            if _is_connection_loss(exc, request.protocol):
+                self._log_connection_loss(request.protocol, call)
+                raise
+            log.exception("request_crashed", request=call.id, begun=False)
             message = f"internal error: {type(exc).__name__}"
             return self._failure_response(
                 call, Failure(ErrorCode.TARGET_FAILED, Verdict.MAY_HAVE_RUN, message)
             )
 
+    async def _read_body(
+        self, request: web.BaseRequest, call: Call, started_at: float
+    ) -> bytes:
+        """Return the body.
+
+        Raises
+        ------
+        TimeoutError
+            If it is not complete within the time that the request has.
+        """
+        route = routing.find_route(self._ctx.tables.deployment, call)
+        timeout_s = route.timeout_s if route is not None else MAX_BODY_TIME_S
+        if call.timeout_s is not None:
+            timeout_s = min(timeout_s, call.timeout_s)
+        async with asyncio.timeout_at(started_at + timeout_s):
+            return await request.read()
+
     async def _serve(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         ctx = self._ctx
         now = ctx.clock.now()
@@ -225,20 +267,22 @@
             writer.abort()
             self._log_failed(attempts.call, exc.failure, begun=True)
             self._ctx.metrics.requests.labels("cut").inc()
-        except ConnectionError:
-            self._ctx.metrics.requests.labels("caller_left").inc()
-            log.info("caller_left", request=attempts.call.id, begun=stream.begun)
-            raise
+        except (Exception, asyncio.CancelledError) as exc:
+            if not stream.begun or _is_connection_loss(exc, request.protocol):
+                raise
+            writer.abort()
+            log.exception("request_crashed", request=attempts.call.id, begun=True)
+            self._ctx.metrics.requests.labels("cut").inc()
         else:
             self._ctx.metrics.requests.labels("answered").inc()
         return writer.resp
 
-    def _log_cancelled(self, request: web.BaseRequest, call: Call) -> None:
+    def _log_connection_loss(self, conn: Connection, call: Call) -> None:
         """Log a request whose connection closed before its response was complete."""
         ctx = self._ctx
         now = ctx.clock.now()
-        conn: Connection = request.protocol
-        by_caller = conn.closed_by is ClosedBy.CALLER
+        # A write may fail before the connection is reported as lost.
+        by_caller = conn.closed_by in (None, ClosedBy.CALLER)
         ctx.metrics.requests.labels("caller_left" if by_caller else "cut").inc()
         log.info(
             "caller_left" if by_caller else "request_cut",
--- a/turmericflow/relay/_connections.py
+++ b/turmericflow/relay/_connections.py
@@ -5,19 +5,36 @@
 import asyncio
 import enum
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import structlog
 from aiohttp import web
+from aiohttp.streams import EMPTY_PAYLOAD
 
 LISTEN_BACKLOG = 512
-DEFAULT_HEAD_TIMEOUT_S = 3.0  # unless the deployment sets another
+IDLE_CHECK_S = 0.1  # the current idle timeout is first applied after this time
 
-Options = Callable[[], dict[str, object]]
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 log = structlog.get_logger()
 
 
+@dataclass(slots=True, frozen=True)
+class Timeouts:
+    """Time limits of a connection, in seconds.
+
+    Attributes
+    ----------
+    head_s
+        Time from the first byte of a request's head to its last.
+    idle_s
+        Time without a request or a part of one.
+    """
+
+    head_s: float = 3.0
+    idle_s: float = 3600.0
+
+
 class ClosedBy(enum.StrEnum):
     """What closed a connection."""
 
@@ -27,6 +44,14 @@
     SERVER = "server"  # the idle timeout, a malformed request, or a failed response
 
 
+class Unanswered(enum.StrEnum):
+    """What a connection received of a request that has no complete response."""
+
+    HEAD = "head"  # a part of it
+    WHOLE_HEAD = "whole_head"
+    REQUEST = "request"  # it is being served
+
+
 class Connection(web.RequestHandler):
     """A connection that is closed if a request's head takes too long to arrive.
 
@@ -37,29 +62,56 @@
     """
 
     __slots__ = (
-        "_head_timeout_s",
+        "_current_timeouts",
+        "_timeouts",
         "_head_timer",
-        "_answering",
+        "_last_payload",
+        "_answered",
         "_received_at",
         "closed_by",
     )
 
-    def __init__(self, *args: object, head_timeout_s: float, **kwargs: object) -> None:
-        super().__init__(*args, **kwargs)
-        self._head_timeout_s = head_timeout_s
+    def __init__(
+        self, *args: object, timeouts: Callable[[], Timeouts], **kwargs: object
+    ) -> None:
+        super().__init__(*args, keepalive_timeout=IDLE_CHECK_S, **kwargs)
+        self._current_timeouts = timeouts
+        self._timeouts = timeouts()  # those at the start of the last request
         self._head_timer: asyncio.TimerHandle | None = None
-        self._answering = False
+        self._last_payload = EMPTY_PAYLOAD  # of the last head that was read whole
+        self._answered = 0
         self._received_at = self._loop.time()
         self.closed_by: ClosedBy | None = None
 
+    @property
+    def unanswered(self) -> Unanswered | None:
+        """What was received of requests whose responses are not complete."""
+        if self._request_in_progress:
+            return Unanswered.REQUEST
+        if self._request_count > self._answered:
+            return Unanswered.WHOLE_HEAD
+        return Unanswered.HEAD if self._head_timer is not None else None
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection was lost or is being closed."""
+        return self.transport is None or self.transport.is_closing()
+
     def data_received(self, data: bytes) -> None:
-        """Receive bytes; the first bytes of a head start its timer."""
+        """Receive bytes; the timer runs while a part of a head was received."""
         self._received_at = self._loop.time()
-        if self._head_timer is None and not self._answering:
-            self._head_timer = self._loop.call_later(
-                self._head_timeout_s, self._on_head_timeout
-            )
+        payload = self._last_payload
+        in_body = not payload.is_eof()
+        heads = self._request_count
         super().data_received(data)
+        if self._request_count > heads:
+            self._last_payload = self._messages[-1][1]
+            self._stop_timer()
+            if not payload.is_eof():  # the parser found an error in it
+                payload.set_exception(web.RequestPayloadError("malformed body"))
+                payload.feed_eof()
+        elif self._head_timer is None and not in_body and data.strip(b"\r\n"):
+            self._start_timer(self._received_at)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer of a lost connection; log what remains unanswered."""
@@ -95,57 +147,88 @@
         await super().shutdown(timeout)
 
     def _log_unanswered(self, exc: BaseException | None) -> None:
-        if self._answering:
-            unanswered = "request"
-        elif self._messages:
-            unanswered = "whole_head"
-        elif self._head_timer is not None:
-            unanswered = "head"
-        else:
+        if self.unanswered is None:
             return
         log.info(
             "connection_lost",
-            unanswered=unanswered,
+            unanswered=self.unanswered,
             closed_by=self.closed_by,
             received_s=round(self._loop.time() - self._received_at, 3),
-            head_timeout_s=self._head_timeout_s,
-            idle_timeout_s=self.keepalive_timeout,
+            head_timeout_s=self._longest().head_s,
+            idle_timeout_s=self._longest().idle_s,
             reason=repr(exc),
         )
 
-    def request_started(self) -> None:
-        """Stop the timer, as a request's head is complete and is being answered."""
-        self._answering = True
-        self._stop_timer()
+    async def _handle_request(self, *args: object) -> tuple[web.StreamResponse, bool]:
+        self._timeouts = self._current_timeouts()
+        try:
+            return await super()._handle_request(*args)
+        finally:
+            self._answered += 1
+
+    def _longest(self) -> Timeouts:
+        """Return the longer of the current time limits and of those before.
+
+        A caller may not know yet that a limit is shorter now.
+        """
+        old, new = self._timeouts, self._current_timeouts()
+        return Timeouts(max(old.head_s, new.head_s), max(old.idle_s, new.idle_s))
+
+    def _process_keepalive(self) -> None:
+        self._keepalive_handle = None
+        if self.unanswered is not None:
+            return  # the next response starts it again
+        idle_since = self._next_keepalive_close_time - IDLE_CHECK_S
+        close_at = idle_since + self._longest().idle_s
+        if self._loop.time() < close_at:
+            self._keepalive_handle = self._loop.call_at(
+                close_at, self._process_keepalive
+            )
+        else:
+            super()._process_keepalive()
 
-    def request_finished(self) -> None:
-        """Let the next bytes start the timer of another head."""
-        self._answering = False
+    def _start_timer(self, started_at: float) -> None:
+        self._head_timer = self._loop.call_at(
+            started_at + self._longest().head_s, self._on_head_timeout, started_at
+        )
 
     def _stop_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
 
-    def _on_head_timeout(self) -> None:
-        self._head_timer = None
-        self.closed_by = ClosedBy.HEAD_TIMEOUT
-        log.info("header_timeout", timeout_s=self._head_timeout_s)
-        self.force_close()
+    def _on_head_timeout(self, started_at: float) -> None:
+        now, timeout_s = self._loop.time(), self._longest().head_s
+        if self._request_count > self._answered:
+            self._start_timer(now)  # closing would cut off the response before it
+        elif now < started_at + timeout_s:
+            self._start_timer(started_at)
+        else:
+            self.closed_by = ClosedBy.HEAD_TIMEOUT
+            log.info("header_timeout", timeout_s=timeout_s)
+            self.force_close()
 
 
 class _Server(web.Server):
-    """Applies the options that are current when a connection is opened."""
-
-    def __init__(self, handler: Handler, options: Options, **kwargs: object) -> None:
+    """Creates the protocol handlers of connections."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        timeouts: Callable[[], Timeouts],
+        options: dict[str, object],
+        **kwargs: object,
+    ) -> None:
         super().__init__(handler, **kwargs)
+        self._timeouts = timeouts
         self._options = options
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol handler of a new connection."""
-        options = {"head_timeout_s": DEFAULT_HEAD_TIMEOUT_S} | self._options()
         loop = asyncio.get_running_loop()
-        return Connection(self, loop=loop, access_log=None, **options)
+        return Connection(
+            self, loop=loop, access_log=None, timeouts=self._timeouts, **self._options
+        )
 
 
 class Listener:
@@ -158,30 +241,30 @@
         self.handler = handler
         self.runner: web.ServerRunner | None = None
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        conn: Connection = request.protocol
-        conn.request_started()
-        try:
-            return await self.handler(request)
-        finally:
-            conn.request_finished()
-
     @property
     def connections(self) -> int:
         """Number of open connections."""
         return len(self.runner.server.connections)
 
-    async def open(self, options: Options = dict, **kwargs: object) -> None:
+    async def open(
+        self,
+        timeouts: Callable[[], Timeouts] = Timeouts,
+        options: dict[str, object] | None = None,
+        **kwargs: object,
+    ) -> None:
         """Start to listen.
 
         Parameters
         ----------
+        timeouts
+            Returns the current time limits of connections; changes apply to open
+            connections too.
         options
-            Returns the handler options; called for each new connection.
+            Options of the protocol handlers of connections.
         **kwargs
             Options of the server.
         """
-        server = _Server(self._handle, options, **kwargs)
+        server = _Server(self.handler, timeouts, options or {}, **kwargs)
         self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self.runner.setup()
         ip, _, port = self.address.rpartition(":")
