Build the responses to requests that cannot be read in one place

Cause: the handler had grown a branch of its own for each of four errors. Change: _invalid_response matches on the error; request_invalid names the request and covers what body_timeout said. Statuses and what closes the connection are as before.

--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -36,6 +36,15 @@
     """Raised when a caller's request is malformed."""
 
 
+# The rest of the body of a request that fails with one of the last two is not usable.
+INVALID_REQUEST_ERRORS = (
+    RequestInvalid,
+    web.HTTPRequestEntityTooLarge,
+    web.RequestPayloadError,
+    TimeoutError,
+)
+
+
 class CallerCodec(Protocol):
     """Translates between the platform's HTTP headers and `Call`."""
 
@@ -174,30 +183,12 @@
         size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
         if size > self.limits.header_bytes:
             return web.Response(status=STATUS_HEADERS_TOO_LARGE)
+        call: Call | None = None
         try:
             call = self._codec.decode_call(request)
             call.body = await self._read_body(request, call, started_at)
-        except RequestInvalid as exc:
-            log.info("request_invalid", reason=str(exc))
-            return self._error_response(
-                not_run(ErrorCode.BAD_REQUEST, str(exc)).failure
-            )
-        except web.HTTPRequestEntityTooLarge:
-            return self._error_response(
-                not_run(ErrorCode.TOO_LARGE, "body too large").failure
-            )
-        except web.RequestPayloadError as exc:
-            log.info("request_invalid", reason=str(exc))
-            resp = self._error_response(
-                not_run(ErrorCode.BAD_REQUEST, str(exc)).failure
-            )
-            resp.force_close()
-            return resp
-        except TimeoutError:
-            log.info("body_timeout", request=call.id)
-            resp = web.Response(status=STATUS_BODY_TOO_SLOW)
-            resp.force_close()
-            return resp
+        except INVALID_REQUEST_ERRORS as exc:
+            return self._invalid_response(exc, call)
         call.arrived_at = started_at
         drain = ctx.tables.hosts.drain
         if drain is not None:
@@ -217,6 +208,27 @@
                 call, Failure(ErrorCode.TARGET_FAILED, Verdict.MAY_HAVE_RUN, message)
             )
 
+    def _invalid_response(self, exc: Exception, call: Call | None) -> web.Response:
+        """Return the response to a request that cannot be read whole."""
+        id = None if call is None else call.id
+        log.info("request_invalid", request=id, reason=str(exc) or repr(exc))
+        match exc:
+            case TimeoutError():
+                resp = web.Response(status=STATUS_BODY_TOO_SLOW)
+                resp.force_close()
+            case web.RequestPayloadError():
+                resp = self._bad_request(str(exc))
+                resp.force_close()
+            case web.HTTPRequestEntityTooLarge():
+                failure = not_run(ErrorCode.TOO_LARGE, "body too large").failure
+                resp = self._error_response(failure)
+            case _:
+                resp = self._bad_request(str(exc))
+        return resp
+
+    def _bad_request(self, message: str) -> web.Response:
+        return self._error_response(not_run(ErrorCode.BAD_REQUEST, message).failure)
+
     async def _read_body(
         self, request: web.BaseRequest, call: Call, started_at: float
     ) -> bytes:
