Count a silence as one loss of its target, however long it lasts

What callers would see: a data centre that is avoided, and its streams before their first event probed, because one of its engines was silent for 0.5 s or longer than its backoff. Cause: a silent attempt that is kept recorded its target's loss again whenever the backoff ended, and the loss of a data centre is told from the number of recent losses. Change: the first record counts; as long as the silence lasts, the backoff is only prolonged. Result: test_a_long_silence_is_one_loss failed before (2 losses) and passes.

--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -121,6 +121,11 @@
     return True
 
 
+def prolong_backoff(target: Target, at: float) -> None:
+    """Keep a target in backoff that is still silent; this is no further loss."""
+    target.backoff_until = max(target.backoff_until, at + MIN_BACKOFF_S)
+
+
 def record_crash(target: Target, at: float) -> None:
     """Record that a target dropped its connections and refuses new ones.
 
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -103,7 +103,11 @@
                 events=run.events,
                 attempts_left=run.attempts_left,
             )
-        if now - target.last_event_at >= silence.MIN_SILENCE_S:
+        if now - target.last_event_at < silence.MIN_SILENCE_S:
+            return
+        if target.silent:
+            placement.prolong_backoff(target, clock.now())
+        else:
             reason = f"silent: no event for {silent_s:.3f} s"
             record_target_loss(self._ctx, target, SILENCE, reason)
 
--- a/turmericflow/tests/test_relay_silence.py
+++ b/turmericflow/tests/test_relay_silence.py
@@ -73,6 +73,23 @@
     assert _runs(engines) == 1
 
 
+# Guards against a data centre that counts as lost because one engine is silent for
+# longer than its backoff, and against new work there meanwhile.
+async def test_a_long_silence_is_one_loss(fleet: Fleet):
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.pause_s = 2.5
+    engine.injected.faults = [WITHIN_STREAM]
+    host = fleet.hosts[0]
+    (target,) = host.tables.targets.by_service["model"]
+    read = asyncio.create_task(_read(fleet))
+    await fleet.until(lambda: target.silent)
+    for _ in range(20):
+        await asyncio.sleep(0.05)
+        assert host.ctx.clock.now() < target.backoff_until
+        assert target.failures == 1
+    assert await read == WHOLE_STREAM
+
+
 # Guards against a stream that is cut in its only attempt, as its engine is silent.
 @pytest.mark.parametrize("fault", [BEFORE_FIRST_EVENT, WITHIN_STREAM])
 async def test_a_silent_stream_is_not_ended_in_its_only_attempt(
