Keep the backoff of a target that accepts no connection

Cause: a connection timeout marked its target as silent, and the next event of any stream there ends the backoff of a silent target. Change: only the silence of a stream is ended by an event. Result: test_events_do_not_end_the_backoff_of_an_engine_that_accepts_no_connection failed before and passes.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -381,7 +381,9 @@
         if exc.silent:
             self._silent.add(target.entry.key)
         if exc.lost:
-            evidence = SILENCE if exc.silent else CONNECTION
+            # Streams may go on at a target that accepts no connection.
+            silent = exc.silent and exc.verdict is not Verdict.NOT_RUN
+            evidence = SILENCE if silent else CONNECTION
             record_target_loss(self.ctx, target, evidence, str(exc))
         self._log_outcome(target, AttemptOutcome.LOST, str(exc))
         return AttemptOutcome.LOST
--- a/turmericflow/tests/test_relay_silence.py
+++ b/turmericflow/tests/test_relay_silence.py
@@ -15,6 +15,7 @@
     TargetStandIn,
     deployment,
 )
+from turmericflow.verdict import TargetFailed, Verdict
 
 SILENCE_S = 1.3
 WHOLE_STREAM = list(range(1, 21))
@@ -374,6 +375,30 @@
     assert [len(engine.received) for engine in (first, second)] == [1, 1]
 
 
+# Guards against an engine that accepts no connection and is chosen for each new stream,
+# as the events of its running streams end its backoff.
+async def test_events_do_not_end_the_backoff_of_an_engine_that_accepts_no_connection(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+):
+    (engine,) = await fleet.add_engines("dc-0")
+    engine.event_interval_s = 0.05
+    host = fleet.hosts[0]
+    (target,) = host.tables.targets.by_service["model"]
+    running = asyncio.create_task(_read(fleet, "running"))
+    await fleet.until(lambda: target.last_event_at > 0)
+
+    async def send(self, call, dispatch):
+        raise TargetFailed(Verdict.NOT_RUN, "no connection", lost=True, silent=True)
+
+    monkeypatch.setattr(type(host.ctx.target_client), "send", send)
+    async with fleet.request("/stream/1", "refused", data=b"prompt") as resp:
+        assert resp.status == 503
+    lost_at = host.ctx.clock.now()
+    await fleet.until(lambda: target.last_event_at > lost_at + 0.1)
+    assert target.failures == 1 and target.backoff_until > lost_at + 0.4
+    assert await running == WHOLE_STREAM
+
+
 # Guards against a request that is said not to have run, though its target received it.
 @pytest.mark.parametrize("others, status", [(0, 503), (1, 200)])
 async def test_a_target_that_accepts_no_connection_receives_no_request(
