Apply settings that change while a host starts

Cause: the signal to reload is ignored until its handler is set, and the file's modification time counted as loaded after the start, not before the settings were read. Change: the time is taken before the first read, so that the periodic check finds the change. Result: test_settings_that_changed_during_the_start_are_applied passes; it needs the time as a parameter, so it could not run on the code before.

--- a/turmericflow/platform/_process.py
+++ b/turmericflow/platform/_process.py
@@ -148,7 +148,7 @@
     ]
 
 
-async def _serve(settings: HostSettings) -> int:
+async def _serve(settings: HostSettings, loaded_at: int) -> int:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
@@ -157,7 +157,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload_settings, ctx, settings_path())
     daemon = Daemon(ctx, _callers, listeners(ctx, settings))
     await daemon.start()
-    watch = asyncio.create_task(watch_settings(ctx, settings_path()))
+    watch = asyncio.create_task(watch_settings(ctx, settings_path(), loaded_at))
     log.info("started", entry=ctx.tables.hosts.own)
     await _wait_until_stopped(daemon, stop)
     crashed = daemon.crashed
@@ -181,18 +181,29 @@
             continue
 
 
-async def watch_settings(ctx: HostContext, path: Path) -> None:
-    """Reload the settings whenever their file changes, even without a signal."""
-    loaded_at = _modified_at(path)
+async def watch_settings(ctx: HostContext, path: Path, loaded_at: int) -> None:
+    """Reload the settings whenever their file changes, even without a signal.
+
+    Parameters
+    ----------
+    ctx
+        The host's context.
+    path
+        The settings file.
+    loaded_at
+        Modification time of the file before the settings in force were read, in
+        nanoseconds.
+    """
     while True:
         await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S)
-        modified_at = _modified_at(path)
+        modified_at = modification_time(path)
         if modified_at != loaded_at:
             loaded_at = modified_at
             reload_settings(ctx, path)
 
 
-def _modified_at(path: Path) -> int:
+def modification_time(path: Path) -> int:
+    """Return when a file was last modified, in nanoseconds; 0 if there is none."""
     try:
         return path.stat().st_mtime_ns
     except OSError as exc:
@@ -215,10 +226,12 @@
     """Run the host until SIGTERM or SIGINT; return the exit code."""
     parser = argparse.ArgumentParser(prog="turmericflow.platform", description=__doc__)
     parser.parse_args(argv)
+    path = settings_path()
+    loaded_at = modification_time(path)
     try:
-        settings = read_settings(settings_path())
+        settings = read_settings(path)
     except SettingsInvalid as exc:
         print(f"turmericflow.platform: {exc}", file=sys.stderr)
         return EXIT_SETTINGS
     set_up_log(settings.name, logging.INFO)
-    return asyncio.run(_serve(settings))
+    return asyncio.run(_serve(settings, loaded_at))
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -4,11 +4,20 @@
 
 import asyncio
 import json
+import os
+import signal
+from functools import partial
 
 import pytest
+from structlog.testing import capture_logs
 
 from turmericflow.platform import _process as process_module
-from turmericflow.platform._process import reload_settings, watch_settings
+from turmericflow.platform._process import (
+    modification_time,
+    reload_settings,
+    watch_settings,
+)
+from turmericflow.platform._settings import read_settings
 from turmericflow.relay import _membership as membership
 from turmericflow.tests.platform_stand_ins import (
     CRASHING_BODY,
@@ -596,7 +605,9 @@
 ):
     monkeypatch.setattr(process_module, "SETTINGS_CHECK_INTERVAL_S", 0.02)
     host = fleet.hosts[0]
-    watch = asyncio.create_task(watch_settings(host.ctx, host.path))
+    watch = asyncio.create_task(
+        watch_settings(host.ctx, host.path, modification_time(host.path))
+    )
     await asyncio.sleep(0.05)
     settings = json.loads(host.path.read_text())
     settings["bounds"]["graceS"] = 1.25
@@ -608,6 +619,30 @@
     watch.cancel()
 
 
+# Guards against settings that change while the process starts and are never applied.
+async def test_settings_that_changed_during_the_start_are_applied(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+):
+    monkeypatch.setattr(process_module, "SETTINGS_CHECK_INTERVAL_S", 0.02)
+    host = fleet.hosts[0]
+    await host.stop()
+    monkeypatch.setenv("TURMERICFLOW_NODE_FILE", str(host.path))
+    listeners = partial(process_module.listeners, metrics_port=host.ports[4])
+    monkeypatch.setattr(process_module, "listeners", listeners)
+    loaded_at = modification_time(host.path)
+    old = read_settings(host.path)
+    settings = json.loads(host.path.read_text())
+    settings["bounds"]["graceS"] = 1.25
+    host.path.write_text(json.dumps(settings))
+    with capture_logs() as lines:
+        process = asyncio.create_task(process_module._serve(old, loaded_at))
+        await fleet.until(lambda: any(line["event"] == "reloaded" for line in lines))
+    (reloaded,) = [line for line in lines if line["event"] == "reloaded"]
+    assert reloaded["settings"].leave_s == 1.25
+    os.kill(os.getpid(), signal.SIGTERM)
+    assert await asyncio.wait_for(process, 5) == process_module.EXIT_OK
+
+
 async def test_idle_connections_are_kept_as_long_as_the_deployment_says(fleet: Fleet):
     await fleet.add_plain(1)
     limits = {"idleTimeoutMs": 400, "maxBodyBytes": 10_000}
--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -274,7 +274,11 @@
     monkeypatch.setenv("TURMERICFLOW_NODE_FILE", str(host.path))
     listeners = partial(process_module.listeners, metrics_port=host.ports[4])
     monkeypatch.setattr(process_module, "listeners", listeners)
-    process = asyncio.create_task(process_module._serve(read_settings(host.path)))
+    process = asyncio.create_task(
+        process_module._serve(
+            read_settings(host.path), process_module.modification_time(host.path)
+        )
+    )
     async with asyncio.timeout(5):
         while await _status(fleet, "/nowhere/", "probe") != 404:
             await asyncio.sleep(0.02)
