Read what has arrived before a leaving host closes an idle connection

Change: idle connections are closed after one more read, by what the limits use. Result: test_idle_connections_are_closed_after_what_arrived_is_read failed before (connection reset) and passes; all of test_relay_connections passes.

--- a/turmericflow/relay/_connections.py
+++ b/turmericflow/relay/_connections.py
@@ -174,7 +174,7 @@
         old, new = self._timeouts, self._current_timeouts()
         return Timeouts(max(old.head_s, new.head_s), max(old.idle_s, new.idle_s))
 
-    def _call_after_read(
+    def call_after_read(
         self, callback: Callable[..., None], *args: object
     ) -> asyncio.TimerHandle:
         """Call a function once the bytes that have arrived by now were read.
@@ -194,7 +194,7 @@
                 close_at, self._process_keepalive
             )
         else:
-            self._keepalive_handle = self._call_after_read(self._close_idle)
+            self._keepalive_handle = self.call_after_read(self._close_idle)
 
     def _close_idle(self) -> None:
         self._keepalive_handle = None
@@ -218,7 +218,7 @@
         elif now < started_at + timeout_s:
             self._start_timer(started_at)
         else:
-            self._head_timer = self._call_after_read(self._close_late, timeout_s)
+            self._head_timer = self.call_after_read(self._close_late, timeout_s)
 
     def _close_late(self, timeout_s: float) -> None:
         self.closed_by = ClosedBy.HEAD_TIMEOUT
@@ -293,9 +293,12 @@
             await site.stop()
 
     def close_idle_connections(self) -> None:
-        """Close the connections that hold no bytes that await a response."""
+        """Close the connections that hold no bytes that await a response.
+
+        What has arrived by now is read before that.
+        """
         for conn in self.runner.server.connections:
-            conn.close_if_idle()
+            conn.call_after_read(conn.close_if_idle)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -315,3 +315,13 @@
     assert (await reader.read()).startswith(b"HTTP/1.1 200")
     writer.close()
     await leaving
+
+
+# Guards against a request that has arrived, and whose connection is closed as idle
+# before it is read.
+async def test_idle_connections_are_closed_after_what_arrived_is_read(
+    fleet: Fleet, kept: Connection
+):
+    kept.writer.write(HEAD % (b"order", 300, b"next"))
+    fleet.hosts[0].daemon._callers.close_idle_connections()
+    await kept.reader.readuntil(b"plain-0 next")
