Ignore numbers in callers' headers that are too long for one

What callers saw: status 500 for a deadline of 5,000 digits. Cause: int() raises for more than 4,300 digits, outside of the errors that are handled. Change: a number of more than 18 digits counts as not given. Result: test_a_number_that_is_too_long_is_ignored failed before (500) and passes.

--- a/turmericflow/platform/_callers.py
+++ b/turmericflow/platform/_callers.py
@@ -25,6 +25,8 @@
 KV_SOURCE = "Kv-From"
 KV_FETCH = "Kv-Fetch"
 
+MAX_INTEGER_DIGITS = 18  # any longer number is not one that a caller can mean
+
 _HOP_BY_HOP = {
     "connection",
     "keep-alive",
@@ -81,7 +83,9 @@
 
 
 def _parse_integer(text: str | None) -> int | None:
-    return int(text) if text and text.isascii() and text.isdecimal() else None
+    if not text or len(text) > MAX_INTEGER_DIGITS:
+        return None
+    return int(text) if text.isascii() and text.isdecimal() else None
 
 
 def decode_call(request: web.BaseRequest) -> Call:
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -60,6 +60,14 @@
     assert [seen.body for seen in target.received] == [b"", b"next"]
 
 
+# Guards against an internal error for a header that is too long for a number.
+async def test_a_number_that_is_too_long_is_ignored(fleet: Fleet):
+    await fleet.add_plain(1)
+    headers = {"X-Turmericflow-Deadline-Ms": "9" * 5000}
+    async with fleet.request("/order/1", headers=headers) as resp:
+        assert resp.status == 200
+
+
 RESERVED = {
     "X-Turmericflow-Tenant": "forged",
     "X-Turmericflow-Hold": "h",
