--- a/turmericflow/tests/soak/_checks.py
+++ b/turmericflow/tests/soak/_checks.py
@@ -17,7 +17,7 @@
 # Figures of the rule LOST.
 AFTER_GRACE_S = 1.0
 AFTER_CONFIG_S = 1.0
-SENT_EARLY_S = 3.0  # after SIGTERM
+SENT_EARLY_SHARE = 3 / 8  # of the grace period, after SIGTERM
 LATE_WORK_SHARE = 1 / 6  # of the grace period
 CONFIG_CUT_RATIO = 3.0
 CONFIG_TIME_SHARE = 0.7
@@ -209,7 +209,7 @@
         for stopped_at in host.stops:
             if 0 <= ended_at - stopped_at <= self._grace_s + AFTER_GRACE_S:
                 late_at = stopped_at + self._grace_s * (1 - LATE_WORK_SHARE)
-                early = attempt.sent_at <= stopped_at + SENT_EARLY_S
+                early = attempt.sent_at <= stopped_at + SENT_EARLY_SHARE * self._grace_s
                 if early and any(run.ended_at >= late_at for run in runs):
                     self._excused(
                         "sent early, at work late in the grace period", attempt
