Refuse entries of hosts whose address cannot be dialled

What operators would see: one unusable entry of a host in the store ends the processes of the others (a trial: one entry with the address "nonsense" crashed the daemon). Cause: addresses of targets were checked when they were decoded, those of hosts were not, and an error in the task that dials a host ends the service that it belongs to. Change: both are checked, with the range of ports. Result: test_an_entry_with_an_unusable_address_is_refused failed before in each of its cases and passes.

--- a/turmericflow/platform/_objects.py
+++ b/turmericflow/platform/_objects.py
@@ -23,6 +23,7 @@
     "streaming": WorkKind.STREAM,
 }
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
+MAX_PORT = 65_535
 
 
 class _Weighted(msgspec.Struct):
@@ -172,6 +173,13 @@
         raise ValueError(f"got an unusable configuration: {exc}") from exc
 
 
+def _check_address(address: str) -> None:
+    """Raise `ValueError` if an address is not IP:PORT."""
+    ip, _, port = address.rpartition(":")
+    if not ip or not port.isdecimal() or len(port) > 5 or int(port) > MAX_PORT:
+        raise ValueError(f"got address {address!r}, expected IP:PORT")
+
+
 def decode_target(name: str, spec: object) -> TargetEntry:
     """Build a target entry from the object that the target wrote into the store.
 
@@ -186,9 +194,7 @@
         raise ValueError(f"got an unusable target entry: {exc}") from exc
     if server.state not in _LEAVING_BY_STATE:
         raise ValueError(f"got state {server.state!r}, expected ready or draining")
-    ip, _, port = server.address.rpartition(":")
-    if not ip or not port.isdecimal():
-        raise ValueError(f"got address {server.address!r}, expected IP:PORT")
+    _check_address(server.address)
     return TargetEntry(
         id=name,
         born_ms=server.born,
@@ -213,6 +219,8 @@
         host = msgspec.convert(spec, _Host)
     except msgspec.MsgspecError as exc:
         raise ValueError(f"got an unusable host entry: {exc}") from exc
+    _check_address(host.callers)
+    _check_address(host.peers)
     return HostEntry(name, host.incarnation, host.data_centre, host.callers, host.peers)
 
 
--- a/turmericflow/tests/test_platform_adapter.py
+++ b/turmericflow/tests/test_platform_adapter.py
@@ -13,10 +13,15 @@
 import pytest
 
 import turmericflow
-from turmericflow.platform._objects import decode_deployment, decode_target
+from turmericflow.platform._objects import (
+    decode_deployment,
+    decode_host,
+    decode_target,
+    encode_host,
+)
 from turmericflow.platform._process import EXIT_SETTINGS
 from turmericflow.platform._settings import PATH_VARIABLE, read_settings
-from turmericflow.relay import SettingsInvalid, WorkKind
+from turmericflow.relay import HostEntry, SettingsInvalid, WorkKind
 from turmericflow.tests.platform_stand_ins import deployment
 
 PACKAGE = Path(turmericflow.__file__).parent
@@ -113,6 +118,17 @@
     assert first.key != restarted.key
 
 
+# Guards against an entry of a host that ends all other hosts, as they cannot dial it.
+@pytest.mark.parametrize("address", ["nonsense", "10.0.0.1:", "10.0.0.1:65536", ":1"])
+def test_an_entry_with_an_unusable_address_is_refused(address: str):
+    host = encode_host(HostEntry("h", 1, "z", "10.0.0.1:1", address))
+    with pytest.raises(ValueError, match="IP:PORT"):
+        decode_host("h", host)
+    target = {"backend": "s", "address": address, "zone": "z", "state": "ready"}
+    with pytest.raises(ValueError, match="IP:PORT"):
+        decode_target("t", target)
+
+
 def test_settings_are_read_and_unknown_fields_ignored(tmp_path: Path):
     path = tmp_path / "settings.json"
     listen = {"front": "10.0.0.1:1", "ready": "10.0.0.1:2"}
