Announce that a crashed host leaves

Cause: links send nothing once a service has crashed, as that counts as a stop. Change: they still send while the host drains.

--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -336,7 +336,7 @@
         self._schedule_flush(seconds)
 
     def _schedule_flush(self, seconds: float) -> None:
-        if self.should_stop:
+        if self.should_stop and not self.crashed:  # a crashed host still drains
             return
         loop = asyncio.get_running_loop()
         flush_at = loop.time() + seconds
--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -15,8 +15,12 @@
 
 from turmericflow.platform import _process as process_module
 from turmericflow.platform._settings import read_settings
-from turmericflow.relay import _membership as membership, _silence as silence
-from turmericflow.tests.platform_stand_ins import EngineStandIn, Fleet
+from turmericflow.relay import (
+    HostState,
+    _membership as membership,
+    _silence as silence,
+)
+from turmericflow.tests.platform_stand_ins import EngineStandIn, Fleet, HostStandIn
 
 
 async def test_a_cut_at_the_end_of_a_drain_is_not_logged_as_the_callers_doing(
@@ -263,10 +267,12 @@
     await leaving
 
 
-# Guards against an internal error of a background service that cuts all requests.
+# Guards against an internal error of a background service that cuts all requests, and
+# against callers that are sent to its host meanwhile.
 async def test_a_crash_of_a_service_cuts_no_request(
     fleet: Fleet, monkeypatch: pytest.MonkeyPatch
 ):
+    other = await fleet.add_host("other", "dc-1")
     (engine,) = await fleet.add_engines("dc-0")
     engine.event_interval_s = 0.05
     host = fleet.hosts[0]
@@ -284,15 +290,24 @@
             await asyncio.sleep(0.02)
     async with fleet.request("/stream/1") as resp:
 
-        def fail(*args):
+        def fail(tables, now):
+            if tables is other.tables:
+                return []
             raise KeyError("an entry that is gone")
 
         monkeypatch.setattr(silence, "find_silent_streams", fail)
+        await fleet.until(lambda: _state(other, host.name) == HostState.LEAVING)
         assert (await resp.read()).count(b"id: ") == 20
         assert not process.done()
     assert await asyncio.wait_for(process, 5) == process_module.EXIT_CRASHED
 
 
+def _state(host: HostStandIn, peer: str) -> int | None:
+    """Return the state of a peer that a host knows."""
+    row = host.tables.hosts.rows.get(peer)
+    return row.status.state if row is not None and row.status is not None else None
+
+
 async def _status(fleet: Fleet, path: str, id: str) -> int | None:
     try:
         async with fleet.request(path, id) as resp:
