--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -18,9 +19,12 @@
 KV_MOVE_PATH = "/v1/kv-move"
 COPY_TIMEOUT_S = 1.0  # even a large run is copied within milliseconds
 CHECK_TIMEOUT_S = 0.3
+MAX_CONTROL_BYTES = 1_000_000  # body of a report or of the answer to a copy order
 _SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 # Like the header NOT_EXECUTED, this status says that the request did not run.
 MISDIRECTED_STATUS = 421
+MIN_FINAL_STATUS = 200
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _CONNECTION_ERRORS = (
     aiohttp.ClientError,
     OSError,
@@ -71,6 +75,27 @@
     return headers
 
 
+def _check_head(resp: aiohttp.ClientResponse) -> None:
+    """Raise `TargetFailed` if the head of a response cannot be passed on."""
+    if resp.status < MIN_FINAL_STATUS:
+        message = f"got status {resp.status}, expected a final one"
+        raise TargetFailed(Verdict.MAY_HAVE_RUN, message)
+    for name, value in resp.headers.items():
+        if _CONTROL_CHARACTER.search(name + value):
+            message = f"got a control character in the header {name!r}"
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, message)
+
+
+async def _read_control(resp: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a response; raises `ValueError` if it is too long."""
+    body = bytearray()
+    async for chunk in resp.content.iter_any():
+        body += chunk
+        if len(body) > MAX_CONTROL_BYTES:
+            raise ValueError(f"got a response over {MAX_CONTROL_BYTES} bytes")
+    return bytes(body)
+
+
 class HttpReply:
     """A target's response whose body has not been read yet; see `relay.Reply`."""
 
@@ -94,7 +119,8 @@
         self.misdirected = resp.status == MISDIRECTED_STATUS
         self.not_run = self.misdirected or header_names.NOT_EXECUTED in resp.headers
         echoed = resp.headers.get(header_names.ATTEMPT_ID)
-        if echoed is not None and echoed != call.id:
+        interim = resp.status < MIN_FINAL_STATUS
+        if interim or (echoed is not None and echoed != call.id):
             self.genuine = False
         else:
             self.genuine = (
@@ -158,10 +184,19 @@
                 skip_auto_headers=_SKIPPED_AUTO_HEADERS,
                 allow_redirects=False,
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        except aiohttp.ConnectionTimeoutError as exc:
+            raise TargetFailed(
+                Verdict.NOT_RUN, repr(exc), lost=True, silent=True
+            ) from exc
+        except aiohttp.ClientConnectorError as exc:
             raise TargetFailed(Verdict.NOT_RUN, repr(exc), lost=True) from exc
         except _CONNECTION_ERRORS as exc:
             raise TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc), lost=True) from exc
+        try:
+            _check_head(resp)
+        except TargetFailed:
+            resp.close()
+            raise
         return HttpReply(call, resp)
 
     async def copy_kv_cache(self, call: Call, source: str, holder: str) -> KvCopy:
@@ -178,7 +213,7 @@
                 async with self._session.post(
                     f"http://{source}{KV_MOVE_PATH}", data=body, headers=_JSON_HEADERS
                 ) as resp:
-                    content = await resp.read()
+                    content = await _read_control(resp)
             if resp.status != 200:
                 message = f"no copy made: status {resp.status}"
                 raise TargetFailed(Verdict.NOT_RUN, message)
@@ -195,7 +230,9 @@
                 async with self._session.get(base + health_path) as resp:
                     id = resp.headers.get(header_names.INSTANCE_ID, "")
                 async with self._session.get(base + REPORT_PATH) as resp:
-                    report = msgspec.json.decode(await resp.read(), type=_Report)
+                    report = msgspec.json.decode(
+                        await _read_control(resp), type=_Report
+                    )
         except (*_CONNECTION_ERRORS, TimeoutError, msgspec.MsgspecError):
             return None
         models = tuple(model.name for model in report.models)
@@ -223,7 +260,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._session.get(f"http://{address}{REPORT_PATH}") as resp:
-                    await resp.read()
+                    await _read_control(resp)
         except (*_CONNECTION_ERRORS, TimeoutError):
             return False
-        return True
+        return resp.status >= MIN_FINAL_STATUS
