--- a/turmericflow/platform/_process.py
+++ b/turmericflow/platform/_process.py
@@ -83,6 +83,7 @@
 
 def _open_target_session() -> aiohttp.ClientSession:
     session = _open_session(force_close=True)
+    # aiohttp has no option for the class of a session's connections.
     session.connector._factory = partial(TargetConnection, asyncio.get_running_loop())
     return session
 
