--- a/turmericflow/tests/test_relay_connections.py
+++ b/turmericflow/tests/test_relay_connections.py
@@ -23,6 +23,7 @@
 from turmericflow.tests.platform_stand_ins import EngineStandIn, Fleet, HostStandIn
 
 
+# Guards against a log that blames the caller for what the host cut.
 async def test_a_cut_at_the_end_of_a_drain_is_not_logged_as_the_callers_doing(
     fleet: Fleet,
 ):
@@ -43,6 +44,7 @@
     assert events["leaving"]["connections"] == 1
 
 
+# Guards against a log that blames the host for a caller that left.
 async def test_a_caller_that_leaves_is_logged_as_such(fleet: Fleet):
     (engine,) = await fleet.add_engines("dc-0")
     engine.event_interval_s = 1.0
@@ -257,6 +259,7 @@
     assert host.ctx.clock.now() - stalled_at < host.ctx.settings.leave_s
 
 
+# Guards against a drain that begins early although there was no stall.
 async def test_a_drain_begins_at_once_in_a_host_that_has_not_stalled(fleet: Fleet):
     host = fleet.hosts[0]
     await asyncio.sleep(0.2)
--- a/turmericflow/tests/test_relay_limits_of_connections.py
+++ b/turmericflow/tests/test_relay_limits_of_connections.py
@@ -137,6 +137,7 @@
     assert await conn.answer() == (200, b"plain-0 a")
 
 
+# Guards against the same on an idle connection.
 async def test_a_request_that_arrives_while_the_process_is_stopped_is_answered(
     limited: Limit, stall: Callable[[float], None]
 ):
@@ -148,6 +149,7 @@
     assert await conn.answer() == (200, b"plain-0 next")
 
 
+# Guards against heads that take any time.
 async def test_a_head_that_comes_too_slowly_closes_the_connection(limited: Limit):
     conn = await limited(headerTimeoutMs=300)
     assert await conn.request(b"first") == (200, b"plain-0 first")
@@ -159,6 +161,7 @@
     assert not await conn.is_open()
 
 
+# Guards against an answer that is cut by the timer of the next head.
 async def test_a_head_that_begins_during_an_answer_has_its_time_after_it(
     fleet: Fleet, limited: Limit
 ):
@@ -184,6 +187,7 @@
     assert await conn.request(b"last") == (200, b"plain-0 last")
 
 
+# Guards against a caller that keeps to a newer limit and is cut by an older one.
 async def test_a_longer_time_for_heads_applies_to_open_connections(limited: Limit):
     conn = await limited(headerTimeoutMs=300)
     conn.send(HEAD[:60])
@@ -205,6 +209,7 @@
     assert not await conn.is_open(1.0)
 
 
+# Guards against pipelined requests that are dropped or cross.
 async def test_pipelined_requests_are_all_answered_in_order(limited: Limit):
     conn = await limited()
     no_route = HEAD.replace(b"/order/", b"/nowhere/") % b"no-route"
@@ -216,6 +221,7 @@
     assert answers[-1][1] == b"plain-0 b"
 
 
+# Guards against work that goes on for a caller that is gone.
 async def test_a_caller_that_ends_its_sending_side_counts_as_gone(
     fleet: Fleet, limited: Limit
 ):
