Log and export for how long a host lacks announced targets

A host that rejected a change of the targets, or knew that others were ahead, left no trace of it. Log lines targets_change_rejected, snapshots_requested, targets_behind and targets_caught_up, and a metric, tell the hypotheses apart; what a host does is unchanged.

--- /dev/null
+++ b/turmericflow/relay/_lag.py
@@ -0,0 +1,35 @@
+"""Tracks for how long a host has lacked what other hosts have announced."""
+
+from __future__ import annotations
+
+
+class Lag:
+    """For how long this host lacks the objects of one kind at an announced revision.
+
+    Newer announcements do not restart the time; only the arrival of the revision that
+    is awaited does.
+
+    Attributes
+    ----------
+    awaited_revision
+        Revision that a peer announced and that this host lacks, or -1.
+    since
+        Time at which it was announced, in seconds.
+    """
+
+    __slots__ = ("awaited_revision", "since")
+
+    def __init__(self) -> None:
+        self.awaited_revision = -1
+        self.since = 0.0
+
+    def update(self, own_revision: int, announced_revision: int, now: float) -> None:
+        """Take this host's revision and the highest that its peers announced."""
+        if own_revision >= self.awaited_revision:
+            self.awaited_revision, self.since = -1, now
+        if self.awaited_revision < 0 and announced_revision > own_revision:
+            self.awaited_revision, self.since = announced_revision, now
+
+    def seconds(self, now: float) -> float:
+        """Return for how long the awaited revision has been lacking, in seconds."""
+        return now - self.since if self.awaited_revision >= 0 else 0.0
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -22,6 +22,7 @@
 from turmericflow.relay._broadcast import Outbox, Rings, RoutedStatus
 from turmericflow.relay._context import HostContext
 from turmericflow.relay._host_tables import HostStatus
+from turmericflow.relay._lag import Lag
 from turmericflow.relay._model import Deployment, TargetEntry
 from turmericflow.relay._store import Kind
 
@@ -32,6 +33,7 @@
 FORWARD_FLUSH_S = 0.05  # a fifth of the shortest heartbeat interval
 SNAPSHOT_RETRY_S = 0.5  # between two requests for the same snapshot
 SNAPSHOT_DELAY_S = 0.3  # a host that reads the store itself has the change by then
+MAX_TARGETS_LAG_S = 0.5  # every host should know of a leaving target within it
 
 log = structlog.get_logger()
 
@@ -150,6 +152,8 @@
         self._snapshot_request: SnapshotRequest | None = None
         self._behind_since = float("-inf")
         self._requested_at = float("-inf")
+        self._targets_lag = Lag()
+        self._lag_reported = False
         ctx.announce = self.announce
         ctx.announce_load = self.announce_load
 
@@ -252,6 +256,15 @@
             return
         urgent = membership.is_urgent(tables, status)
         earlier_revision = tables.targets.revision
+        for change in status.target_changes:
+            if change.since > earlier_revision:
+                log.info(
+                    "targets_change_rejected",
+                    source=name,
+                    since=change.since,
+                    revision=change.revision,
+                    own_revision=earlier_revision,
+                )
         if membership.apply_status(tables, status, now):
             adoption.adopt_from_peer(tables, status.adopted, now)
         if tables.targets.revision > earlier_revision:
@@ -306,7 +319,33 @@
         if not overdue or now - self._requested_at < SNAPSHOT_RETRY_S:
             return
         self._requested_at = now
-        self._by_name[self._ctx.rng.choice(ahead)].send(req)
+        peer = self._ctx.rng.choice(ahead)
+        self._by_name[peer].send(req)
+        log.info(
+            "snapshots_requested",
+            peer=peer,
+            deployment=req.deployment_revision,
+            targets=req.targets_revision,
+        )
+
+    def _report_targets_lag(self) -> None:
+        """Log and export for how long this host has lacked announced targets."""
+        tables, now = self._ctx.tables, self._ctx.clock.now()
+        lag, own_revision = self._targets_lag, tables.targets.revision
+        lag.update(own_revision, membership.announced_targets(tables, now), now)
+        lag_s = lag.seconds(now)
+        self._ctx.metrics.targets_lag_seconds.set(lag_s)
+        if lag_s > MAX_TARGETS_LAG_S and not self._lag_reported:
+            log.warning(
+                "targets_behind",
+                behind_s=round(lag_s, 3),
+                revision=own_revision,
+                announced=lag.awaited_revision,
+            )
+            self._lag_reported = True
+        elif self._lag_reported and not lag_s:
+            log.info("targets_caught_up", revision=own_revision)
+            self._lag_reported = False
 
     def announce(self) -> None:
         """Broadcast this host's status at once because of an urgent change."""
@@ -395,6 +434,7 @@
                     link.cut()
             self._dial_neighbours()
             self._request_snapshots()
+            self._report_targets_lag()
             self._own_status_due_at = now
             self._flush()
             await self.sleep(intervals.heartbeat_interval_s(self._ctx.tables))
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -251,6 +251,13 @@
     )
 
 
+def announced_targets(tables: Tables, now: float) -> int:
+    """Return the highest revision of targets that live peers announced, or -1."""
+    return max(
+        (row.status.targets_revision for row in live_peers(tables, now)), default=-1
+    )
+
+
 def is_first_by_name(tables: Tables, now: float) -> bool:
     """Return whether this host's name sorts first among the live hosts."""
     own = tables.hosts.own.name
--- a/turmericflow/relay/_metrics.py
+++ b/turmericflow/relay/_metrics.py
@@ -24,6 +24,7 @@
         "resume_seconds",
         "running",
         "hosts",
+        "targets_lag_seconds",
     )
 
     def __init__(self) -> None:
@@ -77,6 +78,11 @@
         self.hosts = Gauge(
             "turmericflow_hosts", "Hosts held to be alive", registry=registry
         )
+        self.targets_lag_seconds = Gauge(
+            "turmericflow_targets_lag_seconds",
+            "Time for which announced targets have been lacking",
+            registry=registry,
+        )
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
