Announce changes of targets from the revision of the last change

Callers' requests were sent to targets that had left, by hosts that learn of targets from others. The store counts revisions over all kinds of objects. A host that resyncs raised its table's revision with each reading and announced only differences, so that the next one began above the revision of the others, which rejected it.

Hosts now announce and compare the revision of the last change of a target. A reading without a change raises only the revision as of which the table is known. Unreadable entries are a change only if they were readable before.

--- a/turmericflow/relay/_discovery.py
+++ b/turmericflow/relay/_discovery.py
@@ -28,10 +28,16 @@
 
 
 def replace(table: TargetTable, entries: list[TargetEntry], revision: int) -> bool:
-    """Replace the table by all entries at a revision; return False if not newer."""
+    """Replace the table by all entries as of the revision of their last change.
+
+    Returns
+    -------
+    bool
+        False if the table is not older.
+    """
     if revision <= table.revision:
         return False
-    table.revision = revision
+    table.revision = table.changed_revision = revision
     keys = {entry.key for entry in entries}
     for key in [key for key in table.rows if key not in keys]:
         del table.rows[key]
@@ -51,10 +57,17 @@
     old = {row.entry.id: row.entry for row in table.rows.values()}
     written = [entry for entry in entries if old.pop(entry.id, None) != entry]
     removed = [id for id in old if id not in unreadable]
-    since = table.revision
+    unreadable = [id for id in unreadable if id in old]
+    since = table.changed_revision
     return TargetsChange(since, revision, False, written, removed, unreadable)
 
 
+def confirm(table: TargetTable, since: int, revision: int) -> None:
+    """Record that no target changed in the store between two revisions."""
+    if since <= table.revision:
+        table.revision = max(table.revision, revision)
+
+
 def put(table: TargetTable, entry: TargetEntry) -> None:
     """Insert or update one entry."""
     _put(table, entry)
@@ -72,14 +85,14 @@
 
 
 def apply(table: TargetTable, change: TargetsChange, now: float) -> bool:
-    """Apply a change; return False if it does not follow the table's revision.
+    """Apply a change; return False if it is not newer or others before it are lacking.
 
     For `LAPSED_GRACE_S` after an outage of the store, removed entries stay in use: they
     may have lapsed only because their targets could not renew them.
     """
     if change.revision <= table.revision or change.since > table.revision:
         return False
-    if change.since < table.revision and not change.complete:
+    if change.since < table.changed_revision and not change.complete:
         return False
     in_grace_period = now < table.outage_grace_until
     _remove(
@@ -89,7 +102,9 @@
     for entry in change.written:
         _put(table, entry)
     table.revision = change.revision
-    _rebuild_service_index(table)
+    if not change.empty:
+        table.changed_revision = change.revision
+        _rebuild_service_index(table)
     return True
 
 
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -39,7 +39,8 @@
     state
         A `HostState`.
     deployment_revision, targets_revision
-        Store revisions of the host's deployment and of its table of targets.
+        Store revisions of the host's deployment, and of the last change of a target
+        that it has.
     reads_store
         Whether the store answered the host's last calls.
     loads
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -65,7 +65,7 @@
 
 
 class TargetsSnapshot(msgspec.Struct, array_like=True, tag="targets"):
-    """All entries of targets at a store revision."""
+    """All entries of targets at the store revision of their last change."""
 
     revision: int
     entries: list[TargetEntry]
@@ -256,17 +256,17 @@
             return
         urgent = membership.is_urgent(tables, status)
         earlier_revision = tables.targets.revision
+        if membership.apply_status(tables, status, now):
+            adoption.adopt_from_peer(tables, status.adopted, now)
         for change in status.target_changes:
-            if change.since > earlier_revision:
+            if change.revision > tables.targets.revision:
                 log.info(
                     "targets_change_rejected",
                     source=name,
                     since=change.since,
                     revision=change.revision,
-                    own_revision=earlier_revision,
+                    own_revision=tables.targets.revision,
                 )
-        if membership.apply_status(tables, status, now):
-            adoption.adopt_from_peer(tables, status.adopted, now)
         if tables.targets.revision > earlier_revision:
             log.info("targets_learned", revision=tables.targets.revision, source=name)
         self._enqueue(status, routed.spans)
@@ -290,9 +290,9 @@
         deployment, targets = tables.deployment, tables.targets
         if req.deployment_revision < deployment.revision:
             link.send(DeploymentSnapshot(deployment.revision, deployment.value))
-        if req.targets_revision < targets.revision:
+        if req.targets_revision < targets.changed_revision:
             entries = [row.entry for row in targets.rows.values()]
-            link.send(TargetsSnapshot(targets.revision, entries))
+            link.send(TargetsSnapshot(targets.changed_revision, entries))
 
     def _request_snapshots(self) -> None:
         """Ask a peer that is ahead of this host for its snapshots.
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -42,7 +42,7 @@
         urgent=hosts.urgent_changes,
         state=int(hosts.state),
         deployment_revision=tables.deployment.revision,
-        targets_revision=tables.targets.revision,
+        targets_revision=tables.targets.changed_revision,
         reads_store=not hosts.unanswered_kinds,
         loads={
             key: row.own_load for key, row in rows.items() if row.own_load != Load()
--- a/turmericflow/relay/_store_watch.py
+++ b/turmericflow/relay/_store_watch.py
@@ -198,10 +198,13 @@
                 entry=row.value,
                 revision=row.revision,
             )
-        since, revision = max(since, targets.revision), changes.revision
-        self._apply_and_announce(
-            TargetsChange(since, revision, True, written, removed, unreadable)
-        )
+        if latest:
+            known = targets.changed_revision if since <= targets.revision else since
+            revision = max(change.row.revision for change in latest.values())
+            self._apply_and_announce(
+                TargetsChange(known, revision, True, written, removed, unreadable)
+            )
+        discovery.confirm(targets, since, changes.revision)
 
     def _apply_and_announce(self, change: TargetsChange) -> None:
         """Apply a change to the targets; announce it if this host resyncs for others.
@@ -211,8 +214,7 @@
         tables, now = self._ctx.tables, self._ctx.clock.now()
         if not discovery.apply(tables.targets, change, now):
             return
-        empty = not (change.written or change.removed or change.unreadable)
-        if empty or change.since < 0 or not membership.is_resyncer(tables, now):
+        if change.empty or change.since < 0 or not membership.is_resyncer(tables, now):
             return
         tables.targets.recent_changes.append((now, change))
         self._ctx.announce()
--- a/turmericflow/relay/_target_tables.py
+++ b/turmericflow/relay/_target_tables.py
@@ -103,10 +103,10 @@
     Attributes
     ----------
     since, revision
-        Revision before and after the changes.
+        Revision of the last change before these changes, and of the last of these.
     complete
         Whether all intermediate changes are included, and not only the final
-        difference. Only then does it apply to a table at a revision in between.
+        difference. Only then does it apply to a table that has some of them.
     written
         Entries that were written.
     removed
@@ -122,12 +122,25 @@
     removed: list[str]
     unreadable: list[str]
 
+    @property
+    def empty(self) -> bool:
+        """Whether no target changed."""
+        return not (self.written or self.removed or self.unreadable)
+
 
 class TargetTable:
     """All targets as of a revision of the store.
 
+    The store has one counter of revisions for objects of all kinds, so that the
+    revision of the table grows with each reading. Hosts that read the store at
+    different times compare the revision of the last change of a target.
+
     Attributes
     ----------
+    revision
+        Revision of the store as of which the table is known to hold all targets.
+    changed_revision
+        Revision of the last change of a target, or of the reading that found it.
     rows
         Targets by key.
     by_service
@@ -156,6 +169,7 @@
         "by_service",
         "loss_times",
         "revision",
+        "changed_revision",
         "lapsed",
         "outage_grace_until",
         "recent_changes",
@@ -169,6 +183,7 @@
         self.by_service: dict[str, list[Target]] = {}
         self.loss_times: dict[tuple[str, str], list[float]] = {}
         self.revision = -1
+        self.changed_revision = -1
         self.lapsed: dict[str, float] = {}
         self.outage_grace_until = 0.0
         self.recent_changes: list[tuple[float, TargetsChange]] = []
