Ask for missed targets whatever the deployment does

Each kind of object now has its own wait, which only the arrival of the awaited revision ends, and its own time between requests. For targets the wait is that of an announcement.

--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -31,8 +31,9 @@
 MAX_UNSENT_BYTES = 1_000_000  # above it the stream is cut: the peer does not read
 URGENT_FLUSH_S = 0.003  # far shorter than the gap between new streams of the fleet
 FORWARD_FLUSH_S = 0.05  # a fifth of the shortest heartbeat interval
-SNAPSHOT_RETRY_S = 0.5  # between two requests for the same snapshot
-SNAPSHOT_DELAY_S = 0.3  # a host that reads the store itself has the change by then
+SNAPSHOT_RETRY_S = 0.5  # between two requests for the same kind
+WATCH_DELAY_S = 0.3  # until a host that watches the store itself has a change
+ANNOUNCEMENT_DELAY_S = 0.05  # a few hops of an announcement that is sent at once
 MAX_TARGETS_LAG_S = 0.5  # every host should know of a leaving target within it
 
 log = structlog.get_logger()
@@ -149,10 +150,7 @@
         self._flush_timer: asyncio.TimerHandle | None = None
         self._own_status_due_at = float("inf")
         self._announced_at = float("-inf")
-        self._snapshot_request: SnapshotRequest | None = None
-        self._behind_since = float("-inf")
-        self._requested_at = float("-inf")
-        self._targets_lag = Lag()
+        self._lags = {Kind.DEPLOYMENT: Lag(), Kind.TARGETS: Lag()}
         self._lag_reported = False
         ctx.announce = self.announce
         ctx.announce_load = self.announce_load
@@ -295,44 +293,51 @@
             link.send(TargetsSnapshot(targets.changed_revision, entries))
 
     def _request_snapshots(self) -> None:
-        """Ask a peer that is ahead of this host for its snapshots.
+        """Ask peers that are ahead of this host for their snapshots.
 
-        A host that can read the store first waits, as the changes usually arrive
-        without a request.
+        Each kind of object has its own wait, as others may change faster than it.
         """
         tables, now = self._ctx.tables, self._ctx.clock.now()
-        rows = (tables.hosts.rows.get(name) for name in self._by_name)
-        ahead = [
-            row.entry.name
-            for row in rows
-            if row is not None and membership.is_ahead(tables, row.status)
-        ]
-        req = SnapshotRequest(tables.deployment.revision, tables.targets.revision)
-        if not ahead or req != self._snapshot_request:
-            self._snapshot_request, self._behind_since = req, now
-        if not ahead:
-            return
-        delay_s = 0.0
-        if not tables.hosts.unanswered_kinds:
-            delay_s = SNAPSHOT_DELAY_S + intervals.watch_batch_s(tables, Kind.TARGETS)
-        overdue = now - self._behind_since >= delay_s
-        if not overdue or now - self._requested_at < SNAPSHOT_RETRY_S:
-            return
-        self._requested_at = now
-        peer = self._ctx.rng.choice(ahead)
-        self._by_name[peer].send(req)
+        own = membership.own_revisions(tables)
+        peers = membership.live_peers(tables, now)
+        for kind, lag in self._lags.items():
+            revisions = {
+                row.entry.name: membership.announced_revision(row.status, kind)
+                for row in peers
+            }
+            lag.update(own[kind], max(revisions.values(), default=-1), now)
+            ahead = [
+                name for name in self._by_name if revisions.get(name, -1) > own[kind]
+            ]
+            delay_s = self._snapshot_delay_s(kind)
+            if ahead and lag.is_request_due(delay_s, SNAPSHOT_RETRY_S, now):
+                lag.requested_at = now
+                self._request_snapshot(kind, self._ctx.rng.choice(ahead), own)
+
+    def _snapshot_delay_s(self, kind: Kind) -> float:
+        """Return how long to wait for what usually arrives without a request."""
+        tables = self._ctx.tables
+        batch_s = intervals.watch_batch_s(tables, kind)
+        if kind is Kind.TARGETS:
+            return ANNOUNCEMENT_DELAY_S + batch_s
+        return 0.0 if tables.hosts.unanswered_kinds else WATCH_DELAY_S + batch_s
+
+    def _request_snapshot(self, kind: Kind, peer: str, own: dict[Kind, int]) -> None:
+        self._by_name[peer].send(
+            SnapshotRequest(own[Kind.DEPLOYMENT], own[Kind.TARGETS])
+        )
         log.info(
-            "snapshots_requested",
+            "snapshot_requested",
+            kind=kind,
             peer=peer,
-            deployment=req.deployment_revision,
-            targets=req.targets_revision,
+            own_revision=own[kind],
+            behind_s=round(self._lags[kind].seconds(self._ctx.clock.now()), 3),
         )
 
     def _report_targets_lag(self) -> None:
         """Log and export for how long this host has lacked announced targets."""
-        tables, now = self._ctx.tables, self._ctx.clock.now()
-        lag, own_revision = self._targets_lag, tables.targets.revision
-        lag.update(own_revision, membership.announced_targets(tables, now), now)
+        lag, now = self._lags[Kind.TARGETS], self._ctx.clock.now()
+        own_revision = self._ctx.tables.targets.revision
         lag_s = lag.seconds(now)
         self._ctx.metrics.targets_lag_seconds.set(lag_s)
         if lag_s > MAX_TARGETS_LAG_S and not self._lag_reported:
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -13,6 +13,7 @@
 from turmericflow.relay._budgets import PeerRetryUsage, RetryUsage
 from turmericflow.relay._host_tables import Host, HostState, HostStatus, HostTable
 from turmericflow.relay._model import HostEntry
+from turmericflow.relay._store import Kind
 from turmericflow.relay._tables import Tables
 from turmericflow.relay._target_tables import Load
 
@@ -241,20 +242,26 @@
     return any(row.status.reads_store for row in live_peers(tables, now))
 
 
-def is_ahead(tables: Tables, status: HostStatus | None) -> bool:
-    """Return whether a host has a newer deployment or newer targets than this one."""
-    if status is None:
-        return False
-    return (
-        status.deployment_revision > tables.deployment.revision
-        or status.targets_revision > tables.targets.revision
-    )
+def own_revisions(tables: Tables) -> dict[Kind, int]:
+    """Return the store revisions as of which this host's tables are known."""
+    return {
+        Kind.DEPLOYMENT: tables.deployment.revision,
+        Kind.TARGETS: tables.targets.revision,
+    }
 
 
-def announced_targets(tables: Tables, now: float) -> int:
-    """Return the highest revision of targets that live peers announced, or -1."""
-    return max(
-        (row.status.targets_revision for row in live_peers(tables, now)), default=-1
+def announced_revision(status: HostStatus, kind: Kind) -> int:
+    """Return the revision of the last change of a kind that a host has."""
+    if kind is Kind.DEPLOYMENT:
+        return status.deployment_revision
+    return status.targets_revision
+
+
+def is_ahead(tables: Tables, status: HostStatus) -> bool:
+    """Return whether a host has a newer deployment or newer targets than this one."""
+    return any(
+        announced_revision(status, kind) > revision
+        for kind, revision in own_revisions(tables).items()
     )
 
 
