Collect changes of targets for 0.2 s at most

With 76 hosts a watch collected changes of targets for 0.5 s, with 300 for 1 s, so that a target that left in that time was used longer than the half second in which all hosts should know. Only six hosts watch the targets, whatever their number. The new test fails for 76, 300 and 2,000 hosts before and passes now.

--- a/turmericflow/relay/_intervals.py
+++ b/turmericflow/relay/_intervals.py
@@ -13,6 +13,8 @@
 MAX_WATCH_WAKEUPS_PER_S = 150.0  # watches of all hosts that return with changes
 MAX_HOST_WATCH_WAKEUPS_PER_S = 30.0  # hosts also learn of each other by gossip
 MAX_WATCH_BATCH_S = 1.0  # half of the time allowed for applying a deployment
+# Less than half of the time in which all hosts should know of a leaving target.
+MAX_TARGETS_BATCH_S = 0.2
 PROPAGATION_INTERVALS = 3  # between announcements, until one has reached all hosts
 MIN_LOAD_PROPAGATION_S = 0.1  # a few hops, each with a scheduling delay
 MAX_LOAD_ANNOUNCEMENTS_PER_S = 1000.0  # of all hosts together
@@ -42,12 +44,13 @@
     """Return how long to collect changes in the store before the next watch.
 
     The time in seconds grows with the number of hosts, since each change wakes up
-    the watches of all hosts.
+    the watches of all hosts. Few hosts watch the targets.
     """
     per_s = (
         MAX_HOST_WATCH_WAKEUPS_PER_S if kind is Kind.HOSTS else MAX_WATCH_WAKEUPS_PER_S
     )
-    return min(MAX_WATCH_BATCH_S, (1 + len(tables.hosts.rows)) / per_s)
+    max_batch_s = MAX_TARGETS_BATCH_S if kind is Kind.TARGETS else MAX_WATCH_BATCH_S
+    return min(max_batch_s, (1 + len(tables.hosts.rows)) / per_s)
 
 
 def gossip_window_s(tables: Tables) -> float:
--- a/turmericflow/tests/test_relay_targets_lag.py
+++ b/turmericflow/tests/test_relay_targets_lag.py
@@ -9,9 +9,16 @@
 
 import pytest
 
-from turmericflow.relay import _discovery as discovery, _membership as membership
+from turmericflow.relay import (
+    Kind,
+    _discovery as discovery,
+    _intervals as intervals,
+    _membership as membership,
+)
+from turmericflow.relay._tables import Tables
 from turmericflow.tests.platform_stand_ins import Fleet, TargetStandIn, deployment
 from turmericflow.tests.test_relay_broadcast import build_fleet, entry
+from turmericflow.tests.test_relay_systems import host
 
 MAX_LAG_S = 0.5
 HOSTS = membership.WATCHERS + 3
@@ -125,3 +132,14 @@
         for other in others:
             assert discovery.apply(other.targets, change, 1.0)
             assert set(other.targets.rows) == {each.key for each in entries}
+
+
+# Guards against a watch that collects changes of targets for longer than all hosts
+# together may take to learn of them.
+@pytest.mark.parametrize("size", [6, 76, 300, 2000])
+def test_changes_of_targets_are_not_collected_for_long(size: int):
+    table = Tables(host("h"))
+    for number in range(size - 1):
+        membership.upsert_entry(table.hosts, host(f"h{number}"), 0.0)
+    batch_s = intervals.watch_batch_s(table, Kind.TARGETS)
+    assert 2 * batch_s < MAX_LAG_S
