Report how old a host's targets are

A host that no store and no peer tells of targets cannot know which of them leave, and nothing said so. Statuses carry the time since the sender's targets were confirmed to be current, so that a host that reads nothing itself knows the age of its own; it is a metric, and a log line when it exceeds 2 s and when it is confirmed again.

Requests are still served by such a host, as the store may be away for all for hours.

--- a/turmericflow/relay/_discovery.py
+++ b/turmericflow/relay/_discovery.py
@@ -62,10 +62,11 @@
     return TargetsChange(since, revision, False, written, removed, unreadable)
 
 
-def confirm(table: TargetTable, since: int, revision: int) -> None:
-    """Record that no target changed in the store between two revisions."""
+def confirm(table: TargetTable, since: int, revision: int, now: float) -> None:
+    """Record that no target changed in the store between two revisions, until now."""
     if since <= table.revision:
         table.revision = max(table.revision, revision)
+        table.verified_at = max(table.verified_at, now)
 
 
 def put(table: TargetTable, entry: TargetEntry) -> None:
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -41,6 +41,9 @@
     deployment_revision, targets_revision
         Store revisions of the host's deployment, and of the last change of a target
         that it has.
+    targets_age_s
+        Time since the host's targets were last confirmed to be current, in seconds,
+        without the time that the status is on its way.
     reads_store
         Whether the store answered the host's last calls.
     loads
@@ -66,6 +69,7 @@
     state: int
     deployment_revision: int
     targets_revision: int
+    targets_age_s: float
     reads_store: bool
     loads: dict[str, Load]
     lost: dict[str, float]
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -34,6 +34,8 @@
 SNAPSHOT_RETRY_S = 0.5  # between two requests for the same kind
 WATCH_DELAY_S = 0.3  # until a host that watches the store itself has a change
 ANNOUNCEMENT_DELAY_S = 0.05  # a few hops of an announcement that is sent at once
+# Two of the hosts read the store each second; heartbeats follow.
+MAX_TARGETS_AGE_S = 2.0
 MAX_TARGETS_LAG_S = 0.5  # every host should know of a leaving target within it
 
 log = structlog.get_logger()
@@ -151,7 +153,7 @@
         self._own_status_due_at = float("inf")
         self._announced_at = float("-inf")
         self._lags = {Kind.DEPLOYMENT: Lag(), Kind.TARGETS: Lag()}
-        self._lag_reported = False
+        self._lag_reported = self._age_reported = False
         ctx.announce = self.announce
         ctx.announce_load = self.announce_load
 
@@ -352,6 +354,22 @@
             log.info("targets_caught_up", revision=own_revision)
             self._lag_reported = False
 
+    def _report_targets_age(self) -> None:
+        """Log and export whether this host can know which targets leave."""
+        table, now = self._ctx.tables.targets, self._ctx.clock.now()
+        age_s = now - table.verified_at
+        self._ctx.metrics.targets_age_seconds.set(age_s)
+        unverified = age_s > MAX_TARGETS_AGE_S and table.revision >= 0
+        if unverified is self._age_reported:
+            return
+        self._age_reported = unverified
+        if unverified:
+            log.warning(
+                "targets_unverified", age_s=round(age_s, 3), revision=table.revision
+            )
+        else:
+            log.info("targets_verified", revision=table.revision)
+
     def announce(self) -> None:
         """Broadcast this host's status at once because of an urgent change."""
         self._ctx.tables.hosts.urgent_changes += 1
@@ -440,6 +458,7 @@
             self._dial_neighbours()
             self._request_snapshots()
             self._report_targets_lag()
+            self._report_targets_age()
             self._own_status_due_at = now
             self._flush()
             await self.sleep(intervals.heartbeat_interval_s(self._ctx.tables))
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -44,6 +44,7 @@
         state=int(hosts.state),
         deployment_revision=tables.deployment.revision,
         targets_revision=tables.targets.changed_revision,
+        targets_age_s=now - tables.targets.verified_at,
         reads_store=not hosts.unanswered_kinds,
         loads={
             key: row.own_load for key, row in rows.items() if row.own_load != Load()
@@ -112,6 +113,9 @@
     _apply_loads(tables, status)
     for change in status.target_changes:
         discovery.apply(tables.targets, change, now)
+    discovery.confirm(
+        tables.targets, status.targets_revision, -1, now - status.targets_age_s
+    )
     _apply_failures(tables, status, now)
     return True
 
--- a/turmericflow/relay/_metrics.py
+++ b/turmericflow/relay/_metrics.py
@@ -24,6 +24,7 @@
         "resume_seconds",
         "running",
         "hosts",
+        "targets_age_seconds",
         "targets_lag_seconds",
     )
 
@@ -78,6 +79,11 @@
         self.hosts = Gauge(
             "turmericflow_hosts", "Hosts held to be alive", registry=registry
         )
+        self.targets_age_seconds = Gauge(
+            "turmericflow_targets_age_seconds",
+            "Time since the targets were confirmed to be current",
+            registry=registry,
+        )
         self.targets_lag_seconds = Gauge(
             "turmericflow_targets_lag_seconds",
             "Time for which announced targets have been lacking",
--- a/turmericflow/relay/_store_watch.py
+++ b/turmericflow/relay/_store_watch.py
@@ -158,6 +158,8 @@
                 self._apply_and_announce(
                     discovery.difference(targets, entries, unreadable, listing.revision)
                 )
+                now = self._ctx.clock.now()
+                discovery.confirm(targets, listing.revision, listing.revision, now)
             case Kind.HOSTS:
                 for row in rows:
                     self._upsert_host(row)
@@ -204,7 +206,7 @@
             self._apply_and_announce(
                 TargetsChange(known, revision, True, written, removed, unreadable)
             )
-        discovery.confirm(targets, since, changes.revision)
+        discovery.confirm(targets, since, changes.revision, self._ctx.clock.now())
 
     def _apply_and_announce(self, change: TargetsChange) -> None:
         """Apply a change to the targets; announce it if this host resyncs for others.
--- a/turmericflow/relay/_target_tables.py
+++ b/turmericflow/relay/_target_tables.py
@@ -141,6 +141,9 @@
         Revision of the store as of which the table is known to hold all targets.
     changed_revision
         Revision of the last change of a target, or of the reading that found it.
+    verified_at
+        Time at which the store, or a peer that had read it, last confirmed that the
+        table holds all changes.
     rows
         Targets by key.
     by_service
@@ -170,6 +173,7 @@
         "loss_times",
         "revision",
         "changed_revision",
+        "verified_at",
         "lapsed",
         "outage_grace_until",
         "recent_changes",
@@ -184,6 +188,7 @@
         self.loss_times: dict[tuple[str, str], list[float]] = {}
         self.revision = -1
         self.changed_revision = -1
+        self.verified_at = float("-inf")
         self.lapsed: dict[str, float] = {}
         self.outage_grace_until = 0.0
         self.recent_changes: list[tuple[float, TargetsChange]] = []
--- a/turmericflow/tests/test_relay_targets_lag.py
+++ b/turmericflow/tests/test_relay_targets_lag.py
@@ -8,11 +8,13 @@
 from random import Random
 
 import pytest
+from structlog.testing import capture_logs
 
 from turmericflow.relay import (
     Kind,
     _discovery as discovery,
     _intervals as intervals,
+    _links as links,
     _membership as membership,
 )
 from turmericflow.relay._tables import Tables
@@ -143,3 +145,30 @@
         membership.upsert_entry(table.hosts, host(f"h{number}"), 0.0)
     batch_s = intervals.watch_batch_s(table, Kind.TARGETS)
     assert 2 * batch_s < MAX_LAG_S
+
+
+# Guards against a host that cannot learn of leaving targets and does not say so.
+async def test_a_host_that_cannot_learn_of_targets_says_so(fleet_of_three: Fleet):
+    fleet = fleet_of_three
+    await fleet.add_plain(1)
+    ages = [host.ctx.metrics.targets_age_seconds._value for host in fleet.hosts]
+    await asyncio.sleep(links.MAX_TARGETS_AGE_S)
+    assert all(age.get() < links.MAX_TARGETS_AGE_S for age in ages)
+    with capture_logs() as lines:
+        fleet.store.status = 503
+        await asyncio.sleep(2 * links.MAX_TARGETS_AGE_S)
+        assert all(age.get() > links.MAX_TARGETS_AGE_S for age in ages)
+    events = [line["event"] for line in lines]
+    assert events.count("targets_unverified") == 3
+
+
+async def test_targets_are_verified_through_a_peer_that_reads_the_store(
+    fleet_of_three: Fleet,
+):
+    fleet = fleet_of_three
+    await fleet.add_plain(1)
+    host = fleet.hosts[2]
+    host.ctx.store._base = "http://127.0.0.1:1"
+    await asyncio.sleep(2 * links.MAX_TARGETS_AGE_S)
+    assert host.tables.hosts.unanswered_kinds
+    assert host.ctx.metrics.targets_age_seconds._value.get() < links.MAX_TARGETS_AGE_S
