Retry a failed reading of the store beside a waiting watch

A host whose periodic reading failed counted as unable to read the store until its watch returned, which may take 15 s, or longer on a connection that hangs. After a short outage that cuts no watch, no host read the targets in that time, and a change that a watch missed was not seen.

The new test fails before (ages of 5 s and more after the outage) and passes now; 12 passed in the modules of lag and store watch.

--- a/turmericflow/relay/_store_watch.py
+++ b/turmericflow/relay/_store_watch.py
@@ -79,20 +79,25 @@
     async def _resync_periodically(self) -> None:
         if self._kind is Kind.HOSTS:
             return
+        failed = False
         while not self.should_stop:
             await self.sleep(RESYNC_S)
-            if membership.is_resyncer(self._ctx.tables, self._ctx.clock.now()):
-                await self._resync()
+            # Not left to the watch, which may hang or wait long for a change.
+            retry = failed and self._unreachable_since is not None
+            if retry or membership.is_resyncer(self._ctx.tables, self._ctx.clock.now()):
+                failed = not await self._resync()
 
-    async def _resync(self) -> None:
+    async def _resync(self) -> bool:
+        """Read and apply all objects; return whether the store answered."""
         self._ctx.metrics.store_calls.labels("read").inc()
         try:
             listing = await self._ctx.store.read(self._kind)
         except StoreFailed as exc:
             self._mark_unreachable(exc)
-            return
+            return False
         self._mark_reachable()
         self._apply_listing(listing)
+        return True
 
     async def _read_or_watch(self, revision: int | None) -> int:
         calls = self._ctx.metrics.store_calls
--- a/turmericflow/tests/test_relay_targets_lag.py
+++ b/turmericflow/tests/test_relay_targets_lag.py
@@ -172,3 +172,21 @@
     await asyncio.sleep(2 * links.MAX_TARGETS_AGE_S)
     assert host.tables.hosts.unanswered_kinds
     assert host.ctx.metrics.targets_age_seconds._value.get() < links.MAX_TARGETS_AGE_S
+
+
+# Guards against hosts of which none reads the targets, as each waits for a watch that
+# hangs and counts as unable to read the store since an earlier reading failed.
+async def test_targets_are_verified_soon_after_an_outage_that_cuts_no_watch(
+    fleet_of_three: Fleet,
+):
+    fleet = fleet_of_three
+    await fleet.add_plain(1)
+    ages = [host.ctx.metrics.targets_age_seconds._value for host in fleet.hosts]
+    await asyncio.sleep(links.MAX_TARGETS_AGE_S)
+    fleet.store.status = 503
+    await fleet.until(lambda: all(h.tables.hosts.unanswered_kinds for h in fleet.hosts))
+    fleet.store.status = None
+    await asyncio.sleep(links.MAX_TARGETS_AGE_S)
+    await fleet.until(
+        lambda: all(age.get() < links.MAX_TARGETS_AGE_S for age in ages), 0.5
+    )
