Log the shared parts of prompts whose requests may have crashed a target

The log named contents only, each of one request, so that it could not show what requests that are not alike have in common, nor whether the target had begun to write. Requests carry the ids of the parts of their prompts but for the last; target_crashed lists those of the attempts that had begun an answer and sent no event.

--- a/turmericflow/platform/_callers.py
+++ b/turmericflow/platform/_callers.py
@@ -10,6 +10,7 @@
 ATTEMPT_ID = "X-Turmericflow-Attempt-Id"
 DEADLINE_MS = "X-Turmericflow-Deadline-Ms"
 API_KEY = "X-Turmericflow-Key"
+PROMPT_PARTS = "X-Turmericflow-Prefix-Hash"
 TOKEN_USAGE = "X-Turmericflow-Token-Usage"
 LAST_EVENT_ID = "Last-Event-Id"
 TARGET_SIGNATURE = "X-Turmericflow-Upstream-Signature"
@@ -26,6 +27,8 @@
 KV_FETCH = "Kv-Fetch"
 
 MAX_INTEGER_DIGITS = 18  # any longer number is not one that a caller can mean
+MAX_PARTS = 32  # of a prompt; further ones are ignored
+MAX_PART_ID_LENGTH = 64
 
 _HOP_BY_HOP = {
     "connection",
@@ -88,6 +91,13 @@
     return int(text) if text.isascii() and text.isdecimal() else None
 
 
+def _shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts, without the last one and invalid ones."""
+    ids = [entry.partition(":")[0].strip().lower() for entry in text.split(",")]
+    parts = [id for id in ids[:-1] if id and len(id) <= MAX_PART_ID_LENGTH]
+    return tuple(dict.fromkeys(parts[:MAX_PARTS]))
+
+
 def decode_call(request: web.BaseRequest) -> Call:
     """Build a call from the line and headers of a caller's request, without its body.
 
@@ -108,6 +118,7 @@
     timeout_ms = _parse_integer(headers.get(DEADLINE_MS))
     call.timeout_s = None if timeout_ms is None else timeout_ms / 1000
     call.last_event_id = _parse_integer(headers.get(LAST_EVENT_ID))
+    call.shared_parts = _shared_parts(headers.get(PROMPT_PARTS, ""))
     prompt, _, output = headers.get(TOKEN_USAGE, "").partition(",")
     call.prompt_tokens = _parse_integer(prompt.strip()) or 0
     call.output_tokens = _parse_integer(output.strip()) or 0
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -355,6 +355,7 @@
         target: Target,
         exc: TargetFailed,
         may_be_crash: bool,
+        writing: bool = False,
     ) -> AttemptOutcome:
         """Record that the connection to a target failed or its stream stalled.
 
@@ -366,6 +367,8 @@
             The failure, with the verdict on whether the request may have run.
         may_be_crash
             Whether the request itself may have crashed the target.
+        writing
+            Whether the target had begun to write an answer and had sent no event.
         """
         now = self.ctx.clock.now()
         self.tried.add(target.entry.key)
@@ -376,7 +379,13 @@
             self._ended_for_silence |= exc.silent
             if may_be_crash and exc.lost:
                 self.ctx.crash_suspects.append(
-                    CrashSuspect(self.content_fingerprint(), target, now)
+                    CrashSuspect(
+                        self.content_fingerprint(),
+                        self.call.shared_parts,
+                        target,
+                        now,
+                        writing,
+                    )
                 )
         if exc.silent:
             self._silent.add(target.entry.key)
--- a/turmericflow/relay/_call.py
+++ b/turmericflow/relay/_call.py
@@ -27,6 +27,9 @@
         Time for which the caller waits, in seconds, or None if not given.
     prompt_tokens, output_tokens
         Length of the prompt, and the maximum length of the output.
+    shared_parts
+        Ids of the prompt's parts in order, without the last one, which belongs to the
+        request or its session alone.
     last_event_id
         Id of the last event that the caller has received, or None.
     arrived_at
@@ -44,6 +47,7 @@
         "timeout_s",
         "prompt_tokens",
         "output_tokens",
+        "shared_parts",
         "last_event_id",
         "arrived_at",
     )
@@ -59,6 +63,7 @@
         self.timeout_s: float | None = None
         self.prompt_tokens = 0
         self.output_tokens = 0
+        self.shared_parts: tuple[str, ...] = ()
         self.last_event_id: int | None = None
         self.arrived_at = 0.0
 
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -208,7 +208,8 @@
             return attempts.record_failed(target, str(exc))
         except TargetFailed as exc:
             self._save_kv_copy(run)
-            return attempts.record_lost(target, exc, may_be_crash=True)
+            writing = reply is not None and not run.events
+            return attempts.record_lost(target, exc, may_be_crash=True, writing=writing)
         finally:
             self._interrupted = run if run.abort_reason is not None else None
             tables.runs.discard(run)
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -146,14 +146,33 @@
 
 
 class CrashSuspect:
-    """A request whose content may have crashed the target, as the connection failed."""
+    """A request that may have crashed the target, as the connection failed.
 
-    __slots__ = ("fingerprint", "target", "at")
+    Attributes
+    ----------
+    fingerprint, parts
+        Fingerprint of its content, and the shared parts of its prompt.
+    target, at
+        The target, and the time of the failure.
+    writing
+        Whether the target had begun to write an answer and had sent no event.
+    """
+
+    __slots__ = ("fingerprint", "parts", "target", "at", "writing")
 
-    def __init__(self, fingerprint: str, target: Target, at: float) -> None:
+    def __init__(
+        self,
+        fingerprint: str,
+        parts: tuple[str, ...],
+        target: Target,
+        at: float,
+        writing: bool,
+    ) -> None:
         self.fingerprint = fingerprint
+        self.parts = parts
         self.target = target
         self.at = at
+        self.writing = writing
 
 
 class Tables:
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -223,6 +223,7 @@
             target=entry.key,
             address=entry.address,
             contents=[suspect.fingerprint for suspect in suspects],
+            parts=[suspect.parts for suspect in suspects if suspect.writing],
         )
         self._ctx.announce()
 
