Add failing tests of a part of prompts that crashes engines

Three hosts and nine engines that crash as they begin to write an answer on a part; requests with it come at all hosts, no two alike. 39 reach engines, where five crashes and three requests more are the target; sound requests with the same key and first part fail beside them; and a host that has just started sends them too. Engines that die for other reasons, and streams without length or chunks, whole or broken off in an event, pass already.

--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -512,10 +512,14 @@
     `pause_s` after event N), ``cut N`` (connection aborted after event N), ``tear N``
     (connection aborted within event N), ``double N`` (event N sent twice), ``skip N``
     (event N + 2 follows at once), ``garble N`` (bytes that are no event follow at
-    once), ``long id N`` (an event whose id has 5,000 digits follows at once).
+    once), ``long id N`` (an event whose id has 5,000 digits follows at once),
+    ``unframed`` (without a length or chunks, ends with its connection), ``unframed
+    tear N`` (the same, and the connection is closed within event N).
 
     Attributes
     ----------
+    crashing_parts
+        Parts of prompts that crash each engine that begins to write an answer.
     events, event_interval_s, prefill_s
         Number of events of a stream, time between them, and time before the first;
         ``events`` and ``interval_s`` in a request's query take precedence.
@@ -525,6 +529,7 @@
 
     service = "model"
     peers: dict[str, "EngineStandIn"] = {}
+    crashing_parts: frozenset[str] = frozenset()
 
     def __init__(self, name: str, data_centre: str) -> None:
         super().__init__(name, data_centre)
@@ -570,6 +575,8 @@
             self.kv_copies.discard(run)
         else:
             await self.pace(self.prefill_s)
+        if fault.startswith("unframed"):
+            return await self._unframed_stream(request, received, fault)
         kind, _, at = fault.rpartition(" ")
         if fault == "pause 0":
             self.fall_silent(self.pause_s)
@@ -578,6 +585,9 @@
         resp.content_type = "text/event-stream"
         resp.enable_chunked_encoding()
         await resp.prepare(request)
+        if self.crashing_parts & prompt_parts(request):
+            asyncio.ensure_future(self.crash())
+            await asyncio.sleep(3600)
         last = request.headers.get("Last-Event-Id")
         events = int(request.query.get("events", self.events))
         interval_s = float(request.query.get("interval_s", self.event_interval_s))
@@ -612,6 +622,32 @@
         await resp.write_eof()
         return resp
 
+    async def _unframed_stream(
+        self, request: web.BaseRequest, received: ReceivedRequest, fault: str
+    ) -> web.StreamResponse:
+        """Send a stream without a length or chunks; closing the connection ends it."""
+        lines = [b"HTTP/1.1 200 OK", b"Content-Type: text/event-stream"]
+        lines += [f"{n}: {v}".encode() for n, v in self._signed(request).items()]
+        transport = request.transport
+        transport.write(b"\r\n".join(lines) + b"\r\n\r\n")
+        last = request.headers.get("Last-Event-Id")
+        torn_at = int(fault.rpartition(" ")[2]) if "tear" in fault else 0
+        for number in range(1 if last is None else int(last) + 1, self.events + 1):
+            await self.pace(self.event_interval_s)
+            event = self.event(received, number)
+            transport.write(event[:9] if number == torn_at else event)
+            if number == torn_at:
+                break
+        transport.close()
+        await asyncio.sleep(3600)
+        return web.Response()
+
+
+def prompt_parts(request: web.BaseRequest) -> set[str]:
+    """Return the parts of a request's prompt but for the last."""
+    header = request.headers.get("X-Turmericflow-Prefix-Hash", "")
+    return {part.partition(":")[0] for part in header.split(",")[:-1]}
+
 
 def deployment(version: int = 1, **changes: object) -> dict[str, object]:
     """Return a configuration with a model service and a plain service."""
