Refuse parts of prompts that crash the engines that begin to write

Callers whose requests share one part of their prompts crashed engine after engine, and other callers' streams died with them. Crashes were counted by a hash of the whole content, which no two of these requests share.

Attempts that had begun an answer without an event, at a target that refuses connections since, now count by the parts of their prompts. Hosts share crashes, outputs and convictions in their statuses, and all convictions with a host that connects.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -9,6 +9,7 @@
 
 from turmericflow.relay import (
     _crashes as crashes,
+    _crashing_parts as crashing_parts,
     _membership as membership,
     _placement as placement,
     _silence as silence,
@@ -159,8 +160,12 @@
             capacity=engine.memory_tokens if engine else 0,
         )
 
+    def part_keys(self) -> list[str]:
+        """Return the names of the prompt's shared parts in the table of crashes."""
+        return [f"{self.match.service}/{part}" for part in self.call.shared_parts]
+
     def check_content(self) -> None:
-        """Check that the content did not crash the targets that ran it.
+        """Check that neither the content nor a part of it crashed targets that ran it.
 
         Raises
         ------
@@ -172,6 +177,25 @@
             self.content_fingerprint(), self.ctx.clock.now()
         ):
             raise self.build_failure("the content crashed the targets that ran it")
+        part = self.ctx.tables.crashing_parts.find_refused(
+            self.part_keys(), self.ctx.clock.now()
+        )
+        if part is not None:
+            raise self.build_part_refusal(part)
+
+    def build_part_refusal(self, part: str) -> RequestFailed:
+        """Build the final failure of a request with a part that crashes targets."""
+        exc = self.build_failure(f"the prompt's part {part} crashes targets")
+        failure = exc.failure
+        if failure.verdict is Verdict.NOT_RUN:
+            failure = replace(failure, retry_after_s=crashing_parts.CONVICTION_S)
+        return RequestFailed(failure)
+
+    def record_output(self) -> None:
+        """Record that a target has begun to send the request's output."""
+        ctx = self.ctx
+        if ctx.tables.crashing_parts.record_output(self.part_keys(), ctx.clock.now()):
+            ctx.announce()
 
     def _place(self, demand: placement.Demand) -> Target | None:
         tables, now = self.ctx.tables, self.ctx.clock.now()
@@ -381,7 +405,7 @@
                 self.ctx.crash_suspects.append(
                     CrashSuspect(
                         self.content_fingerprint(),
-                        self.call.shared_parts,
+                        tuple(self.part_keys()),
                         target,
                         now,
                         writing,
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from turmericflow.relay._budgets import RetryUsage
+from turmericflow.relay._crashing_parts import PartCrash, PartTimes
 from turmericflow.relay._model import HostEntry, TargetEntry
 from turmericflow.relay._target_tables import Load, TargetsChange
 
@@ -61,6 +62,8 @@
     crashes
         Recent crashes that the host saw: fingerprint of a request that ran on the
         target, key of the target, and age in seconds.
+    part_crashes, part_times
+        Recent crashes, outputs and convictions of parts of prompts.
     """
 
     entry: HostEntry
@@ -78,6 +81,8 @@
     target_changes: list[TargetsChange]
     retry_usage: dict[str, RetryUsage]
     crashes: list[tuple[str, str, float]]
+    part_crashes: list[PartCrash]
+    part_times: PartTimes
 
 
 class Host:
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -37,6 +37,7 @@
     hosts.status_number += 1
     rows = tables.targets.rows
     max_age_s = intervals.gossip_window_s(tables)
+    part_crashes, part_times = tables.crashing_parts.news(max_age_s, now)
     return HostStatus(
         entry=hosts.own,
         number=hosts.status_number,
@@ -59,6 +60,8 @@
         target_changes=_recent(tables.targets.recent_changes, max_age_s, now),
         retry_usage=tables.retry_budgets.usage(now),
         crashes=tables.crashes.recent_own(max_age_s, now),
+        part_crashes=part_crashes,
+        part_times=part_times,
     )
 
 
@@ -148,6 +151,7 @@
         target = tables.targets.rows.get(key)
         if target is not None:
             placement.record_crash(target, now - age_s)
+    tables.crashing_parts.apply_gossip(status.part_crashes, status.part_times, now)
 
 
 def live_peers(tables: Tables, now: float) -> list[Host]:
--- a/turmericflow/relay/_metrics.py
+++ b/turmericflow/relay/_metrics.py
@@ -24,6 +24,7 @@
         "resume_seconds",
         "running",
         "hosts",
+        "refused_parts",
         "targets_age_seconds",
         "targets_lag_seconds",
     )
@@ -79,6 +80,11 @@
         self.hosts = Gauge(
             "turmericflow_hosts", "Hosts held to be alive", registry=registry
         )
+        self.refused_parts = Gauge(
+            "turmericflow_refused_parts",
+            "Parts of prompts that are refused",
+            registry=registry,
+        )
         self.targets_age_seconds = Gauge(
             "turmericflow_targets_age_seconds",
             "Time since the targets were confirmed to be current",
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -222,6 +222,9 @@
         if run.abort_reason is None:
             attempts.may_have_run += 1
             return AttemptOutcome.TIMEOUT
+        if run.abort_reason is AbortReason.CRASHING_PART:
+            attempts.may_have_run += 1
+            attempts.check_content()
         self._save_kv_copy(run)
         now = attempts.ctx.clock.unstalled_now()
         message = f"{run.abort_reason}: no event for {now - run.last_event_at:.3f} s"
@@ -332,6 +335,7 @@
             )
         if run.events == 1:
             placement.record_success(run.target)
+            attempts.record_output()
             log.info(
                 "stream_begun",
                 request=attempts.call.id,
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import enum
-from collections.abc import Set
+from collections.abc import Collection, Set
 
 from turmericflow.relay._budgets import RetryBudgets
 from turmericflow.relay._call import Call, KvCopy
 from turmericflow.relay._crashes import CrashTable
+from turmericflow.relay._crashing_parts import CrashingParts
 from turmericflow.relay._host_tables import HostTable
 from turmericflow.relay._model import Customer, Deployment, HostEntry, Route, Service
 from turmericflow.relay._placement import Demand
@@ -33,6 +34,7 @@
 
     SILENT = "silent"
     LOST = "lost"
+    CRASHING_PART = "crashing_part"
 
 
 class Run:
@@ -122,6 +124,11 @@
         self.held = False
         self.silent_targets: Set[str] = frozenset()
 
+    def has_part(self, parts: Collection[str]) -> bool:
+        """Return whether the prompt has one of the parts, named by service and id."""
+        service = self.target.entry.service
+        return any(f"{service}/{part}" in parts for part in self.call.shared_parts)
+
     def set_backup(self, backup: Target) -> None:
         """Set the engine to which the run's KV cache is copied as it grows."""
         self._reserve_memory(backup)
@@ -178,7 +185,15 @@
 class Tables:
     """All tables of one host."""
 
-    __slots__ = ("deployment", "targets", "hosts", "runs", "crashes", "retry_budgets")
+    __slots__ = (
+        "deployment",
+        "targets",
+        "hosts",
+        "runs",
+        "crashes",
+        "crashing_parts",
+        "retry_budgets",
+    )
 
     def __init__(self, own: HostEntry) -> None:
         self.deployment = DeploymentTable()
@@ -186,4 +201,5 @@
         self.hosts = HostTable(own)
         self.runs: set[Run] = set()
         self.crashes = CrashTable()
+        self.crashing_parts = CrashingParts()
         self.retry_budgets = RetryBudgets()
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -18,6 +18,7 @@
 )
 from turmericflow.relay._attempts import SILENCE, record_target_loss
 from turmericflow.relay._context import HostContext
+from turmericflow.relay._crashing_parts import PartCrash
 from turmericflow.relay._model import TargetEntry
 from turmericflow.relay._store import Conflict, StoreFailed
 from turmericflow.relay._tables import AbortReason, CrashSuspect, Run
@@ -47,6 +48,7 @@
                 log.info("process_stalled", late_s=round(late_s, 3))
             self._check_silent_streams()
             self._check_crash_suspects()
+            self._apply_convictions()
             self._probe_misdirected()
             for run in copies.find_lost_copies(self._ctx.tables):
                 run.copying = True
@@ -213,11 +215,15 @@
         entry = suspects[0].target.entry
         if await self._ctx.target_client.accepts_connections(entry.address):
             return
-        placement.record_crash(suspects[0].target, self._ctx.clock.now())
+        tables, now = self._ctx.tables, self._ctx.clock.now()
+        placement.record_crash(suspects[0].target, now)
         for suspect in suspects:
-            self._ctx.tables.crashes.record_own(
-                suspect.fingerprint, entry.key, suspect.at
-            )
+            tables.crashes.record_own(suspect.fingerprint, entry.key, suspect.at)
+            if suspect.writing and suspect.parts:
+                crash = PartCrash(
+                    entry.key, suspect.fingerprint, suspect.parts, suspect.at
+                )
+                tables.crashing_parts.record_own_crash(crash, now)
         log.info(
             "target_crashed",
             target=entry.key,
@@ -227,6 +233,22 @@
         )
         self._ctx.announce()
 
+    def _apply_convictions(self) -> None:
+        """End the attempts without output whose prompts have a convicted part."""
+        tables, now = self._ctx.tables, self._ctx.clock.now()
+        convicted = tables.crashing_parts.take_new_convictions()
+        for part in convicted:
+            log.warning("part_convicted", part=part)
+        self._ctx.metrics.refused_parts.set(tables.crashing_parts.convicted)
+        for run in list(tables.runs) if convicted else ():
+            if not run.events and run.abort_reason is None and run.has_part(convicted):
+                log.info(
+                    "stream_refused",
+                    request=run.call.id,
+                    target=run.target.entry.key,
+                )
+                stream.interrupt(run, AbortReason.CRASHING_PART, frozenset(), now)
+
     @Service.task
     async def _slow_tick(self) -> None:
         tables, clock = self._ctx.tables, self._ctx.clock
@@ -240,6 +262,8 @@
             for name in membership.expire(tables, now):
                 log.info("host_silent", host_name=name)
             tables.crashes.expire(now)
+            for part in tables.crashing_parts.expire(now):
+                log.info("part_allowed", part=part)
             self._ctx.metrics.hosts.set(membership.count_live_hosts(tables, now))
             self._ctx.metrics.running.set(len(tables.runs))
             await self._remove_stale_entries()
