Do not suspect the content of streams that have output

A stream that had been sent for seconds became a crash suspect each time that its engine died, of a neighbour's request for one; after three such engines its content was refused, and the stream cut at its caller.

A content is a suspect only while its target has sent no event, and the first event clears it, as the whole answer did. The new test of a stream that loses four engines fails before, cut after the third, and passes now; 53 passed there and in the module of systems.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -193,8 +193,9 @@
 
     def record_output(self) -> None:
         """Record that a target has begun to send the request's output."""
-        ctx = self.ctx
-        if ctx.tables.crashing_parts.record_output(self.part_keys(), ctx.clock.now()):
+        ctx, now = self.ctx, self.ctx.clock.now()
+        self._clear_content()
+        if ctx.tables.crashing_parts.record_output(self.part_keys(), now):
             ctx.announce()
 
     def _place(self, demand: placement.Demand) -> Target | None:
@@ -334,6 +335,9 @@
     def record_done(self, target: Target) -> None:
         """Record that a target has answered the request."""
         placement.record_success(target)
+        self._clear_content()
+
+    def _clear_content(self) -> None:
         table = self.ctx.tables.crashes
         if table.has_crashes and table.is_recorded(self.content_fingerprint()):
             table.clear(self.content_fingerprint(), self.ctx.clock.now())
--- a/turmericflow/relay/_crashes.py
+++ b/turmericflow/relay/_crashes.py
@@ -2,8 +2,8 @@
 
 Callers retry the same content under new ids and at other hosts. So crashes are
 recorded by a fingerprint of the content, with the key of the crashed target, and
-gossiped to the other hosts. An answered request clears its fingerprint, since a
-content that crashes its targets never gets an answer.
+gossiped to the other hosts. Output clears its fingerprint, since a content that
+crashes its targets never has any.
 """
 
 from __future__ import annotations
@@ -59,7 +59,7 @@
             self._own_crashes.append((fingerprint, target, at))
 
     def clear(self, fingerprint: str, now: float) -> None:
-        """Remove the crashes of a content that was answered.
+        """Remove the crashes of a content that had output.
 
         Crashes from before ``now`` that are gossiped later are ignored.
         """
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -208,8 +208,13 @@
             return attempts.record_failed(target, str(exc))
         except TargetFailed as exc:
             self._save_kv_copy(run)
-            writing = reply is not None and not run.events
-            return attempts.record_lost(target, exc, may_be_crash=True, writing=writing)
+            without_output = not run.events
+            return attempts.record_lost(
+                target,
+                exc,
+                may_be_crash=without_output,
+                writing=without_output and reply is not None,
+            )
         finally:
             self._interrupted = run if run.abort_reason is not None else None
             tables.runs.discard(run)
--- a/turmericflow/tests/test_relay_crashing_parts.py
+++ b/turmericflow/tests/test_relay_crashing_parts.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from turmericflow.relay._stream import Stream
 from turmericflow.tests.platform_stand_ins import (
     CRASH_DOWNTIME_S,
     EngineStandIn,
@@ -153,3 +154,26 @@
     assert resp.status == 200
     events = [line for line in body.split(b"\n") if line.startswith(b"id:")]
     assert events == [b"id: %d" % number for number in range(1, 21)]
+
+
+# Guards against a sound request that is refused as it lost engines to its neighbours.
+async def test_a_stream_that_has_output_is_no_suspect_when_its_engines_crash(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+):
+    monkeypatch.setattr(Stream, "_choose_backup", lambda self, target: None)
+    engines = await fleet.add_engines("dc-0", "dc-1", "dc-2", "dc-0", "dc-1")
+    for engine in engines:
+        engine.event_interval_s, engine.events = 0.02, 200
+
+    async def crash_its_engine() -> None:
+        for _ in range(4):
+            await asyncio.sleep(0.6)
+            (run,) = fleet.hosts[0].tables.runs
+            await fleet.targets[run.target.entry.id].crash()
+
+    crashes = asyncio.create_task(crash_its_engine())
+    async with fleet.request("/stream/1", data=b"sound") as resp:
+        body = await resp.read()
+    await crashes
+    events = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+    assert events == [b"id: %d" % number for number in range(1, 201)]
