Tell convicted parts in the first status on a connection

A message type of its own would have ended connections with hosts of an earlier version, which read no unknown type, and new fields in the middle of a status would have been misread by them. The new fields are at its end and may be missing.

--- a/turmericflow/relay/_crashing_parts.py
+++ b/turmericflow/relay/_crashing_parts.py
@@ -238,20 +238,15 @@
         ]
         return crashes, PartTimes(sound, convicted)
 
-    def all_convictions(self, now: float) -> PartTimes:
-        """Return all convictions, with ages, for a host that may know none.
-
-        The ages are those of the last refusals, which prolong the convictions.
-        """
-        last_refused = [
+    def convictions(self, now: float) -> list[tuple[str, float]]:
+        """Return the convicted parts, each with the age of its last refusal."""
+        return [
             (part, now - until + CONVICTION_S)
             for part, until in self._refused_until.items()
         ]
-        return PartTimes([], last_refused)
 
-    @property
-    def convicted(self) -> int:
-        """Number of convicted parts."""
+    def __len__(self) -> int:
+        """Return the number of convicted parts."""
         return len(self._convicted_at)
 
     def find_refused(self, parts: Iterable[str], now: float) -> str | None:
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -42,9 +42,6 @@
     deployment_revision, targets_revision
         Store revisions of the host's deployment, and of the last change of a target
         that it has.
-    targets_age_s
-        Time since the host's targets were last confirmed to be current, in seconds,
-        without the time that the status is on its way.
     reads_store
         Whether the store answered the host's last calls.
     loads
@@ -62,6 +59,9 @@
     crashes
         Recent crashes that the host saw: fingerprint of a request that ran on the
         target, key of the target, and age in seconds.
+    targets_age_s
+        Time since the host's targets were last confirmed to be current, in seconds,
+        without the time that the status is on its way.
     part_crashes, part_times
         Recent crashes, outputs and convictions of parts of prompts.
     """
@@ -72,7 +72,6 @@
     state: int
     deployment_revision: int
     targets_revision: int
-    targets_age_s: float
     reads_store: bool
     loads: dict[str, Load]
     lost: dict[str, float]
@@ -81,8 +80,10 @@
     target_changes: list[TargetsChange]
     retry_usage: dict[str, RetryUsage]
     crashes: list[tuple[str, str, float]]
-    part_crashes: list[PartCrash]
-    part_times: PartTimes
+    # Without them, statuses of hosts of an earlier version are still read.
+    targets_age_s: float = float("inf")
+    part_crashes: list[PartCrash] = []
+    part_times: PartTimes = msgspec.field(default_factory=PartTimes)
 
 
 class Host:
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -21,7 +21,6 @@
 )
 from turmericflow.relay._broadcast import Outbox, Rings, RoutedStatus
 from turmericflow.relay._context import HostContext
-from turmericflow.relay._crashing_parts import PartTimes
 from turmericflow.relay._host_tables import HostStatus
 from turmericflow.relay._lag import Lag
 from turmericflow.relay._model import Deployment, TargetEntry
@@ -75,19 +74,8 @@
     entries: list[TargetEntry]
 
 
-class ConvictedParts(msgspec.Struct, array_like=True, tag="parts"):
-    """All parts of prompts that a host refuses, for one that may know none."""
-
-    times: PartTimes
-
-
 AnyMessage = Union[
-    Hello,
-    StatusMessage,
-    SnapshotRequest,
-    DeploymentSnapshot,
-    TargetsSnapshot,
-    ConvictedParts,
+    Hello, StatusMessage, SnapshotRequest, DeploymentSnapshot, TargetsSnapshot
 ]
 _DECODER = msgspec.msgpack.Decoder(AnyMessage)
 _ENCODER = msgspec.msgpack.Encoder()
@@ -237,9 +225,6 @@
                     log.info("targets_learned", revision=msg.revision, source=link.name)
             case SnapshotRequest():
                 self._send_snapshots(link, msg)
-            case ConvictedParts():
-                tables, now = self._ctx.tables, self._ctx.clock.now()
-                tables.crashing_parts.apply_gossip([], msg.times, now)
 
     def _on_hello(self, link: Link, name: str) -> None:
         """Register a stream by its host's name; of two streams to a host, cut one.
@@ -259,11 +244,10 @@
         self._rebuild_rings()
         now = self._ctx.clock.now()
         status = membership.own_status(self._ctx.tables, now)
+        # The other host may have just started and know none.
+        status.part_times.convicted = self._ctx.tables.crashing_parts.convictions(now)
         for span in broadcast.full_spans(own):
             link.outbox.put(status, span)
-        parts = self._ctx.tables.crashing_parts
-        if parts.convicted:
-            link.send(ConvictedParts(parts.all_convictions(now)))
         self._schedule_flush(URGENT_FLUSH_S)
 
     def _on_status(self, link: Link, routed: RoutedStatus) -> None:
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -239,7 +239,7 @@
         convicted = tables.crashing_parts.take_new_convictions()
         for part in convicted:
             log.warning("part_convicted", part=part)
-        self._ctx.metrics.refused_parts.set(tables.crashing_parts.convicted)
+        self._ctx.metrics.refused_parts.set(len(tables.crashing_parts))
         for run in list(tables.runs) if convicted else ():
             if not run.events and run.abort_reason is None and run.has_part(convicted):
                 log.info(
--- a/turmericflow/tests/test_relay_broadcast.py
+++ b/turmericflow/tests/test_relay_broadcast.py
@@ -5,6 +5,7 @@
 import math
 from collections import Counter
 
+import msgspec
 import pytest
 
 from turmericflow.relay import (
@@ -15,7 +16,7 @@
     _membership as membership,
 )
 from turmericflow.relay._broadcast import Outbox, Rings, Span
-from turmericflow.relay._host_tables import HostState
+from turmericflow.relay._host_tables import HostState, HostStatus
 from turmericflow.relay._tables import Tables
 from turmericflow.relay._target_tables import TargetsChange
 from turmericflow.tests.test_relay_systems import host, known_hosts
@@ -197,3 +198,14 @@
     )
     assert len(membership.own_status(table, 5.1).target_changes) == 1
     assert membership.own_status(table, 6.0).target_changes == []
+
+
+def test_statuses_of_an_earlier_version_are_read():
+    table = build_fleet(2)["h000"]
+    status = membership.own_status(table, 5.0)
+    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(status))
+    required = sum(field.required for field in msgspec.structs.fields(HostStatus))
+    earlier = msgspec.msgpack.encode(fields[:required])
+    read = msgspec.msgpack.decode(earlier, type=HostStatus)
+    assert read.crashes == status.crashes and read.targets_age_s == math.inf
+    assert membership.apply_status(build_fleet(2)["h001"], read, 6.0)
--- a/turmericflow/tests/test_relay_crashing_parts_table.py
+++ b/turmericflow/tests/test_relay_crashing_parts_table.py
@@ -105,7 +105,7 @@
         now += 0.9 * crashing_parts.CONVICTION_S
         assert refused(table, "bad", now)
         assert table.expire(now) == []
-    started.apply_gossip([], table.all_convictions(now), now)
+    started.apply_gossip([], PartTimes([], table.convictions(now)), now)
     assert refused(started, "bad", now)
     assert table.expire(now + crashing_parts.CONVICTION_S) == ["bad"]
 
