--- a/turmericflow/relay/_crashing_parts.py
+++ b/turmericflow/relay/_crashing_parts.py
@@ -178,8 +178,10 @@
         """
         cleared = False
         for part in parts:
+            sound_at = self._sound_at.get(part, float("-inf"))
             blamed = part in self._convicted_at or any(
-                part in self._live_parts(crash) for crash in self._crashes.values()
+                part in crash.parts and sound_at < crash.at
+                for crash in self._crashes.values()
             )
             self._record_sound(part, now)
             if blamed:
