Log and count what targets name as their limit

The logs could not tell a limit that is not read from one that each host keeps for itself. A target's Server-Limit is now a field of its reply; each change is logged (target_limit_changed), values that cannot be read too, and sends to targets with a limit are counted, first ones and repeats apart. Nothing is decided by it yet.

--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -12,19 +12,30 @@
 from yarl import URL
 
 from turmericflow.platform import _callers as header_names
-from turmericflow.relay import Call, Dispatch, EngineReport, KvCopy
+from turmericflow.relay import (
+    Call,
+    Dispatch,
+    EngineReport,
+    KvCopy,
+    LimitAbsent,
+    LimitInvalid,
+    LimitNamed,
+    LimitNotice,
+)
 from turmericflow.verdict import TargetFailed, Verdict
 
 REPORT_PATH = "/v1/report"
 KV_MOVE_PATH = "/v1/kv-move"
 COPY_TIMEOUT_S = 1.0  # even a large run is copied within milliseconds
 CHECK_TIMEOUT_S = 0.3
+MAX_LOGGED_HEADER = 100  # characters
 MAX_CONTROL_BYTES = 1_000_000  # body of a report or of the answer to a copy order
 _SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 # Like the header NOT_EXECUTED, this status says that the request did not run.
 MISDIRECTED_STATUS = 421
 MIN_FINAL_STATUS = 200
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 _CONNECTION_ERRORS = (
     aiohttp.ClientError,
     OSError,
@@ -86,6 +97,20 @@
             raise TargetFailed(Verdict.MAY_HAVE_RUN, message)
 
 
+def decode_limit(headers: CIMultiDict[str]) -> LimitNotice:
+    """Return what a response says of the rate that its target takes.
+
+    Of several values the lowest holds. If any of them is no decimal number, all are
+    invalid.
+    """
+    values = [value.strip() for value in headers.getall(header_names.TARGET_RATE, ())]
+    if not values:
+        return LimitAbsent()
+    if not all(_DECIMAL.fullmatch(value) for value in values):
+        return LimitInvalid(", ".join(values)[:MAX_LOGGED_HEADER])
+    return LimitNamed(min(map(float, values)))
+
+
 async def _read_control(resp: aiohttp.ClientResponse) -> bytes:
     """Return the body of a response; raises `ValueError` if it is too long."""
     body = bytearray()
@@ -107,6 +132,7 @@
         "not_run",
         "misdirected",
         "genuine",
+        "limit",
     )
 
     def __init__(self, call: Call, resp: aiohttp.ClientResponse) -> None:
@@ -118,6 +144,7 @@
         self.headers = header_names.response_headers(resp.headers)
         self.misdirected = resp.status == MISDIRECTED_STATUS
         self.not_run = self.misdirected or header_names.NOT_EXECUTED in resp.headers
+        self.limit = decode_limit(resp.headers)
         echoed = resp.headers.get(header_names.ATTEMPT_ID)
         interim = resp.status < MIN_FINAL_STATUS
         if interim or (echoed is not None and echoed != call.id):
--- a/turmericflow/relay/__init__.py
+++ b/turmericflow/relay/__init__.py
@@ -23,6 +23,12 @@
     TargetEntry,
     WorkKind,
 )
+from turmericflow.relay._rate_limits import (
+    LimitAbsent,
+    LimitInvalid,
+    LimitNamed,
+    LimitNotice,
+)
 from turmericflow.relay._settings import HostSettings, SettingsInvalid
 from turmericflow.relay._store import (
     Change,
@@ -54,6 +60,10 @@
     "Call",
     "KvCopy",
     "Dispatch",
+    "LimitAbsent",
+    "LimitInvalid",
+    "LimitNamed",
+    "LimitNotice",
     "RequestInvalid",
     "TargetConnection",
     # The object store
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -17,6 +17,7 @@
 from turmericflow.relay._call import Call, Dispatch, Reply
 from turmericflow.relay._context import HostContext
 from turmericflow.relay._model import WorkKind
+from turmericflow.relay._rate_limits import LimitInvalid
 from turmericflow.relay._routing import RouteMatch
 from turmericflow.relay._tables import CrashSuspect, Run
 from turmericflow.relay._target_tables import Target
@@ -288,6 +289,9 @@
         """Build the parameters of the next send to a target, and count the send."""
         self._sends += 1
         entry = target.entry
+        if self.ctx.tables.rate_limits.find(entry.key) is not None:
+            attempt = "first" if self._sends == 1 else "repeat"
+            self.ctx.metrics.limited_sends.labels(attempt).inc()
         dispatch = Dispatch(entry.id, entry.address, max(0.001, self.remaining_s))
         dispatch.customer = self._customer()
         service = self.ctx.tables.deployment.services.get(self.match.service)
@@ -332,6 +336,33 @@
             own.pending_prefill_tokens -= self.call.prompt_tokens
         run.drop_copy()
 
+    def record_limit(self, target: Target, reply: Reply, sent_at: float) -> None:
+        """Record what a reply says of the rate that its target takes from all hosts.
+
+        Parameters
+        ----------
+        target
+            The target.
+        reply
+            The reply, of which only the head has been read.
+        sent_at
+            Time at which the request was sent, on the event loop's clock.
+        """
+        if reply.misdirected or not reply.genuine:
+            return  # another target or an answer to another request
+        key, limits = target.entry.key, self.ctx.tables.rate_limits
+        if isinstance(reply.limit, LimitInvalid):
+            log.warning("target_limit_invalid", target=key, value=reply.limit.text)
+        if limits.record(key, reply.limit, sent_at, self.ctx.clock.now()):
+            limit = limits.find(key)
+            log.info(
+                "target_limit_changed",
+                target=key,
+                address=target.entry.address,
+                rate=None if limit is None else limit.rate,
+                request=self.call.id,
+            )
+
     def record_done(self, target: Target) -> None:
         """Record that a target has answered the request."""
         placement.record_success(target)
--- a/turmericflow/relay/_call.py
+++ b/turmericflow/relay/_call.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 
 from turmericflow.relay._model import EngineReport
+from turmericflow.relay._rate_limits import LimitNotice
 
 
 class Call:
@@ -139,6 +140,8 @@
         Whether a target other than the expected one answered.
     genuine
         Whether the response belongs to this request and has the target's receipt.
+    limit
+        What the response says of the rate that its target takes from all hosts.
     """
 
     status: int
@@ -146,6 +149,7 @@
     not_run: bool
     misdirected: bool
     genuine: bool
+    limit: LimitNotice
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises `TargetFailed` if the connection fails."""
--- a/turmericflow/relay/_metrics.py
+++ b/turmericflow/relay/_metrics.py
@@ -15,6 +15,7 @@
         "_registry",
         "requests",
         "sends",
+        "limited_sends",
         "resumes",
         "losses",
         "store_calls",
@@ -37,6 +38,12 @@
         self.sends = Counter(
             "turmericflow_sends", "Sends to targets", ["outcome"], registry=registry
         )
+        self.limited_sends = Counter(
+            "turmericflow_limited_sends",
+            "Sends to targets that name a limit",
+            ["attempt"],
+            registry=registry,
+        )
         self.resumes = Counter(
             "turmericflow_resumes", "Streams gone on", ["how"], registry=registry
         )
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -13,6 +13,7 @@
 from turmericflow.relay._host_tables import HostTable
 from turmericflow.relay._model import Customer, Deployment, HostEntry, Route, Service
 from turmericflow.relay._placement import Demand
+from turmericflow.relay._rate_limits import RateLimits
 from turmericflow.relay._target_tables import Target, TargetTable
 
 
@@ -193,6 +194,7 @@
         "crashes",
         "crashing_parts",
         "retry_budgets",
+        "rate_limits",
     )
 
     def __init__(self, own: HostEntry) -> None:
@@ -203,3 +205,4 @@
         self.crashes = CrashTable()
         self.crashing_parts = CrashingParts()
         self.retry_budgets = RetryBudgets()
+        self.rate_limits = RateLimits()
