--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -218,6 +218,7 @@
     headers: CIMultiDictProxy[str]
     body: bytes
     outcome: str = "running"
+    at: float = field(default_factory=lambda: asyncio.get_running_loop().time())
 
 
 @dataclass
@@ -324,6 +325,12 @@
     torn``, ``early`` (response before the request body is read), ``endless KIND``
     (`ENDLESS`, until the connection is closed), ``endless later KIND`` (the
     repeated bytes come after a pause).
+
+    Attributes
+    ----------
+    rate_limit
+        Requests per second that the target takes from all hosts, as it names them in
+        its answers, or None.
     """
 
     service = "plain"
@@ -338,6 +345,7 @@
         self.endless_sends: list[EndlessSend] = []
         self.response_delay_s = 0.005
         self._silent_until = 0.0
+        self.rate_limit: str | None = None
 
     def fall_silent(self, seconds: float) -> None:
         """Send nothing, answers to probes included, for a time, and then go on."""
@@ -375,7 +383,8 @@
         return f"{self.name} {received.id}".encode()
 
     def _signed(self, request: web.BaseRequest) -> dict[str, str]:
-        return {
+        limit = {} if self.rate_limit is None else {"Server-Limit": self.rate_limit}
+        return limit | {
             "X-Turmericflow-Attempt-Id": request.headers["X-Turmericflow-Attempt-Id"],
             "X-Turmericflow-Upstream-Signature": f"receipt-{self.name}",
         }
--- a/turmericflow/tests/test_platform_adapter.py
+++ b/turmericflow/tests/test_platform_adapter.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import pytest
+from multidict import CIMultiDict
 
 import turmericflow
 from turmericflow.platform._objects import (
@@ -21,7 +22,16 @@
 )
 from turmericflow.platform._process import EXIT_SETTINGS
 from turmericflow.platform._settings import PATH_VARIABLE, read_settings
-from turmericflow.relay import HostEntry, SettingsInvalid, WorkKind
+from turmericflow.platform._targets import decode_limit
+from turmericflow.relay import (
+    HostEntry,
+    LimitAbsent,
+    LimitInvalid,
+    LimitNamed,
+    LimitNotice,
+    SettingsInvalid,
+    WorkKind,
+)
 from turmericflow.tests.platform_stand_ins import deployment
 
 PACKAGE = Path(turmericflow.__file__).parent
@@ -45,6 +55,7 @@
     "internalports",
     "coldremainingms",
     "gaptargetms",
+    "server-limit",
 )
 
 
@@ -164,3 +175,27 @@
         time.sleep(0.002)
     process.send_signal(signal.SIGHUP)
     assert process.wait(10) == EXIT_SETTINGS
+
+
+@pytest.mark.parametrize(
+    ("values", "notice"),
+    [
+        ([], LimitAbsent()),
+        (["2.3"], LimitNamed(2.3)),
+        (["0"], LimitNamed(0.0)),
+        ([".5"], LimitNamed(0.5)),
+        (["40", " 4.6 "], LimitNamed(4.6)),
+        (["-1"], LimitInvalid("-1")),
+        (["nan"], LimitInvalid("nan")),
+        (["inf"], LimitInvalid("inf")),
+        (["1e3"], LimitInvalid("1e3")),
+        (["1,5"], LimitInvalid("1,5")),
+        (["\u0663"], LimitInvalid("\u0663")),
+        ([""], LimitInvalid("")),
+        (["2.3", "x"], LimitInvalid("2.3, x")),
+        (["9" * 5000], LimitInvalid("9" * 100)),
+    ],
+)
+def test_a_targets_limit_is_a_decimal_number(values: list[str], notice: LimitNotice):
+    headers = CIMultiDict([("Server-Limit", value) for value in values])
+    assert decode_limit(headers) == notice
