Share the limits that targets name among a few hosts

Callers' requests went to targets in need as if they had named nothing: 40 requests in 4 s at a target that takes 2.3 a second from all hosts (18.8 allowed).

Cause: the limit was read nowhere. An answer that names it reaches one host, and the limit binds all.

Hosts tell one another the limits they hear at once, and all of them to a host that connects. Each limit is divided among the first hosts by a hash of target and host among the live ones, as few as the bound allows bursts for, and only in the proportion of live to known hosts. A target without a token is no candidate and is not held to be lost. When only such targets are left, requests are refused at once, by rank, with a random Retry-After up to the time in which the limits serve what was refused.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -10,6 +10,7 @@
 from turmericflow.relay import (
     _crashes as crashes,
     _crashing_parts as crashing_parts,
+    _limited_targets as limited_targets,
     _membership as membership,
     _placement as placement,
     _silence as silence,
@@ -17,7 +18,7 @@
 from turmericflow.relay._call import Call, Dispatch, Reply
 from turmericflow.relay._context import HostContext
 from turmericflow.relay._model import WorkKind
-from turmericflow.relay._rate_limits import LimitInvalid
+from turmericflow.relay._rate_limits import MIN_RETRY_AFTER_S, LimitInvalid
 from turmericflow.relay._routing import RouteMatch
 from turmericflow.relay._tables import CrashSuspect, Run
 from turmericflow.relay._target_tables import Target
@@ -85,8 +86,16 @@
     TIMEOUT = "timeout"
 
 
-class RetryBudgetExhausted(RequestFailed):
-    """Raised when the retry budget allows no retry now; it may allow one soon."""
+class NotAllowedYet(RequestFailed):
+    """Raised when a budget or a limit allows no send now; it may allow one soon."""
+
+
+class RetryBudgetExhausted(NotAllowedYet):
+    """Raised when the retry budget allows no retry now."""
+
+
+class LimitReached(NotAllowedYet):
+    """Raised when all targets that are left name limits, and these are used up."""
 
 
 class Attempts:
@@ -202,6 +211,7 @@
     def _place(self, demand: placement.Demand) -> Target | None:
         tables, now = self.ctx.tables, self.ctx.clock.now()
         hosts = membership.count_live_hosts(tables, now)
+        demand = limited_targets.constrain(tables, demand, now)
         return placement.choose(tables.targets, demand, now, self.ctx.rng, hosts)
 
     def choose(self) -> Target:
@@ -214,20 +224,62 @@
         ------
         RequestFailed
             If no target is left, or the request must not be sent again.
+        LimitReached
+            If the limits of all targets that are left are used up for now.
         """
         self.check_content()
         demand = self.placement_demand()
+        if not self._sends:
+            self._check_rank(demand)
         target = self._place(demand)
         if target is None and self.may_have_run and self._silent:
             excluded = frozenset(self.tried - self._silent)
             target = self._place(replace(demand, excluded_targets=excluded))
         if target is None:
+            if limited_targets.only_limited_left(self.ctx.tables, demand):
+                raise self.build_limit_refusal()
             raise self.build_failure(
                 f"no target of {self.match.service!r} is left to try"
             )
         self.check_budget()
         return target
 
+    def _rank(self) -> int:
+        """Return the rank for the limits of targets; the lowest is served first."""
+        resumed = self._sends or self.call.last_event_id is not None
+        return limited_targets.RESUMED_RANK if resumed else self._priority()
+
+    def _check_rank(self, demand: placement.Demand) -> None:
+        """Check that requests of higher rank leave something of the limits.
+
+        Raises
+        ------
+        LimitReached
+            If all targets name limits, and these are needed for higher ranks.
+        """
+        tables, service = self.ctx.tables, self.match.service
+        if not limited_targets.only_limited_left(tables, demand):
+            return
+        now = self.ctx.clock.now()
+        share = limited_targets.total_share(tables, service, now)
+        if not tables.rate_limits.demand(service).admits(self._rank(), share, now):
+            raise self.build_limit_refusal()
+
+    def build_limit_refusal(self) -> LimitReached:
+        """Build the failure of a request for which all limits are used up."""
+        ctx, service = self.ctx, self.match.service
+        now = ctx.clock.now()
+        share = limited_targets.total_share(ctx.tables, service, now)
+        demand = ctx.tables.rate_limits.demand(service)
+        free_in_s = demand.refuse(self._rank(), share, now)
+        message = f"the limits of all targets of {service!r} are used up"
+        if self.may_have_run:
+            return LimitReached(self.build_failure(message).failure)
+        retry_after_s = ctx.rng.uniform(MIN_RETRY_AFTER_S, free_in_s)
+        return LimitReached(
+            Failure(ErrorCode.OVERLOADED, Verdict.NOT_RUN, message, retry_after_s)
+        )
+
     def check_budget(self) -> None:
         """Check that the request may be sent again, and charge the retry budget.
 
@@ -287,11 +339,13 @@
 
     def build_dispatch(self, target: Target) -> Dispatch:
         """Build the parameters of the next send to a target, and count the send."""
-        self._sends += 1
-        entry = target.entry
-        if self.ctx.tables.rate_limits.find(entry.key) is not None:
-            attempt = "first" if self._sends == 1 else "repeat"
+        entry, tables = target.entry, self.ctx.tables
+        now = self.ctx.clock.now()
+        if limited_targets.take_token(tables, target, now):
+            attempt = "repeat" if self._sends else "first"
             self.ctx.metrics.limited_sends.labels(attempt).inc()
+            tables.rate_limits.demand(entry.service).record_sent(self._rank(), now)
+        self._sends += 1
         dispatch = Dispatch(entry.id, entry.address, max(0.001, self.remaining_s))
         dispatch.customer = self._customer()
         service = self.ctx.tables.deployment.services.get(self.match.service)
@@ -362,6 +416,7 @@
                 rate=None if limit is None else limit.rate,
                 request=self.call.id,
             )
+            self.ctx.announce()
 
     def record_done(self, target: Target) -> None:
         """Record that a target has answered the request."""
--- a/turmericflow/relay/_copies.py
+++ b/turmericflow/relay/_copies.py
@@ -4,7 +4,11 @@
 
 from random import Random
 
-from turmericflow.relay import _membership as membership, _placement as placement
+from turmericflow.relay import (
+    _limited_targets as limited_targets,
+    _membership as membership,
+    _placement as placement,
+)
 from turmericflow.relay._tables import Run, Tables
 from turmericflow.relay._target_tables import Target
 
@@ -56,5 +60,6 @@
         tokens=run.memory_tokens,
         capacity=service.engine.memory_tokens,
     )
+    demand = limited_targets.constrain(tables, demand, now)
     hosts = membership.count_live_hosts(tables, now)
     return placement.choose_backup(tables.targets, demand, now, rng, hosts)
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -9,6 +9,7 @@
 from turmericflow.relay._budgets import RetryUsage
 from turmericflow.relay._crashing_parts import PartCrash, PartTimes
 from turmericflow.relay._model import HostEntry, TargetEntry
+from turmericflow.relay._rate_limits import LimitNews
 from turmericflow.relay._target_tables import Load, TargetsChange
 
 # Of the time to leave; callers' lists of addresses expire in it.
@@ -64,6 +65,8 @@
         without the time that the status is on its way.
     part_crashes, part_times
         Recent crashes, outputs and convictions of parts of prompts.
+    limits
+        Limits that targets recently named to the host.
     """
 
     entry: HostEntry
@@ -84,6 +87,7 @@
     targets_age_s: float = float("inf")
     part_crashes: list[PartCrash] = []
     part_times: PartTimes = msgspec.field(default_factory=PartTimes)
+    limits: list[LimitNews] = []
 
 
 class Host:
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -246,6 +246,7 @@
         status = membership.own_status(self._ctx.tables, now)
         # The other host may have just started and know none.
         status.part_times.convicted = self._ctx.tables.crashing_parts.convictions(now)
+        status.limits = self._ctx.tables.rate_limits.known(now)
         for span in broadcast.full_spans(own):
             link.outbox.put(status, span)
         self._schedule_flush(URGENT_FLUSH_S)
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -62,6 +62,7 @@
         crashes=tables.crashes.recent_own(max_age_s, now),
         part_crashes=part_crashes,
         part_times=part_times,
+        limits=tables.rate_limits.news(max_age_s, now),
     )
 
 
@@ -120,6 +121,7 @@
         tables.targets, status.targets_revision, -1, now - status.targets_age_s
     )
     _apply_failures(tables, status, now)
+    tables.rate_limits.apply(status.limits, now)
     return True
 
 
--- a/turmericflow/relay/_metrics.py
+++ b/turmericflow/relay/_metrics.py
@@ -25,6 +25,7 @@
         "resume_seconds",
         "running",
         "hosts",
+        "limited_targets",
         "refused_parts",
         "targets_age_seconds",
         "targets_lag_seconds",
@@ -87,6 +88,11 @@
         self.hosts = Gauge(
             "turmericflow_hosts", "Hosts held to be alive", registry=registry
         )
+        self.limited_targets = Gauge(
+            "turmericflow_limited_targets",
+            "Targets that name a limit of requests",
+            registry=registry,
+        )
         self.refused_parts = Gauge(
             "turmericflow_refused_parts",
             "Parts of prompts that are refused",
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -20,6 +20,7 @@
 ENGINE_RUN_COST = 0.6  # runs share each step and are delayed by each new prefill
 REMOTE_DATA_CENTRE_COST = 0.2  # less than one run, since little data is sent
 FULL_TARGET_COST = 50.0
+LIMITED_TARGET_COST = FAILURE_COST  # others are used first while they are idle
 SLOT_USE_COST = 8.0  # of a plain target with all slots in use
 LOST_DATA_CENTRE_COST = 1000.0
 BACKOFF_COST = 100_000.0
@@ -45,6 +46,8 @@
     tokens, capacity
         KV cache tokens that the request needs and that an engine has; 0 for targets
         without a KV cache.
+    limited_targets
+        Keys of targets that name a limit of requests, which this host may still send.
     """
 
     service: str
@@ -53,6 +56,7 @@
     excluded_data_centre: str | None = None
     tokens: int = 0
     capacity: int = 0
+    limited_targets: frozenset[str] = frozenset()
 
 
 def usable(target: Target) -> bool:
@@ -174,6 +178,8 @@
             total += FULL_TARGET_COST
     if entry.cold_ms > 0:
         total += 1.0
+    if entry.key in demand.limited_targets:
+        total += LIMITED_TARGET_COST
     if entry.data_centre != demand.data_centre:
         total += REMOTE_DATA_CENTRE_COST
     total += FAILURE_COST * target.failures
--- a/turmericflow/relay/_silence.py
+++ b/turmericflow/relay/_silence.py
@@ -7,7 +7,11 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from turmericflow.relay import _membership as membership, _placement as placement
+from turmericflow.relay import (
+    _limited_targets as limited_targets,
+    _membership as membership,
+    _placement as placement,
+)
 from turmericflow.relay._call import Call, KvCopy
 from turmericflow.relay._tables import Run, Tables
 from turmericflow.relay._target_tables import Target
@@ -157,7 +161,7 @@
     """Return the target at which a silent stream can resume at once, or None.
 
     It is the engine that holds the copy of the KV cache, or another one. An engine
-    that is silent or in backoff is not returned.
+    that is silent or in backoff, or whose limit is used up, is not returned.
 
     Parameters
     ----------
@@ -180,9 +184,11 @@
             holder is not None
             and now >= holder.backoff_until
             and holder.entry.key not in silent
+            and limited_targets.has_token(tables, holder, now)
         ):
             return holder
     demand = replace(demand, excluded_targets=demand.excluded_targets | silent)
+    demand = limited_targets.constrain(tables, demand, now)
     hosts = membership.count_live_hosts(tables, now)
     return placement.choose_backup(tables.targets, demand, now, rng, hosts)
 
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -10,11 +10,12 @@
 from multidict import CIMultiDict
 
 from turmericflow.relay import (
+    _limited_targets as limited_targets,
     _membership as membership,
     _placement as placement,
     _silence as silence,
 )
-from turmericflow.relay._attempts import AttemptOutcome, Attempts, RetryBudgetExhausted
+from turmericflow.relay._attempts import AttemptOutcome, Attempts, NotAllowedYet
 from turmericflow.relay._call import KvCopy, Reply
 from turmericflow.relay._events import Event, EventReader, EventsInvalid
 from turmericflow.relay._tables import AbortReason, Run
@@ -90,8 +91,8 @@
                 raise attempts.build_timeout()
             try:
                 target = self._choose()
-            except RetryBudgetExhausted:
-                if not self._may_wait_for_budget():
+            except NotAllowedYet:
+                if not self._may_wait():
                     raise
                 await asyncio.sleep(BUDGET_RETRY_INTERVAL_S)
                 continue
@@ -102,8 +103,8 @@
                 raise attempts.build_timeout()
             self._paused_at = self._paused_at or attempts.ctx.clock.now()
 
-    def _may_wait_for_budget(self) -> bool:
-        """Return whether a paused stream may still wait for the retry budget."""
+    def _may_wait(self) -> bool:
+        """Return whether a paused stream may still wait for budgets and limits."""
         paused_at, now = self._paused_at, self._attempts.ctx.clock.now()
         return paused_at is not None and now - paused_at < MAX_BUDGET_WAIT_S
 
@@ -135,8 +136,11 @@
             holder = placement.find_at_address(table, service, copy.holder)
             now = attempts.ctx.clock.now()
             if holder is not None and now >= holder.backoff_until:
-                attempts.check_budget()
-                return holder
+                if limited_targets.has_token(attempts.ctx.tables, holder, now):
+                    attempts.check_budget()
+                    return holder
+                if self._may_wait():
+                    raise attempts.build_limit_refusal()
         self._kv_copy = None
         return attempts.choose()
 
@@ -152,6 +156,7 @@
             excluded_data_centre=target.entry.data_centre
         )
         now = ctx.clock.now()
+        demand = limited_targets.constrain(ctx.tables, demand, now)
         hosts = membership.count_live_hosts(ctx.tables, now)
         return placement.choose_backup(ctx.tables.targets, demand, now, ctx.rng, hosts)
 
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -205,4 +205,4 @@
         self.crashes = CrashTable()
         self.crashing_parts = CrashingParts()
         self.retry_budgets = RetryBudgets()
-        self.rate_limits = RateLimits()
+        self.rate_limits = RateLimits(own.name)
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -264,6 +264,8 @@
             tables.crashes.expire(now)
             for part in tables.crashing_parts.expire(now):
                 log.info("part_allowed", part=part)
+            tables.rate_limits.expire(tables.targets.rows.keys(), now)
+            self._ctx.metrics.limited_targets.set(tables.rate_limits.count_in_force())
             self._ctx.metrics.hosts.set(membership.count_live_hosts(tables, now))
             self._ctx.metrics.running.set(len(tables.runs))
             await self._remove_stale_entries()
