Log the version that a stream is sent to, and what it takes up

Neither could be told from the logs. A target's version is read from its entry, a caller's Resumes from its request; nothing is decided by them.

--- a/turmericflow/platform/_callers.py
+++ b/turmericflow/platform/_callers.py
@@ -13,6 +13,7 @@
 PROMPT_PARTS = "X-Turmericflow-Prefix-Hash"
 TOKEN_USAGE = "X-Turmericflow-Token-Usage"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"
 TARGET_SIGNATURE = "X-Turmericflow-Upstream-Signature"
 NOT_EXECUTED = "X-Turmericflow-Not-Executed"
 CUSTOMER = "X-Turmericflow-Tenant"
@@ -119,6 +120,7 @@
     timeout_ms = _parse_integer(headers.get(DEADLINE_MS))
     call.timeout_s = None if timeout_ms is None else timeout_ms / 1000
     call.last_event_id = _parse_integer(headers.get(LAST_EVENT_ID))
+    call.resumes = headers.get(RESUMES)
     call.shared_parts = _shared_parts(headers.get(PROMPT_PARTS, ""))
     prompt, _, output = headers.get(TOKEN_USAGE, "").partition(",")
     call.prompt_tokens = _parse_integer(prompt.strip()) or 0
--- a/turmericflow/platform/_objects.py
+++ b/turmericflow/platform/_objects.py
@@ -95,6 +95,7 @@
     state: str
     slots: int = 1
     coldRemainingMs: float = 0.0
+    version: str = ""  # of its software
     born: int = 0  # start of the target's process, in Unix milliseconds
 
 
@@ -204,6 +205,7 @@
         slots=max(1, server.slots),
         leaving=_LEAVING_BY_STATE[server.state],
         cold_ms=server.coldRemainingMs,
+        version=server.version,
     )
 
 
--- a/turmericflow/relay/_call.py
+++ b/turmericflow/relay/_call.py
@@ -33,6 +33,9 @@
         request or its session alone.
     last_event_id
         Id of the last event that the caller has received, or None.
+    resumes
+        Id of the caller's attempt that brought the first event of the stream that
+        this request takes up, or None if not given.
     arrived_at
         Time of arrival on the event loop's clock, in seconds.
     """
@@ -50,6 +53,7 @@
         "output_tokens",
         "shared_parts",
         "last_event_id",
+        "resumes",
         "arrived_at",
     )
 
@@ -66,6 +70,7 @@
         self.output_tokens = 0
         self.shared_parts: tuple[str, ...] = ()
         self.last_event_id: int | None = None
+        self.resumes: str | None = None
         self.arrived_at = 0.0
 
 
--- a/turmericflow/relay/_model.py
+++ b/turmericflow/relay/_model.py
@@ -142,6 +142,8 @@
     cold_ms
         Remaining time for which the target is slow after its start, in
         milliseconds.
+    version
+        Version of its software, or empty if it is not known.
     """
 
     id: str
@@ -152,6 +154,7 @@
     slots: int
     leaving: bool = False
     cold_ms: float = 0.0
+    version: str = ""
 
     @property
     def key(self) -> str:
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -183,6 +183,8 @@
             backup=dispatch.backup,
             copy=dispatch.kv_copy is not None,
             last_event=dispatch.last_event_id,
+            resumes=attempts.call.resumes,
+            version=target.entry.version,
             due_s=round(run.first_event_due_s, 3),
             view=tables.targets.revision,
         )
