Design the versions of streams, and add failing tests of them

Real hosts, more of them than watch the targets, and three engines of each of two versions: answers, copies and streams taken up at other hosts mix versions.

--- /dev/null
+++ b/turmericflow/tests/test_relay_stream_versions.py
@@ -0,0 +1,258 @@
+"""Tests of streams beside engines of two software versions."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from turmericflow.relay import _membership as membership
+from turmericflow.relay._stream import Stream
+from turmericflow.tests.platform_stand_ins import (
+    EngineStandIn,
+    Fleet,
+    ReceivedRequest,
+)
+
+HOSTS = membership.WATCHERS + 1
+OLD, NEW = "v1", "v1.1"
+EVENTS = 30
+STREAMS = 12
+
+
+class VersionedEngine(EngineStandIn):
+    """Engine whose events name the version of its software."""
+
+    def __init__(self, name: str, data_centre: str, version: str) -> None:
+        super().__init__(name, data_centre)
+        self.version = version
+        self.events, self.event_interval_s = EVENTS, 0.02
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        return super().entry(state) | {"version": self.version}
+
+    def event(self, received: ReceivedRequest, number: int) -> bytes:
+        return b"id: %d\ndata: %s\n\n" % (number, self.version.encode())
+
+
+class Taken:
+    """What a client has of one stream, over its tries.
+
+    Attributes
+    ----------
+    resumes
+        Id of the request that brought the first event.
+    statuses
+        Status of each try.
+    """
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self._fleet = fleet
+        self._name = name
+        self._tries = 0
+        self._data = b""
+        self.resumes: str | None = None
+        self.statuses: list[int] = []
+
+    @property
+    def versions(self) -> set[bytes]:
+        """Versions that wrote the events."""
+        return set(re.findall(rb"data: (.*)\n\n", self._data))
+
+    @property
+    def last_event(self) -> int:
+        ids = re.findall(rb"id: (\d+)\ndata: .*\n\n", self._data)
+        return int(ids[-1]) if ids else 0
+
+    @property
+    def whole(self) -> bool:
+        """Whether all events came once, in order."""
+        ids = re.findall(rb"id: (\d+)\ndata: .*\n\n", self._data)
+        return [int(id) for id in ids] == list(range(1, EVENTS + 1))
+
+    async def read(self, host: int, events: int = EVENTS) -> None:
+        """Begin or take up the stream at a host, and leave after some events."""
+        self._tries += 1
+        id, headers = f"{self._name}-{self._tries}", {}
+        if self.resumes is not None:
+            headers = {"Resumes": self.resumes, "Last-Event-Id": str(self.last_event)}
+        async with self._fleet.request(
+            f"/stream/{self._name}", id, host, headers=headers
+        ) as resp:
+            self.statuses.append(resp.status)
+            if resp.status != 200:
+                return
+            try:
+                async for line in resp.content:
+                    self._data += line
+                    if self.last_event and self.resumes is None:
+                        self.resumes = id
+                    if EVENTS > self.last_event >= events:
+                        return
+            except OSError:
+                pass
+
+
+@pytest.fixture
+async def mixed_fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+    """Run more hosts than watch the targets, and three engines of each version."""
+    running = Fleet(tmp_path)
+    await running.start(HOSTS)
+    await running.until(
+        lambda: all(len(h.tables.hosts.rows) == HOSTS - 1 for h in running.hosts)
+    )
+    for number in range(6):
+        version = OLD if number < 3 else NEW
+        await running.add_target(
+            VersionedEngine(f"engine-{number}", f"dc-{number % 3}", version)
+        )
+    await running.until(lambda: running.all_hosts_have_targets("model", 6))
+    yield running
+    await running.stop()
+
+
+async def begin_all(fleet: Fleet, events: int) -> list[Taken]:
+    """Begin streams at all hosts and leave them after some events."""
+    streams = [Taken(fleet, f"s{number}") for number in range(STREAMS)]
+    await asyncio.gather(
+        *(each.read(number % HOSTS, events) for number, each in enumerate(streams))
+    )
+    assert {len(each.versions) for each in streams} == {1}
+    return streams
+
+
+# Guards against an answer that goes on at an engine of another version.
+@pytest.mark.parametrize("copies", [True, False])
+async def test_an_interrupted_answer_goes_on_at_its_version(
+    mixed_fleet: Fleet, monkeypatch: pytest.MonkeyPatch, copies: bool
+):
+    fleet = mixed_fleet
+    if not copies:
+        monkeypatch.setattr(Stream, "_choose_backup", lambda self, target: None)
+    for engine in fleet.targets.values():
+        engine.injected.faults = ["cut 5", "silent 9", "garble 4"]
+    streams = [Taken(fleet, f"s{number}") for number in range(STREAMS)]
+    await asyncio.gather(
+        *(each.read(number % HOSTS) for number, each in enumerate(streams))
+    )
+    assert max(len(each.versions) for each in streams) == 1
+    assert sum(each.whole for each in streams) >= STREAMS // 2
+
+
+# Guards against a copy of a run's memory that no engine can go on from.
+async def test_copies_are_kept_at_engines_of_the_same_version(mixed_fleet: Fleet):
+    fleet = mixed_fleet
+    await begin_all(fleet, EVENTS)
+    versions = {engine.address: engine.version for engine in fleet.targets.values()}
+    found = [
+        (engine.version, versions[received.headers["X-Turmericflow-Kv-Backup"]])
+        for engine in fleet.targets.values()
+        for received in engine.received
+    ]
+    assert len(found) == STREAMS
+    assert all(version == other for version, other in found)
+
+
+# Guards against a stream that its client takes up at a host that guesses the version.
+async def test_a_stream_taken_up_at_another_host_goes_on_at_its_version(
+    mixed_fleet: Fleet,
+):
+    fleet = mixed_fleet
+    streams = await begin_all(fleet, 5)
+    for events in (12, EVENTS):
+        await asyncio.gather(
+            *(each.read((n + events) % HOSTS, events) for n, each in enumerate(streams))
+        )
+    assert {len(each.versions) for each in streams} == {1}
+    assert all(each.whole for each in streams)
+
+
+# Guards against a version that dies with the host that knew it.
+async def test_streams_go_on_at_their_version_when_host_and_engine_die_together(
+    mixed_fleet: Fleet,
+):
+    fleet = mixed_fleet
+    lost = [Taken(fleet, f"s{number}") for number in range(STREAMS)]
+    running = [asyncio.create_task(each.read(0)) for each in lost]
+    await fleet.until(lambda: all(each.last_event for each in lost))
+    for name in ("engine-0", "engine-3"):
+        asyncio.ensure_future(fleet.targets[name].crash())
+    await fleet.hosts[0].daemon._links.stop()  # tells other hosts nothing more
+    for task in running:
+        task.cancel()
+    await asyncio.gather(*running, return_exceptions=True)
+    await asyncio.gather(
+        *(each.read(1 + n % (HOSTS - 1)) for n, each in enumerate(lost))
+    )
+    assert max(len(each.versions) for each in lost) == 1
+    assert sum(each.whole for each in lost) > STREAMS // 2
+
+
+# Guards against a host that has just started and guesses.
+async def test_a_host_that_has_just_started_knows_what_began_a_stream(
+    mixed_fleet: Fleet,
+):
+    fleet = mixed_fleet
+    streams = await begin_all(fleet, 5)
+    await asyncio.sleep(1.0)  # longer than statuses repeat what is new
+    started = await fleet.add_host("host-started", "dc-0")
+    await fleet.until(lambda: len(started.tables.hosts.rows) == HOSTS)
+    await fleet.until(lambda: fleet.all_hosts_have_targets("model", 6))
+    await asyncio.sleep(0.3)
+    await asyncio.gather(*(each.read(HOSTS) for each in streams))
+    assert {len(each.versions) for each in streams} == {1}
+    assert all(each.whole for each in streams)
+
+
+# Guards against a guess for a stream of which nothing is known.
+async def test_a_stream_of_an_unknown_version_is_refused_at_once(mixed_fleet: Fleet):
+    fleet = mixed_fleet
+    sent = sum(len(engine.received) for engine in fleet.targets.values())
+    for headers in (
+        {"Resumes": "unknown", "Last-Event-Id": "3"},
+        {"Last-Event-Id": "3"},
+    ):
+        async with fleet.request("/stream/x", "x-2", 2, headers=headers) as resp:
+            assert resp.status == 503 and float(resp.headers["Retry-After"]) > 0
+    assert sum(len(engine.received) for engine in fleet.targets.values()) == sent
+
+
+async def test_with_one_version_a_stream_of_an_unknown_host_goes_on(fleet: Fleet):
+    for number in range(2):
+        await fleet.add_target(VersionedEngine(f"engine-{number}", "dc-0", OLD))
+    await fleet.until(lambda: fleet.all_hosts_have_targets("model", 2))
+    headers = {"Resumes": "unknown", "Last-Event-Id": "3"}
+    async with fleet.request("/stream/x", "x-2", headers=headers) as resp:
+        assert resp.status == 200 and b"id: 4\n" in await resp.read()
+
+
+# Guards against streams that are all refused while two engines of their version serve.
+async def test_with_two_engines_of_a_version_left_most_streams_go_on(
+    mixed_fleet: Fleet,
+):
+    fleet = mixed_fleet
+    streams = await begin_all(fleet, 5)
+    fleet.store.remove("servers", "engine-0")
+    await fleet.until(lambda: fleet.all_hosts_have_targets("model", 5))
+    await asyncio.gather(
+        *(each.read((n + 3) % HOSTS) for n, each in enumerate(streams))
+    )
+    assert {len(each.versions) for each in streams} == {1}
+    assert sum(each.whole for each in streams) > STREAMS // 2
+
+
+# Guards against a first event that is shown before other hosts know its version.
+async def test_a_stream_that_begins_at_once_is_known_at_all_hosts(mixed_fleet: Fleet):
+    fleet = mixed_fleet
+    for engine in fleet.targets.values():
+        engine.prefill_s = engine.event_interval_s = 0.001
+        engine.events = EVENTS
+    streams = [Taken(fleet, f"s{number}") for number in range(STREAMS)]
+    for number, each in enumerate(streams):
+        await each.read(number % HOSTS, 1)
+        await each.read((number + 3) % HOSTS)
+    assert {len(each.versions) for each in streams} == {1}
+    assert sum(each.whole for each in streams) > STREAMS // 2
