Bind streams to the software version that began them

Cause: a target's version and what a request takes up were read and used nowhere, so that every choice took any engine of the service.

A stream is bound by its first event; retries, holders of copies, destinations of silent streams and new copies keep to the version. Each host tells all others, with the status that is sent at each send, to which version it sends a stream, and all that it knows to a host that connects. With several versions the first event is shown only when all hosts know. A stream of an unknown version is refused at once unless the service has had one version. New streams avoid the only engine of a version.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -10,6 +10,7 @@
 from turmericflow.relay import (
     _crashes as crashes,
     _crashing_parts as crashing_parts,
+    _intervals as intervals,
     _limited_targets as limited_targets,
     _membership as membership,
     _placement as placement,
@@ -20,6 +21,7 @@
 from turmericflow.relay._model import WorkKind
 from turmericflow.relay._rate_limits import MIN_RETRY_AFTER_S, LimitInvalid
 from turmericflow.relay._routing import RouteMatch
+from turmericflow.relay._stream_versions import version_of
 from turmericflow.relay._tables import CrashSuspect, Run
 from turmericflow.relay._target_tables import Target
 from turmericflow.verdict import (
@@ -109,6 +111,8 @@
         Keys (id and start time) of the targets that are not tried again.
     may_have_run
         Number of attempts that a target may have run.
+    version
+        What binds the stream once it has an event (see `version_of`), or None.
     """
 
     __slots__ = (
@@ -118,6 +122,7 @@
         "deadline",
         "tried",
         "may_have_run",
+        "version",
         "_refusals",
         "_sends",
         "_silent",
@@ -135,6 +140,7 @@
         self.deadline = call.arrived_at + timeout_s
         self.tried: set[str] = set()
         self.may_have_run = 0
+        self.version: str | None = None
         self._refusals = 0
         self._sends = 0
         self._silent: set[str] = set()
@@ -168,8 +174,56 @@
             excluded_data_centre=excluded_data_centre,
             tokens=self.call.prompt_tokens + self.call.output_tokens,
             capacity=engine.memory_tokens if engine else 0,
+            version=self.version,
         )
 
+    def bind_resumed(self) -> None:
+        """Bind a stream that its client takes up to the version that began it.
+
+        Raises
+        ------
+        RequestFailed
+            If that version is not known, and the service has or had several.
+        """
+        call, tables = self.call, self.ctx.tables
+        if call.last_event_id is None:
+            return
+        now = self.ctx.clock.now()
+        if call.resumes is not None:
+            self.version = tables.stream_versions.find(call.resumes)
+        if self.version is None:
+            found = self._versions(now)
+            if len(found) > 1:
+                raise self.build_failure(
+                    f"the version that began the stream {call.resumes!r} is not known"
+                )
+            self.version = next(iter(found), None)
+
+    def _versions(self, now: float) -> set[str]:
+        """Return the versions of the service's targets, also recent ones."""
+        rows = self.ctx.tables.targets.by_service.get(self.match.service, ())
+        entries = [row.entry for row in rows]
+        return self.ctx.tables.stream_versions.see(self.match.service, entries, now)
+
+    def announce_version(self, target: Target) -> float:
+        """Tell all hosts the version to which a stream is sent.
+
+        Returns
+        -------
+        float
+            Time from which the stream's first event may be shown. With several
+            versions all hosts know by then which one began it.
+        """
+        now, call = self.ctx.clock.now(), self.call
+        begun_by = call.id if call.last_event_id is None else call.resumes
+        if begun_by is not None:
+            version = version_of(target.entry)
+            self.ctx.tables.stream_versions.record(begun_by, version, now)
+        self.ctx.announce_load()
+        if len(self._versions(now)) == 1:
+            return now
+        return now + intervals.load_propagation_s(self.ctx.tables)
+
     def part_keys(self) -> list[str]:
         """Return the names of the prompt's shared parts in the table of crashes."""
         return [f"{self.match.service}/{part}" for part in self.call.shared_parts]
--- a/turmericflow/relay/_copies.py
+++ b/turmericflow/relay/_copies.py
@@ -9,6 +9,7 @@
     _membership as membership,
     _placement as placement,
 )
+from turmericflow.relay._stream_versions import version_of
 from turmericflow.relay._tables import Run, Tables
 from turmericflow.relay._target_tables import Target
 
@@ -44,7 +45,8 @@
 def choose_holder(tables: Tables, run: Run, now: float, rng: Random) -> Target | None:
     """Return an engine in another data centre for a new KV cache copy, or None.
 
-    The engine that held the lost copy is not chosen again.
+    It has the version of the run's engine, as no other can use the copy, and is not
+    the engine that held the lost copy.
     """
     entry = run.target.entry
     service = tables.deployment.services.get(entry.service)
@@ -59,6 +61,7 @@
         excluded_data_centre=entry.data_centre,
         tokens=run.memory_tokens,
         capacity=service.engine.memory_tokens,
+        version=version_of(entry),
     )
     demand = limited_targets.constrain(tables, demand, now)
     hosts = membership.count_live_hosts(tables, now)
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -10,6 +10,7 @@
 from turmericflow.relay._crashing_parts import PartCrash, PartTimes
 from turmericflow.relay._model import HostEntry, TargetEntry
 from turmericflow.relay._rate_limits import LimitNews
+from turmericflow.relay._stream_versions import VersionNews
 from turmericflow.relay._target_tables import Load, TargetsChange
 
 # Of the time to leave; callers' lists of addresses expire in it.
@@ -67,6 +68,8 @@
         Recent crashes, outputs and convictions of parts of prompts.
     limits
         Limits that targets recently named to the host.
+    stream_versions
+        Versions to which the host recently sent streams.
     """
 
     entry: HostEntry
@@ -88,6 +91,7 @@
     part_crashes: list[PartCrash] = []
     part_times: PartTimes = msgspec.field(default_factory=PartTimes)
     limits: list[LimitNews] = []
+    stream_versions: VersionNews = {}
 
 
 class Host:
--- a/turmericflow/relay/_limited_targets.py
+++ b/turmericflow/relay/_limited_targets.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from turmericflow.relay import _membership as membership
-from turmericflow.relay._placement import Demand, usable
+from turmericflow.relay._placement import Demand, candidates, usable
 from turmericflow.relay._rate_limits import TargetLimit, share_per_s
 from turmericflow.relay._tables import Tables
 from turmericflow.relay._target_tables import Target
@@ -63,19 +63,11 @@
     return True
 
 
-def _candidates(tables: Tables, demand: Demand) -> list[Target]:
-    return [
-        target
-        for target in tables.targets.by_service.get(demand.service, ())
-        if usable(target) and target.entry.key not in demand.excluded_targets
-    ]
-
-
 def only_limited_left(tables: Tables, demand: Demand) -> bool:
     """Return whether there are candidates for a demand, and all name a limit."""
     if not tables.rate_limits:
         return False
-    found = _candidates(tables, demand)
+    found = candidates(tables.targets, demand)
     find = tables.rate_limits.find
     return bool(found) and all(find(each.entry.key) is not None for each in found)
 
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -247,6 +247,7 @@
         # The other host may have just started and know none.
         status.part_times.convicted = self._ctx.tables.crashing_parts.convictions(now)
         status.limits = self._ctx.tables.rate_limits.known(now)
+        status.stream_versions = self._ctx.tables.stream_versions.known()
         for span in broadcast.full_spans(own):
             link.outbox.put(status, span)
         self._schedule_flush(URGENT_FLUSH_S)
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -63,6 +63,7 @@
         part_crashes=part_crashes,
         part_times=part_times,
         limits=tables.rate_limits.news(max_age_s, now),
+        stream_versions=tables.stream_versions.news(max_age_s, now),
     )
 
 
@@ -122,6 +123,7 @@
     )
     _apply_failures(tables, status, now)
     tables.rate_limits.apply(status.limits, now)
+    tables.stream_versions.apply(status.stream_versions, now)
     return True
 
 
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 from random import Random
 
+from turmericflow.relay._stream_versions import fits, version_of
 from turmericflow.relay._target_tables import Target, TargetTable
 
 MIN_BACKOFF_S = 0.5  # doubles with each consecutive failure
@@ -22,6 +24,7 @@
 FULL_TARGET_COST = 50.0
 LIMITED_TARGET_COST = FAILURE_COST  # others are used first while they are idle
 SLOT_USE_COST = 8.0  # of a plain target with all slots in use
+SINGLE_VERSION_COST = 4.0  # streams there can be resumed nowhere
 LOST_DATA_CENTRE_COST = 1000.0
 BACKOFF_COST = 100_000.0
 MAX_EXTRA_COST = 500.0  # above any queueing, below LOST_DATA_CENTRE_COST, BACKOFF_COST
@@ -48,6 +51,8 @@
         without a KV cache.
     limited_targets
         Keys of targets that name a limit of requests, which this host may still send.
+    version
+        What binds the stream (see `version_of`), or None if any target may serve it.
     """
 
     service: str
@@ -57,6 +62,7 @@
     tokens: int = 0
     capacity: int = 0
     limited_targets: frozenset[str] = frozenset()
+    version: str | None = None
 
 
 def usable(target: Target) -> bool:
@@ -197,6 +203,29 @@
     return max(MIN_SAMPLE_TARGETS, SAMPLED_TARGETS_OF_ALL_HOSTS // max(1, hosts))
 
 
+def _meets(target: Target, demand: Demand) -> bool:
+    entry = target.entry
+    return (
+        entry.key not in demand.excluded_targets
+        and entry.data_centre != demand.excluded_data_centre
+        and fits(entry, demand.version)
+    )
+
+
+def candidates(table: TargetTable, demand: Demand) -> list[Target]:
+    """Return the usable targets that meet the constraints of a demand."""
+    rows = table.by_service.get(demand.service, ())
+    return [target for target in rows if usable(target) and _meets(target, demand)]
+
+
+def _single_versions(targets: list[Target]) -> set[str]:
+    """Return the versions that only one of the targets has, if there are several."""
+    counts = Counter(version_of(target.entry) for target in targets)
+    if len(counts) == 1:
+        return set()
+    return {version for version, count in counts.items() if count == 1}
+
+
 def choose(
     table: TargetTable, demand: Demand, now: float, rng: Random, hosts: int = 1
 ) -> Target | None:
@@ -215,23 +244,23 @@
     hosts
         Number of hosts that choose independently.
     """
-    found = [
-        target
-        for target in table.by_service.get(demand.service, ())
-        if usable(target) and target.entry.key not in demand.excluded_targets
-    ]
-    if demand.excluded_data_centre is not None:
-        found = [t for t in found if t.entry.data_centre != demand.excluded_data_centre]
+    serving = [t for t in table.by_service.get(demand.service, ()) if usable(t)]
+    found = [target for target in serving if _meets(target, demand)]
     if not found:
         return None
+    single = (
+        set() if demand.version or not demand.capacity else _single_versions(serving)
+    )
     data_centre_costs = {
         name: data_centre_cost(table, name, demand.service, now)
         for name in {target.entry.data_centre for target in found}
     }
-    costs = [
-        (cost(t, demand, now) + data_centre_costs[t.entry.data_centre], rng.random())
-        for t in found
-    ]
+    costs = []
+    for target in found:
+        total = cost(target, demand, now) + data_centre_costs[target.entry.data_centre]
+        if version_of(target.entry) in single:
+            total += SINGLE_VERSION_COST
+        costs.append((total, rng.random()))
     order = sorted(range(len(found)), key=costs.__getitem__)
     max_cost = costs[order[0]][0] + MAX_EXTRA_COST
     candidates = [index for index in order if costs[index][0] <= max_cost]
@@ -252,9 +281,13 @@
     return target
 
 
-def find_at_address(table: TargetTable, service: str, address: str) -> Target | None:
-    """Return the usable target at an address, whatever its key, or None."""
-    for target in table.by_service.get(service, ()):
-        if target.entry.address == address and usable(target):
-            return target
+def find_holder(table: TargetTable, demand: Demand, address: str) -> Target | None:
+    """Return the usable target at an address, whatever its key, or None.
+
+    A target of another version than the one that binds the stream is not returned.
+    """
+    for target in table.by_service.get(demand.service, ()):
+        entry = target.entry
+        if entry.address == address and usable(target):
+            return target if fits(entry, demand.version) else None
     return None
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Set
+from dataclasses import replace
 from typing import Protocol
 
 import structlog
@@ -18,6 +19,7 @@
 from turmericflow.relay._attempts import AttemptOutcome, Attempts, NotAllowedYet
 from turmericflow.relay._call import KvCopy, Reply
 from turmericflow.relay._events import Event, EventReader, EventsInvalid
+from turmericflow.relay._stream_versions import version_of
 from turmericflow.relay._tables import AbortReason, Run
 from turmericflow.relay._target_tables import Target
 from turmericflow.verdict import TargetFailed, Verdict
@@ -64,6 +66,7 @@
         "_last_event_id",
         "_paused_at",
         "_interrupted",
+        "_show_at",
         "begun",
     )
 
@@ -74,6 +77,7 @@
         self._last_event_id = attempts.call.last_event_id
         self._paused_at: float | None = None
         self._interrupted: Run | None = None
+        self._show_at = 0.0
         self.begun = False
 
     async def run(self) -> None:
@@ -86,6 +90,7 @@
             the caller must be aborted.
         """
         attempts = self._attempts
+        attempts.bind_resumed()
         while True:
             if attempts.remaining_s <= 0:
                 raise attempts.build_timeout()
@@ -131,9 +136,9 @@
                     self._kv_copy = None
                 return destination
         if copy is not None:
-            table = attempts.ctx.tables.targets
-            service = attempts.match.service
-            holder = placement.find_at_address(table, service, copy.holder)
+            holder = placement.find_holder(
+                attempts.ctx.tables.targets, attempts.placement_demand(), copy.holder
+            )
             now = attempts.ctx.clock.now()
             if holder is not None and now >= holder.backoff_until:
                 if limited_targets.has_token(attempts.ctx.tables, holder, now):
@@ -155,6 +160,7 @@
         demand = attempts.placement_demand(
             excluded_data_centre=target.entry.data_centre
         )
+        demand = replace(demand, version=version_of(target.entry))
         now = ctx.clock.now()
         demand = limited_targets.constrain(ctx.tables, demand, now)
         hosts = membership.count_live_hosts(ctx.tables, now)
@@ -193,7 +199,7 @@
             attempts.ctx.metrics.resumes.labels(how).inc()
         reply = None
         tables.runs.add(run)
-        attempts.ctx.announce_load()
+        self._show_at = attempts.announce_version(target)
         try:
             async with asyncio.timeout_at(attempts.deadline) as run.timeout:
                 sent_at = attempts.ctx.clock.now()
@@ -348,6 +354,7 @@
                 pause_s=round(pause_s, 3),
             )
         if run.events == 1:
+            self._bind(run)
             placement.record_success(run.target)
             attempts.record_output()
             log.info(
@@ -359,6 +366,13 @@
                 due_s=round(run.first_event_due_s, 3),
             )
 
+    def _bind(self, run: Run) -> None:
+        """Bind the stream to the version that sent its first event."""
+        attempts = self._attempts
+        if attempts.version is None:
+            attempts.version = version_of(run.target.entry)
+            run.demand = replace(run.demand, version=attempts.version)
+
     async def _send_headers(self, reply: Reply) -> None:
         if not self.begun:
             self.begun = True
@@ -367,6 +381,9 @@
     async def _write(self, run: Run, reply: Reply, data: bytes) -> None:
         run.waiting_on_caller = True
         try:
+            wait_s = self._show_at - self._attempts.ctx.clock.now()
+            if run.events and not self.begun and wait_s > 0:
+                await asyncio.sleep(wait_s)
             await self._send_headers(reply)
             await self._writer.write(data)
         finally:
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -14,6 +14,7 @@
 from turmericflow.relay._model import Customer, Deployment, HostEntry, Route, Service
 from turmericflow.relay._placement import Demand
 from turmericflow.relay._rate_limits import RateLimits
+from turmericflow.relay._stream_versions import StreamVersions
 from turmericflow.relay._target_tables import Target, TargetTable
 
 
@@ -195,6 +196,7 @@
         "crashing_parts",
         "retry_budgets",
         "rate_limits",
+        "stream_versions",
     )
 
     def __init__(self, own: HostEntry) -> None:
@@ -206,3 +208,4 @@
         self.crashing_parts = CrashingParts()
         self.retry_budgets = RetryBudgets()
         self.rate_limits = RateLimits(own.name)
+        self.stream_versions = StreamVersions()
--- a/turmericflow/tests/test_relay_stream_versions.py
+++ b/turmericflow/tests/test_relay_stream_versions.py
@@ -6,16 +6,30 @@
 import re
 from collections.abc import AsyncIterator
 from pathlib import Path
+from random import Random
 
 import pytest
 
-from turmericflow.relay import _membership as membership
+from turmericflow.relay import (
+    _discovery as discovery,
+    _membership as membership,
+    _placement as placement,
+)
+from turmericflow.relay._model import TargetEntry
 from turmericflow.relay._stream import Stream
+from turmericflow.relay._stream_versions import (
+    GENERATION_S,
+    StreamVersions,
+    fits,
+    version_of,
+)
+from turmericflow.relay._tables import Tables
 from turmericflow.tests.platform_stand_ins import (
     EngineStandIn,
     Fleet,
     ReceivedRequest,
 )
+from turmericflow.tests.test_relay_systems import demand, engine as engine_entry, host
 
 HOSTS = membership.WATCHERS + 1
 OLD, NEW = "v1", "v1.1"
@@ -256,3 +270,101 @@
         await each.read((number + 3) % HOSTS)
     assert {len(each.versions) for each in streams} == {1}
     assert sum(each.whole for each in streams) > STREAMS // 2
+
+
+# The tables, without I/O.
+
+
+def entry(name: str, version: str, data_centre: str = "dc-0") -> TargetEntry:
+    return TargetEntry(name, 0, "model", f"{name}:1", data_centre, 64, version=version)
+
+
+@pytest.fixture
+def mixed_tables() -> Tables:
+    found = Tables(host("own"))
+    entries = [entry(f"e{n}", OLD if n < 3 else NEW, f"dc-{n % 3}") for n in range(4)]
+    discovery.replace(found.targets, entries, 1)
+    return found
+
+
+def test_a_stream_is_known_until_no_client_can_take_it_up():
+    own, other = StreamVersions(), StreamVersions()
+    own.record("a", OLD, 0.0)
+    other.apply(own.news(0.5, 0.1), 0.1)
+    other.record("b", NEW, GENERATION_S)
+    assert (other.find("a"), other.find("b")) == (OLD, NEW)
+    assert own.news(0.5, 1.0) == {}
+    for number in (2, 3):
+        other.record("c", NEW, number * GENERATION_S)
+    assert other.find("a") is None
+
+
+def test_a_stream_that_is_sent_again_has_its_last_version():
+    own, other = StreamVersions(), StreamVersions()
+    for version in (OLD, NEW):
+        own.record("a", version, 0.0)
+    other.apply(own.news(0.5, 0.1), 0.1)
+    assert own.find("a") == other.find("a") == NEW
+
+
+def test_a_host_that_connects_learns_of_streams_of_earlier():
+    own, other = StreamVersions(), StreamVersions()
+    for number in range(100):
+        own.record(f"r{number}", OLD if number % 3 else NEW, number)
+    other.apply(own.known(), 100.0)
+    assert all(other.find(f"r{n}") == (OLD if n % 3 else NEW) for n in range(100))
+
+
+def test_a_target_of_unknown_version_fits_only_its_own_streams():
+    adopted, other = entry("e9", ""), entry("e8", "")
+    assert fits(adopted, version_of(adopted)) and not fits(other, version_of(adopted))
+    assert not fits(adopted, OLD) and fits(adopted, None)
+    # Its version may be read from the store later.
+    assert fits(entry("e9", NEW), version_of(adopted))
+
+
+def test_versions_are_remembered_after_their_last_target():
+    versions = StreamVersions()
+    assert versions.see("model", [entry("e0", OLD), entry("e1", NEW)], 0.0) == {
+        OLD,
+        NEW,
+    }
+    assert versions.see("model", [entry("e1", NEW)], 10.0) == {OLD, NEW}
+    assert versions.see("model", [entry("e1", NEW)], GENERATION_S + 1) == {NEW}
+
+
+def test_a_bound_stream_is_placed_only_at_its_version(mixed_tables: Tables):
+    for seed in range(20):
+        found = placement.choose(
+            mixed_tables.targets, demand(version=NEW), 0.0, Random(seed)
+        )
+        assert found.entry.version == NEW
+    assert (
+        placement.find_holder(mixed_tables.targets, demand(version=NEW), "e0:1") is None
+    )
+    excluded = demand(version=NEW, excluded_targets=frozenset(["e3@0"]))
+    assert placement.choose(mixed_tables.targets, excluded, 0.0, Random(1)) is None
+
+
+def test_new_streams_avoid_the_only_target_of_a_version(mixed_tables: Tables):
+    at = [
+        placement.choose(
+            mixed_tables.targets, demand(capacity=88_000), 0.0, Random(seed)
+        ).entry.version
+        for seed in range(20)
+    ]
+    assert set(at) == {OLD}
+    discovery.put(mixed_tables.targets, entry("e4", NEW, "dc-1"))
+    rows = mixed_tables.targets.rows.values()
+    for row in rows:
+        row.own_load.runs = 1 if row.entry.version == OLD else 0
+    found = placement.choose(
+        mixed_tables.targets, demand(capacity=88_000), 0.0, Random(1)
+    )
+    assert found.entry.version == NEW
+
+
+def test_with_one_version_no_target_is_avoided():
+    tables = Tables(host("own"))
+    discovery.replace(tables.targets, [engine_entry("e0")], 1)
+    assert placement.choose(tables.targets, demand(capacity=1), 0.0, Random(1))
