--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -220,7 +220,7 @@
             version = version_of(target.entry)
             self.ctx.tables.stream_versions.record(begun_by, version, now)
         self.ctx.announce_load()
-        if len(self._versions(now)) == 1:
+        if call.last_event_id is not None or len(self._versions(now)) == 1:
             return now
         return now + intervals.load_propagation_s(self.ctx.tables)
 
