Do less for each status of another host

A status holds lists that are usually empty, and each was applied; the positions of hosts on rings were hashed anew for each status, and the revisions of both kinds collected to compare them.

--- a/turmericflow/relay/_broadcast.py
+++ b/turmericflow/relay/_broadcast.py
@@ -11,6 +11,7 @@
 
 from bisect import bisect_left
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import NamedTuple
 
 import msgspec
@@ -19,6 +20,7 @@
 from turmericflow.relay._host_tables import HostStatus
 
 RINGS = 2
+MAX_CACHED_POSITIONS = 8192  # of hosts on rings; each status needs several
 
 
 class Span(msgspec.Struct, array_like=True, frozen=True):
@@ -50,6 +52,7 @@
     span: Span
 
 
+@lru_cache(maxsize=MAX_CACHED_POSITIONS)
 def ring_position(ring: int, name: str) -> str:
     """Return the sort key of a host on a ring: its name, or a hash of its name."""
     return name if ring == 0 else xxhash.xxh3_64_hexdigest(name.encode())
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -122,8 +122,10 @@
         tables.targets, status.targets_revision, -1, now - status.targets_age_s
     )
     _apply_failures(tables, status, now)
-    tables.rate_limits.apply(status.limits, now)
-    tables.stream_versions.apply(status.stream_versions, now)
+    if status.limits:
+        tables.rate_limits.apply(status.limits, now)
+    if status.stream_versions:
+        tables.stream_versions.apply(status.stream_versions, now)
     return True
 
 
@@ -155,7 +157,9 @@
         target = tables.targets.rows.get(key)
         if target is not None:
             placement.record_crash(target, now - age_s)
-    tables.crashing_parts.apply_gossip(status.part_crashes, status.part_times, now)
+    times = status.part_times
+    if status.part_crashes or times.sound or times.convicted:
+        tables.crashing_parts.apply_gossip(status.part_crashes, times, now)
 
 
 def live_peers(tables: Tables, now: float) -> list[Host]:
@@ -271,9 +275,9 @@
 
 def is_ahead(tables: Tables, status: HostStatus) -> bool:
     """Return whether a host has a newer deployment or newer targets than this one."""
-    return any(
-        announced_revision(status, kind) > revision
-        for kind, revision in own_revisions(tables).items()
+    return (
+        status.deployment_revision > tables.deployment.revision
+        or status.targets_revision > tables.targets.revision
     )
 
 
--- a/turmericflow/relay/_stream_versions.py
+++ b/turmericflow/relay/_stream_versions.py
@@ -70,6 +70,8 @@
 
     def news(self, max_age_s: float, now: float) -> VersionNews:
         """Return what this host recorded recently."""
+        if not self._own:
+            return {}
         self._own = [each for each in self._own if now - each[0] < max_age_s]
         return _pack({digest: version for _, digest, version in self._own})
 
@@ -79,8 +81,6 @@
 
     def apply(self, news: VersionNews, now: float) -> None:
         """Apply what another host has told."""
-        if not news:
-            return
         self._rotate(now)
         for version, digests in news.items():
             for start in range(0, len(digests), DIGEST_BYTES):
