Send what a host knows by gossip only to a host that asks for it

Cause: all streams and limits known were put into the status that a host sends on each new connection, and such statuses are forwarded to all hosts.

A host that has just started, was cut off or did not hear a peer asks that peer, which answers it alone. The new test, seven hosts that reconnect and know 2,000 streams, failed before: 2.0 MB of statuses in a second, 33 kB usually.

--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -24,13 +24,17 @@
 from turmericflow.relay._host_tables import HostStatus
 from turmericflow.relay._lag import Lag
 from turmericflow.relay._model import Deployment, TargetEntry
+from turmericflow.relay._rate_limits import LimitNews
 from turmericflow.relay._store import Kind
+from turmericflow.relay._stream_versions import VersionNews
 
 CONNECT_TIMEOUT_S = 0.5
 READ_BYTES = 65_536
 MAX_UNSENT_BYTES = 1_000_000  # above it the stream is cut: the peer does not read
 URGENT_FLUSH_S = 0.003  # far shorter than the gap between new streams of the fleet
 FORWARD_FLUSH_S = 0.05  # a fifth of the shortest heartbeat interval
+MAX_GOSSIP_SOURCES = 3  # peers whom a host that has just started asks for gossip
+NO_SNAPSHOT = 2**62  # in a request: no revision is newer
 SNAPSHOT_RETRY_S = 0.5  # between two requests for the same kind
 WATCH_DELAY_S = 0.3  # until a host that watches the store itself has a change
 ANNOUNCEMENT_DELAY_S = 0.05  # a few hops of an announcement that is sent at once
@@ -58,6 +62,14 @@
 
     deployment_revision: int
     targets_revision: int
+    gossip: bool = False  # whether a `GossipSnapshot` is wanted as well
+
+
+class GossipSnapshot(msgspec.Struct, array_like=True, tag="gossip"):
+    """What a host knows by gossip that is not repeated later."""
+
+    limits: list[LimitNews]
+    stream_versions: VersionNews
 
 
 class DeploymentSnapshot(msgspec.Struct, array_like=True, tag="deployment"):
@@ -75,7 +87,12 @@
 
 
 AnyMessage = Union[
-    Hello, StatusMessage, SnapshotRequest, DeploymentSnapshot, TargetsSnapshot
+    Hello,
+    StatusMessage,
+    SnapshotRequest,
+    DeploymentSnapshot,
+    TargetsSnapshot,
+    GossipSnapshot,
 ]
 _DECODER = msgspec.msgpack.Decoder(AnyMessage)
 _ENCODER = msgspec.msgpack.Encoder()
@@ -225,6 +242,10 @@
                     log.info("targets_learned", revision=msg.revision, source=link.name)
             case SnapshotRequest():
                 self._send_snapshots(link, msg)
+            case GossipSnapshot():
+                tables, now = self._ctx.tables, self._ctx.clock.now()
+                tables.rate_limits.apply(msg.limits, now)
+                tables.stream_versions.apply(msg.stream_versions, now)
 
     def _on_hello(self, link: Link, name: str) -> None:
         """Register a stream by its host's name; of two streams to a host, cut one.
@@ -240,18 +261,27 @@
             kept = other if crossed and other.dialled is (own < name) else link
             (link if kept is other else other).cut()
             link = kept
+        if link.name not in self._by_name and self._may_lack_gossip(name):
+            link.send(SnapshotRequest(NO_SNAPSHOT, NO_SNAPSHOT, gossip=True))
         self._by_name[name] = link
         self._rebuild_rings()
         now = self._ctx.clock.now()
         status = membership.own_status(self._ctx.tables, now)
         # The other host may have just started and know none.
         status.part_times.convicted = self._ctx.tables.crashing_parts.convictions(now)
-        status.limits = self._ctx.tables.rate_limits.known(now)
-        status.stream_versions = self._ctx.tables.stream_versions.known()
         for span in broadcast.full_spans(own):
             link.outbox.put(status, span)
         self._schedule_flush(URGENT_FLUSH_S)
 
+    def _may_lack_gossip(self, peer: str) -> bool:
+        """Return whether this host may not have heard all that a peer knows.
+
+        It has just started or was cut off, or did not hear the peer.
+        """
+        row = self._ctx.tables.hosts.rows.get(peer)
+        heard = row is not None and row.status is not None
+        return not heard or len(self._by_name) < MAX_GOSSIP_SOURCES
+
     def _on_status(self, link: Link, routed: RoutedStatus) -> None:
         tables, now = self._ctx.tables, self._ctx.clock.now()
         status = routed.status
@@ -291,6 +321,11 @@
     def _send_snapshots(self, link: Link, req: SnapshotRequest) -> None:
         """Send a peer the snapshots that are newer than its revisions."""
         tables = self._ctx.tables
+        if req.gossip:
+            limits = tables.rate_limits.known(self._ctx.clock.now())
+            versions = tables.stream_versions.known()
+            if limits or versions:
+                link.send(GossipSnapshot(limits, versions))
         deployment, targets = tables.deployment, tables.targets
         if req.deployment_revision < deployment.revision:
             link.send(DeploymentSnapshot(deployment.revision, deployment.value))
--- a/turmericflow/tests/test_relay_stream_versions.py
+++ b/turmericflow/tests/test_relay_stream_versions.py
@@ -221,6 +221,33 @@
     assert all(each.whole for each in streams)
 
 
+# Guards against hosts whose links are full of what they tell again when they connect.
+async def test_hosts_that_reconnect_do_not_broadcast_all_known_streams(
+    mixed_fleet: Fleet,
+):
+    fleet, now = mixed_fleet, asyncio.get_running_loop().time()
+    for each in fleet.hosts:
+        for number in range(2000):
+            each.tables.stream_versions.record(f"r{number}", OLD, now)
+    await asyncio.sleep(1.0)  # longer than statuses repeat what is new
+
+    def sent_bytes() -> float:
+        return sum(
+            each.ctx.metrics.peer_bytes.labels("status")._value.get()
+            for each in fleet.hosts
+        )
+
+    before = sent_bytes()
+    await asyncio.sleep(1.0)
+    usual = sent_bytes() - before
+    for each in fleet.hosts:
+        for link in list(each.daemon._links._links):
+            link.cut()
+    before = sent_bytes()
+    await asyncio.sleep(1.0)
+    assert sent_bytes() - before < 3 * usual
+
+
 # Guards against a guess for a stream of which nothing is known.
 async def test_a_stream_of_an_unknown_version_is_refused_at_once(mixed_fleet: Fleet):
     fleet = mixed_fleet
