Make no copy again at a holder that counts as lost

A stream whose copy was lost could get its new copy at an engine with a failure, which counts as lost, so that the copy was replaced again 50 ms later. With two software versions few engines can hold a copy. The new test failed before: an engine with a failure was chosen.

--- a/turmericflow/relay/_copies.py
+++ b/turmericflow/relay/_copies.py
@@ -65,4 +65,6 @@
     )
     demand = limited_targets.constrain(tables, demand, now)
     hosts = membership.count_live_hosts(tables, now)
-    return placement.choose_backup(tables.targets, demand, now, rng, hosts)
+    holder = placement.choose_backup(tables.targets, demand, now, rng, hosts)
+    # A holder that counts as lost would have its copy replaced at once, and again.
+    return None if holder is None or _is_lost(tables, holder) else holder
--- a/turmericflow/tests/test_relay_stream_versions.py
+++ b/turmericflow/tests/test_relay_stream_versions.py
@@ -11,11 +11,12 @@
 import pytest
 
 from turmericflow.relay import (
+    _copies as copies,
     _discovery as discovery,
     _membership as membership,
     _placement as placement,
 )
-from turmericflow.relay._model import TargetEntry
+from turmericflow.relay._model import EngineSpec, Service, TargetEntry
 from turmericflow.relay._stream import Stream
 from turmericflow.relay._stream_versions import (
     GENERATION_S,
@@ -29,7 +30,12 @@
     Fleet,
     ReceivedRequest,
 )
-from turmericflow.tests.test_relay_systems import demand, engine as engine_entry, host
+from turmericflow.tests.test_relay_systems import (
+    demand,
+    engine as engine_entry,
+    host,
+    run_at,
+)
 
 HOSTS = membership.WATCHERS + 1
 OLD, NEW = "v1", "v1.1"
@@ -395,3 +401,23 @@
     tables = Tables(host("own"))
     discovery.replace(tables.targets, [engine_entry("e0")], 1)
     assert placement.choose(tables.targets, demand(capacity=1), 0.0, Random(1))
+
+
+# Guards against a copy that is replaced again and again, each time at a lost holder.
+def test_a_lost_copy_is_not_replaced_at_a_holder_that_counts_as_lost():
+    tables = Tables(host("own"))
+    spec = EngineSpec(slots=64, memory_tokens=88_000, keeps_copies=True)
+    tables.deployment.services["model"] = Service("model", "/healthz", 100, spec)
+    entries = [entry(f"e{n}", NEW, f"dc-{n}") for n in range(3)]
+    discovery.replace(tables.targets, entries, 2)
+    run, rows = run_at(tables, "e0"), tables.targets.rows
+    run.call.output_tokens = 120
+    run.set_backup(rows["e1@0"])
+    for key in ("e1@0", "e2@0"):
+        placement.record_loss(tables.targets, rows[key], 1.0)
+    assert copies.find_lost_copies(tables) == [run]
+    after_backoff = 1.1 + placement.MAX_BACKOFF_S
+    assert copies.choose_holder(tables, run, after_backoff, Random(1)) is None
+    placement.record_success(rows["e2@0"])
+    found = copies.choose_holder(tables, run, after_backoff, Random(1))
+    assert found is rows["e2@0"]
