Count only refused requests in the wait that refusals name

A retry that found the limits of all targets used up, and whose caller got the earlier answer, counted as refused, which made Retry-After longer beside failing targets. The new test failed before: 50 counted, 44 refused.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -322,13 +322,13 @@
     def build_limit_refusal(self) -> LimitReached:
         """Build the failure of a request for which all limits are used up."""
         ctx, service = self.ctx, self.match.service
+        message = f"the limits of all targets of {service!r} are used up"
+        if self.may_have_run:
+            return LimitReached(self.build_failure(message).failure)
         now = ctx.clock.now()
         share = limited_targets.total_share(ctx.tables, service, now)
         demand = ctx.tables.rate_limits.demand(service)
         free_in_s = demand.refuse(self._rank(), share, now)
-        message = f"the limits of all targets of {service!r} are used up"
-        if self.may_have_run:
-            return LimitReached(self.build_failure(message).failure)
         retry_after_s = ctx.rng.uniform(MIN_RETRY_AFTER_S, free_in_s)
         return LimitReached(
             Failure(ErrorCode.OVERLOADED, Verdict.NOT_RUN, message, retry_after_s)
--- a/turmericflow/tests/test_relay_rate_limits.py
+++ b/turmericflow/tests/test_relay_rate_limits.py
@@ -187,3 +187,19 @@
     caller.outcomes.clear()
     await caller.send_all("order", REQUESTS_PER_S, 1.0)
     assert set(caller.statuses("order")) == {200}
+
+
+# Guards against waits that grow with retries that no caller was refused for.
+async def test_a_retry_without_a_token_is_no_refusal(limited_fleet: Fleet):
+    fleet = limited_fleet
+    for target in fleet.targets.values():
+        target.rate_limit = "1"
+        target.injected.always = "error"
+    caller = Caller(fleet)
+    await caller.send_all("state", REQUESTS_PER_S, 2.0)
+    failed = caller.statuses("state").count(500)
+    refused = caller.statuses("state").count(503)
+    counted = sum(
+        len(each.tables.rate_limits.demand("plain")._refused) for each in fleet.hosts
+    )
+    assert failed and refused and counted == refused
