Choose another holder for a lost copy instead of none

An engine that counts as lost was chosen and then turned down, and the stream was left without a copy for the rest of its time. Engines that count as lost are now left out before the choice.

The new test failed before: no holder, with a sound one at hand.

--- a/turmericflow/relay/_copies.py
+++ b/turmericflow/relay/_copies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 from turmericflow.relay import (
@@ -65,6 +66,8 @@
     )
     demand = limited_targets.constrain(tables, demand, now)
     hosts = membership.count_live_hosts(tables, now)
-    holder = placement.choose_backup(tables.targets, demand, now, rng, hosts)
     # A holder that counts as lost would have its copy replaced at once, and again.
-    return None if holder is None or _is_lost(tables, holder) else holder
+    rows = tables.targets.by_service.get(entry.service, ())
+    lost = {row.entry.key for row in rows if _is_lost(tables, row)}
+    demand = replace(demand, excluded_targets=demand.excluded_targets | lost)
+    return placement.choose_backup(tables.targets, demand, now, rng, hosts)
--- a/turmericflow/tests/test_relay_stream_versions.py
+++ b/turmericflow/tests/test_relay_stream_versions.py
@@ -421,3 +421,19 @@
     placement.record_success(rows["e2@0"])
     found = copies.choose_holder(tables, run, after_backoff, Random(1))
     assert found is rows["e2@0"]
+
+
+# Guards against a stream that keeps no copy as the holder that was chosen is lost.
+def test_a_lost_copy_is_replaced_at_a_sound_holder_that_costs_more():
+    tables = Tables(host("own"))
+    spec = EngineSpec(slots=64, memory_tokens=88_000, keeps_copies=True)
+    tables.deployment.services["model"] = Service("model", "/healthz", 100, spec)
+    entries = [entry(f"e{n}", NEW, f"dc-{min(n, 2)}") for n in range(4)]
+    discovery.replace(tables.targets, entries, 2)
+    run, rows = run_at(tables, "e0"), tables.targets.rows
+    run.set_backup(rows["e1@0"])
+    placement.record_loss(tables.targets, rows["e2@0"], 1.0)
+    rows["e3@0"].own_load.runs = 20
+    after_backoff = 1.1 + placement.MAX_BACKOFF_S
+    found = copies.choose_holder(tables, run, after_backoff, Random(1))
+    assert found is rows["e3@0"]
