--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -84,6 +84,8 @@
     ----------
     status
         Error status for all calls, or None to answer normally.
+    failing_kinds
+        Kinds of objects for which all calls fail.
     watches_stalled
         Whether watches return no changes.
     lose_replies
@@ -98,6 +100,7 @@
         self.compacted_revision = 0
         self.status: int | None = None
         self.turned_away: set[str] = set()
+        self.failing_kinds: set[str] = set()
         self.watches_stalled = False
         self.lose_replies = False
         self.calls: Counter[str] = Counter()
@@ -140,6 +143,8 @@
         self.calls[f"{verb} {kind}"] += 1
         if self.status is not None:
             return web.Response(status=self.status)
+        if kind in self.failing_kinds:
+            return web.Response(status=503)
         match request.method:
             case "GET" if "watch" in request.query:
                 return await self._watch(request, kind)
--- /dev/null
+++ b/turmericflow/tests/test_relay_lost_hosts.py
@@ -0,0 +1,250 @@
+"""Tests of streams taken up after all hosts were lost, beside several versions."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from turmericflow.relay import _membership as membership
+from turmericflow.tests.platform_stand_ins import Fleet
+from turmericflow.tests.test_relay_stream_versions import (
+    EVENTS,
+    NEW,
+    OLD,
+    Taken,
+    VersionedEngine,
+)
+
+HOSTS = membership.WATCHERS + 1
+STREAMS = 14
+RECORDS = "turmericflow-versions"
+CALLS_PER_S = 5.0  # of the fleet, while a service has several versions
+
+
+async def add_version(fleet: Fleet, version: str, number: int) -> None:
+    for index in range(number):
+        name = f"engine-{version}-{index}"
+        await fleet.add_target(VersionedEngine(name, f"dc-{index % 3}", version))
+    await until_all_have_targets(fleet)
+
+
+async def remove_version(fleet: Fleet, version: str) -> None:
+    """Stop the engines of a version, as at the end of a release."""
+    for name, engine in list(fleet.targets.items()):
+        if engine.version == version:
+            fleet.store.remove("servers", name)
+            del fleet.targets[name]
+            await engine.stop()
+    await until_all_have_targets(fleet)
+
+
+async def until_all_have_targets(fleet: Fleet) -> None:
+    number = len(fleet.targets)
+    await fleet.until(lambda: fleet.all_hosts_have_targets("model", number))
+
+
+@pytest.fixture
+async def released_fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+    """Run hosts with three engines of a version, and then three of a newer one."""
+    running = Fleet(tmp_path)
+    await running.start(HOSTS)
+    await running.until(
+        lambda: all(len(h.tables.hosts.rows) == HOSTS - 1 for h in running.hosts)
+    )
+    await add_version(running, OLD, 3)
+    await asyncio.sleep(0.5)
+    await add_version(running, NEW, 3)
+    await asyncio.sleep(1.0)
+    yield running
+    await running.stop()
+
+
+async def kill_hosts(fleet: Fleet, number: int = HOSTS) -> None:
+    """Stop hosts at once, without notice to callers or other hosts."""
+    await asyncio.gather(*(host.stop() for host in fleet.hosts[:number]))
+
+
+async def start_hosts(fleet: Fleet, number: int = HOSTS) -> None:
+    await asyncio.gather(*(host.start() for host in fleet.hosts[:number]))
+    await until_all_have_targets(fleet)
+
+
+async def begin(fleet: Fleet, name: str, events: int = 5) -> list[Taken]:
+    """Begin streams at all hosts and leave them after some events."""
+    streams = [Taken(fleet, f"{name}{number}") for number in range(STREAMS)]
+    await asyncio.gather(
+        *(each.read(number % HOSTS, events) for number, each in enumerate(streams))
+    )
+    assert {each.last_event >= events for each in streams} == {True}
+    return streams
+
+
+async def take_up(streams: list[Taken], shift: int = 3, events: int = EVENTS) -> None:
+    await asyncio.gather(
+        *(each.read((n + shift) % HOSTS, events) for n, each in enumerate(streams))
+    )
+
+
+def joined(streams: list[Taken]) -> list[Taken]:
+    """Return the streams that hold events of two versions."""
+    return [each for each in streams if len(each.versions) > 1]
+
+
+# Guards against streams that are all refused as no host knows what began them.
+async def test_streams_go_on_at_their_version_after_all_hosts_died(
+    released_fleet: Fleet,
+):
+    fleet = released_fleet
+    streams = await begin(fleet, "s")
+    assert len({version for each in streams for version in each.versions}) == 2
+    await kill_hosts(fleet)
+    await start_hosts(fleet)
+    await take_up(streams)
+    assert joined(streams) == []
+    assert sum(each.whole for each in streams) >= 0.9 * STREAMS
+
+
+# Guards against a host that takes the version it sees for the only one there was.
+@pytest.mark.parametrize("left_before", [True, False])
+async def test_streams_of_a_version_that_left_are_refused_after_all_hosts_died(
+    released_fleet: Fleet, left_before: bool
+):
+    fleet = released_fleet
+    streams = await begin(fleet, "s")
+    if left_before:
+        await remove_version(fleet, OLD)
+    await kill_hosts(fleet)
+    if not left_before:
+        for name in [n for n, e in fleet.targets.items() if e.version == OLD]:
+            fleet.store.remove("servers", name)
+            await fleet.targets.pop(name).stop()
+    await start_hosts(fleet)
+    await take_up(streams)
+    assert joined(streams) == []
+    gone = [each for each in streams if each.versions == {OLD.encode()}]
+    left = [each for each in streams if each.versions == {NEW.encode()}]
+    assert gone and left
+    assert {each.statuses[-1] for each in gone} == {503}
+    assert sum(each.whole for each in left) >= 0.9 * len(left)
+
+
+# Guards against what a fleet has learned that dies with the next one.
+async def test_streams_go_on_at_their_version_after_all_hosts_died_twice(
+    released_fleet: Fleet,
+):
+    fleet = released_fleet
+    streams = await begin(fleet, "s")
+    for shift in (1, 2):
+        await kill_hosts(fleet)
+        await start_hosts(fleet)
+        await take_up(streams, shift, 5 + 5 * shift)
+    await remove_version(fleet, OLD)
+    await kill_hosts(fleet)
+    await start_hosts(fleet)
+    await take_up(streams)
+    assert joined(streams) == []
+    left = [each for each in streams if each.versions == {NEW.encode()}]
+    assert sum(each.whole for each in left) >= 0.9 * len(left)
+
+
+# Guards against a guess while what the store holds of versions cannot be read.
+async def test_streams_are_refused_until_the_versions_can_be_read(
+    released_fleet: Fleet,
+):
+    fleet = released_fleet
+    streams = await begin(fleet, "s")
+    await remove_version(fleet, OLD)
+    await kill_hosts(fleet)
+    fleet.store.failing_kinds.add(RECORDS)
+    await start_hosts(fleet)
+    await take_up(streams)
+    assert joined(streams) == []
+    assert {each.statuses[-1] for each in streams} == {503}
+    fleet.store.failing_kinds.clear()
+    await asyncio.sleep(0.6)
+    await take_up(streams)
+    assert joined(streams) == []
+    left = [each for each in streams if each.versions == {NEW.encode()}]
+    assert sum(each.whole for each in left) >= 0.9 * len(left)
+
+
+# Guards against streams that are lost as the store's reply to a write is.
+async def test_versions_are_kept_when_replies_of_the_store_are_lost(
+    released_fleet: Fleet,
+):
+    fleet = released_fleet
+    fleet.store.lose_replies = True
+    streams = await begin(fleet, "s")
+    await asyncio.sleep(1.0)
+    fleet.store.lose_replies = False
+    await kill_hosts(fleet)
+    await start_hosts(fleet)
+    await take_up(streams)
+    assert joined(streams) == []
+    assert sum(each.whole for each in streams) >= 0.9 * STREAMS
+
+
+# Guards against streams of which only the hosts that died had heard.
+async def test_streams_go_on_after_all_hosts_but_one_died(released_fleet: Fleet):
+    fleet = released_fleet
+    streams = await begin(fleet, "s")
+    await kill_hosts(fleet, HOSTS - 1)
+    await start_hosts(fleet, HOSTS - 1)
+    await take_up(streams)
+    assert joined(streams) == []
+    assert sum(each.whole for each in streams) >= 0.9 * STREAMS
+
+
+# Guards against a writer that dies with what it has not written.
+async def test_another_host_writes_what_the_writer_had_not(released_fleet: Fleet):
+    fleet = released_fleet
+    fleet.store.failing_kinds.add(RECORDS)
+    streams = await begin(fleet, "s")
+    now = asyncio.get_running_loop().time()
+    writer = membership._hosts_reading_store(fleet.hosts[0].tables, now)[0]
+    await next(host for host in fleet.hosts if host.name == writer).stop()
+    fleet.store.failing_kinds.clear()
+    await asyncio.sleep(2.5)  # until the others take over
+    await kill_hosts(fleet)
+    await start_hosts(fleet)
+    await take_up(streams)
+    assert joined(streams) == []
+    assert sum(each.whole for each in streams) >= 0.9 * STREAMS
+
+
+def record_calls(fleet: Fleet) -> int:
+    calls = fleet.store.calls.items()
+    return sum(number for call, number in calls if call.endswith(RECORDS))
+
+
+# Guards against calls of the store that grow with streams or hosts.
+async def test_with_one_version_nothing_is_written_for_a_stream(tmp_path: Path):
+    fleet = Fleet(tmp_path)
+    await fleet.start(HOSTS)
+    await add_version(fleet, OLD, 3)
+    await asyncio.sleep(1.5)
+    before = record_calls(fleet)
+    await begin(fleet, "s")
+    await asyncio.sleep(1.0)
+    assert record_calls(fleet) == before
+    assert before <= 2 * HOSTS  # all may take themselves for the first at the start
+    await fleet.stop()
+
+
+async def test_with_several_versions_calls_of_the_store_are_bounded(
+    released_fleet: Fleet,
+):
+    fleet = released_fleet
+    before, seconds = record_calls(fleet), 0.0
+    started_at = asyncio.get_running_loop().time()
+    for number in range(4):
+        await begin(fleet, f"s{number}-")
+        await asyncio.sleep(0.2)
+    seconds = asyncio.get_running_loop().time() - started_at
+    assert record_calls(fleet) - before <= CALLS_PER_S * seconds + 1
+    before = record_calls(fleet)
+    await asyncio.sleep(1.0)
+    assert record_calls(fleet) - before <= 1  # what was left
