Keep in the store which versions began streams

What callers saw: after all hosts had died, streams that they took up went on at another software version than began them, without a sign of it, or were all refused although engines of their version served.

Cause: what began a stream, and which versions a service had, was known in the memory of hosts alone. A host that started with one version left bound unknown streams to it; one that saw two refused all.

One host, the first that reads the store, now writes the versions of each service, and while a service has several, every 0.3 s the streams that hosts have told of. A host that is asked for a stream it does not know reads them once, in one call for all such requests, and refuses what it still does not know unless one version is all that there was. With several versions a first event is shown 0.45 s after the send instead of 0.1 s, so that the store holds its stream by then.

--- a/turmericflow/platform/_objects.py
+++ b/turmericflow/platform/_objects.py
@@ -14,6 +14,7 @@
     Service,
     Share,
     TargetEntry,
+    VersionRecord,
     WorkKind,
 )
 
@@ -230,3 +231,22 @@
     """Return the object that represents a host's entry in the store."""
     host = _Host(entry.incarnation, entry.data_centre, entry.callers, entry.peers)
     return msgspec.to_builtins(host)
+
+
+def decode_versions(spec: object) -> VersionRecord:
+    """Build a record of versions from the object that a host wrote into the store.
+
+    Raises
+    ------
+    ValueError
+        If a field is invalid.
+    """
+    try:
+        return msgspec.convert(spec, VersionRecord)
+    except msgspec.MsgspecError as exc:
+        raise ValueError(f"got an unusable record of versions: {exc}") from exc
+
+
+def encode_versions(record: VersionRecord) -> dict[str, object]:
+    """Return the object that represents a record of versions in the store."""
+    return msgspec.to_builtins(record)
--- a/turmericflow/platform/_store.py
+++ b/turmericflow/platform/_store.py
@@ -12,7 +12,9 @@
     decode_deployment,
     decode_host,
     decode_target,
+    decode_versions,
     encode_host,
+    encode_versions,
 )
 from turmericflow.relay import (
     Change,
@@ -24,6 +26,7 @@
     Listing,
     Row,
     StoreFailed,
+    VersionRecord,
 )
 
 CALL_TIMEOUT_S = 2.0  # calls usually take milliseconds, with a slow store longer
@@ -33,6 +36,7 @@
     Kind.DEPLOYMENT: "config",
     Kind.TARGETS: "servers",
     Kind.HOSTS: "turmericflow-hosts",
+    Kind.VERSIONS: "turmericflow-versions",
 }
 _CONFIG_NAME = "main"
 
@@ -80,6 +84,8 @@
             return decode_target(name, value)
         case Kind.HOSTS:
             return decode_host(name, value)
+        case Kind.VERSIONS:
+            return decode_versions(value)
 
 
 def _decode_row(kind: Kind, stored: _Object) -> Row:
@@ -177,15 +183,27 @@
 
     async def publish(self, entry: HostEntry, revision: int | None) -> int:
         """Create or replace this host's entry; return the new revision."""
-        path = _PATHS[Kind.HOSTS]
-        metadata: dict[str, object] = {"name": entry.name, "finalizers": []}
-        body = {"metadata": metadata, "spec": encode_host(entry)}
+        return await self._put(Kind.HOSTS, entry.name, encode_host(entry), revision)
+
+    async def record_versions(
+        self, name: str, record: VersionRecord, revision: int | None
+    ) -> int:
+        """Create or replace a record of versions; return the new revision."""
+        spec = encode_versions(record)
+        return await self._put(Kind.VERSIONS, name, spec, revision)
+
+    async def _put(
+        self, kind: Kind, name: str, spec: object, revision: int | None
+    ) -> int:
+        path = _PATHS[kind]
+        metadata: dict[str, object] = {"name": name, "finalizers": []}
+        body = {"metadata": metadata, "spec": spec}
         if revision is None:
             content = await self._call("POST", path, CALL_TIMEOUT_S, body)
         else:
             metadata["revision"] = revision
-            name = quote(entry.name, safe="")
-            content = await self._call("PUT", f"{path}/{name}", CALL_TIMEOUT_S, body)
+            path = f"{path}/{quote(name, safe='')}"
+            content = await self._call("PUT", path, CALL_TIMEOUT_S, body)
         try:
             return _OBJECT.decode(content).metadata.revision
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
--- a/turmericflow/relay/__init__.py
+++ b/turmericflow/relay/__init__.py
@@ -21,6 +21,7 @@
     Service,
     Share,
     TargetEntry,
+    VersionRecord,
     WorkKind,
 )
 from turmericflow.relay._rate_limits import (
@@ -55,6 +56,7 @@
     "Service",
     "Share",
     "TargetEntry",
+    "VersionRecord",
     "WorkKind",
     # Requests
     "Call",
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -177,27 +177,45 @@
             version=self.version,
         )
 
-    def bind_resumed(self) -> None:
+    async def bind_resumed(self) -> None:
         """Bind a stream that its client takes up to the version that began it.
 
         Raises
         ------
         RequestFailed
-            If that version is not known, and the service has or had several.
+            If that version is not known, and the service has several, had several or
+            may have had several.
         """
-        call, tables = self.call, self.ctx.tables
-        if call.last_event_id is None:
+        if self.call.last_event_id is None:
             return
-        now = self.ctx.clock.now()
-        if call.resumes is not None:
-            self.version = tables.stream_versions.find(call.resumes)
+        versions, service = self.ctx.tables.stream_versions, self.match.service
+        self.version = self._find_begun()
+        outcome = "known"
+        if self.version is None:
+            self._versions(self.ctx.clock.now())
+            if not versions.is_complete(service, self.ctx.clock.now()):
+                await self.ctx.read_versions()
+                self.version = self._find_begun()
+                outcome = "read"
         if self.version is None:
+            outcome = "only"
+            now = self.ctx.clock.now()
             found = self._versions(now)
-            if len(found) > 1:
+            if len(found) > 1 or not versions.is_complete(service, now):
+                self.ctx.metrics.taken_up.labels("refused").inc()
                 raise self.build_failure(
-                    f"the version that began the stream {call.resumes!r} is not known"
+                    f"the version that began the stream {self.call.resumes!r} is not"
+                    f" known; versions of the service: {sorted(found)}, all of them"
+                    f" known: {versions.is_complete(service, now)}"
                 )
             self.version = next(iter(found), None)
+        self.ctx.metrics.taken_up.labels(outcome).inc()
+
+    def _find_begun(self) -> str | None:
+        """Return the version known to have begun the stream that is taken up."""
+        if self.call.resumes is None:
+            return None
+        return self.ctx.tables.stream_versions.find(self.call.resumes)
 
     def _versions(self, now: float) -> set[str]:
         """Return the versions of the service's targets, also recent ones."""
@@ -212,7 +230,7 @@
         -------
         float
             Time from which the stream's first event may be shown. With several
-            versions all hosts know by then which one began it.
+            versions all hosts and the store know by then which one began it.
         """
         now, call = self.ctx.clock.now(), self.call
         begun_by = call.id if call.last_event_id is None else call.resumes
@@ -222,7 +240,7 @@
         self.ctx.announce_load()
         if call.last_event_id is not None or len(self._versions(now)) == 1:
             return now
-        return now + intervals.load_propagation_s(self.ctx.tables)
+        return now + intervals.record_time_s(self.ctx.tables)
 
     def part_keys(self) -> list[str]:
         """Return the names of the prompt's shared parts in the table of crashes."""
--- a/turmericflow/relay/_context.py
+++ b/turmericflow/relay/_context.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from turmericflow.relay._answers import AnswerMemory
@@ -72,6 +72,10 @@
     """Ignore announcements until the links to other hosts are set up."""
 
 
+async def _read_nothing() -> None:
+    """Read nothing until the daemon is set up."""
+
+
 class HostContext:
     """Settings, tables and connections of one host.
 
@@ -87,6 +91,8 @@
         Announces at once a change that affects other hosts' choices.
     announce_load
         Announces new work at a target soon.
+    read_versions
+        Reads from the store which versions began streams.
     """
 
     __slots__ = (
@@ -100,6 +106,7 @@
         "rng",
         "announce",
         "announce_load",
+        "read_versions",
         "crash_suspects",
         "misdirected",
     )
@@ -123,6 +130,7 @@
         self.misdirected: list[TargetEntry] = []
         self.announce: Callable[[], None] = _ignore_announcement
         self.announce_load: Callable[[], None] = _ignore_announcement
+        self.read_versions: Callable[[], Awaitable[None]] = _read_nothing
 
     def apply_settings(self, settings: HostSettings) -> None:
         """Apply settings; changed addresses take effect only after a restart."""
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -16,6 +16,7 @@
 from turmericflow.relay._registration import Registration
 from turmericflow.relay._store import Kind
 from turmericflow.relay._store_watch import StoreWatch
+from turmericflow.relay._version_records import VersionReader, VersionRecorder
 from turmericflow.relay._watchdog import Watchdog
 
 READY_POLL_S = 0.02
@@ -42,6 +43,7 @@
         self.caller_handler = CallerHandler(ctx, codec)
         self._callers = Listener(ctx.settings.callers, self.caller_handler.handle)
         self._links = Links(ctx)
+        ctx.read_versions = VersionReader(ctx).read
 
     async def on_start(self) -> None:
         ctx = self._ctx
@@ -53,10 +55,11 @@
             timeouts=self._caller_timeouts,
             options=CALLER_OPTIONS,
         )
-        for kind in Kind:
+        for kind in (Kind.DEPLOYMENT, Kind.TARGETS, Kind.HOSTS):
             await self.add_runtime_dependency(StoreWatch(ctx, kind))
         await self.add_runtime_dependency(Registration(ctx))
         await self.add_runtime_dependency(self._links)
+        await self.add_runtime_dependency(VersionRecorder(ctx))
         await self.add_runtime_dependency(Watchdog(ctx))
 
     def _caller_timeouts(self) -> Timeouts:
--- a/turmericflow/relay/_intervals.py
+++ b/turmericflow/relay/_intervals.py
@@ -18,6 +18,8 @@
 PROPAGATION_INTERVALS = 3  # between announcements, until one has reached all hosts
 MIN_LOAD_PROPAGATION_S = 0.1  # a few hops, each with a scheduling delay
 MAX_LOAD_ANNOUNCEMENTS_PER_S = 1000.0  # of all hosts together
+RECORD_INTERVAL_S = 0.3  # between two writes of what hosts must find after a loss
+RECORD_MARGIN_S = 0.05  # a write usually takes milliseconds
 HEARTBEATS_PER_GOSSIP_WINDOW = 2  # a loss is repeated in this many statuses
 
 
@@ -64,3 +66,11 @@
         MIN_LOAD_PROPAGATION_S,
         PROPAGATION_INTERVALS * load_announcement_interval_s(tables),
     )
+
+
+def record_time_s(tables: Tables) -> float:
+    """Return the time until the store holds what a host announced, in seconds.
+
+    This is the usual time; while the store is away it is longer.
+    """
+    return load_propagation_s(tables) + RECORD_INTERVAL_S + RECORD_MARGIN_S
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -242,6 +242,11 @@
     return tables.hosts.own.name in _hosts_reading_store(tables, now)[:RESYNCERS]
 
 
+def is_first_reader(tables: Tables, now: float) -> bool:
+    """Return whether this host is the first of those that can read the store."""
+    return _hosts_reading_store(tables, now)[:1] == [tables.hosts.own.name]
+
+
 def is_watcher(tables: Tables, now: float) -> bool:
     """Return whether this host watches the targets and hosts in the store.
 
@@ -336,7 +341,7 @@
 
     Only the first of the hosts that can read the store removes entries.
     """
-    if _hosts_reading_store(tables, now)[:1] != [tables.hosts.own.name]:
+    if not is_first_reader(tables, now):
         return []
     rows = tables.hosts.rows.values()
     return [
--- a/turmericflow/relay/_metrics.py
+++ b/turmericflow/relay/_metrics.py
@@ -17,6 +17,7 @@
         "sends",
         "limited_sends",
         "resumes",
+        "taken_up",
         "losses",
         "store_calls",
         "peer_bytes",
@@ -48,6 +49,12 @@
         self.resumes = Counter(
             "turmericflow_resumes", "Streams gone on", ["how"], registry=registry
         )
+        self.taken_up = Counter(
+            "turmericflow_taken_up",
+            "Streams that clients took up",
+            ["version"],
+            registry=registry,
+        )
         self.losses = Counter(
             "turmericflow_losses", "Targets lost", ["evidence"], registry=registry
         )
--- a/turmericflow/relay/_model.py
+++ b/turmericflow/relay/_model.py
@@ -162,6 +162,21 @@
         return f"{self.id}@{self.born_ms}"
 
 
+class VersionRecord(msgspec.Struct, frozen=True):
+    """What the store holds of the versions that began streams.
+
+    Attributes
+    ----------
+    services
+        Versions that each service has, or had not long ago.
+    streams
+        Concatenated digests of the ids of requests that began streams, by version.
+    """
+
+    services: dict[str, list[str]] = {}
+    streams: dict[str, bytes] = {}
+
+
 class EngineReport(msgspec.Struct, frozen=True):
     """Report that an engine returns to a probe by a host.
 
--- a/turmericflow/relay/_store.py
+++ b/turmericflow/relay/_store.py
@@ -6,15 +6,16 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from turmericflow.relay._model import HostEntry
+from turmericflow.relay._model import HostEntry, VersionRecord
 
 
 class Kind(enum.StrEnum):
-    """Kind of objects that hosts read and watch."""
+    """Kind of objects that hosts read."""
 
     DEPLOYMENT = "deployment"
     TARGETS = "targets"
     HOSTS = "hosts"
+    VERSIONS = "versions"
 
 
 class StoreFailed(Exception):
@@ -82,6 +83,12 @@
         """
         ...
 
+    async def record_versions(
+        self, name: str, record: VersionRecord, revision: int | None
+    ) -> int:
+        """Create or replace a record of versions, as `publish` does an entry."""
+        ...
+
     async def remove_host(self, name: str, revision: int) -> None:
         """Remove a host's entry; raise `Conflict` if its revision has changed."""
         ...
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -90,7 +90,7 @@
             the caller must be aborted.
         """
         attempts = self._attempts
-        attempts.bind_resumed()
+        await attempts.bind_resumed()
         while True:
             if attempts.remaining_s <= 0:
                 raise attempts.build_timeout()
--- a/turmericflow/tests/test_relay_lost_hosts.py
+++ b/turmericflow/tests/test_relay_lost_hosts.py
@@ -8,7 +8,11 @@
 
 import pytest
 
-from turmericflow.relay import _membership as membership
+from turmericflow.relay import (
+    _intervals as intervals,
+    _membership as membership,
+    _version_records as version_records,
+)
 from turmericflow.tests.platform_stand_ins import Fleet
 from turmericflow.tests.test_relay_stream_versions import (
     EVENTS,
@@ -21,6 +25,13 @@
 HOSTS = membership.WATCHERS + 1
 STREAMS = 14
 RECORDS = "turmericflow-versions"
+# Until a silent host counts as lost, and the next one writes in its place.
+TAKE_OVER_S = (
+    intervals.MIN_HEARTBEAT_TIMEOUT_S
+    + version_records.TAKE_OVER_S
+    + version_records.READ_RETRY_S
+    + 2 * version_records.OBSERVATION_INTERVAL_S
+)
 CALLS_PER_S = 5.0  # of the fleet, while a service has several versions
 
 
@@ -171,6 +182,22 @@
     assert sum(each.whole for each in left) >= 0.9 * len(left)
 
 
+# Guards against a record of another format that is taken for none.
+async def test_streams_are_refused_beside_a_record_that_cannot_be_decoded(
+    released_fleet: Fleet,
+):
+    fleet = released_fleet
+    streams = await begin(fleet, "s")
+    await remove_version(fleet, OLD)
+    await kill_hosts(fleet)
+    for name in fleet.store.objects[RECORDS]:
+        fleet.store.put(RECORDS, name, {"services": "unknown", "streams": 1})
+    await start_hosts(fleet)
+    await take_up(streams)
+    assert joined(streams) == []
+    assert {each.statuses[-1] for each in streams} == {503}
+
+
 # Guards against streams that are lost as the store's reply to a write is.
 async def test_versions_are_kept_when_replies_of_the_store_are_lost(
     released_fleet: Fleet,
@@ -207,7 +234,7 @@
     writer = membership._hosts_reading_store(fleet.hosts[0].tables, now)[0]
     await next(host for host in fleet.hosts if host.name == writer).stop()
     fleet.store.failing_kinds.clear()
-    await asyncio.sleep(2.5)  # until the others take over
+    await asyncio.sleep(TAKE_OVER_S)
     await kill_hosts(fleet)
     await start_hosts(fleet)
     await take_up(streams)
@@ -225,7 +252,9 @@
     fleet = Fleet(tmp_path)
     await fleet.start(HOSTS)
     await add_version(fleet, OLD, 3)
-    await asyncio.sleep(1.5)
+    await fleet.until(
+        lambda: version_records.SERVICES in fleet.store.objects.get(RECORDS, ())
+    )
     before = record_calls(fleet)
     await begin(fleet, "s")
     await asyncio.sleep(1.0)
@@ -238,7 +267,7 @@
     released_fleet: Fleet,
 ):
     fleet = released_fleet
-    before, seconds = record_calls(fleet), 0.0
+    before = record_calls(fleet)
     started_at = asyncio.get_running_loop().time()
     for number in range(4):
         await begin(fleet, f"s{number}-")
