Read on while the first events of a stream are held back

What callers saw: with several versions beside each other, a stream whose engine failed within the wait before its first event is shown was cut, or went on from its first event with what the engine had sent after it lost.

Cause: the wait was a sleep in the write of the first event. What came meanwhile stayed in the connection's buffer and was lost with it, and an attempt that was cancelled in that sleep lost the event itself, though it counted as passed on.

Events are now read and recorded as they come, and held until the store knows the version; what is held stays with the stream when an attempt ends.

--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -29,6 +29,7 @@
 MAX_BUDGET_WAIT_S = 0.5  # most routes allow a pause this long
 BUDGET_RETRY_INTERVAL_S = 0.05  # half of the least time for usage to reach all hosts
 MAX_IDLE_BYTES = 65_536  # of complete events, none of them new
+MAX_HELD_BYTES = 65_536  # of events that are not shown yet
 PIECE_BYTES = 4096  # events that are handled before other requests have their turn
 
 log = structlog.get_logger()
@@ -67,6 +68,8 @@
         "_paused_at",
         "_interrupted",
         "_show_at",
+        "_held",
+        "_showing",
         "begun",
     )
 
@@ -78,6 +81,8 @@
         self._paused_at: float | None = None
         self._interrupted: Run | None = None
         self._show_at = 0.0
+        self._held = bytearray()  # events that are not shown yet
+        self._showing: asyncio.Task[None] | None = None
         self.begun = False
 
     async def run(self) -> None:
@@ -89,6 +94,13 @@
             If the stream cannot be completed. If it has begun, the connection to
             the caller must be aborted.
         """
+        try:
+            await self._run()
+        finally:
+            if self._showing is not None and not self._showing.cancel():
+                self._showing.exception()  # a caller that has left; not logged
+
+    async def _run(self) -> None:
         attempts = self._attempts
         await attempts.bind_resumed()
         while True:
@@ -199,7 +211,9 @@
             attempts.ctx.metrics.resumes.labels(how).inc()
         reply = None
         tables.runs.add(run)
-        self._show_at = attempts.announce_version(target)
+        known_at = attempts.announce_version(target)
+        if attempts.version is None:
+            self._show_at = known_at
         try:
             async with asyncio.timeout_at(attempts.deadline) as run.timeout:
                 sent_at = attempts.ctx.clock.now()
@@ -278,6 +292,7 @@
             raise EventsInvalid(
                 "stream ended within an event, expected a complete event"
             )
+        await self._end_showing()
         await self._send_headers(reply)
         await self._writer.end()
 
@@ -298,7 +313,7 @@
 
     async def _forward_response(self, run: Run, reply: Reply) -> None:
         """Forward a response that is not an event stream unchanged."""
-        if self.begun:
+        if self.begun or self._held:
             raise EventsInvalid(
                 f"got status {reply.status} for a resumed stream, expected events"
             )
@@ -378,12 +393,34 @@
             self.begun = True
             await self._writer.begin(reply.status, reply.headers)
 
+    def _hold(self, reply: Reply, data: bytes) -> bool:
+        """Hold data back if its version is not known everywhere; return whether."""
+        wait_s = self._show_at - self._attempts.ctx.clock.now()
+        if self.begun or wait_s <= 0 or len(self._held) > MAX_HELD_BYTES:
+            return False
+        self._held += data
+        if self._showing is None:
+            self._showing = asyncio.create_task(self._show_later(reply, wait_s))
+        return True
+
+    async def _show_later(self, reply: Reply, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        await self._send_headers(reply)
+        data, self._held = bytes(self._held), bytearray()
+        await self._writer.write(data)
+
+    async def _end_showing(self) -> None:
+        """Wait until the events that were held back are shown."""
+        if self._showing is not None:
+            await asyncio.shield(self._showing)
+            self._showing = None
+
     async def _write(self, run: Run, reply: Reply, data: bytes) -> None:
+        if run.events and self._hold(reply, data):
+            return
         run.waiting_on_caller = True
         try:
-            wait_s = self._show_at - self._attempts.ctx.clock.now()
-            if run.events and not self.begun and wait_s > 0:
-                await asyncio.sleep(wait_s)
+            await self._end_showing()
             await self._send_headers(reply)
             await self._writer.write(data)
         finally:
--- a/turmericflow/tests/test_relay_stream_versions.py
+++ b/turmericflow/tests/test_relay_stream_versions.py
@@ -305,6 +305,24 @@
     assert sum(each.whole for each in streams) > STREAMS // 2
 
 
+# Guards against events that are lost as the attempt ends before they are shown.
+@pytest.mark.parametrize("fault", ["cut 5", "silent 5", "garble 5", "tear 6"])
+async def test_events_that_are_held_back_are_shown_when_the_attempt_ends(
+    mixed_fleet: Fleet, fault: str
+):
+    fleet = mixed_fleet
+    faults = [fault]  # of the first send, whichever engine gets it
+    for engine in fleet.targets.values():
+        engine.prefill_s = engine.event_interval_s = 0.001
+        engine.injected.faults = faults
+    stream = Taken(fleet, "s")
+    await stream.read(0)
+    assert stream.whole and len(stream.versions) == 1
+    received = [each for e in fleet.targets.values() for each in e.received]
+    last = [int(each.headers.get("Last-Event-Id", 0)) for each in received]
+    assert max(last) >= 5
+
+
 # The tables, without I/O.
 
 
