--- a/turmericflow/platform/_store.py
+++ b/turmericflow/platform/_store.py
@@ -7,7 +7,9 @@
 
 import aiohttp
 import msgspec
+from multidict import CIMultiDictProxy
 
+from turmericflow.platform._callers import STORE_ERA
 from turmericflow.platform._objects import (
     decode_deployment,
     decode_host,
@@ -39,6 +41,7 @@
     Kind.VERSIONS: "turmericflow-versions",
 }
 _CONFIG_NAME = "main"
+MAX_ERA_DIGITS = 4  # an era fits into the upper bits of a revision
 
 
 class _Metadata(msgspec.Struct):
@@ -72,6 +75,13 @@
 _OBJECT = msgspec.json.Decoder(_Object)
 
 
+def _decode_era(headers: CIMultiDictProxy[str]) -> int:
+    """Return the era that an answer of the store names, 0 if none."""
+    text = headers.get(STORE_ERA, "")
+    valid = text.isascii() and text.isdecimal() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if valid else 0
+
+
 def _decode_value(kind: Kind, name: str, spec: msgspec.Raw) -> object:
     try:
         value = msgspec.json.decode(spec)
@@ -104,13 +114,20 @@
     All methods raise `StoreFailed` if the store is unreachable or the call fails;
     its subclass `Conflict` if a write meets a changed object, and `HistoryGone` if
     the objects must be read again.
+
+    Attributes
+    ----------
+    era
+        Number that rises when the store comes back from an older copy; 0 if its
+        answers name none.
     """
 
-    __slots__ = ("_session", "_base")
+    __slots__ = ("_session", "_base", "era")
 
     def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
         self._session = session
         self._base = f"http://{address}/v1/objects"
+        self.era = 0
 
     async def _call(
         self, method: str, path: str, timeout_s: float, body: object = None
@@ -125,6 +142,7 @@
                     content = await resp.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise StoreFailed(f"{method} {path}: {exc!r}") from exc
+        self.era = max(self.era, _decode_era(resp.headers))
         match resp.status:
             case 200 | 201:
                 return content
--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -111,6 +111,11 @@
     return LimitNamed(min(map(float, values)))
 
 
+def says_leaving(headers: CIMultiDict[str]) -> bool:
+    """Return whether a response says that its target leaves."""
+    return "1" in (v.strip() for v in headers.getall(header_names.TARGET_LEAVING, ()))
+
+
 async def _read_control(resp: aiohttp.ClientResponse) -> bytes:
     """Return the body of a response; raises `ValueError` if it is too long."""
     body = bytearray()
@@ -133,6 +138,7 @@
         "misdirected",
         "genuine",
         "limit",
+        "leaving",
     )
 
     def __init__(self, call: Call, resp: aiohttp.ClientResponse) -> None:
@@ -145,6 +151,7 @@
         self.misdirected = resp.status == MISDIRECTED_STATUS
         self.not_run = self.misdirected or header_names.NOT_EXECUTED in resp.headers
         self.limit = decode_limit(resp.headers)
+        self.leaving = says_leaving(resp.headers)
         echoed = resp.headers.get(header_names.ATTEMPT_ID)
         interim = resp.status < MIN_FINAL_STATUS
         if interim or (echoed is not None and echoed != call.id):
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -462,6 +462,23 @@
             own.pending_prefill_tokens -= self.call.prompt_tokens
         run.drop_copy()
 
+    def record_head(self, target: Target, reply: Reply, sent_at: float) -> None:
+        """Record what the head of a reply says of its target.
+
+        The parameters are those of `record_limit`.
+        """
+        if reply.misdirected:
+            return  # another target
+        if reply.leaving and not target.entry.leaving:
+            log.info(
+                "target_says_leaving",
+                target=target.entry.key,
+                address=target.entry.address,
+                request=self.call.id,
+                status=reply.status,
+            )
+        self.record_limit(target, reply, sent_at)
+
     def record_limit(self, target: Target, reply: Reply, sent_at: float) -> None:
         """Record what a reply says of the rate that its target takes from all hosts.
 
@@ -474,8 +491,8 @@
         sent_at
             Time at which the request was sent, on the event loop's clock.
         """
-        if reply.misdirected or not reply.genuine:
-            return  # another target or an answer to another request
+        if not reply.genuine:
+            return  # an answer to another request
         key, limits = target.entry.key, self.ctx.tables.rate_limits
         if isinstance(reply.limit, LimitInvalid):
             log.warning("target_limit_invalid", target=key, value=reply.limit.text)
--- a/turmericflow/relay/_call.py
+++ b/turmericflow/relay/_call.py
@@ -147,6 +147,8 @@
         Whether the response belongs to this request and has the target's receipt.
     limit
         What the response says of the rate that its target takes from all hosts.
+    leaving
+        Whether the target says that it leaves.
     """
 
     status: int
@@ -155,6 +157,7 @@
     misdirected: bool
     genuine: bool
     limit: LimitNotice
+    leaving: bool
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises `TargetFailed` if the connection fails."""
--- a/turmericflow/relay/_exchange.py
+++ b/turmericflow/relay/_exchange.py
@@ -61,7 +61,7 @@
             async with asyncio.timeout_at(attempts.deadline):
                 sent_at = attempts.ctx.clock.now()
                 reply = await attempts.ctx.target_client.send(attempts.call, dispatch)
-                attempts.record_limit(target, reply, sent_at)
+                attempts.record_head(target, reply, sent_at)
                 if reply.not_run:
                     return attempts.record_refused(target, reply)
                 answer = await attempts.ctx.answer_memory.read(reply)
--- a/turmericflow/relay/_metrics.py
+++ b/turmericflow/relay/_metrics.py
@@ -30,6 +30,7 @@
         "refused_parts",
         "targets_age_seconds",
         "targets_lag_seconds",
+        "store_era",
     )
 
     def __init__(self) -> None:
@@ -116,6 +117,12 @@
             registry=registry,
         )
 
+        self.store_era = Gauge(
+            "turmericflow_store_era",
+            "Number that rises when the store comes back from an older copy",
+            registry=registry,
+        )
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/turmericflow/relay/_store.py
+++ b/turmericflow/relay/_store.py
@@ -65,7 +65,15 @@
 
 
 class ObjectStore(Protocol):
-    """An object store; all methods raise `StoreFailed` on failure."""
+    """An object store; all methods raise `StoreFailed` on failure.
+
+    Attributes
+    ----------
+    era
+        Number that rises when the store comes back from an older copy.
+    """
+
+    era: int
 
     async def read(self, kind: Kind) -> Listing:
         """Return all objects of a kind."""
--- a/turmericflow/relay/_store_watch.py
+++ b/turmericflow/relay/_store_watch.py
@@ -48,6 +48,7 @@
         self._kind = kind
         self._unreachable_since: float | None = None
         self._unreachable_for_all = False
+        self._era: int | None = None
 
     @Service.task
     async def _watch(self) -> None:
@@ -131,6 +132,7 @@
 
     def _mark_reachable(self) -> None:
         self._ctx.tables.hosts.unanswered_kinds.discard(self._kind)
+        self._note_era()
         if self._unreachable_since is None:
             return
         now = self._ctx.clock.now()
@@ -142,6 +144,16 @@
             adoption.start_expiry(self._ctx.tables, now + discovery.LAPSED_GRACE_S)
         log.info("store_regained", kind=self._kind, away_s=round(outage_s, 3))
 
+    def _note_era(self) -> None:
+        """Log and export that the store came back from an older copy."""
+        era, earlier = self._ctx.store.era, self._era
+        if era == earlier:
+            return
+        self._era = era
+        self._ctx.metrics.store_era.set(era)
+        if earlier is not None:
+            log.warning("store_restored", kind=self._kind, era=era, earlier=earlier)
+
     def _readable(self, row: Row) -> bool:
         if row.value is None:
             log.info(
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -218,7 +218,7 @@
             async with asyncio.timeout_at(attempts.deadline) as run.timeout:
                 sent_at = attempts.ctx.clock.now()
                 reply = await attempts.ctx.target_client.send(attempts.call, dispatch)
-                attempts.record_limit(target, reply, sent_at)
+                attempts.record_head(target, reply, sent_at)
                 if reply.not_run:
                     had_copy = dispatch.kv_copy is not None
                     return attempts.record_refused(target, reply, had_copy)
