--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -21,7 +21,8 @@
     open_context,
 )
 from turmericflow.platform._settings import read_settings
-from turmericflow.relay import Daemon
+from turmericflow.relay import Daemon, _placement as placement
+from turmericflow.relay._target_tables import Target
 
 LOOPBACK = "127.0.0.1"
 KEY = "key-of-a"
@@ -92,6 +93,8 @@
         Whether watches return no changes.
     lose_replies
         Whether writes are applied but the connection is closed without a response.
+    era
+        Rises with each `restore`; named in all answers, or None to name none.
     """
 
     def __init__(self) -> None:
@@ -107,8 +110,27 @@
         self.watches_stalled = False
         self.lose_replies = False
         self.calls: Counter[str] = Counter()
+        self.era: int | None = 1
+        self._written: list[tuple[int, str, dict, bool]] = []
+        self._watching: set[asyncio.BaseTransport] = set()
         self._changed = asyncio.Event()
 
+    def restore(self, revisions: int) -> None:
+        """Come back from a copy that lacks the last revisions; they are used again."""
+        self.revision -= revisions
+        self._written = [each for each in self._written if each[0] <= self.revision]
+        self.history = [each for each in self.history if each[0] <= self.revision]
+        self.objects = {}
+        for _, kind, stored, removed in self._written:
+            objects = self.objects.setdefault(kind, {})
+            objects.pop(stored["metadata"]["name"], None)
+            if not removed:
+                objects[stored["metadata"]["name"]] = stored
+        if self.era is not None:
+            self.era += 1
+        for transport in list(self._watching):
+            transport.abort()
+
     def put(self, kind: str, name: str, spec: object) -> int:
         """Create or replace an object, as the operator or a target does."""
         self.revision += 1
@@ -136,10 +158,17 @@
 
     def _record_change(self, kind: str, stored: dict, removed: bool) -> None:
         self.history.append((self.revision, kind, stored, removed))
+        self._written.append(self.history[-1])
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        resp = await self._answer(request)
+        if self.era is not None:
+            resp.headers["Store-Era"] = str(self.era)
+        return resp
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         parts = request.path.split("/")
         kind, name = parts[3], parts[4] if len(parts) > 4 else ""
         verb = "watch" if "watch" in request.query else request.method
@@ -196,8 +225,10 @@
 
     async def _watch(self, request: web.BaseRequest, kind: str) -> web.StreamResponse:
         since = int(request.query["watch"])
-        if since < self.compacted_revision:
+        if since < self.compacted_revision or since > self.revision:
             return web.Response(status=410)
+        transport = request.transport
+        self._watching.add(transport)
         try:
             async with asyncio.timeout(int(request.query["waitMs"]) / 1000):
                 while True:
@@ -211,6 +242,8 @@
                     await self._changed.wait()
         except TimeoutError:
             events = []
+        finally:
+            self._watching.discard(transport)
         return self._json({"events": events, "storeRevision": self.revision})
 
     def _json(self, body: object, status: int = 200) -> web.Response:
@@ -340,6 +373,11 @@
     rate_limit
         Requests per second that the target takes from all hosts, as it names them in
         its answers, or None.
+    leaving
+        Whether the target says in all its answers that it leaves.
+    retry_after
+        What the target names in refusals as the time for which it wants nothing from
+        the host, or None.
     """
 
     service = "plain"
@@ -351,10 +389,13 @@
         self.data_centre = data_centre
         self.injected = InjectedFaults()
         self.received: list[ReceivedRequest] = []
+        self.shed: list[float] = []  # times of refusals
         self.endless_sends: list[EndlessSend] = []
         self.response_delay_s = 0.005
         self._silent_until = 0.0
         self.rate_limit: str | None = None
+        self.leaving = False
+        self.retry_after: str | None = None
 
     def fall_silent(self, seconds: float) -> None:
         """Send nothing, answers to probes included, for a time, and then go on."""
@@ -392,13 +433,21 @@
         return f"{self.name} {received.id}".encode()
 
     def _signed(self, request: web.BaseRequest) -> dict[str, str]:
-        limit = {} if self.rate_limit is None else {"Server-Limit": self.rate_limit}
-        return limit | {
+        said = {} if self.rate_limit is None else {"Server-Limit": self.rate_limit}
+        if self.leaving:
+            said["Server-Leaving"] = "1"
+        return said | {
             "X-Turmericflow-Attempt-Id": request.headers["X-Turmericflow-Attempt-Id"],
             "X-Turmericflow-Upstream-Signature": f"receipt-{self.name}",
         }
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        resp = await self._answer(request)
+        if self.leaving and not resp.prepared:
+            resp.headers["Server-Leaving"] = "1"
+        return resp
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         await self.end_of_silence()
         if request.path == "/v1/report":
             if self.injected.always == "mute":
@@ -420,7 +469,10 @@
             headers = {"X-Turmericflow-Instance-Id": self.name}
             return web.Response(status=421, headers=headers)
         if fault == "shed":
+            self.shed.append(asyncio.get_running_loop().time())
             headers = {"X-Turmericflow-Not-Executed": "1"}
+            if self.retry_after is not None:
+                headers["Retry-After"] = self.retry_after
             return web.Response(status=503, headers=headers)
         body = b"" if fault == "early" else await request.read()
         received = ReceivedRequest(
@@ -762,6 +814,10 @@
     def tables(self):
         return self.ctx.tables
 
+    def uses(self, target: Target) -> bool:
+        """Return whether the host may send new work to a target."""
+        return placement.usable(target)
+
     async def start(self) -> None:
         settings = read_settings(self.path)
         self.ctx, self._sessions = open_context(settings)
