--- a/turmericflow/relay/_adoption.py
+++ b/turmericflow/relay/_adoption.py
@@ -48,7 +48,7 @@
     found = []
     for row in rows:
         service = tables.deployment.services.get(row.entry.service)
-        if service is None or service.engine is None or row.entry.leaving:
+        if service is None or service.engine is None or row.leaving:
             continue
         if row.failures > 0 or (row.gone and row.entry.address not in used_addresses):
             found.append(row.entry)
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -10,6 +10,7 @@
 from turmericflow.relay import (
     _crashes as crashes,
     _crashing_parts as crashing_parts,
+    _discovery as discovery,
     _intervals as intervals,
     _limited_targets as limited_targets,
     _membership as membership,
@@ -469,7 +470,16 @@
         """
         if reply.misdirected:
             return  # another target
-        if reply.leaving and not target.entry.leaving:
+        if reply.leaving:
+            self._record_leaving(target, reply)
+        self.record_limit(target, reply, sent_at)
+
+    def _record_leaving(self, target: Target, reply: Reply) -> None:
+        """Record that a target says that it leaves, and announce it to other hosts."""
+        targets, now = self.ctx.tables.targets, self.ctx.clock.now()
+        if discovery.record_leaving(targets, target.entry.key, now):
+            targets.own_leaving.append((now, target.entry.key))
+            self.ctx.announce()
             log.info(
                 "target_says_leaving",
                 target=target.entry.key,
@@ -477,7 +487,6 @@
                 request=self.call.id,
                 status=reply.status,
             )
-        self.record_limit(target, reply, sent_at)
 
     def record_limit(self, target: Target, reply: Reply, sent_at: float) -> None:
         """Record what a reply says of the rate that its target takes from all hosts.
--- a/turmericflow/relay/_discovery.py
+++ b/turmericflow/relay/_discovery.py
@@ -6,6 +6,7 @@
 from turmericflow.relay._target_tables import Target, TargetsChange, TargetTable
 
 LAPSED_GRACE_S = 2.5  # targets re-register about 2 s after the end of an outage
+FORGET_AFTER_S = 60.0  # departures of targets without an entry
 
 
 def _rebuild_service_index(table: TargetTable) -> None:
@@ -14,17 +15,32 @@
         table.by_service.setdefault(target.entry.service, []).append(target)
 
 
+def record_leaving(table: TargetTable, key: str, now: float) -> bool:
+    """Record that a target leaves, whatever its entry says; return whether it is new.
+
+    A process that starts under the same id has another key.
+    """
+    if key in table.leaving:
+        return False
+    table.leaving[key] = now
+    if key in table.rows:
+        table.rows[key].leaving = True
+    return True
+
+
 def _put(table: TargetTable, entry: TargetEntry) -> None:
     table.lapsed.pop(entry.key, None)
     existing = table.rows.get(entry.key)
     if existing is not None:
         existing.entry = entry
+        existing.leaving |= entry.leaving
         return
     for key, target in list(table.rows.items()):
         earlier = target.entry
         if earlier.id == entry.id or earlier.address == entry.address:
             del table.rows[key]
-    table.rows[entry.key] = Target(entry)
+    target = table.rows[entry.key] = Target(entry)
+    target.leaving |= entry.key in table.leaving
 
 
 def replace(table: TargetTable, entries: list[TargetEntry], revision: int) -> bool:
@@ -110,7 +126,15 @@
 
 
 def expire(table: TargetTable, now: float) -> list[str]:
-    """Remove lapsed entries whose grace period is over; return their keys."""
+    """Remove lapsed entries whose grace period is over; return their keys.
+
+    Departures are forgotten some time after the entry is removed.
+    """
+    for key, at in list(table.leaving.items()):
+        if key in table.rows:
+            table.leaving[key] = now
+        elif now - at > FORGET_AFTER_S:
+            del table.leaving[key]
     expired = [key for key, until in table.lapsed.items() if now >= until]
     for key in expired:
         del table.lapsed[key]
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -70,6 +70,8 @@
         Limits that targets recently named to the host.
     stream_versions
         Versions to which the host recently sent streams.
+    leaving
+        Targets that recently said in an answer to the host that they leave.
     """
 
     entry: HostEntry
@@ -92,6 +94,7 @@
     part_times: PartTimes = msgspec.field(default_factory=PartTimes)
     limits: list[LimitNews] = []
     stream_versions: VersionNews = {}
+    leaving: list[str] = []
 
 
 class Host:
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -70,6 +70,7 @@
 
     limits: list[LimitNews]
     stream_versions: VersionNews
+    leaving: list[str] = []
 
 
 class DeploymentSnapshot(msgspec.Struct, array_like=True, tag="deployment"):
@@ -246,6 +247,8 @@
                 tables, now = self._ctx.tables, self._ctx.clock.now()
                 tables.rate_limits.apply(msg.limits, now)
                 tables.stream_versions.apply(msg.stream_versions, now)
+                for key in msg.leaving:
+                    discovery.record_leaving(tables.targets, key, now)
 
     def _on_hello(self, link: Link, name: str) -> None:
         """Register a stream by its host's name; of two streams to a host, cut one.
@@ -324,8 +327,9 @@
         if req.gossip:
             limits = tables.rate_limits.known(self._ctx.clock.now())
             versions = tables.stream_versions.known()
-            if limits or versions:
-                link.send(GossipSnapshot(limits, versions))
+            leaving = list(tables.targets.leaving)
+            if limits or versions or leaving:
+                link.send(GossipSnapshot(limits, versions, leaving))
         deployment, targets = tables.deployment, tables.targets
         if req.deployment_revision < deployment.revision:
             link.send(DeploymentSnapshot(deployment.revision, deployment.value))
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -64,6 +64,7 @@
         part_times=part_times,
         limits=tables.rate_limits.news(max_age_s, now),
         stream_versions=tables.stream_versions.news(max_age_s, now),
+        leaving=_recent(tables.targets.own_leaving, max_age_s, now),
     )
 
 
@@ -121,6 +122,8 @@
     discovery.confirm(
         tables.targets, status.targets_revision, -1, now - status.targets_age_s
     )
+    for key in status.leaving:
+        discovery.record_leaving(tables.targets, key, now)
     _apply_failures(tables, status, now)
     if status.limits:
         tables.rate_limits.apply(status.limits, now)
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -67,7 +67,7 @@
 
 def usable(target: Target) -> bool:
     """Return whether a target accepts new work."""
-    return not target.entry.leaving and not target.gone
+    return not target.leaving and not target.gone
 
 
 def recent_losses(
--- a/turmericflow/relay/_target_tables.py
+++ b/turmericflow/relay/_target_tables.py
@@ -40,6 +40,9 @@
         Number of consecutive failures.
     silent
         Whether its last failure is a silence that this host detected.
+    leaving
+        Whether it is draining, by its entry or by what it said in an answer; this
+        lasts as long as its process.
     gone, gone_at
         Whether another target has its address, and when this host itself found out;
         other hosts' findings do not set the time, as they are not gossiped again.
@@ -59,6 +62,7 @@
         "backoff_until",
         "failures",
         "silent",
+        "leaving",
         "gone",
         "gone_at",
         "lost_at",
@@ -73,6 +77,7 @@
         self.backoff_until = 0.0
         self.failures = 0
         self.silent = False
+        self.leaving = entry.leaving
         self.gone = False
         self.gone_at = float("-inf")
         self.lost_at = float("-inf")
@@ -163,6 +168,12 @@
         Targets that are used although their entries cannot be read.
     own_adoptions
         Adopted targets that this host found, with the time, to be gossiped.
+    leaving
+        Keys of targets that are known to leave, with the time at which this host
+        learned of it; also of targets without a row.
+    own_leaving
+        Keys of targets that said in an answer to this host that they leave, with the
+        time, to be gossiped.
     prefill_rates
         EWMA of the prompt tokens that an engine prefills per second, by service.
     """
@@ -179,6 +190,8 @@
         "recent_changes",
         "adopted",
         "own_adoptions",
+        "leaving",
+        "own_leaving",
         "prefill_rates",
     )
 
@@ -194,4 +207,6 @@
         self.recent_changes: list[tuple[float, TargetsChange]] = []
         self.adopted: dict[str, TargetEntry] = {}
         self.own_adoptions: list[tuple[float, TargetEntry]] = []
+        self.leaving: dict[str, float] = {}
+        self.own_leaving: list[tuple[float, str]] = []
         self.prefill_rates: dict[str, float] = {}
