--- a/turmericflow/platform/_store.py
+++ b/turmericflow/platform/_store.py
@@ -29,6 +29,9 @@
     Row,
     StoreFailed,
     VersionRecord,
+    era_of,
+    number_of,
+    with_era,
 )
 
 CALL_TIMEOUT_S = 2.0  # calls usually take milliseconds, with a slow store longer
@@ -41,6 +44,7 @@
     Kind.VERSIONS: "turmericflow-versions",
 }
 _CONFIG_NAME = "main"
+MIN_ERROR_STATUS = 500
 MAX_ERA_DIGITS = 4  # an era fits into the upper bits of a revision
 
 
@@ -98,14 +102,12 @@
             return decode_versions(value)
 
 
-def _decode_row(kind: Kind, stored: _Object) -> Row:
-    name = stored.metadata.name
+def _decode_row(kind: Kind, stored: _Object, era: int) -> Row:
+    name, revision = stored.metadata.name, with_era(era, stored.metadata.revision)
     try:
-        return Row(
-            name, stored.metadata.revision, _decode_value(kind, name, stored.spec)
-        )
+        return Row(name, revision, _decode_value(kind, name, stored.spec))
     except ValueError as exc:
-        return Row(name, stored.metadata.revision, None, str(exc))
+        return Row(name, revision, None, str(exc))
 
 
 class StoreClient:
@@ -132,6 +134,7 @@
     async def _call(
         self, method: str, path: str, timeout_s: float, body: object = None
     ) -> bytes:
+        """Return the body of an answer, which is of the era `self.era`."""
         data = None if body is None else msgspec.json.encode(body)
         headers = {} if data is None else {"Content-Type": "application/json"}
         try:
@@ -142,7 +145,10 @@
                     content = await resp.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise StoreFailed(f"{method} {path}: {exc!r}") from exc
-        self.era = max(self.era, _decode_era(resp.headers))
+        era = _decode_era(resp.headers)
+        if era < self.era and resp.status < MIN_ERROR_STATUS:
+            raise StoreFailed(f"{method} {path}: got an answer of the era {era}")
+        self.era = max(self.era, era)
         match resp.status:
             case 200 | 201:
                 return content
@@ -156,13 +162,21 @@
                 )
         raise StoreFailed(f"{method} {path}: got status {resp.status}")
 
+    def _check_era(self, revision: int, error: type[StoreFailed]) -> None:
+        """Raise an error if a revision is not of the store's era."""
+        if era_of(revision) != self.era:
+            raise error(f"got the era {self.era}, expected that of revision {revision}")
+
     async def read(self, kind: Kind) -> Listing:
         """Return all objects of a kind."""
         rows: list[Row] = []
-        after = ""
+        after, era = "", None
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
             content = await self._call("GET", _PATHS[kind] + query, CALL_TIMEOUT_S)
+            if era not in (None, self.era):
+                raise StoreFailed("got a list with pages of two eras")
+            era = self.era
             try:
                 page = _ITEMS.decode(content)
             except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
@@ -174,17 +188,20 @@
                     continue
                 after = stored.metadata.name
                 if kind is not Kind.DEPLOYMENT or after == _CONFIG_NAME:
-                    rows.append(_decode_row(kind, stored))
+                    rows.append(_decode_row(kind, stored, era))
             if not page.hasMore or not page.items:
-                return Listing(page.storeRevision, tuple(rows))
+                return Listing(with_era(era, page.storeRevision), tuple(rows))
 
     async def changes(self, kind: Kind, revision: int, wait_s: float) -> Changes:
         """Return the changes of a kind since a revision; wait until there are some.
 
         Return no changes after `wait_s` seconds.
         """
-        path = f"{_PATHS[kind]}?watch={revision}&waitMs={int(wait_s * 1000)}"
+        since, wait_ms = number_of(revision), int(wait_s * 1000)
+        path = f"{_PATHS[kind]}?watch={since}&waitMs={wait_ms}"
+        self._check_era(revision, HistoryGone)
         content = await self._call("GET", path, wait_s + WATCH_TIMEOUT_MARGIN_S)
+        self._check_era(revision, HistoryGone)
         try:
             page = _EVENTS.decode(content)
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
@@ -195,9 +212,9 @@
             name = event.object.metadata.name
             if kind is Kind.DEPLOYMENT and name != _CONFIG_NAME:
                 continue
-            row = _decode_row(kind, event.object)
+            row = _decode_row(kind, event.object, self.era)
             changes.append(Change(row, event.tombstone))
-        return Changes(page.storeRevision, tuple(changes))
+        return Changes(with_era(self.era, page.storeRevision), tuple(changes))
 
     async def publish(self, entry: HostEntry, revision: int | None) -> int:
         """Create or replace this host's entry; return the new revision."""
@@ -219,15 +236,18 @@
         if revision is None:
             content = await self._call("POST", path, CALL_TIMEOUT_S, body)
         else:
-            metadata["revision"] = revision
+            self._check_era(revision, Conflict)
+            metadata["revision"] = number_of(revision)
             path = f"{path}/{quote(name, safe='')}"
             content = await self._call("PUT", path, CALL_TIMEOUT_S, body)
         try:
-            return _OBJECT.decode(content).metadata.revision
+            return with_era(self.era, _OBJECT.decode(content).metadata.revision)
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
             raise StoreFailed(f"got an unusable object: {exc}") from exc
 
     async def remove_host(self, name: str, revision: int) -> None:
         """Remove a host's entry unless it has changed since a revision."""
-        path = f"{_PATHS[Kind.HOSTS]}/{quote(name, safe='')}?revision={revision}"
+        self._check_era(revision, Conflict)
+        name, number = quote(name, safe=""), number_of(revision)
+        path = f"{_PATHS[Kind.HOSTS]}/{name}?revision={number}"
         await self._call("DELETE", path, CALL_TIMEOUT_S)
--- a/turmericflow/relay/__init__.py
+++ b/turmericflow/relay/__init__.py
@@ -30,6 +30,7 @@
     LimitNamed,
     LimitNotice,
 )
+from turmericflow.relay._revisions import era_of, number_of, with_era
 from turmericflow.relay._settings import HostSettings, SettingsInvalid
 from turmericflow.relay._store import (
     Change,
@@ -77,6 +78,9 @@
     "Listing",
     "Row",
     "StoreFailed",
+    "era_of",
+    "number_of",
+    "with_era",
     # The daemon
     "Daemon",
     "Listener",
--- a/turmericflow/relay/_adoption.py
+++ b/turmericflow/relay/_adoption.py
@@ -81,15 +81,15 @@
     )
 
 
-def _add(tables: Tables, entry: TargetEntry) -> None:
-    discovery.put(tables.targets, entry)
+def _add(tables: Tables, entry: TargetEntry, now: float) -> None:
+    discovery.put(tables.targets, entry, now)
     tables.targets.lapsed[entry.key] = math.inf
     tables.targets.adopted[entry.key] = entry
 
 
 def adopt(tables: Tables, entry: TargetEntry, now: float) -> None:
     """Add an engine that this host found without reading its store entry."""
-    _add(tables, entry)
+    _add(tables, entry, now)
     tables.targets.own_adoptions.append((now, entry))
 
 
@@ -100,7 +100,7 @@
     """
     for entry in entries:
         if entry.key not in tables.targets.rows and store_unreachable(tables, now):
-            _add(tables, entry)
+            _add(tables, entry, now)
 
 
 def start_expiry(tables: Tables, until: float) -> None:
--- a/turmericflow/relay/_discovery.py
+++ b/turmericflow/relay/_discovery.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import math
+
 from turmericflow.relay._model import TargetEntry
+from turmericflow.relay._revisions import era_of
 from turmericflow.relay._target_tables import Target, TargetsChange, TargetTable
 
 LAPSED_GRACE_S = 2.5  # targets re-register about 2 s after the end of an outage
-FORGET_AFTER_S = 60.0  # departures of targets without an entry
+FORGET_AFTER_S = 60.0  # departures and removals of targets without an entry
+# Until the store has removed the entries of a copy whose targets have ended.
+OUTDATED_ENTRIES_S = 10.0
 
 
 def _rebuild_service_index(table: TargetTable) -> None:
@@ -28,22 +33,87 @@
     return True
 
 
-def _put(table: TargetTable, entry: TargetEntry) -> None:
+def begin_era(table: TargetTable, revision: int, now: float) -> bool:
+    """Notice that the store came back from an older copy; return whether it did.
+
+    Targets whose entries the copy lacks stay in use until they write them again.
+    """
+    if not 0 <= era_of(table.revision) < era_of(revision):
+        return False
+    table.restored_at = now
+    table.outage_grace_until = max(table.outage_grace_until, now + LAPSED_GRACE_S)
+    return True
+
+
+def _find_later(table: TargetTable, entry: TargetEntry) -> Target | None:
+    """Return the row of a later process of an entry's target, or None."""
+    for row in table.rows.values():
+        if row.entry.id == entry.id and row.entry.born_ms > entry.born_ms:
+            return row
+    return None
+
+
+def _was_removed(table: TargetTable, entry: TargetEntry) -> bool:
+    """Return whether an entry was removed before the restore, or a later one ever."""
+    born_ms, at = table.removed.get(entry.id, (-1, table.restored_at))
+    before = at < table.restored_at
+    return born_ms > entry.born_ms or (born_ms == entry.born_ms and before)
+
+
+def _record_removed(table: TargetTable, entry: TargetEntry, now: float) -> None:
+    born_ms, _ = table.removed.get(entry.id, (-1, now))
+    table.removed[entry.id] = max(born_ms, entry.born_ms), now
+
+
+def _put(
+    table: TargetTable, entry: TargetEntry, now: float, written: bool = False
+) -> None:
+    """Insert or update one entry.
+
+    Parameters
+    ----------
+    table
+        The table.
+    entry
+        The entry.
+    now
+        Time in seconds.
+    written
+        Whether the target is known to have just written it. Else, after a restore, it
+        may be one that only an older copy of the store holds.
+    """
+    in_copy = not written and now < table.restored_at + OUTDATED_ENTRIES_S
+    later = _find_later(table, entry) if in_copy else None
+    if later is not None:
+        # The store does not list what is kept.
+        expires_at = table.restored_at + OUTDATED_ENTRIES_S
+        table.lapsed.setdefault(later.entry.key, expires_at)
+        return
+    unconfirmed = in_copy and _was_removed(table, entry)
     table.lapsed.pop(entry.key, None)
+    if not unconfirmed:
+        table.removed.pop(entry.id, None)
+    if entry.leaving:
+        table.leaving.setdefault(entry.key, now)
     existing = table.rows.get(entry.key)
     if existing is not None:
         existing.entry = entry
         existing.leaving |= entry.leaving
+        existing.unconfirmed &= not written
         return
     for key, target in list(table.rows.items()):
         earlier = target.entry
         if earlier.id == entry.id or earlier.address == entry.address:
             del table.rows[key]
+            _record_removed(table, earlier, now)
     target = table.rows[entry.key] = Target(entry)
     target.leaving |= entry.key in table.leaving
+    target.unconfirmed = unconfirmed
 
 
-def replace(table: TargetTable, entries: list[TargetEntry], revision: int) -> bool:
+def replace(
+    table: TargetTable, entries: list[TargetEntry], revision: int, now: float
+) -> bool:
     """Replace the table by all entries as of the revision of their last change.
 
     Returns
@@ -53,12 +123,15 @@
     """
     if revision <= table.revision:
         return False
+    begin_era(table, revision, now)
     table.revision = table.changed_revision = revision
     keys = {entry.key for entry in entries}
-    for key in [key for key in table.rows if key not in keys]:
-        del table.rows[key]
+    missing = [row.entry.id for key, row in table.rows.items() if key not in keys]
+    in_grace_period = now < table.outage_grace_until
+    keep_until = table.outage_grace_until if in_grace_period else None
+    _remove(table, missing, keep_until, now)
     for entry in entries:
-        _put(table, entry)
+        _put(table, entry, now)
     _rebuild_service_index(table)
     return True
 
@@ -71,32 +144,51 @@
 ) -> TargetsChange:
     """Return the change that brings a table to the entries at a revision."""
     old = {row.entry.id: row.entry for row in table.rows.values()}
-    written = [entry for entry in entries if old.pop(entry.id, None) != entry]
+    written = [
+        entry
+        for entry in entries
+        if old.pop(entry.id, None) != entry or entry.key in table.lapsed
+    ]
     removed = [id for id in old if id not in unreadable]
     unreadable = [id for id in unreadable if id in old]
     since = table.changed_revision
     return TargetsChange(since, revision, False, written, removed, unreadable)
 
 
+def listed_entries(table: TargetTable) -> list[TargetEntry]:
+    """Return the entries in the store, and those of adopted targets.
+
+    Targets that are kept for a while after their entry was removed are left out.
+    """
+    return [
+        row.entry
+        for key, row in table.rows.items()
+        if table.lapsed.get(key, math.inf) == math.inf
+    ]
+
+
 def confirm(table: TargetTable, since: int, revision: int, now: float) -> None:
     """Record that no target changed in the store between two revisions, until now."""
-    if since <= table.revision:
+    if since <= table.revision and era_of(since) == era_of(table.revision):
         table.revision = max(table.revision, revision)
         table.verified_at = max(table.verified_at, now)
 
 
-def put(table: TargetTable, entry: TargetEntry) -> None:
+def put(table: TargetTable, entry: TargetEntry, now: float) -> None:
     """Insert or update one entry."""
-    _put(table, entry)
+    _put(table, entry, now)
     _rebuild_service_index(table)
 
 
-def _remove(table: TargetTable, ids: list[str], keep_until: float | None) -> None:
+def _remove(
+    table: TargetTable, ids: list[str], keep_until: float | None, now: float
+) -> None:
     for key, target in list(table.rows.items()):
         if target.entry.id not in ids:
             continue
         if keep_until is None:
             del table.rows[key]
+            _record_removed(table, target.entry, now)
         else:
             table.lapsed.setdefault(key, keep_until)
 
@@ -111,15 +203,16 @@
         return False
     if change.since < table.changed_revision and not change.complete:
         return False
+    restored = begin_era(table, change.revision, now)
     in_grace_period = now < table.outage_grace_until
-    _remove(
-        table, change.removed, table.outage_grace_until if in_grace_period else None
-    )
-    _remove(table, change.unreadable, None)
+    keep_until = table.outage_grace_until if in_grace_period else None
+    _remove(table, change.removed, keep_until, now)
+    _remove(table, change.unreadable, None, now)
     for entry in change.written:
-        _put(table, entry)
+        _put(table, entry, now, change.complete)
     table.revision = change.revision
-    if not change.empty:
+    # Others must not take the targets of two eras for the same.
+    if not change.empty or restored:
         table.changed_revision = change.revision
         _rebuild_service_index(table)
     return True
@@ -135,10 +228,18 @@
             table.leaving[key] = now
         elif now - at > FORGET_AFTER_S:
             del table.leaving[key]
+    if now >= table.restored_at + OUTDATED_ENTRIES_S:
+        for row in table.rows.values():
+            row.unconfirmed = False
+    for id, (_, at) in list(table.removed.items()):
+        if now - at > FORGET_AFTER_S:
+            del table.removed[id]
     expired = [key for key, until in table.lapsed.items() if now >= until]
     for key in expired:
         del table.lapsed[key]
-        table.rows.pop(key, None)
+        target = table.rows.pop(key, None)
+        if target is not None:
+            _record_removed(table, target.entry, now)
     if expired:
         _rebuild_service_index(table)
     return expired
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -72,6 +72,8 @@
         Versions to which the host recently sent streams.
     leaving
         Targets that recently said in an answer to the host that they leave.
+    deployment_version
+        Version of the deployment that the host has in force, or -1.
     """
 
     entry: HostEntry
@@ -95,6 +97,7 @@
     limits: list[LimitNews] = []
     stream_versions: VersionNews = {}
     leaving: list[str] = []
+    deployment_version: int = -1
 
 
 class Host:
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -63,6 +63,7 @@
     deployment_revision: int
     targets_revision: int
     gossip: bool = False  # whether a `GossipSnapshot` is wanted as well
+    deployment_version: int = -1
 
 
 class GossipSnapshot(msgspec.Struct, array_like=True, tag="gossip"):
@@ -239,7 +240,8 @@
                 self._on_deployment(link, msg)
             case TargetsSnapshot():
                 tables = self._ctx.tables
-                if discovery.replace(tables.targets, msg.entries, msg.revision):
+                now = self._ctx.clock.now()
+                if discovery.replace(tables.targets, msg.entries, msg.revision, now):
                     log.info("targets_learned", revision=msg.revision, source=link.name)
             case SnapshotRequest():
                 self._send_snapshots(link, msg)
@@ -265,7 +267,7 @@
             (link if kept is other else other).cut()
             link = kept
         if link.name not in self._by_name and self._may_lack_gossip(name):
-            link.send(SnapshotRequest(NO_SNAPSHOT, NO_SNAPSHOT, gossip=True))
+            link.send(SnapshotRequest(NO_SNAPSHOT, NO_SNAPSHOT, True, NO_SNAPSHOT))
         self._by_name[name] = link
         self._rebuild_rings()
         now = self._ctx.clock.now()
@@ -331,10 +333,10 @@
             if limits or versions or leaving:
                 link.send(GossipSnapshot(limits, versions, leaving))
         deployment, targets = tables.deployment, tables.targets
-        if req.deployment_revision < deployment.revision:
+        if req.deployment_version < deployment.version:
             link.send(DeploymentSnapshot(deployment.revision, deployment.value))
         if req.targets_revision < targets.changed_revision:
-            entries = [row.entry for row in targets.rows.values()]
+            entries = discovery.listed_entries(targets)
             link.send(TargetsSnapshot(targets.changed_revision, entries))
 
     def _request_snapshots(self) -> None:
@@ -368,8 +370,13 @@
         return 0.0 if tables.hosts.unanswered_kinds else WATCH_DELAY_S + batch_s
 
     def _request_snapshot(self, kind: Kind, peer: str, own: dict[Kind, int]) -> None:
+        deployment = self._ctx.tables.deployment
         self._by_name[peer].send(
-            SnapshotRequest(own[Kind.DEPLOYMENT], own[Kind.TARGETS])
+            SnapshotRequest(
+                deployment.revision,
+                own[Kind.TARGETS],
+                deployment_version=deployment.version,
+            )
         )
         log.info(
             "snapshot_requested",
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -65,6 +65,7 @@
         limits=tables.rate_limits.news(max_age_s, now),
         stream_versions=tables.stream_versions.news(max_age_s, now),
         leaving=_recent(tables.targets.own_leaving, max_age_s, now),
+        deployment_version=tables.deployment.version,
     )
 
 
@@ -267,24 +268,24 @@
 
 
 def own_revisions(tables: Tables) -> dict[Kind, int]:
-    """Return the store revisions as of which this host's tables are known."""
+    """Return the version of this host's deployment, and the revision of its targets."""
     return {
-        Kind.DEPLOYMENT: tables.deployment.revision,
+        Kind.DEPLOYMENT: tables.deployment.version,
         Kind.TARGETS: tables.targets.revision,
     }
 
 
 def announced_revision(status: HostStatus, kind: Kind) -> int:
-    """Return the revision of the last change of a kind that a host has."""
+    """Return the version of a host's deployment, or its last change of the targets."""
     if kind is Kind.DEPLOYMENT:
-        return status.deployment_revision
+        return status.deployment_version
     return status.targets_revision
 
 
 def is_ahead(tables: Tables, status: HostStatus) -> bool:
     """Return whether a host has a newer deployment or newer targets than this one."""
     return (
-        status.deployment_revision > tables.deployment.revision
+        status.deployment_version > tables.deployment.version
         or status.targets_revision > tables.targets.revision
     )
 
--- a/turmericflow/relay/_model.py
+++ b/turmericflow/relay/_model.py
@@ -171,10 +171,14 @@
         Versions that each service has, or had not long ago.
     streams
         Concatenated digests of the ids of requests that began streams, by version.
+    era
+        Last era of the store in which the records were complete: a store that comes
+        back from an older copy, with a later era, may lack some. None if not known.
     """
 
     services: dict[str, list[str]] = {}
     streams: dict[str, bytes] = {}
+    era: int | None = None
 
 
 class EngineReport(msgspec.Struct, frozen=True):
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -67,7 +67,7 @@
 
 def usable(target: Target) -> bool:
     """Return whether a target accepts new work."""
-    return not target.leaving and not target.gone
+    return not (target.leaving or target.gone or target.unconfirmed)
 
 
 def recent_losses(
--- a/turmericflow/relay/_routing.py
+++ b/turmericflow/relay/_routing.py
@@ -21,11 +21,13 @@
 
 
 def apply_deployment(table: DeploymentTable, value: Deployment, revision: int) -> bool:
-    """Apply a deployment if it is newer than the current one; return whether it is."""
-    if revision <= table.revision:
-        return False
+    """Apply a deployment if it is newer than the current one; return whether it is.
+
+    Its own version decides: a store that comes back from an older copy may hold an
+    earlier one at a later revision.
+    """
     current = table.value
-    table.revision = revision
+    table.revision = max(table.revision, revision)
     if current is not None and value.version <= current.version:
         return False
     routes_by_host: dict[str, list[Route]] = {}
--- a/turmericflow/relay/_store.py
+++ b/turmericflow/relay/_store.py
@@ -67,6 +67,9 @@
 class ObjectStore(Protocol):
     """An object store; all methods raise `StoreFailed` on failure.
 
+    Revisions contain the era of the store (see `_revisions`). A write at a revision of
+    an earlier era raises `Conflict`, and changes since one raise `HistoryGone`.
+
     Attributes
     ----------
     era
--- a/turmericflow/relay/_store_watch.py
+++ b/turmericflow/relay/_store_watch.py
@@ -16,6 +16,7 @@
 )
 from turmericflow.relay._context import HostContext
 from turmericflow.relay._model import TargetEntry
+from turmericflow.relay._revisions import era_of
 from turmericflow.relay._store import (
     Change,
     Changes,
@@ -85,6 +86,7 @@
             await self.sleep(RESYNC_S)
             # Not left to the watch, which may hang or wait long for a change.
             retry = failed and self._unreachable_since is not None
+            retry |= self._is_era_announced()
             if retry or membership.is_resyncer(self._ctx.tables, self._ctx.clock.now()):
                 failed = not await self._resync()
 
@@ -144,6 +146,14 @@
             adoption.start_expiry(self._ctx.tables, now + discovery.LAPSED_GRACE_S)
         log.info("store_regained", kind=self._kind, away_s=round(outage_s, 3))
 
+    def _is_era_announced(self) -> bool:
+        """Return whether a peer has read the store in a later era than this host."""
+        tables, now = self._ctx.tables, self._ctx.clock.now()
+        revisions = [
+            row.status.targets_revision for row in membership.live_peers(tables, now)
+        ]
+        return era_of(max(revisions, default=-1)) > self._ctx.store.era
+
     def _note_era(self) -> None:
         """Log and export that the store came back from an older copy."""
         era, earlier = self._ctx.store.era, self._era
@@ -171,11 +181,15 @@
                     self._ctx.announce()
             case Kind.TARGETS:
                 unreadable = [row.name for row in listing.rows if row.value is None]
+                now = self._ctx.clock.now()
+                restored = discovery.begin_era(targets, listing.revision, now)
                 entries = [row.value for row in rows]
                 self._apply_and_announce(
-                    discovery.difference(targets, entries, unreadable, listing.revision)
+                    discovery.difference(
+                        targets, entries, unreadable, listing.revision
+                    ),
+                    restored,
                 )
-                now = self._ctx.clock.now()
                 discovery.confirm(targets, listing.revision, listing.revision, now)
             case Kind.HOSTS:
                 for row in rows:
@@ -225,15 +239,20 @@
             )
         discovery.confirm(targets, since, changes.revision, self._ctx.clock.now())
 
-    def _apply_and_announce(self, change: TargetsChange) -> None:
+    def _apply_and_announce(
+        self, change: TargetsChange, restored: bool = False
+    ) -> None:
         """Apply a change to the targets; announce it if this host resyncs for others.
 
-        Empty changes and the first listing are not announced.
+        Empty changes and the first listing are not announced, except for an empty one
+        after the store was restored from an older copy.
         """
         tables, now = self._ctx.tables, self._ctx.clock.now()
         if not discovery.apply(tables.targets, change, now):
             return
-        if change.empty or change.since < 0 or not membership.is_resyncer(tables, now):
+        if change.since < 0 or not membership.is_resyncer(tables, now):
+            return
+        if change.empty and not restored:
             return
         tables.targets.recent_changes.append((now, change))
         self._ctx.announce()
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -30,6 +30,11 @@
         self.customers_by_key: dict[str, Customer] = {}
         self.services: dict[str, Service] = {}
 
+    @property
+    def version(self) -> int:
+        """Version of the deployment in force, or -1 without one."""
+        return self.value.version if self.value is not None else -1
+
 
 class AbortReason(enum.StrEnum):
     """Why this host cancels an attempt."""
--- a/turmericflow/relay/_target_tables.py
+++ b/turmericflow/relay/_target_tables.py
@@ -43,6 +43,10 @@
     leaving
         Whether it is draining, by its entry or by what it said in an answer; this
         lasts as long as its process.
+    unconfirmed
+        Whether its entry was removed, and is listed again by a store that came back
+        from an older copy; it gets no work until the entry is written again, or the
+        store has had time to remove it.
     gone, gone_at
         Whether another target has its address, and when this host itself found out;
         other hosts' findings do not set the time, as they are not gossiped again.
@@ -63,6 +67,7 @@
         "failures",
         "silent",
         "leaving",
+        "unconfirmed",
         "gone",
         "gone_at",
         "lost_at",
@@ -78,6 +83,7 @@
         self.failures = 0
         self.silent = False
         self.leaving = entry.leaving
+        self.unconfirmed = False
         self.gone = False
         self.gone_at = float("-inf")
         self.lost_at = float("-inf")
@@ -174,6 +180,11 @@
     own_leaving
         Keys of targets that said in an answer to this host that they leave, with the
         time, to be gossiped.
+    removed
+        Start of the last process whose entry was removed, in Unix milliseconds, and
+        the time of the removal, by target id.
+    restored_at
+        Time at which the store last came back from an older copy.
     prefill_rates
         EWMA of the prompt tokens that an engine prefills per second, by service.
     """
@@ -192,6 +203,8 @@
         "own_adoptions",
         "leaving",
         "own_leaving",
+        "removed",
+        "restored_at",
         "prefill_rates",
     )
 
@@ -209,4 +222,6 @@
         self.own_adoptions: list[tuple[float, TargetEntry]] = []
         self.leaving: dict[str, float] = {}
         self.own_leaving: list[tuple[float, str]] = []
+        self.removed: dict[str, tuple[int, float]] = {}
+        self.restored_at = float("-inf")
         self.prefill_rates: dict[str, float] = {}
--- a/turmericflow/relay/_version_records.py
+++ b/turmericflow/relay/_version_records.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 import structlog
 from mode import Service
@@ -18,6 +19,7 @@
 from turmericflow.relay._host_tables import HostState
 from turmericflow.relay._intervals import RECORD_INTERVAL_S
 from turmericflow.relay._model import VersionRecord, WorkKind
+from turmericflow.relay._revisions import era_of
 from turmericflow.relay._store import Kind, StoreFailed
 from turmericflow.relay._stream_versions import GENERATION_S, pack, unpack
 from turmericflow.relay._tables import Tables
@@ -74,6 +76,8 @@
         if row.value is None:
             log.warning("record_unreadable", name=row.name, reason=row.problem)
             complete = False
+        elif row.name == SERVICES:
+            complete &= row.value.era in (None, era_of(row.revision))
         found[row.name] = (row.revision, row.value or VersionRecord())
     records = [record for _, record in found.values()]
     ctx.tables.stream_versions.apply_records(records, complete, ctx.clock.now())
@@ -123,6 +127,8 @@
     def _forget(self) -> None:
         """Forget what the store holds, so that it is read before the next write."""
         self._revisions: dict[str, int] | None = None
+        self._era = self._ctx.store.era
+        self._complete_era: int | None = None
         self._services: dict[str, list[str]] = {}
         self._recorded: dict[bytes, str] = {}
         self._segment = ""
@@ -158,22 +164,35 @@
         return now - self._first_since >= TAKE_OVER_S
 
     async def _record(self, services: dict[str, list[str]]) -> None:
+        if self._era != self._ctx.store.era:
+            self._forget()  # the store may have lost what was written
         if self._revisions is None:
             await self._read()
             services = observe_versions(self._ctx.tables, self._ctx.clock.now())
-        if services != self._services:
-            await self._write(SERVICES, VersionRecord(services, {}))
-            self._services = services
-            log.info("versions_recorded", services=services)
+        complete_era = self._find_complete_era(services)
+        restored = bool(services) and complete_era != self._complete_era
+        if restored or services != self._services:
+            await self._write(SERVICES, VersionRecord(services, {}, complete_era))
+            self._services, self._complete_era = services, complete_era
+            log.info("versions_recorded", services=services, era=complete_era)
         if any(len(versions) > 1 for versions in services.values()):
             await self._record_streams()
 
+    def _find_complete_era(self, services: Iterable[str]) -> int | None:
+        """Return the last era of the store in which the records are complete."""
+        versions, now = self._ctx.tables.stream_versions, self._ctx.clock.now()
+        if all(versions.is_complete(service, now) for service in services):
+            return self._era
+        return self._complete_era
+
     async def _read(self) -> None:
         found = await read_versions(self._ctx)
+        self._era = self._ctx.store.era
         self._revisions = {name: revision for name, (revision, _) in found.items()}
         for name, (_, record) in found.items():
             if name == SERVICES:
                 self._services = record.services
+                self._complete_era = record.era
             else:
                 self._recorded |= unpack(record.streams)
 
--- a/turmericflow/tests/test_relay_broadcast.py
+++ b/turmericflow/tests/test_relay_broadcast.py
@@ -169,7 +169,7 @@
     reader, other, halfway = (Tables(host(name)) for name in "abc")
     before = [entry(number) for number in range(90)]
     for table in (reader, other, halfway):
-        discovery.replace(table.targets, before, 10)
+        discovery.replace(table.targets, before, 10, now=0.0)
     removed = [f"e{number}" for number in range(30)]
     change = TargetsChange(10, 40, True, [entry(90)], removed, [])
     discovery.apply(halfway.targets, TargetsChange(10, 12, True, [], ["e0"], []), 1.0)
@@ -181,8 +181,8 @@
 
 def test_a_difference_applies_only_to_the_revision_it_starts_from():
     table, halfway = Tables(host("a")).targets, Tables(host("b")).targets
-    discovery.replace(table, [entry(0), entry(1)], 10)
-    discovery.replace(halfway, [entry(0), entry(1), entry(2)], 11)
+    discovery.replace(table, [entry(0), entry(1)], 10, now=0.0)
+    discovery.replace(halfway, [entry(0), entry(1), entry(2)], 11, now=0.0)
     change = discovery.difference(table, [entry(1), entry(3)], [], 12)
     assert ([each.id for each in change.written], change.removed) == (["e3"], ["e0"])
     assert discovery.apply(table, change, 1.0)
--- a/turmericflow/tests/test_relay_lost_hosts.py
+++ b/turmericflow/tests/test_relay_lost_hosts.py
@@ -267,6 +267,7 @@
     await remove_version(fleet, left)
     await kill_hosts(fleet)
     fleet.store.objects[RECORDS] = older
+    fleet.store.era += 1
     await start_hosts(fleet)
     await take_up(streams)
     await fleet.stop()
--- a/turmericflow/tests/test_relay_placement_load.py
+++ b/turmericflow/tests/test_relay_placement_load.py
@@ -40,7 +40,7 @@
         self.names = [f"e{number}" for number in range(engines)]
         self.views = [TargetTable() for _ in range(hosts)]
         for view in self.views:
-            discovery.replace(view, [self._entry(n, 0) for n in self.names], 1)
+            discovery.replace(view, [self._entry(n, 0) for n in self.names], 1, now=0.0)
         self.incarnations = dict.fromkeys(self.names, 0)
         self.free_at = dict.fromkeys(self.names, 0.0)
         self.running: dict[str, set[int]] = {name: set() for name in self.names}
@@ -142,7 +142,7 @@
 
     def restart(self, now: float, name: str) -> None:
         for view in self.views:
-            discovery.put(view, self._entry(name, self.incarnations[name]))
+            discovery.put(view, self._entry(name, self.incarnations[name]), now=0.0)
 
 
 @pytest.mark.parametrize(
@@ -165,7 +165,7 @@
     entries = [
         TargetEntry(f"e{n}", 0, "engine", f"e{n}:1", "dc", 24) for n in range(30)
     ]
-    discovery.replace(table, entries, 1)
+    discovery.replace(table, entries, 1, now=0.0)
     rows = list(table.rows.values())
     for number, row in enumerate(rows[:5]):
         assert not placement.data_centre_lost(table, "dc", "engine", 1.0)
--- a/turmericflow/tests/test_relay_rate_limits_model.py
+++ b/turmericflow/tests/test_relay_rate_limits_model.py
@@ -40,7 +40,7 @@
     found = known_hosts(HOSTS)
     for tables in found.values():
         entries = [engine(f"e{n}", f"dc-{n}") for n in range(3)]
-        discovery.replace(tables.targets, entries, 1)
+        discovery.replace(tables.targets, entries, 1, now=0.0)
     gossip(found, 0.0)
     return found
 
--- a/turmericflow/tests/test_relay_store_watch.py
+++ b/turmericflow/tests/test_relay_store_watch.py
@@ -27,7 +27,7 @@
     entry = TargetEntry("left", 0, "plain", "127.0.0.1:1", "dc-0", 6)
     watch = StoreWatch(ctx, Kind.TARGETS)
     watch._mark_unreachable(StoreFailed("connection refused"))
-    discovery.replace(table, [], table.revision + 10)
+    discovery.replace(table, [], table.revision + 10, now=0.0)
     table_revision = table.revision
     watch._mark_reachable()
     put = Change(Row("left", table_revision - 2, entry), False)
--- a/turmericflow/tests/test_relay_stream_versions.py
+++ b/turmericflow/tests/test_relay_stream_versions.py
@@ -334,7 +334,7 @@
 def mixed_tables() -> Tables:
     found = Tables(host("own"))
     entries = [entry(f"e{n}", OLD if n < 3 else NEW, f"dc-{n % 3}") for n in range(4)]
-    discovery.replace(found.targets, entries, 1)
+    discovery.replace(found.targets, entries, 1, now=0.0)
     return found
 
 
@@ -405,7 +405,7 @@
         for seed in range(20)
     ]
     assert set(at) == {OLD}
-    discovery.put(mixed_tables.targets, entry("e4", NEW, "dc-1"))
+    discovery.put(mixed_tables.targets, entry("e4", NEW, "dc-1"), now=0.0)
     rows = mixed_tables.targets.rows.values()
     for row in rows:
         row.own_load.runs = 1 if row.entry.version == OLD else 0
@@ -417,7 +417,7 @@
 
 def test_with_one_version_no_target_is_avoided():
     tables = Tables(host("own"))
-    discovery.replace(tables.targets, [engine_entry("e0")], 1)
+    discovery.replace(tables.targets, [engine_entry("e0")], 1, now=0.0)
     assert placement.choose(tables.targets, demand(capacity=1), 0.0, Random(1))
 
 
@@ -427,7 +427,7 @@
     spec = EngineSpec(slots=64, memory_tokens=88_000, keeps_copies=True)
     tables.deployment.services["model"] = Service("model", "/healthz", 100, spec)
     entries = [entry(f"e{n}", NEW, f"dc-{n}") for n in range(3)]
-    discovery.replace(tables.targets, entries, 2)
+    discovery.replace(tables.targets, entries, 2, now=0.0)
     run, rows = run_at(tables, "e0"), tables.targets.rows
     run.call.output_tokens = 120
     run.set_backup(rows["e1@0"])
@@ -447,7 +447,7 @@
     spec = EngineSpec(slots=64, memory_tokens=88_000, keeps_copies=True)
     tables.deployment.services["model"] = Service("model", "/healthz", 100, spec)
     entries = [entry(f"e{n}", NEW, f"dc-{min(n, 2)}") for n in range(4)]
-    discovery.replace(tables.targets, entries, 2)
+    discovery.replace(tables.targets, entries, 2, now=0.0)
     run, rows = run_at(tables, "e0"), tables.targets.rows
     run.set_backup(rows["e1@0"])
     placement.record_loss(tables.targets, rows["e2@0"], 1.0)
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -61,7 +61,7 @@
 def tables() -> Tables:
     found = Tables(host("own"))
     entries = [engine(f"e{n}", f"dc-{n % 3}") for n in range(6)]
-    discovery.replace(found.targets, entries, 1)
+    discovery.replace(found.targets, entries, 1, now=0.0)
     return found
 
 
@@ -87,7 +87,7 @@
     for name in ("e0@0", "e3@0"):
         placement.record_loss(tables.targets, rows[name], 10.0)
     entry = engine("e6", "dc-0")
-    discovery.put(tables.targets, entry)
+    discovery.put(tables.targets, entry, now=0.0)
     for _ in range(20):
         found = placement.choose(tables.targets, demand(), 10.1, Random(1))
         assert found.entry.data_centre != "dc-0"
@@ -125,14 +125,14 @@
 
 def test_a_copy_is_found_by_address_after_a_restart(tables: Tables):
     restarted = TargetEntry("again", 5, "model", "e1:1", "dc-1", 64)
-    discovery.put(tables.targets, restarted)
+    discovery.put(tables.targets, restarted, now=0.0)
     found = placement.find_holder(tables.targets, demand(), "e1:1")
     assert found.entry.key == "again@5"
 
 
 def test_a_loss_is_gossiped_once_and_expires(tables: Tables):
     other = Tables(host("other"))
-    discovery.replace(other.targets, [engine("e0")], 1)
+    discovery.replace(other.targets, [engine("e0")], 1, now=0.0)
     target = tables.targets.rows["e0@0"]
     assert placement.record_loss(tables.targets, target, 10.0)
     target.lost_at = 10.0
@@ -148,7 +148,9 @@
 
 def test_load_from_other_hosts_affects_placement(tables: Tables):
     other = Tables(host("other"))
-    discovery.replace(other.targets, [engine(f"e{n}", "dc-0") for n in range(6)], 1)
+    discovery.replace(
+        other.targets, [engine(f"e{n}", "dc-0") for n in range(6)], 1, now=0.0
+    )
     for n in (0, 3):
         other.targets.rows[f"e{n}@0"].own_load = Load(1, 8000, 9000)
     membership.apply_status(tables, membership.own_status(other, 0.0), 0.0)
@@ -181,7 +183,7 @@
 def test_a_replaced_target_is_used_by_no_host(tables: Tables):
     """The store is unreachable, and targets restarted under other ids."""
     other = Tables(host("other"))
-    discovery.replace(other.targets, [engine("e0"), engine("e1")], 1)
+    discovery.replace(other.targets, [engine("e0"), engine("e1")], 1, now=0.0)
     placement.record_gone(tables.targets.rows["e0@0"], 10.0)
     membership.apply_status(other, membership.own_status(tables, 10.1), 10.1)
     for seed in range(10):
@@ -413,7 +415,7 @@
 def test_a_crashed_target_gets_no_work_before_it_restarts(tables: Tables):
     """Engines fail together, and their entries stay for a second or two."""
     other = Tables(host("other"))
-    discovery.replace(other.targets, [engine("e0"), engine("e1")], 1)
+    discovery.replace(other.targets, [engine("e0"), engine("e1")], 1, now=0.0)
     membership.upsert_entry(other.hosts, host("own"), 0.0)
     placement.record_loss(tables.targets, tables.targets.rows["e0@0"], 1.0)
     placement.record_crash(tables.targets.rows["e0@0"], 1.0)
@@ -423,7 +425,9 @@
     for _ in range(20):
         found = placement.choose(other.targets, demand(), 2.5, Random(1))
         assert found.entry.id == "e1"
-    discovery.put(other.targets, TargetEntry("e2", 0, "model", "e0:1", "dc-0", 64))
+    discovery.put(
+        other.targets, TargetEntry("e2", 0, "model", "e0:1", "dc-0", 64), now=0.0
+    )
     found = placement.choose(other.targets, demand(), 2.6, Random(1))
     assert found.entry.id == "e2"
 
@@ -548,7 +552,7 @@
     table.outage_grace_until = 12.5
     discovery.apply(table, TargetsChange(101, 102, True, [], ["e0", "e1"], []), 10.0)
     assert set(tables.targets.rows) == {"e0@0", "e1@0", "e3@0", "e4@0", "e5@0"}
-    discovery.put(tables.targets, engine("e0"))
+    discovery.put(tables.targets, engine("e0"), now=0.0)
     assert discovery.expire(tables.targets, 12.6) == ["e1@0"]
     assert "e0@0" in tables.targets.rows
 
--- a/turmericflow/tests/test_relay_targets_lag.py
+++ b/turmericflow/tests/test_relay_targets_lag.py
@@ -120,7 +120,7 @@
     reader, *others = tables.values()
     entries = [entry(number) for number in range(5)]
     for table in tables.values():
-        discovery.replace(table.targets, entries, 10)
+        discovery.replace(table.targets, entries, 10, now=0.0)
     revision = 10
     while entries:
         for _ in range(rng.randrange(4)):
