--- a/turmericflow/platform/_callers.py
+++ b/turmericflow/platform/_callers.py
@@ -21,6 +21,7 @@
 EXPECTED_VERSION = "X-Turmericflow-Expect-Version"
 TARGET_RATE = "Server-Limit"
 TARGET_LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 STORE_ERA = "Store-Era"
 INSTANCE_ID = "X-Turmericflow-Instance-Id"
 REQUEST_PRIORITY = "X-Turmericflow-Request-Priority"
@@ -139,4 +140,4 @@
     """Return the headers of a refusal, with the delay before a retry if given."""
     if retry_after_s is None:
         return {}
-    return {"Retry-After": f"{retry_after_s:.3f}"}
+    return {RETRY_AFTER: f"{retry_after_s:.3f}"}
--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import msgspec
+import structlog
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -28,6 +29,8 @@
 KV_MOVE_PATH = "/v1/kv-move"
 COPY_TIMEOUT_S = 1.0  # even a large run is copied within milliseconds
 CHECK_TIMEOUT_S = 0.3
+UNAVAILABLE_STATUS = 503
+MAX_CLOSED_S = 600.0
 MAX_LOGGED_HEADER = 100  # characters
 MAX_CONTROL_BYTES = 1_000_000  # body of a report or of the answer to a copy order
 _SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
@@ -44,6 +47,8 @@
 )
 
 
+log = structlog.get_logger()
+
 _JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -116,6 +121,24 @@
     return "1" in (v.strip() for v in headers.getall(header_names.TARGET_LEAVING, ()))
 
 
+def closed_s(resp: aiohttp.ClientResponse) -> float | None:
+    """Return for how long a response says that its target wants no requests.
+
+    Returns
+    -------
+    float or None
+        Seconds; None if the response is no refusal, or names no usable time. A longer
+        time than `MAX_CLOSED_S` counts as that.
+    """
+    text = resp.headers.get(header_names.RETRY_AFTER, "").strip()
+    if resp.status != UNAVAILABLE_STATUS or not text:
+        return None
+    if _DECIMAL.fullmatch(text):
+        return min(float(text), MAX_CLOSED_S)
+    log.warning("target_retry_after_invalid", value=text[:MAX_LOGGED_HEADER])
+    return None
+
+
 async def _read_control(resp: aiohttp.ClientResponse) -> bytes:
     """Return the body of a response; raises `ValueError` if it is too long."""
     body = bytearray()
@@ -139,6 +162,7 @@
         "genuine",
         "limit",
         "leaving",
+        "closed_s",
     )
 
     def __init__(self, call: Call, resp: aiohttp.ClientResponse) -> None:
@@ -152,6 +176,7 @@
         self.not_run = self.misdirected or header_names.NOT_EXECUTED in resp.headers
         self.limit = decode_limit(resp.headers)
         self.leaving = says_leaving(resp.headers)
+        self.closed_s = closed_s(resp)
         echoed = resp.headers.get(header_names.ATTEMPT_ID)
         interim = resp.status < MIN_FINAL_STATUS
         if interim or (echoed is not None and echoed != call.id):
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -31,12 +31,14 @@
     RequestFailed,
     TargetFailed,
     Verdict,
+    not_run,
 )
 
 LOWEST_PRIORITY = 9  # engines accept 0 (first) to 9
 MAX_REFUSALS = 8  # all targets of a data centre may have been replaced
 REFUSED_BACKOFF_S = 0.3  # backoff of a target that refused because it is full
 RETRY_AFTER_S = 0.4  # a target's queue or an engine's slot frees up within this time
+RETURN_SPREAD_S = 0.5  # of callers after the time at which a target opens
 RETRY_AFTER_JITTER = 0.5  # random fraction, to spread callers' retries
 
 # Labels of the metric of losses.
@@ -311,12 +313,33 @@
         if target is None:
             if limited_targets.only_limited_left(self.ctx.tables, demand):
                 raise self.build_limit_refusal()
+            self._check_open(demand)
             raise self.build_failure(
                 f"no target of {self.match.service!r} is left to try"
             )
         self.check_budget()
         return target
 
+    def _check_open(self, demand: placement.Demand) -> None:
+        """Check that not all targets that are left want no requests now.
+
+        Raises
+        ------
+        RequestFailed
+            If they do; it says when the first of them wants some again.
+        """
+        now = self.ctx.clock.now()
+        targets, untried = self.ctx.tables.targets, replace(
+            demand, excluded_targets=frozenset()
+        )
+        opens_in_s = placement.opens_in_s(targets, untried, now)
+        if opens_in_s is None or self.may_have_run:
+            return
+        message = f"all targets of {self.match.service!r} are full"
+        # Callers must not come back all at once.
+        retry_after_s = opens_in_s + self.ctx.rng.random() * RETURN_SPREAD_S
+        raise not_run(ErrorCode.OVERLOADED, message, retry_after_s)
+
     def _rank(self) -> int:
         """Return the rank for the limits of targets; the lowest is served first."""
         resumed = self._sends or self.call.last_event_id is not None
@@ -472,8 +495,21 @@
             return  # another target
         if reply.leaving:
             self._record_leaving(target, reply)
+        if reply.closed_s is not None:
+            self._record_closed(target, reply.closed_s)
         self.record_limit(target, reply, sent_at)
 
+    def _record_closed(self, target: Target, seconds: float) -> None:
+        """Record that a target wants no requests from this host for a time."""
+        target.closed_until = max(target.closed_until, self.ctx.clock.now() + seconds)
+        log.info(
+            "target_closed",
+            target=target.entry.key,
+            address=target.entry.address,
+            closed_s=round(seconds, 3),
+            request=self.call.id,
+        )
+
     def _record_leaving(self, target: Target, reply: Reply) -> None:
         """Record that a target says that it leaves, and announce it to other hosts."""
         targets, now = self.ctx.tables.targets, self.ctx.clock.now()
--- a/turmericflow/relay/_call.py
+++ b/turmericflow/relay/_call.py
@@ -149,6 +149,9 @@
         What the response says of the rate that its target takes from all hosts.
     leaving
         Whether the target says that it leaves.
+    closed_s
+        Time for which the target wants no requests from this host, in seconds, or
+        None.
     """
 
     status: int
@@ -158,6 +161,7 @@
     genuine: bool
     limit: LimitNotice
     leaving: bool
+    closed_s: float | None
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises `TargetFailed` if the connection fails."""
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -203,6 +203,11 @@
     return max(MIN_SAMPLE_TARGETS, SAMPLED_TARGETS_OF_ALL_HOSTS // max(1, hosts))
 
 
+def is_closed(target: Target, now: float) -> bool:
+    """Return whether a target wants no requests from this host now."""
+    return now < target.closed_until
+
+
 def _meets(target: Target, demand: Demand) -> bool:
     entry = target.entry
     return (
@@ -245,7 +250,11 @@
         Number of hosts that choose independently.
     """
     serving = [t for t in table.by_service.get(demand.service, ()) if usable(t)]
-    found = [target for target in serving if _meets(target, demand)]
+    found = [
+        target
+        for target in serving
+        if _meets(target, demand) and not is_closed(target, now)
+    ]
     if not found:
         return None
     single = (
@@ -281,13 +290,24 @@
     return target
 
 
-def find_holder(table: TargetTable, demand: Demand, address: str) -> Target | None:
+def find_holder(
+    table: TargetTable, demand: Demand, address: str, now: float
+) -> Target | None:
     """Return the usable target at an address, whatever its key, or None.
 
     A target of another version than the one that binds the stream is not returned.
     """
     for target in table.by_service.get(demand.service, ()):
         entry = target.entry
-        if entry.address == address and usable(target):
+        if entry.address == address and usable(target) and not is_closed(target, now):
             return target if fits(entry, demand.version) else None
     return None
+
+
+def opens_in_s(table: TargetTable, demand: Demand, now: float) -> float | None:
+    """Return the time until a candidate wants requests again, if none does now.
+
+    Returns None if there is no candidate, or one that is not closed.
+    """
+    found = [target.closed_until - now for target in candidates(table, demand)]
+    return min(found) if found and min(found) > 0 else None
--- a/turmericflow/relay/_silence.py
+++ b/turmericflow/relay/_silence.py
@@ -179,7 +179,7 @@
         Source of randomness for the choice.
     """
     if copy is not None:
-        holder = placement.find_holder(tables.targets, demand, copy.holder)
+        holder = placement.find_holder(tables.targets, demand, copy.holder, now)
         if (
             holder is not None
             and now >= holder.backoff_until
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -148,10 +148,13 @@
                     self._kv_copy = None
                 return destination
         if copy is not None:
+            now = attempts.ctx.clock.now()
             holder = placement.find_holder(
-                attempts.ctx.tables.targets, attempts.placement_demand(), copy.holder
+                attempts.ctx.tables.targets,
+                attempts.placement_demand(),
+                copy.holder,
+                now,
             )
-            now = attempts.ctx.clock.now()
             if holder is not None and now >= holder.backoff_until:
                 if limited_targets.has_token(attempts.ctx.tables, holder, now):
                     attempts.check_budget()
--- a/turmericflow/relay/_target_tables.py
+++ b/turmericflow/relay/_target_tables.py
@@ -36,6 +36,9 @@
         Load from this host, and from the other hosts by host name.
     backoff_until
         Time until which the target is avoided after a failure or refusal.
+    closed_until
+        Time until which it wants no requests from this host. Other hosts are not
+        told, as it does not say that it wants none from them.
     failures
         Number of consecutive failures.
     silent
@@ -64,6 +67,7 @@
         "own_load",
         "other_loads",
         "backoff_until",
+        "closed_until",
         "failures",
         "silent",
         "leaving",
@@ -80,6 +84,7 @@
         self.own_load = Load()
         self.other_loads: dict[str, Load] = {}
         self.backoff_until = 0.0
+        self.closed_until = 0.0
         self.failures = 0
         self.silent = False
         self.leaving = entry.leaving
--- a/turmericflow/tests/test_relay_stream_versions.py
+++ b/turmericflow/tests/test_relay_stream_versions.py
@@ -391,7 +391,8 @@
         )
         assert found.entry.version == NEW
     assert (
-        placement.find_holder(mixed_tables.targets, demand(version=NEW), "e0:1") is None
+        placement.find_holder(mixed_tables.targets, demand(version=NEW), "e0:1", 0.0)
+        is None
     )
     excluded = demand(version=NEW, excluded_targets=frozenset(["e3@0"]))
     assert placement.choose(mixed_tables.targets, excluded, 0.0, Random(1)) is None
--- a/turmericflow/tests/test_relay_systems.py
+++ b/turmericflow/tests/test_relay_systems.py
@@ -126,7 +126,7 @@
 def test_a_copy_is_found_by_address_after_a_restart(tables: Tables):
     restarted = TargetEntry("again", 5, "model", "e1:1", "dc-1", 64)
     discovery.put(tables.targets, restarted, now=0.0)
-    found = placement.find_holder(tables.targets, demand(), "e1:1")
+    found = placement.find_holder(tables.targets, demand(), "e1:1", 0.0)
     assert found.entry.key == "again@5"
 
 
