--- a/turmericflow/relay/_intervals.py
+++ b/turmericflow/relay/_intervals.py
@@ -15,6 +15,7 @@
 MAX_WATCH_BATCH_S = 1.0  # half of the time allowed for applying a deployment
 # Less than half of the time in which all hosts should know of a leaving target.
 MAX_TARGETS_BATCH_S = 0.2
+RESYNC_INTERVAL_S = 1.0  # half of the time in which a deployment must be in force
 PROPAGATION_INTERVALS = 3  # between announcements, until one has reached all hosts
 MIN_LOAD_PROPAGATION_S = 0.1  # a few hops, each with a scheduling delay
 MAX_LOAD_ANNOUNCEMENTS_PER_S = 1000.0  # of all hosts together
@@ -37,6 +38,15 @@
     )
 
 
+def max_unverified_s(tables: Tables) -> float:
+    """Return how old the confirmation of the targets by other hosts may usually get.
+
+    Two hosts read the targets each second, and their heartbeats tell the others. The
+    time is in seconds.
+    """
+    return RESYNC_INTERVAL_S + 2 * heartbeat_interval_s(tables)
+
+
 def load_announcement_interval_s(tables: Tables) -> float:
     """Return the minimum time between two announcements of new work, in seconds."""
     return (1 + len(tables.hosts.rows)) / MAX_LOAD_ANNOUNCEMENTS_PER_S
--- a/turmericflow/relay/_store_watch.py
+++ b/turmericflow/relay/_store_watch.py
@@ -32,7 +32,7 @@
 RECOVERY_WATCH_TIMEOUT_S = 0.1  # short, to notice soon that the store answers again
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0  # the store is called within about a second of its return
-RESYNC_S = 1.0  # half of the time in which a new deployment must be in force
+VERIFY_CHECK_INTERVAL_S = 0.1
 MIN_OUTAGE_S = 0.5  # no entry lapses in a shorter outage
 
 log = structlog.get_logger()
@@ -83,13 +83,27 @@
             return
         failed = False
         while not self.should_stop:
-            await self.sleep(RESYNC_S)
+            await self.sleep(intervals.RESYNC_INTERVAL_S)
             # Not left to the watch, which may hang or wait long for a change.
             retry = failed and self._unreachable_since is not None
             retry |= self._is_era_announced()
             if retry or membership.is_resyncer(self._ctx.tables, self._ctx.clock.now()):
                 failed = not await self._resync()
 
+    @Service.task
+    async def _verify_targets(self) -> None:
+        """Read the targets whenever no other host has confirmed them for too long."""
+        if self._kind is not Kind.TARGETS:
+            return
+        while not self.should_stop:
+            await self.sleep(VERIFY_CHECK_INTERVAL_S)
+            tables = self._ctx.tables
+            age_s = self._ctx.clock.now() - tables.targets.verified_at
+            known = tables.targets.revision >= 0 and self._unreachable_since is None
+            if known and age_s > intervals.max_unverified_s(tables):
+                await self._resync()
+                await self.sleep(intervals.RESYNC_INTERVAL_S)
+
     async def _resync(self) -> bool:
         """Read and apply all objects; return whether the store answered."""
         self._ctx.metrics.store_calls.labels("read").inc()
--- a/turmericflow/tests/test_relay_targets_lag.py
+++ b/turmericflow/tests/test_relay_targets_lag.py
@@ -84,6 +84,31 @@
         storm.cancel()
 
 
+# Guards against a host that waits for others when none of them tells it of targets.
+async def test_a_host_reads_the_targets_when_no_other_host_confirms_them(
+    large_fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+):
+    fleet = large_fleet
+    now = asyncio.get_running_loop().time()
+    lagging = next(
+        host for host in fleet.hosts if not membership.is_watcher(host.tables, now)
+    )
+    apply_status = membership.apply_status
+
+    def apply_without_targets(tables, status, now):
+        if tables is lagging.tables:
+            status.target_changes, status.targets_revision = [], -1
+            status.targets_age_s = float("inf")
+        return apply_status(tables, status, now)
+
+    monkeypatch.setattr(membership, "apply_status", apply_without_targets)
+    await asyncio.sleep(0.5)
+    target = fleet.targets["plain-0"]
+    await _leave(fleet, target, removed=False)
+    await asyncio.sleep(links.MAX_TARGETS_AGE_S)
+    assert lagging.name not in _hosts_using(fleet, target.name)
+
+
 # Guards against a host that is behind and does not ask, as other objects change.
 async def test_a_host_that_missed_a_change_asks_while_deployments_change(
     large_fleet: Fleet,
