--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import itertools
 import json
 import os
@@ -16,11 +17,9 @@
 from multidict import CIMultiDictProxy
 
 from turmericflow.platform import _callers
-from turmericflow.platform._process import (
-    listeners,
-    open_context,
-)
+from turmericflow.platform._process import CONNECT_TIMEOUT_S, listeners, open_context
 from turmericflow.platform._settings import read_settings
+from turmericflow.platform._targets import HttpTargets
 from turmericflow.relay import Daemon, _placement as placement
 from turmericflow.relay._target_tables import Target
 
@@ -780,8 +779,76 @@
     return config | changes
 
 
+class Cut(enum.StrEnum):
+    """How a host's connections to targets fail.
+
+    ``REFUSED`` resets open connections, ``HANGING`` lets them fall silent, and
+    ``NEW_HANGING`` leaves them alone.
+    """
+
+    REFUSED = "refused"
+    HANGING = "hanging"
+    NEW_HANGING = "new hanging"
+
+
+class CutTargets(HttpTargets):
+    """Client of targets whose connections fail while its host is cut off."""
+
+    def __init__(self, session: aiohttp.ClientSession, host: HostStandIn) -> None:
+        super().__init__(session)
+        self._host = host
+        self._connect = session.connector._create_connection
+        session.connector._create_connection = self._create_connection
+        self._open: set[asyncio.Transport] = set()
+
+    async def _create_connection(self, req, traces, timeout):
+        await self._fail_if_cut(f"{req.url.host}:{req.url.port}", req.connection_key)
+        proto = await self._connect(req, traces, timeout)
+        self._host.connections_made += 1
+        self._open.add(proto.transport)
+        return proto
+
+    async def _fail_if_cut(self, address: str, key: object = None) -> None:
+        """Raise the error of a connection that the cut concerns."""
+        cut = self._host.cut_at(address)
+        if cut is None:
+            return
+        if cut is Cut.REFUSED:
+            exc = ConnectionRefusedError(111, "Connect call failed")
+            raise exc if key is None else aiohttp.ClientConnectorError(key, exc)
+        await asyncio.sleep(CONNECT_TIMEOUT_S)
+        if key is None:
+            raise TimeoutError
+        raise aiohttp.ConnectionTimeoutError
+
+    def cut_open_connections(self, cut: Cut) -> None:
+        for transport in self._open:
+            if transport.is_closing():
+                continue
+            ip, port = transport.get_extra_info("peername")
+            if self._host.cut_at(f"{ip}:{port}") is Cut.REFUSED:
+                transport.abort()
+            elif self._host.cut_at(f"{ip}:{port}") is Cut.HANGING:
+                transport.pause_reading()
+
+    async def accepts_connections(self, address: str) -> bool:
+        try:
+            await self._fail_if_cut(address)
+        except ConnectionRefusedError:
+            return False
+        except TimeoutError:
+            return True
+        return await super().accepts_connections(address)
+
+
 class HostStandIn:
-    """A daemon in this process, with a settings file as the platform writes it."""
+    """A daemon in this process, with a settings file as the platform writes it.
+
+    Attributes
+    ----------
+    connections_made
+        Number of connections that the host itself has made to targets.
+    """
 
     def __init__(self, name: str, data_centre: str, store: str, folder) -> None:
         self.name = name
@@ -803,6 +870,9 @@
             "provider": {"address": store},
         }
         self.path.write_text(json.dumps(settings))
+        self.connections_made = 0
+        self._cut: Cut | None = None
+        self._cut_service = ""
         self.daemon: Daemon | None = None
         self._sessions: list[aiohttp.ClientSession] = []
 
@@ -814,6 +884,19 @@
     def tables(self):
         return self.ctx.tables
 
+    def cut_off(self, cut: Cut | None, service: str = "") -> None:
+        """Cut the host off from all targets, or those of a service; None ends it."""
+        self._cut, self._cut_service = cut, service
+        if cut is not None:
+            self.ctx.target_client.cut_open_connections(cut)
+
+    def cut_at(self, address: str) -> Cut | None:
+        """Return how the host is cut off from an address, or None."""
+        rows = self.tables.targets.rows.values()
+        found = {row.entry.service for row in rows if row.entry.address == address}
+        concerned = not self._cut_service or self._cut_service in found
+        return self._cut if concerned else None
+
     def uses(self, target: Target) -> bool:
         """Return whether the host may send new work to a target."""
         return placement.usable(target)
@@ -821,6 +904,7 @@
     async def start(self) -> None:
         settings = read_settings(self.path)
         self.ctx, self._sessions = open_context(settings)
+        self.ctx.target_client = CutTargets(self._sessions[0], self)
         host_listeners = listeners(self.ctx, settings, metrics_port=self.ports[4])
         self.daemon = Daemon(self.ctx, _callers, host_listeners)
         await self.daemon.start()
