--- a/turmericflow/platform/_process.py
+++ b/turmericflow/platform/_process.py
@@ -6,7 +6,6 @@
 import asyncio
 import logging
 import signal
-import socket
 import sys
 import time
 from functools import partial
@@ -20,7 +19,7 @@
 from turmericflow.platform import _callers
 from turmericflow.platform._settings import read_settings, settings_path
 from turmericflow.platform._store import StoreClient
-from turmericflow.platform._targets import HttpTargets
+from turmericflow.platform._targets import HttpTargets, TargetConnector, create_socket
 from turmericflow.relay import (
     Daemon,
     HostContext,
@@ -41,32 +40,20 @@
 CRASH_CHECK_INTERVAL_S = 0.5
 SETTINGS_CHECK_INTERVAL_S = 2.0  # reading the modification time takes microseconds
 ADDRESSES_TTL_S = 1.0  # some callers cache for three times the TTL
-CONNECT_TIMEOUT_S = 0.4  # a running target accepts within milliseconds
-TCP_KEEPALIVE_S = 1  # idle time and probe interval; the system's minimum
-TCP_KEEPALIVE_PROBES = 2  # a single lost packet must not end a connection
-TCP_USER_TIMEOUT_MS = 3000  # idle connections fail after the same time
+CONNECT_TIMEOUT_S = 0.3  # a running target accepts within milliseconds
 METRICS_PORT = 9108  # deploy/system.toml names the same port
 NS_PER_MS = 1_000_000
 
 log = structlog.get_logger()
 
 
-def _create_socket(info) -> socket.socket:
-    """Create a socket that fails within seconds if the peer does not respond."""
-    sock = socket.socket(info[0], info[1], info[2])
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-    return sock
-
-
-def _open_session(force_close: bool) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(
+def _open_session(
+    force_close: bool, connector_class: type[aiohttp.TCPConnector]
+) -> aiohttp.ClientSession:
+    connector = connector_class(
         limit=0,
         force_close=force_close,
-        socket_factory=_create_socket,
+        socket_factory=create_socket,
         use_dns_cache=False,
     )
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
@@ -82,7 +69,7 @@
 
 
 def _open_target_session() -> aiohttp.ClientSession:
-    session = _open_session(force_close=True)
+    session = _open_session(True, TargetConnector)
     # aiohttp has no option for the class of a session's connections.
     session.connector._factory = partial(TargetConnection, asyncio.get_running_loop())
     return session
@@ -141,7 +128,9 @@
         settings.peers,
     )
     tables = Tables(own)
-    target_session, store_session = _open_target_session(), _open_session(False)
+    target_session, store_session = _open_target_session(), _open_session(
+        False, aiohttp.TCPConnector
+    )
     client = StoreClient(store_session, settings.store)
     return HostContext(settings, tables, HttpTargets(target_session), client), [
         target_session,
--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import re
+import socket
 from collections.abc import AsyncIterator
+from contextvars import ContextVar
 
 import aiohttp
 import msgspec
@@ -17,16 +19,22 @@
     Call,
     Dispatch,
     EngineReport,
+    HostEntry,
     KvCopy,
     LimitAbsent,
     LimitInvalid,
     LimitNamed,
     LimitNotice,
+    TunnelFailed,
+    open_tunnel,
 )
 from turmericflow.verdict import TargetFailed, Verdict
 
 REPORT_PATH = "/v1/report"
 KV_MOVE_PATH = "/v1/kv-move"
+TCP_KEEPALIVE_S = 1  # idle time and probe interval; the system's minimum
+TCP_KEEPALIVE_PROBES = 2  # a single lost packet must not end a connection
+TCP_USER_TIMEOUT_MS = 3000  # idle connections fail after the same time
 COPY_TIMEOUT_S = 1.0  # even a large run is copied within milliseconds
 CHECK_TIMEOUT_S = 0.3
 UNAVAILABLE_STATUS = 503
@@ -47,6 +55,9 @@
 )
 
 
+# Address for peers of the host through which a task connects to a target, or None.
+VIA: ContextVar[str | None] = ContextVar("VIA", default=None)
+
 log = structlog.get_logger()
 
 _JSON_HEADERS = {"Content-Type": "application/json"}
@@ -212,6 +223,41 @@
         self._resp.close()
 
 
+def create_socket(info) -> socket.socket:
+    """Create a socket that fails within seconds if the peer does not respond."""
+    sock = socket.socket(info[0], info[1], info[2])
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    return sock
+
+
+async def open_tunnel_socket(host: str, address: str) -> socket.socket:
+    """Return a socket that is connected to a target through another host."""
+    sock = create_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
+    sock.setblocking(False)
+    try:
+        await open_tunnel(sock, host, address)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+class TargetConnector(aiohttp.TCPConnector):
+    """Connects to targets, through another host if `VIA` names one."""
+
+    async def _create_connection(self, req, traces, timeout):
+        host = VIA.get()
+        if host is None:
+            return await super()._create_connection(req, traces, timeout)
+        sock = await open_tunnel_socket(host, f"{req.url.host}:{req.url.port}")
+        _, proto = await self._loop.create_connection(self._factory, sock=sock)
+        return proto
+
+
 class HttpTargets:
     """Sends each request on a new connection.
 
@@ -234,6 +280,7 @@
             If there was no reply; the verdict says whether the request may have run.
         """
         url = URL(f"http://{dispatch.address}{call.path}", encoded=True)
+        VIA.set(dispatch.via and dispatch.via.peers)
         try:
             resp = await self._session.request(
                 call.method,
@@ -243,6 +290,13 @@
                 skip_auto_headers=_SKIPPED_AUTO_HEADERS,
                 allow_redirects=False,
             )
+        except TunnelFailed as exc:
+            raise TargetFailed(
+                Verdict.NOT_RUN,
+                str(exc),
+                lost=exc.at_target,
+                unasked=not exc.at_target,
+            ) from exc
         except aiohttp.ConnectionTimeoutError as exc:
             raise TargetFailed(
                 Verdict.NOT_RUN, repr(exc), lost=True, silent=True
@@ -303,10 +357,8 @@
         An unreachable target counts as running: only a refusal shows that its
         process has ended.
         """
-        ip, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(CHECK_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(ip, int(port))
+            _, writer = await self.open_connection(address)
         except ConnectionRefusedError:
             return False
         except (OSError, TimeoutError):
@@ -314,6 +366,33 @@
         writer.transport.abort()
         return True
 
+    async def open_connection(
+        self, address: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection to a target; raises `OSError` or `TimeoutError`."""
+        ip, _, port = address.rpartition(":")
+        sock = create_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
+        try:
+            sock.setblocking(False)
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                await asyncio.get_running_loop().sock_connect(sock, (ip, int(port)))
+            return await asyncio.open_connection(sock=sock)
+        except BaseException:
+            sock.close()
+            raise
+
+    async def reaches(self, address: str, via: HostEntry | None) -> bool:
+        """Return whether a target accepts a connection, also through another host."""
+        try:
+            if via is None:
+                _, writer = await self.open_connection(address)
+                writer.transport.abort()
+            else:
+                (await open_tunnel_socket(via.peers, address)).close()
+        except (OSError, TimeoutError, TunnelFailed):
+            return False
+        return True
+
     async def probe(self, address: str, timeout_s: float) -> bool:
         """Return whether a target answers within the timeout."""
         try:
--- a/turmericflow/relay/__init__.py
+++ b/turmericflow/relay/__init__.py
@@ -44,6 +44,7 @@
 )
 from turmericflow.relay._tables import Tables
 from turmericflow.relay._target_connections import TargetConnection
+from turmericflow.relay._tunnels import TunnelFailed, open_tunnel
 
 __all__ = (
     # Declarations and entries
@@ -69,6 +70,8 @@
     "LimitNotice",
     "RequestInvalid",
     "TargetConnection",
+    "TunnelFailed",
+    "open_tunnel",
     # The object store
     "Change",
     "Changes",
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -14,12 +14,13 @@
     _intervals as intervals,
     _limited_targets as limited_targets,
     _membership as membership,
+    _paths as paths,
     _placement as placement,
     _silence as silence,
 )
 from turmericflow.relay._call import Call, Dispatch, Reply
 from turmericflow.relay._context import HostContext
-from turmericflow.relay._model import WorkKind
+from turmericflow.relay._model import HostEntry, WorkKind
 from turmericflow.relay._rate_limits import MIN_RETRY_AFTER_S, LimitInvalid
 from turmericflow.relay._routing import RouteMatch
 from turmericflow.relay._stream_versions import version_of
@@ -81,6 +82,18 @@
     )
 
 
+def record_path_failure(ctx: HostContext, target: Target, now: float) -> None:
+    """Record that this host did not reach a target, and announce a lost path."""
+    if paths.record_failure(ctx.tables, target, now):
+        ctx.announce()
+        service = target.entry.service
+        log.warning(
+            "path_lost",
+            service=service,
+            targets=sorted(ctx.tables.paths.failed(service)),
+        )
+
+
 class AttemptOutcome(enum.StrEnum):
     """Outcome of one attempt."""
 
@@ -131,6 +144,8 @@
         "_silent",
         "_ended_for_silence",
         "_fingerprint",
+        "_unreached",
+        "_failed_hosts",
     )
 
     def __init__(self, ctx: HostContext, match: RouteMatch, call: Call) -> None:
@@ -149,6 +164,8 @@
         self._silent: set[str] = set()
         self._ended_for_silence = False
         self._fingerprint = ""
+        self._unreached: set[str] = set()
+        self._failed_hosts: set[str] = set()
 
     @property
     def remaining_s(self) -> float:
@@ -307,6 +324,12 @@
         if not self._sends:
             self._check_rank(demand)
         target = self._place(demand)
+        if target is None and self._unreached and self._choose_host() is not None:
+            # They may be reached through another host.
+            self.tried -= self._unreached
+            self._unreached.clear()
+            demand = self.placement_demand()
+            target = self._place(demand)
         if target is None and self.may_have_run and self._silent:
             excluded = frozenset(self.tried - self._silent)
             target = self._place(replace(demand, excluded_targets=excluded))
@@ -320,6 +343,14 @@
         self.check_budget()
         return target
 
+    def _choose_host(self) -> HostEntry | None:
+        """Return the host to connect through if this host has no path, or None."""
+        ctx, service = self.ctx, self.match.service
+        if service not in ctx.tables.paths.cut_off:
+            return None
+        now = ctx.clock.now()
+        return paths.choose_host(ctx.tables, service, self._failed_hosts, now, ctx.rng)
+
     def _check_open(self, demand: placement.Demand) -> None:
         """Check that not all targets that are left want no requests now.
 
@@ -444,6 +475,7 @@
         self._sends += 1
         dispatch = Dispatch(entry.id, entry.address, max(0.001, self.remaining_s))
         dispatch.customer = self._customer()
+        dispatch.via = self._choose_host()
         service = self.ctx.tables.deployment.services.get(self.match.service)
         if service is not None and service.engine is not None:
             dispatch.priority = self._priority()
@@ -486,11 +518,16 @@
             own.pending_prefill_tokens -= self.call.prompt_tokens
         run.drop_copy()
 
-    def record_head(self, target: Target, reply: Reply, sent_at: float) -> None:
+    def record_head(
+        self, target: Target, reply: Reply, sent_at: float, relayed: bool
+    ) -> None:
         """Record what the head of a reply says of its target.
 
-        The parameters are those of `record_limit`.
+        The parameters are those of `record_limit`, and whether the reply came through
+        another host.
         """
+        if not relayed:
+            self.ctx.tables.paths.record_success(self.match.service, sent_at)
         if reply.misdirected:
             return  # another target
         if reply.leaving:
@@ -604,6 +641,7 @@
         exc: TargetFailed,
         may_be_crash: bool,
         writing: bool = False,
+        via: HostEntry | None = None,
     ) -> AttemptOutcome:
         """Record that the connection to a target failed or its stream stalled.
 
@@ -617,8 +655,15 @@
             Whether the request itself may have crashed the target.
         writing
             Whether the target had begun to write an answer and had sent no event.
+        via
+            The host through which the request was sent, or None.
         """
         now = self.ctx.clock.now()
+        if via is not None and exc.unasked:
+            self._failed_hosts.add(via.name)
+            self._refusals += 1
+            self._log_outcome(target, AttemptOutcome.LOST, str(exc))
+            return AttemptOutcome.LOST
         self.tried.add(target.entry.key)
         if exc.verdict is Verdict.NOT_RUN:
             self._refusals += 1
@@ -642,6 +687,9 @@
             silent = exc.silent and exc.verdict is not Verdict.NOT_RUN
             evidence = SILENCE if silent else CONNECTION
             record_target_loss(self.ctx, target, evidence, str(exc))
+            if via is None and exc.verdict is Verdict.NOT_RUN:
+                self._unreached.add(target.entry.key)
+                record_path_failure(self.ctx, target, now)
         self._log_outcome(target, AttemptOutcome.LOST, str(exc))
         return AttemptOutcome.LOST
 
--- a/turmericflow/relay/_call.py
+++ b/turmericflow/relay/_call.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from typing import Protocol
 
 from multidict import CIMultiDict
 
-from turmericflow.relay._model import EngineReport
+from turmericflow.relay._model import EngineReport, HostEntry
 from turmericflow.relay._rate_limits import LimitNotice
 
 
@@ -110,6 +111,8 @@
         Copy of the KV cache to resume from.
     last_event_id
         Id of the event after which the stream resumes.
+    via
+        The host through which the connection to the target is made, or None.
     """
 
     __slots__ = (
@@ -121,6 +124,7 @@
         "backup",
         "kv_copy",
         "last_event_id",
+        "via",
     )
 
     def __init__(self, target: str, address: str, timeout_s: float) -> None:
@@ -132,6 +136,7 @@
         self.backup: str | None = None
         self.kv_copy: KvCopy | None = None
         self.last_event_id: int | None = None
+        self.via: HostEntry | None = None
 
 
 class Reply(Protocol):
@@ -206,6 +211,16 @@
         """
         ...
 
+    async def open_connection(
+        self, address: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection to a target; raises `OSError` or `TimeoutError`."""
+        ...
+
+    async def reaches(self, address: str, via: HostEntry | None) -> bool:
+        """Return whether a target accepts a connection, also through another host."""
+        ...
+
     async def probe(self, address: str, timeout_s: float) -> bool:
         """Return whether a target answers within the timeout."""
         ...
--- a/turmericflow/relay/_exchange.py
+++ b/turmericflow/relay/_exchange.py
@@ -61,14 +61,16 @@
             async with asyncio.timeout_at(attempts.deadline):
                 sent_at = attempts.ctx.clock.now()
                 reply = await attempts.ctx.target_client.send(attempts.call, dispatch)
-                attempts.record_head(target, reply, sent_at)
+                attempts.record_head(target, reply, sent_at, dispatch.via is not None)
                 if reply.not_run:
                     return attempts.record_refused(target, reply)
                 answer = await attempts.ctx.answer_memory.read(reply)
         except TimeoutError:
             return attempts.record_timeout(target)
         except TargetFailed as exc:
-            return attempts.record_lost(target, exc, may_be_crash=True)
+            return attempts.record_lost(
+                target, exc, may_be_crash=True, via=dispatch.via
+            )
         finally:
             attempts.end_run(run)
             if reply is not None:
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -74,6 +74,8 @@
         Targets that recently said in an answer to the host that they leave.
     deployment_version
         Version of the deployment that the host has in force, or -1.
+    cut_off
+        Services whose targets the host cannot reach.
     """
 
     entry: HostEntry
@@ -98,6 +100,7 @@
     stream_versions: VersionNews = {}
     leaving: list[str] = []
     deployment_version: int = -1
+    cut_off: list[str] = []
 
 
 class Host:
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -21,12 +21,14 @@
 )
 from turmericflow.relay._broadcast import Outbox, Rings, RoutedStatus
 from turmericflow.relay._context import HostContext
+from turmericflow.relay._handshake import Hello, TunnelRequest
 from turmericflow.relay._host_tables import HostStatus
 from turmericflow.relay._lag import Lag
 from turmericflow.relay._model import Deployment, TargetEntry
 from turmericflow.relay._rate_limits import LimitNews
 from turmericflow.relay._store import Kind
 from turmericflow.relay._stream_versions import VersionNews
+from turmericflow.relay._tunnels import TunnelServer
 
 CONNECT_TIMEOUT_S = 0.5
 READ_BYTES = 65_536
@@ -45,12 +47,6 @@
 log = structlog.get_logger()
 
 
-class Hello(msgspec.Struct, array_like=True, tag="hello"):
-    """First message of each side of a stream, with the name of its host."""
-
-    name: str
-
-
 class StatusMessage(msgspec.Struct, array_like=True, tag="status"):
     """Statuses of hosts, each with the parts of rings to forward it to."""
 
@@ -95,6 +91,7 @@
     DeploymentSnapshot,
     TargetsSnapshot,
     GossipSnapshot,
+    TunnelRequest,
 ]
 _DECODER = msgspec.msgpack.Decoder(AnyMessage)
 _ENCODER = msgspec.msgpack.Encoder()
@@ -166,6 +163,7 @@
             kind: ctx.metrics.peer_bytes.labels(kind.__struct_config__.tag)
             for kind in get_args(AnyMessage)
         }
+        self._tunnels = TunnelServer(ctx)
         self._dialling: set[str] = set()
         self._server: asyncio.Server | None = None
         self._flush_timer: asyncio.TimerHandle | None = None
@@ -214,6 +212,9 @@
             while data := await reader.read(READ_BYTES):
                 link.last_received_at = clock.unstalled_now()
                 for msg in decoder.feed(data):
+                    if isinstance(msg, TunnelRequest):
+                        self._links.discard(link)
+                        return await self._tunnels.serve(reader, writer, msg)
                     self._on_message(link, msg)
         except WireError as exc:
             log.warning("peer_stream_invalid", peer=link.name, reason=str(exc))
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -66,6 +66,7 @@
         stream_versions=tables.stream_versions.news(max_age_s, now),
         leaving=_recent(tables.targets.own_leaving, max_age_s, now),
         deployment_version=tables.deployment.version,
+        cut_off=list(tables.paths.cut_off),
     )
 
 
@@ -150,7 +151,7 @@
 def _apply_failures(tables: Tables, status: HostStatus, now: float) -> None:
     for key, age_s in status.lost.items():
         target = tables.targets.rows.get(key)
-        if target is not None:
+        if target is not None and target.entry.service not in status.cut_off:
             placement.record_loss(tables.targets, target, now - age_s)
     for key in status.gone:
         target = tables.targets.rows.get(key)
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -191,6 +191,7 @@
         run.prefills_alone = (
             dispatch.kv_copy is None and target.pending_prefill_tokens == prompt_tokens
         )
+        run.relayed = dispatch.via is not None
         dispatch.last_event_id = self._last_event_id
         backup = self._choose_backup(target)
         if backup is not None:
@@ -204,6 +205,7 @@
             backup=dispatch.backup,
             copy=dispatch.kv_copy is not None,
             last_event=dispatch.last_event_id,
+            via=dispatch.via and dispatch.via.name,
             resumes=attempts.call.resumes,
             version=target.entry.version,
             due_s=round(run.first_event_due_s, 3),
@@ -221,7 +223,7 @@
             async with asyncio.timeout_at(attempts.deadline) as run.timeout:
                 sent_at = attempts.ctx.clock.now()
                 reply = await attempts.ctx.target_client.send(attempts.call, dispatch)
-                attempts.record_head(target, reply, sent_at)
+                attempts.record_head(target, reply, sent_at, run.relayed)
                 if reply.not_run:
                     had_copy = dispatch.kv_copy is not None
                     return attempts.record_refused(target, reply, had_copy)
@@ -246,6 +248,7 @@
                 exc,
                 may_be_crash=without_output,
                 writing=without_output and reply is not None,
+                via=dispatch.via,
             )
         finally:
             self._interrupted = run if run.abort_reason is not None else None
--- a/turmericflow/relay/_tables.py
+++ b/turmericflow/relay/_tables.py
@@ -17,6 +17,8 @@
 from turmericflow.relay._stream_versions import StreamVersions
 from turmericflow.relay._target_tables import Target, TargetTable
 
+PATH_FAILURE_WINDOW_S = 3.0  # a host without a path is noticed within it
+
 
 class DeploymentTable:
     """The current deployment with lookup tables."""
@@ -80,6 +82,8 @@
         Whether an earlier attempt ended because its target was silent.
     held
         Whether it is silent and continues, as its stream cannot resume elsewhere.
+    relayed
+        Whether its bytes pass another host.
     silent_targets
         Keys of the silent targets when this attempt was cancelled.
     """
@@ -106,6 +110,7 @@
         "follows_silence",
         "held",
         "silent_targets",
+        "relayed",
     )
 
     def __init__(self, call: Call, route: Route, target: Target, now: float) -> None:
@@ -130,6 +135,7 @@
         self.follows_silence = False
         self.held = False
         self.silent_targets: Set[str] = frozenset()
+        self.relayed = False
 
     def has_part(self, parts: Collection[str]) -> bool:
         """Return whether the prompt has one of the parts, named by service and id."""
@@ -189,6 +195,47 @@
         self.writing = writing
 
 
+class Paths:
+    """Services whose targets this host cannot reach itself.
+
+    Attributes
+    ----------
+    cut_off
+        Services from which this host is cut off.
+    """
+
+    __slots__ = ("cut_off", "_failures")
+
+    def __init__(self) -> None:
+        self.cut_off: set[str] = set()
+        self._failures: dict[str, dict[str, float]] = {}
+
+    def failed(self, service: str) -> Collection[str]:
+        """Return the keys of targets that were not reached since one was."""
+        return self._failures.get(service, {}).keys()
+
+    def record_failure(self, service: str, key: str, now: float) -> None:
+        """Record that a new connection to a target could not be made."""
+        recent = {
+            other: at
+            for other, at in self._failures.get(service, {}).items()
+            if now - at < PATH_FAILURE_WINDOW_S
+        }
+        self._failures[service] = recent | {key: now}
+
+    def record_success(self, service: str, sent_at: float) -> None:
+        """Record that a target answered a request that was sent at a time."""
+        failures = self._failures.get(service)
+        if failures:
+            later = {key: at for key, at in failures.items() if at > sent_at}
+            self._failures[service] = later
+
+    def end(self, service: str) -> None:
+        """Record that this host reaches a service again."""
+        self.cut_off.discard(service)
+        self._failures.pop(service, None)
+
+
 class Tables:
     """All tables of one host."""
 
@@ -202,6 +249,7 @@
         "retry_budgets",
         "rate_limits",
         "stream_versions",
+        "paths",
     )
 
     def __init__(self, own: HostEntry) -> None:
@@ -214,3 +262,4 @@
         self.retry_budgets = RetryBudgets()
         self.rate_limits = RateLimits(own.name)
         self.stream_versions = StreamVersions()
+        self.paths = Paths()
--- /dev/null
+++ b/turmericflow/relay/_tunnels.py
@@ -0,0 +1,176 @@
+"""Connections to targets through another host, which copies the bytes of both sides."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import Union
+
+import msgspec
+import structlog
+
+from turmericflow._framing import StreamDecoder, WireError
+from turmericflow.relay import _placement as placement
+from turmericflow.relay._context import HostContext
+from turmericflow.relay._handshake import Hello, TunnelReply, TunnelRequest
+from turmericflow.relay._host_tables import HostState
+from turmericflow.relay._tables import Tables
+
+READ_BYTES = 65_536
+OPEN_TIMEOUT_S = 0.7  # the other host's own attempt, and the ways to and from it
+MAX_TUNNELS = 1000  # each takes two descriptors
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_DECODER = msgspec.msgpack.Decoder(Union[Hello, TunnelReply])
+_ENCODER = msgspec.msgpack.Encoder()
+
+log = structlog.get_logger()
+
+
+class TunnelFailed(Exception):
+    """Raised when no connection to a target was made through another host.
+
+    Attributes
+    ----------
+    at_target
+        Whether the target is the reason, and not the other host.
+    """
+
+    def __init__(self, message: str, at_target: bool = False) -> None:
+        super().__init__(message)
+        self.at_target = at_target
+
+
+async def open_tunnel(sock: socket.socket, host: str, address: str) -> None:
+    """Connect a socket to a target through another host.
+
+    Parameters
+    ----------
+    sock
+        Socket that is not connected, and does not block.
+    host
+        Address of the other host for its peers, as IP:PORT.
+    address
+        Address of the target, as IP:PORT.
+
+    Raises
+    ------
+    TunnelFailed
+        If the other host or the target cannot be reached; the target has received
+        nothing.
+    """
+    try:
+        async with asyncio.timeout(OPEN_TIMEOUT_S):
+            reply = await _request(sock, host, address)
+    except (OSError, TimeoutError, WireError) as exc:
+        raise TunnelFailed(f"no connection through {host}: {exc!r}") from exc
+    if reply.problem:
+        message = f"no connection through {host}: {reply.problem}"
+        raise TunnelFailed(message, reply.at_target)
+
+
+async def _request(sock: socket.socket, host: str, address: str) -> TunnelReply:
+    loop = asyncio.get_running_loop()
+    ip, _, port = host.rpartition(":")
+    await loop.sock_connect(sock, (ip, int(port)))
+    await loop.sock_sendall(sock, _ENCODER.encode(TunnelRequest(address)))
+    decoder = StreamDecoder(_DECODER)
+    while data := await loop.sock_recv(sock, READ_BYTES):
+        for msg in decoder.feed(data):
+            if isinstance(msg, TunnelReply):
+                return msg
+    raise ConnectionResetError("the other host closed the connection")
+
+
+def _find_problem(tables: Tables, address: str) -> str:
+    """Return why this host opens no connection to an address, or an empty string."""
+    if tables.hosts.state is not HostState.READY:
+        return "this host is not ready"
+    rows = tables.targets.rows.values()
+    if any(row.entry.address == address and placement.usable(row) for row in rows):
+        return ""
+    return f"no target at {address} accepts new work"
+
+
+class TunnelServer:
+    """Opens connections to targets for other hosts.
+
+    Attributes
+    ----------
+    running
+        Number of connections that are open.
+    """
+
+    __slots__ = ("_ctx", "running")
+
+    def __init__(self, ctx: HostContext) -> None:
+        self._ctx = ctx
+        self.running = 0
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        req: TunnelRequest,
+    ) -> None:
+        """Connect another host to a target until one of the two closes."""
+        problem = _find_problem(self._ctx.tables, req.address)
+        if self.running >= MAX_TUNNELS:
+            problem = f"{self.running} connections are open"
+        reply, target = TunnelReply(problem), None
+        self.running += 1
+        try:
+            if not problem:
+                client = self._ctx.target_client
+                try:
+                    target = await client.open_connection(req.address)
+                except (OSError, TimeoutError) as exc:
+                    reply = TunnelReply(repr(exc), at_target=True)
+            writer.write(_ENCODER.encode(reply))
+            await writer.drain()
+            if target is not None:
+                await _connect(reader, writer, *target)
+        except OSError as exc:
+            log.info("tunnel_lost", address=req.address, reason=repr(exc))
+        finally:
+            self.running -= 1
+            if target is not None:
+                target[1].transport.abort()
+
+
+async def _copy(source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
+    while data := await source.read(READ_BYTES):
+        sink.write(data)
+        await sink.drain()
+
+
+async def _connect(
+    host_reader: asyncio.StreamReader,
+    host_writer: asyncio.StreamWriter,
+    target_reader: asyncio.StreamReader,
+    target_writer: asyncio.StreamWriter,
+) -> None:
+    """Copy bytes both ways until the host closes, or the target resets."""
+    up = asyncio.create_task(_copy(host_reader, target_writer))
+    down = asyncio.create_task(_copy(target_reader, host_writer))
+    try:
+        await asyncio.wait({up, down}, return_when=asyncio.FIRST_COMPLETED)
+        if up.done():
+            return
+        if down.exception() is not None:
+            _reset(host_writer)
+            return
+        # An answer without a length ends here; the host closes once it has it.
+        host_writer.write_eof()
+        await asyncio.wait({up})
+    finally:
+        for task in (up, down):
+            task.cancel()
+        await asyncio.gather(up, down, return_exceptions=True)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, so that what it carried does not look complete."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    writer.transport.abort()
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -12,11 +12,16 @@
     _copies as copies,
     _discovery as discovery,
     _membership as membership,
+    _paths as paths,
     _placement as placement,
     _silence as silence,
     _stream as stream,
 )
-from turmericflow.relay._attempts import SILENCE, record_target_loss
+from turmericflow.relay._attempts import (
+    SILENCE,
+    record_path_failure,
+    record_target_loss,
+)
 from turmericflow.relay._context import HostContext
 from turmericflow.relay._crashing_parts import PartCrash
 from turmericflow.relay._model import TargetEntry
@@ -26,6 +31,7 @@
 
 TICK_S = 0.05
 SLOW_TICK_S = 1.0
+PATH_PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.2  # targets report at once; connecting takes milliseconds
 
 log = structlog.get_logger()
@@ -130,6 +136,8 @@
         stream.interrupt(run, reason, silent_targets, clock.now())
 
     async def _probe(self, run: Run) -> None:
+        if run.relayed:
+            return  # this host does not reach its target
         address = run.target.entry.address
         alive = await self._ctx.target_client.probe(address, PROBE_TIMEOUT_S)
         if run.events or run not in self._ctx.tables.runs:
@@ -216,7 +224,14 @@
         if await self._ctx.target_client.accepts_connections(entry.address):
             return
         tables, now = self._ctx.tables, self._ctx.clock.now()
-        placement.record_crash(suspects[0].target, now)
+        target = suspects[0].target
+        via = paths.choose_host(tables, entry.service, (), now, self._ctx.rng)
+        if via is not None and await self._ctx.target_client.reaches(
+            entry.address, via
+        ):
+            record_path_failure(self._ctx, target, now)
+            return
+        placement.record_crash(target, now)
         for suspect in suspects:
             tables.crashes.record_own(suspect.fingerprint, entry.key, suspect.at)
             if suspect.writing and suspect.parts:
@@ -249,6 +264,22 @@
                 )
                 stream.interrupt(run, AbortReason.CRASHING_PART, frozenset(), now)
 
+    @Service.task
+    async def _probe_paths(self) -> None:
+        """Notice that this host reaches a service's targets again."""
+        tables, rng = self._ctx.tables, self._ctx.rng
+        while not self.should_stop:
+            await self.sleep(PATH_PROBE_INTERVAL_S)
+            for service in list(tables.paths.cut_off):
+                rows = tables.targets.by_service.get(service, ())
+                found = [row.entry.address for row in rows if placement.usable(row)]
+                if not found or await self._ctx.target_client.reaches(
+                    rng.choice(found), None
+                ):
+                    tables.paths.end(service)
+                    self._ctx.announce()
+                    log.info("path_regained", service=service)
+
     @Service.task
     async def _slow_tick(self) -> None:
         tables, clock = self._ctx.tables, self._ctx.clock
--- a/turmericflow/verdict.py
+++ b/turmericflow/verdict.py
@@ -130,6 +130,9 @@
         Whether the connection to the target failed.
     silent
         Whether the target only did not answer in time.
+    unasked
+        Whether the host through which the request was to be sent failed, so that
+        nothing is known of the target.
     """
 
     def __init__(
@@ -138,11 +141,13 @@
         message: str,
         lost: bool = False,
         silent: bool = False,
+        unasked: bool = False,
     ) -> None:
         super().__init__(message)
         self.verdict = verdict
         self.lost = lost
         self.silent = silent
+        self.unasked = unasked
 
 
 def not_run(code: ErrorCode, message: str, retry_after_s: float | None = None):
