--- a/turmericflow/platform/_objects.py
+++ b/turmericflow/platform/_objects.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from turmericflow.relay import (
@@ -27,6 +29,10 @@
 MAX_PORT = 65_535
 
 
+# Other hosts are told of these numbers in 64 bits.
+_Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+
+
 class _Weighted(msgspec.Struct):
     backend: str  # a service
     weight: float
@@ -94,14 +100,14 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
+    slots: _Integer = 1
     coldRemainingMs: float = 0.0
     version: str = ""  # of its software
-    born: int = 0  # start of the target's process, in Unix milliseconds
+    born: _Integer = 0  # start of the target's process, in Unix milliseconds
 
 
 class _Host(msgspec.Struct):
-    incarnation: int
+    incarnation: _Integer
     data_centre: str
     callers: str
     peers: str
--- a/turmericflow/platform/_store.py
+++ b/turmericflow/platform/_store.py
@@ -10,6 +10,7 @@
 from multidict import CIMultiDictProxy
 
 from turmericflow.platform._callers import STORE_ERA
+from turmericflow.platform._json_parts import split_members, split_parts
 from turmericflow.platform._objects import (
     decode_deployment,
     decode_host,
@@ -74,6 +75,8 @@
     storeRevision: int
 
 
+# Deep nesting exhausts the stack of the decoder.
+_DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 _ITEMS = msgspec.json.Decoder(_Items)
 _EVENTS = msgspec.json.Decoder(_Events)
 _OBJECT = msgspec.json.Decoder(_Object)
@@ -89,7 +92,7 @@
 def _decode_value(kind: Kind, name: str, spec: msgspec.Raw) -> object:
     try:
         value = msgspec.json.decode(spec)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except _DECODE_ERRORS as exc:
         raise ValueError(f"got bytes that are not JSON: {exc}") from exc
     match kind:
         case Kind.DEPLOYMENT:
@@ -102,6 +105,41 @@
             return decode_versions(value)
 
 
+def _decode_page(content: bytes) -> _Items:
+    """Decode a page of a list; items that cannot be decoded do not spoil it.
+
+    Raises `StoreFailed` if it is no page.
+    """
+    try:
+        return _ITEMS.decode(content)
+    except _DECODE_ERRORS:
+        pass
+    try:
+        members = split_members(content)
+        items = [msgspec.Raw(item) for item in split_parts(members.pop(b"items"))]
+        page = _ITEMS.decode(
+            b'{"items":[],"storeRevision":%s,"hasMore":%s}'
+            % (members[b"storeRevision"], members.get(b"hasMore", b"false"))
+        )
+    except (*_DECODE_ERRORS, ValueError, KeyError) as exc:
+        raise StoreFailed(f"got an unusable list: {exc}") from exc
+    return _Items(items, page.storeRevision, page.hasMore)
+
+
+def _decode_item(kind: Kind, item: msgspec.Raw, era: int) -> Row | None:
+    """Decode an object of a list; return None if it has no name."""
+    try:
+        return _decode_row(kind, _OBJECT.decode(item), era)
+    except _DECODE_ERRORS as exc:
+        problem = f"got an object that cannot be decoded: {type(exc).__name__}"
+    try:
+        text = split_members(bytes(item))[b"metadata"]
+        metadata = msgspec.json.decode(text, type=_Metadata)
+    except (*_DECODE_ERRORS, ValueError, KeyError):
+        return None
+    return Row(metadata.name, with_era(era, metadata.revision), None, problem)
+
+
 def _decode_row(kind: Kind, stored: _Object, era: int) -> Row:
     name, revision = stored.metadata.name, with_era(era, stored.metadata.revision)
     try:
@@ -177,19 +215,17 @@
             if era not in (None, self.era):
                 raise StoreFailed("got a list with pages of two eras")
             era = self.era
-            try:
-                page = _ITEMS.decode(content)
-            except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-                raise StoreFailed(f"got an unusable list: {exc}") from exc
+            page, last = _decode_page(content), after
             for item in page.items:
-                try:
-                    stored = _OBJECT.decode(item)
-                except (msgspec.MsgspecError, UnicodeDecodeError):
+                row = _decode_item(kind, item, era)
+                if row is None:
                     continue
-                after = stored.metadata.name
+                after = row.name
                 if kind is not Kind.DEPLOYMENT or after == _CONFIG_NAME:
-                    rows.append(_decode_row(kind, stored, era))
-            if not page.hasMore or not page.items:
+                    rows.append(row)
+            if page.hasMore and after == last:
+                raise StoreFailed("got a page without a name to continue after")
+            if not page.hasMore:
                 return Listing(with_era(era, page.storeRevision), tuple(rows))
 
     async def changes(self, kind: Kind, revision: int, wait_s: float) -> Changes:
@@ -204,7 +240,7 @@
         self._check_era(revision, HistoryGone)
         try:
             page = _EVENTS.decode(content)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        except _DECODE_ERRORS as exc:
             # A full read skips what cannot be decoded.
             raise HistoryGone(f"got unusable changes: {exc}") from exc
         changes = []
