--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -183,14 +183,16 @@
         self._connection_closed = None if protocol is None else protocol.closed
         self.status = resp.status
         self.headers = header_names.response_headers(resp.headers)
-        self.misdirected = resp.status == MISDIRECTED_STATUS
-        self.not_run = self.misdirected or header_names.NOT_EXECUTED in resp.headers
+        echoed = resp.headers.get(header_names.ATTEMPT_ID)
+        # A refusal of another request says nothing of this one.
+        echoes_other = echoed is not None and echoed != call.id
+        self.misdirected = resp.status == MISDIRECTED_STATUS and not echoes_other
+        refused = header_names.NOT_EXECUTED in resp.headers and not echoes_other
+        self.not_run = self.misdirected or refused
         self.limit = decode_limit(resp.headers)
         self.leaving = says_leaving(resp.headers)
         self.closed_s = closed_s(resp)
-        echoed = resp.headers.get(header_names.ATTEMPT_ID)
-        interim = resp.status < MIN_FINAL_STATUS
-        if interim or (echoed is not None and echoed != call.id):
+        if resp.status < MIN_FINAL_STATUS or echoes_other:
             self.genuine = False
         else:
             self.genuine = (
--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -362,7 +362,9 @@
     (connection aborted without a response), ``torn`` (connection aborted within the
     body), ``mute`` (no response), ``pause`` (silent for `pause_s` before the
     response), ``other`` (response to another request),
-    ``unsigned`` (no receipt), ``unframed`` (body without a length), ``unframed
+    ``other refusal`` (refusal of another request, while this one runs),
+    ``not found`` (status 404), ``text`` (status 200, no events), ``unsigned`` (no
+    receipt), ``unframed`` (body without a length), ``unframed
     torn``, ``early`` (response before the request body is read), ``endless KIND``
     (`ENDLESS`, until the connection is closed), ``endless later KIND`` (the
     repeated bytes come after a pause).
@@ -517,6 +519,14 @@
         match fault:
             case "error":
                 return web.Response(status=500, headers=headers, body=b"failed")
+            case "not found":
+                return web.Response(status=404, headers=headers, body=b"not found")
+            case "text":
+                return web.Response(headers=headers, body=b"an error occurred")
+            case "other refusal":
+                headers["X-Turmericflow-Attempt-Id"] = "another"
+                headers["X-Turmericflow-Not-Executed"] = "1"
+                return web.Response(status=503, headers=headers)
             case "reset":
                 request.transport.abort()
             case "mute":
@@ -633,7 +643,8 @@
     async def run(
         self, request: web.BaseRequest, received: ReceivedRequest, fault: str
     ) -> web.StreamResponse:
-        if fault in ("error", "reset", "mute") or fault.startswith("endless "):
+        plain = "error", "reset", "mute", "not found", "text", "other refusal"
+        if fault in (*plain, "unsigned") or fault.startswith("endless "):
             return await super().run(request, received, fault)
         copy = request.headers.get("Kv-From", "")
         if copy:
