--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -174,6 +174,7 @@
         "limit",
         "leaving",
         "closed_s",
+        "brittle",
     )
 
     def __init__(self, call: Call, resp: aiohttp.ClientResponse) -> None:
@@ -192,6 +193,7 @@
         self.limit = decode_limit(resp.headers)
         self.leaving = says_leaving(resp.headers)
         self.closed_s = closed_s(resp)
+        self.brittle = header_names.TARGET_BRITTLE in resp.headers
         if resp.status < MIN_FINAL_STATUS or echoes_other:
             self.genuine = False
         else:
--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -505,6 +505,8 @@
         run.follows_silence = self._ended_for_silence
         self._silent.discard(target.entry.key)
         target.own_load.runs += 1
+        if target.brittle:
+            self.ctx.announce_load()
         target.own_load.pending_prefill_tokens += self.call.prompt_tokens
         target.own_load.memory_tokens += run.memory_tokens
         return run
@@ -532,6 +534,7 @@
             return  # another target
         if reply.leaving:
             self._record_leaving(target, reply)
+        target.brittle = reply.brittle
         if reply.closed_s is not None:
             self._record_closed(target, reply.closed_s)
         self.record_limit(target, reply, sent_at)
@@ -592,6 +595,8 @@
     def record_done(self, target: Target) -> None:
         """Record that a target has answered the request."""
         placement.record_success(target)
+        if target.brittle:
+            placement.record_room(target)
         self._clear_content()
 
     def _clear_content(self) -> None:
@@ -616,9 +621,23 @@
             self.ctx.announce()
         else:
             target.backoff_until = max(target.backoff_until, now + REFUSED_BACKOFF_S)
+            if target.brittle:
+                self._record_full(target, now)
         self._log_outcome(target, AttemptOutcome.REFUSED, f"status {reply.status}")
         return AttemptOutcome.REFUSED
 
+    def _record_full(self, target: Target, now: float) -> None:
+        """Record and announce that a brittle target had no room."""
+        placement.record_full(target, self.ctx.settings.name, now)
+        self.ctx.tables.targets.own_full.append((now, target.entry.key))
+        self.ctx.announce()
+        log.info(
+            "target_full",
+            target=target.entry.key,
+            request=self.call.id,
+            closed_s=round(target.closed_until - now, 3),
+        )
+
     def record_timeout(self, target: Target) -> AttemptOutcome:
         """Record that the deadline passed before a target answered."""
         now = self.ctx.clock.now()
--- a/turmericflow/relay/_call.py
+++ b/turmericflow/relay/_call.py
@@ -157,6 +157,9 @@
     closed_s
         Time for which the target wants no requests from this host, in seconds, or
         None.
+    brittle
+        Whether the target says that it falls over when it has to turn many requests
+        away.
     """
 
     status: int
@@ -167,6 +170,7 @@
     limit: LimitNotice
     leaving: bool
     closed_s: float | None
+    brittle: bool
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises `TargetFailed` if the connection fails."""
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -76,6 +76,8 @@
         Version of the deployment that the host has in force, or -1.
     cut_off
         Services whose targets the host cannot reach.
+    full
+        Brittle targets that recently had no room for a request of the host.
     """
 
     entry: HostEntry
@@ -101,6 +103,7 @@
     leaving: list[str] = []
     deployment_version: int = -1
     cut_off: list[str] = []
+    full: list[str] = []
 
 
 class Host:
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -67,6 +67,7 @@
         leaving=_recent(tables.targets.own_leaving, max_age_s, now),
         deployment_version=tables.deployment.version,
         cut_off=list(tables.paths.cut_off),
+        full=_recent(tables.targets.own_full, max_age_s, now),
     )
 
 
@@ -126,6 +127,11 @@
     )
     for key in status.leaving:
         discovery.record_leaving(tables.targets, key, now)
+    for key in status.full:
+        target = tables.targets.rows.get(key)
+        # A status repeats what the one before it told.
+        if target is not None and now - target.full_at > placement.MIN_FULL_S:
+            placement.record_full(target, status.entry.name, now)
     _apply_failures(tables, status, now)
     if status.limits:
         tables.rate_limits.apply(status.limits, now)
--- a/turmericflow/relay/_placement.py
+++ b/turmericflow/relay/_placement.py
@@ -7,9 +7,13 @@
 from dataclasses import dataclass
 from random import Random
 
+import xxhash
+
 from turmericflow.relay._stream_versions import fits, version_of
 from turmericflow.relay._target_tables import Target, TargetTable
 
+ROOM_GAIN = 0.2  # a refusal takes back what five answers gain
+MIN_FULL_S = 0.4  # a brittle target counts its refusals over a second
 MIN_BACKOFF_S = 0.5  # doubles with each consecutive failure
 MAX_BACKOFF_S = 4.0
 LOSS_WINDOW_S = 1.5  # losses closer together count as one incident
@@ -208,6 +212,37 @@
     return now < target.closed_until
 
 
+def record_full(target: Target, host: str, now: float) -> None:
+    """Record that a brittle target had no room, and send it nothing for a time.
+
+    The time differs between targets and hosts, so that not all come back at once.
+
+    Parameters
+    ----------
+    target
+        The target.
+    host
+        Name of the host that met the refusal.
+    now
+        Time in seconds.
+    """
+    target.room = max(1.0, min(target.room, target.runs) - 1.0)
+    digest = xxhash.xxh3_64_intdigest(f"{target.entry.key}/{host}/{now}".encode())
+    closed_s = MIN_FULL_S * (1 + digest / 2.0**64)
+    target.full_at = now
+    target.closed_until = max(target.closed_until, now + closed_s)
+
+
+def record_room(target: Target) -> None:
+    """Record that a brittle target had room for a request."""
+    target.room = min(float(target.entry.slots), target.room + ROOM_GAIN)
+
+
+def _has_room(target: Target) -> bool:
+    """Return whether a request need not wait at a target that is brittle."""
+    return not target.brittle or target.runs < min(target.entry.slots, target.room)
+
+
 def _meets(target: Target, demand: Demand) -> bool:
     entry = target.entry
     return (
@@ -253,7 +288,7 @@
     found = [
         target
         for target in serving
-        if _meets(target, demand) and not is_closed(target, now)
+        if _meets(target, demand) and not is_closed(target, now) and _has_room(target)
     ]
     if not found:
         return None
--- a/turmericflow/relay/_target_tables.py
+++ b/turmericflow/relay/_target_tables.py
@@ -39,6 +39,13 @@
     closed_until
         Time until which it wants no requests from this host. Other hosts are not
         told, as it does not say that it wants none from them.
+    brittle
+        Whether its last answer said that it falls over when it turns many away.
+    full_at
+        Time at which a host last heard that it had no room, while it was brittle.
+    room
+        Requests that it holds at most, as learned from refusals while it is brittle;
+        each answer adds a part of one.
     failures
         Number of consecutive failures.
     silent
@@ -68,6 +75,9 @@
         "other_loads",
         "backoff_until",
         "closed_until",
+        "brittle",
+        "full_at",
+        "room",
         "failures",
         "silent",
         "leaving",
@@ -85,6 +95,9 @@
         self.other_loads: dict[str, Load] = {}
         self.backoff_until = 0.0
         self.closed_until = 0.0
+        self.brittle = False
+        self.full_at = float("-inf")
+        self.room = float(entry.slots)
         self.failures = 0
         self.silent = False
         self.leaving = entry.leaving
@@ -185,6 +198,9 @@
     own_leaving
         Keys of targets that said in an answer to this host that they leave, with the
         time, to be gossiped.
+    own_full
+        Keys of brittle targets that had no room for a request of this host, with the
+        time, to be gossiped.
     removed
         Start of the last process whose entry was removed, in Unix milliseconds, and
         the time of the removal, by target id.
@@ -208,6 +224,7 @@
         "own_adoptions",
         "leaving",
         "own_leaving",
+        "own_full",
         "removed",
         "restored_at",
         "prefill_rates",
@@ -227,6 +244,7 @@
         self.own_adoptions: list[tuple[float, TargetEntry]] = []
         self.leaving: dict[str, float] = {}
         self.own_leaving: list[tuple[float, str]] = []
+        self.own_full: list[tuple[float, str]] = []
         self.removed: dict[str, tuple[int, float]] = {}
         self.restored_at = float("-inf")
         self.prefill_rates: dict[str, float] = {}
--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -379,6 +379,13 @@
     retry_after
         What the target names in refusals as the time for which it wants nothing from
         the host, or None.
+    brittle
+        Number of refusals in a second from which on the target falls over, as it
+        names it in its answers, or None.
+    room
+        Number of requests that it takes at once.
+    falls
+        How often it fell over.
     """
 
     service = "plain"
@@ -397,6 +404,10 @@
         self.rate_limit: str | None = None
         self.leaving = False
         self.retry_after: str | None = None
+        self.brittle: int | None = None
+        self.room = 1_000_000
+        self.falls = 0
+        self._running = 0
 
     def fall_silent(self, seconds: float) -> None:
         """Send nothing, answers to probes included, for a time, and then go on."""
@@ -444,10 +455,24 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         resp = await self._answer(request)
-        if self.leaving and not resp.prepared:
-            resp.headers["Server-Leaving"] = "1"
+        if not resp.prepared:
+            if self.leaving:
+                resp.headers["Server-Leaving"] = "1"
+            if self.brittle is not None:
+                resp.headers["Server-Brittle"] = str(self.brittle)
         return resp
 
+    def _has_room(self) -> bool:
+        """Return whether one more request fits; fall over after too many refusals."""
+        if self._running < self.room:
+            return True
+        recent = [at for at in self.shed if asyncio.get_running_loop().time() - at < 1]
+        if self.brittle is not None and len(recent) >= self.brittle:
+            self.falls += 1
+            self.shed.clear()
+            asyncio.ensure_future(self.crash())
+        return False
+
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         await self.end_of_silence()
         if request.path == "/v1/report":
@@ -469,7 +494,7 @@
         if expected != self.name:
             headers = {"X-Turmericflow-Instance-Id": self.name}
             return web.Response(status=421, headers=headers)
-        if fault == "shed":
+        if fault == "shed" or not self._has_room():
             self.shed.append(asyncio.get_running_loop().time())
             headers = {"X-Turmericflow-Not-Executed": "1"}
             if self.retry_after is not None:
@@ -487,16 +512,21 @@
         if body == CRASHING_BODY:
             asyncio.ensure_future(self.crash())
             await asyncio.sleep(3600)
+        self._running += 1
         try:
             resp = await self.run(request, received, fault)
         except asyncio.CancelledError:
             received.outcome = "cancelled"
             raise
+        finally:
+            self._running -= 1
         received.outcome = "done"
         return resp
 
     async def crash(self) -> None:
         """Abort all connections and accept none for `CRASH_DOWNTIME_S`."""
+        if self.runner is None:
+            return
         for connection in self.runner.server.connections:
             connection.transport.abort()
         await self.stop()
