--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -359,11 +359,10 @@
         RequestFailed
             If they do; it says when the first of them wants some again.
         """
-        now = self.ctx.clock.now()
-        targets, untried = self.ctx.tables.targets, replace(
-            demand, excluded_targets=frozenset()
-        )
-        opens_in_s = placement.opens_in_s(targets, untried, now)
+        targets, now = self.ctx.tables.targets, self.ctx.clock.now()
+        # A target that was tried and is full now may be the first to open.
+        demand = replace(demand, excluded_targets=frozenset())
+        opens_in_s = placement.opens_in_s(targets, demand, now)
         if opens_in_s is None or self.may_have_run:
             return
         message = f"all targets of {self.match.service!r} are full"
--- a/turmericflow/relay/_paths.py
+++ b/turmericflow/relay/_paths.py
@@ -12,7 +12,7 @@
 from turmericflow.relay._tables import Tables
 from turmericflow.relay._target_tables import Target
 
-MAX_FAILED_TARGETS = 4  # one request tries no more than this and some others
+MAX_FAILED_TARGETS = 4  # that are needed to tell a lost path, in a large service
 
 
 def _is_cut_off(tables: Tables, service: str) -> bool:
--- a/turmericflow/tests/conftest.py
+++ b/turmericflow/tests/conftest.py
@@ -61,6 +61,18 @@
     await running.stop()
 
 
+@pytest.fixture
+async def fleet_of_seven(tmp_path: Path) -> AsyncIterator[Fleet]:
+    """Run seven hosts that know each other; six of them watch the targets."""
+    running = Fleet(tmp_path)
+    await running.start(7)
+    await running.until(
+        lambda: all(len(host.tables.hosts.rows) == 6 for host in running.hosts)
+    )
+    yield running
+    await running.stop()
+
+
 @pytest.fixture
 def stall(monkeypatch: pytest.MonkeyPatch) -> Callable[[float], None]:
     """Return a function that stalls the process as SIGSTOP and SIGCONT do.
--- a/turmericflow/tests/test_relay_brittle_targets.py
+++ b/turmericflow/tests/test_relay_brittle_targets.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
-from pathlib import Path
 
 import pytest
 
@@ -17,18 +15,13 @@
 
 
 @pytest.fixture
-async def serving_fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+async def serving_fleet(fleet_of_seven: Fleet) -> Fleet:
     """Run seven hosts with three targets that have room for few requests."""
-    running = Fleet(tmp_path)
-    await running.start(HOSTS)
-    await running.until(
-        lambda: all(len(h.tables.hosts.rows) == HOSTS - 1 for h in running.hosts)
-    )
-    for target in await running.add_plain(TARGETS):
+    fleet = fleet_of_seven
+    for target in await fleet.add_plain(TARGETS):
         target.brittle = MAX_REFUSALS_PER_S
         target.response_delay_s = 0.1
-    yield running
-    await running.stop()
+    return fleet
 
 
 async def send(fleet: Fleet, id: int, statuses: list[int]) -> None:
--- a/turmericflow/tests/test_relay_cut_off_hosts.py
+++ b/turmericflow/tests/test_relay_cut_off_hosts.py
@@ -4,8 +4,6 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator
-from pathlib import Path
 
 import pytest
 
@@ -16,17 +14,12 @@
 
 
 @pytest.fixture
-async def serving_fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+async def serving_fleet(fleet_of_seven: Fleet) -> Fleet:
     """Run seven hosts with three plain targets and three engines."""
-    running = Fleet(tmp_path)
-    await running.start(HOSTS)
-    await running.until(
-        lambda: all(len(h.tables.hosts.rows) == HOSTS - 1 for h in running.hosts)
-    )
-    await running.add_plain(3)
-    await running.add_engines("dc-0", "dc-1", "dc-2")
-    yield running
-    await running.stop()
+    fleet = fleet_of_seven
+    await fleet.add_plain(3)
+    await fleet.add_engines("dc-0", "dc-1", "dc-2")
+    return fleet
 
 
 class Load:
--- a/turmericflow/tests/test_relay_leaving_targets.py
+++ b/turmericflow/tests/test_relay_leaving_targets.py
@@ -3,30 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
-from pathlib import Path
 
 import pytest
 
-from turmericflow.relay import _membership as membership
 from turmericflow.tests.platform_stand_ins import Fleet, TargetStandIn
 
-HOSTS = membership.WATCHERS + 1
+HOSTS = 7
 DRAIN_S = 2.0
 GOSSIP_S = 0.5
 
 
 @pytest.fixture
-async def serving_fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+async def serving_fleet(fleet_of_seven: Fleet) -> Fleet:
     """Run one host more than watch the targets, with three plain targets."""
-    running = Fleet(tmp_path)
-    await running.start(HOSTS)
-    await running.until(
-        lambda: all(len(h.tables.hosts.rows) == HOSTS - 1 for h in running.hosts)
-    )
-    await running.add_plain(3)
-    yield running
-    await running.stop()
+    fleet = fleet_of_seven
+    await fleet.add_plain(3)
+    return fleet
 
 
 class Load:
--- a/turmericflow/tests/test_relay_restored_store.py
+++ b/turmericflow/tests/test_relay_restored_store.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
-from pathlib import Path
 
 import pytest
 
-from turmericflow.relay import _membership as membership
 from turmericflow.tests.platform_stand_ins import Fleet, TargetStandIn, deployment
 
-HOSTS = membership.WATCHERS + 1
+HOSTS = 7
 AWAY_S = 0.8
 REWRITE_S = 1.0  # until the operator and the targets have written again
 IN_FORCE_S = 2.0
@@ -27,16 +24,11 @@
 
 
 @pytest.fixture
-async def serving_fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+async def serving_fleet(fleet_of_seven: Fleet) -> Fleet:
     """Run one host more than watch the targets, with three plain targets."""
-    running = Fleet(tmp_path)
-    await running.start(HOSTS)
-    await running.until(
-        lambda: all(len(h.tables.hosts.rows) == HOSTS - 1 for h in running.hosts)
-    )
-    await running.add_plain(3)
-    yield running
-    await running.stop()
+    fleet = fleet_of_seven
+    await fleet.add_plain(3)
+    return fleet
 
 
 def with_route(version: int) -> dict[str, object]:
