--- a/turmericflow/relay/_paths.py
+++ b/turmericflow/relay/_paths.py
@@ -41,7 +41,8 @@
     if service in paths.cut_off:
         return False
     paths.record_failure(service, target.entry.key, now)
-    if not _is_cut_off(tables, service):
+    # Without a host that may have a path, the targets may as well be lost.
+    if not _is_cut_off(tables, service) or not _find_hosts(tables, service, now):
         return False
     paths.cut_off.add(service)
     _forget_losses(tables, service)
@@ -59,6 +60,15 @@
             del tables.targets.loss_times[domain]
 
 
+def _find_hosts(tables: Tables, service: str, now: float) -> list[HostEntry]:
+    """Return the ready hosts that do not say that they are cut off from a service."""
+    return [
+        row.entry
+        for row in membership.live_peers(tables, now)
+        if row.status.state == HostState.READY and service not in row.status.cut_off
+    ]
+
+
 def choose_host(
     tables: Tables, service: str, excluded: Collection[str], now: float, rng: Random
 ) -> HostEntry | None:
@@ -77,11 +87,6 @@
     rng
         Source of randomness.
     """
-    found = [
-        row.entry
-        for row in membership.live_peers(tables, now)
-        if row.status.state == HostState.READY
-        and service not in row.status.cut_off
-        and row.entry.name not in excluded
-    ]
+    hosts = _find_hosts(tables, service, now)
+    found = [entry for entry in hosts if entry.name not in excluded]
     return rng.choice(found) if found else None
