--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -32,7 +32,8 @@
 
 # Below the ephemeral range, so that no outgoing connection takes a port after it was
 # chosen.  Each process starts at another port, by its process id.
-_PORTS = itertools.count(20_000 + os.getpid() % 100 * 100)
+# All tests together take some thousands.
+_PORTS = itertools.count(10_000 + os.getpid() % 100 * 100)
 
 
 def free_port() -> int:
