--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,80 +1,124 @@
-"""Another writer puts entries with missing fields among the workers."""
+"""Streams begin while the store is down; then all hosts are killed and come back."""
 
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
 import stand_ins as s
+from engine import Engine, event_numbers
 
-HOSTS = 3
-BEFORE_S, AFTER_S, EVERY_S = 4.0, 30.0, 0.2
-BUDGET_MS = 1500
-# Of the rule Fault: on a tenth of the machines, two at least, three ends each.
-MIN_MACHINES, MIN_ENDS = 2, 3
-# Fields that the page PROTOCOL names are missing: version, slots, coldRemainingMs,
-# sequence.
-FOREIGN = {"backend": "desk", "state": "ready"}
+HOSTS, STREAMS = 3, 16
+VERSIONS = ("v1", "v1", "v2", "v2")  # of the workers' software
+DOWN_S, BEGIN_S, KILL_S, DARK_S = 4.5, 0.3, 2.0, 2.2
+CONTACT_S = 3.0  # bound `contactMs`
+MIN_TAKEN_UP = 12  # of the rule LOST, as is the half below
+BUDGET_MS = 25_000
+STORE_DOWN = s.TROUBLE and os.environ.get("STORE", "1") != "0"
+
+
+class Versioned(Engine):
+    version = ""
+
+    def entry(self, state: str) -> dict[str, object]:
+        return super().entry(state) | {"version": self.version}
+
+
+class FailingStore(s.Store):
+    down = False
+
+    async def handle(self, writer, method, path, headers, body) -> bool:
+        if not self.down:
+            return await super().handle(writer, method, path, headers, body)
+        writer.write(s.answer("503 Service Unavailable", {"Store-Era": "1"}))
+        return True
 
 
 async def case(folder, prefix, record, hosts) -> int:
-    store = s.Store(f"{prefix}.100")
+    loop = asyncio.get_running_loop()
+    store = FailingStore(f"{prefix}.100")
     await store.start()
     store.put("config", "main", s.config())
-    for number in range(3):
-        args = f"{prefix}.{101 + number}", f"zone-{number}", f"i-{number}", store, record
-        await s.Worker(*args).start()
+    for number, version in enumerate(VERSIONS):
+        zone = f"zone-{number % 3}"
+        engine = Versioned(f"{prefix}.{101 + number}", zone, f"i-{number}", store, record)
+        engine.version, engine.events, engine.interval_s = version, 150, 0.1
+        await engine.start()
     hosts += [s.HostProcess(n, prefix, store, folder, record) for n in range(HOSTS)]
-    keepers = [asyncio.create_task(host.keep_running()) for host in hosts]
+    for host in hosts:
+        await host.start()
     for host in hosts:
         await host.until_ready()
-    await asyncio.sleep(3.0)
-
-    loop = asyncio.get_running_loop()
-    found: list[s.Answer] = []
+    await asyncio.sleep(CONTACT_S + 2.0)
 
-    async def ask(id: str, host) -> None:
-        record.line(f"client sends {id}")
+    async def ask(id: str, host, last: int = 0, resumes: str = "") -> s.Answer:
         headers = s.client_headers(id, BUDGET_MS)
-        answer = await s.request(
-            host.ip, s.FRONT, "POST", "/booking/x", headers, b"a booking", 1.5
+        headers |= {
+            "X-Turmericflow-Model": "m",
+            "X-Turmericflow-Token-Usage": "600,1200",
+            "X-Turmericflow-Prefix-Hash": f"aa:200,{id[-2:]}:400",
+        }
+        if last:
+            headers |= {"Last-Event-Id": str(last), "Resumes": resumes}
+        record.line(f"client sends {id} to {host.name}, last event {last}")
+        found = await s.request(
+            host.ip, s.FRONT, "POST", "/report/x", headers, b"prompt", 20.0
         )
-        found.append(answer)
-        record.line(f"client got {id}: {answer.ending}, status {answer.status}")
-
-    async def ask_all(seconds: float, first: int) -> int:
-        until, number = loop.time() + seconds, first
-        async with asyncio.TaskGroup() as group:
-            while loop.time() < until:
-                for host in hosts:
-                    group.create_task(ask(f"{host.name}-{number:03d}", host))
-                number += 1
-                await asyncio.sleep(EVERY_S)
-        return number
-
-    sent = await ask_all(BEFORE_S, 0)
-    if any(answer.status != 200 for answer in found):
-        return s.NOT_RUN
-    found.clear()
+        ids = event_numbers(found.body)
+        record.line(
+            f"client got {id}: {found.ending}, status {found.status}, {len(ids)} events"
+        )
+        return found
+
+    if STORE_DOWN:
+        record.line("the store is down")
+        store.down = True
+    downed_at = loop.time()
+    await asyncio.sleep(BEGIN_S)
+    begun = [
+        asyncio.create_task(ask(f"stream-{n:02d}", hosts[n % HOSTS]))
+        for n in range(STREAMS)
+    ]
+    await asyncio.sleep(KILL_S - BEGIN_S)
     if s.TROUBLE:
-        for number in range(3):
-            record.line(f"another writer writes servers/x-{number}")
-            where = {"zone": f"zone-{number}", "address": f"desk{number}..local:8080"}
-            store.put("servers", f"x-{number}", FOREIGN | where)
-    await ask_all(AFTER_S, sent)
-    for keeper in keepers:
-        keeper.cancel()
-    endings: dict[str, int] = {}
-    for answer in found:
-        key = f"{answer.ending} {answer.status}"
-        endings[key] = endings.get(key, 0) + 1
-    ends = {host.name: len(host.own_ends) for host in hosts}
-    record.line(f"{len(found)} requests: {endings}; ends by themselves: {ends}")
-    machines = sum(1 for number in ends.values() if number >= MIN_ENDS)
-    return s.BROKEN if machines >= MIN_MACHINES else s.HELD
+        for host in hosts:
+            host.signal(signal.SIGKILL)
+        await asyncio.sleep(DARK_S)
+        for host in hosts:
+            await host.start()
+        await asyncio.sleep(max(0.0, downed_at + DOWN_S - loop.time()))
+        store.down = False
+        record.line("the store is back")
+        for host in hosts:
+            await host.until_ready()
+        await asyncio.sleep(CONTACT_S + 1.0)
+    first = await asyncio.gather(*begun)
+    taken = []
+    for number, found in enumerate(first):
+        ids = event_numbers(found.body)
+        if ids and not found.complete:
+            host = hosts[(number + 1) % HOSTS]
+            id = f"stream-{number:02d}"
+            taken.append(ask(f"again-{number:02d}", host, max(ids), id))
+    new = [ask(f"newer-{n:02d}", hosts[n % HOSTS]) for n in range(STREAMS)]
+    results = await asyncio.gather(*taken, *new)
+    go_on = [bool(event_numbers(r.body)) for r in results[: len(taken)]]
+    begin = [bool(event_numbers(r.body)) for r in results[len(taken) :]]
+    record.line(
+        f"{sum(go_on)} of {len(go_on)} streams that were taken up go on,"
+        f" {sum(begin)} of {len(begin)} new ones begin"
+    )
+    if not s.TROUBLE:
+        return s.HELD if all(found.complete for found in first) else s.BROKEN
+    if len(go_on) < MIN_TAKEN_UP or not any(begin):
+        return s.NOT_RUN
+    broken = sum(go_on) / len(go_on) < 0.5 * sum(begin) / len(begin)
+    return s.BROKEN if broken else s.HELD
 
 
 s.run_case(case)
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -457,7 +457,7 @@
         self._record, self._folder = record, folder
         self._process: asyncio.subprocess.Process | None = None
         self.own_ends: list[int] = []
-        self._ordered = False
+        self._ordered = self._closed = False
         settings = {
             "nodeName": self.name,
             "role": "edge",
@@ -523,7 +523,7 @@
 
     async def keep_running(self, pause_s: float = 0.5) -> None:
         """Start the process again whenever it ends, as the platform does."""
-        while True:
+        while not self._closed:
             if not self.running:
                 await self.start()
             code = await self._process.wait()
@@ -548,6 +548,8 @@
         self._record.line(f"{self.name} has ended")
 
     async def end(self) -> None:
+        """Kill the process for good."""
+        self._closed = True
         if self.running:
             self._ordered = True
             self._process.kill()
@@ -637,6 +639,8 @@
     record = Record(here)
 
     async def main() -> int:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as folder:
             hosts: list[HostProcess] = []
             try:
@@ -651,7 +655,7 @@
 
     try:
         code = asyncio.run(main())
-    except Exception as exc:  # the case could not run
+    except (Exception, asyncio.CancelledError) as exc:  # the case could not run
         record.line(f"could not run: {exc!r}")
         print(f"could not run: {exc!r}")
         code = NOT_RUN
