--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -168,6 +168,7 @@
     """
 
     MAX_PAGE_BYTES = 1_000_000
+    era = 1
 
     def __init__(self, ip: str, port: int = 0) -> None:
         super().__init__(ip, port)
@@ -229,7 +230,7 @@
             status, out = ("404 Not Found", b"") if not found else ("200 OK", found)
         else:
             status, out = self._write(method, kind, name, query, body)
-        head = {"Content-Type": "application/json", "Store-Era": "1"}
+        head = {"Content-Type": "application/json", "Store-Era": str(self.era)}
         writer.write(answer(status, head, out))
         await writer.drain()
         return True
