Take a body without a length for whole only if its target ended it

Cause: the streams passed another host, and when that host was stopped or killed, its connection closed in the ordinary way, which counts as the end of a body without a length.

Bytes of a target now come in frames between hosts, and an empty frame says that the target has ended the connection. The host that carries a connection lets it end in a reset otherwise, also if its process dies, so that hosts of the earlier version notice it too; it waits for such connections before it stops. Through a host of the earlier version no body without a length is whole; hosts say in their status that they frame, and are asked first. Broken-off responses to callers without chunks are reset.

--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -19,13 +19,17 @@
     Call,
     Dispatch,
     EngineReport,
+    Framed,
+    FrameDecoder,
     HostEntry,
     KvCopy,
     LimitAbsent,
     LimitInvalid,
     LimitNamed,
     LimitNotice,
+    TargetConnection,
     TunnelFailed,
+    Unframed,
     open_tunnel,
 )
 from turmericflow.verdict import TargetFailed, Verdict
@@ -165,7 +169,6 @@
 
     __slots__ = (
         "_resp",
-        "_connection_closed",
         "status",
         "headers",
         "not_run",
@@ -179,9 +182,6 @@
 
     def __init__(self, call: Call, resp: aiohttp.ClientResponse) -> None:
         self._resp = resp
-        # The protocol object is falsy without data: compare with None.
-        protocol = None if resp.connection is None else resp.connection.protocol
-        self._connection_closed = None if protocol is None else protocol.closed
         self.status = resp.status
         self.headers = header_names.response_headers(resp.headers)
         echoed = resp.headers.get(header_names.ATTEMPT_ID)
@@ -208,19 +208,6 @@
                 yield chunk
         except _CONNECTION_ERRORS as exc:
             raise TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc), lost=True) from exc
-        self._check_connection_end()
-
-    def _check_connection_end(self) -> None:
-        """Raise `TargetFailed` if a connection reset ended a body without a length."""
-        headers = self._resp.headers
-        if "Content-Length" in headers or "chunked" in headers.get(
-            "Transfer-Encoding", ""
-        ):
-            return
-        closed = self._connection_closed
-        if closed is not None and closed.done() and closed.exception() is not None:
-            message = f"connection lost within the body: {closed.exception()}"
-            raise TargetFailed(Verdict.MAY_HAVE_RUN, message, lost=True)
 
     def close(self) -> None:
         """Close the connection unless the body was read completely."""
@@ -238,16 +225,19 @@
     return sock
 
 
-async def open_tunnel_socket(host: str, address: str) -> socket.socket:
-    """Return a socket that is connected to a target through another host."""
+async def open_tunnel_socket(host: str, address: str) -> tuple[socket.socket, bool]:
+    """Return a socket that is connected to a target through another host.
+
+    The second value says whether the target's bytes come in frames.
+    """
     sock = create_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
     sock.setblocking(False)
     try:
-        await open_tunnel(sock, host, address)
+        framed = await open_tunnel(sock, host, address)
     except BaseException:
         sock.close()
         raise
-    return sock
+    return sock, framed
 
 
 class TargetConnector(aiohttp.TCPConnector):
@@ -257,9 +247,11 @@
         host = VIA.get()
         if host is None:
             return await super()._create_connection(req, traces, timeout)
-        sock = await open_tunnel_socket(host, f"{req.url.host}:{req.url.port}")
-        _, proto = await self._loop.create_connection(self._factory, sock=sock)
-        return proto
+        sock, framed = await open_tunnel_socket(host, f"{req.url.host}:{req.url.port}")
+        connection: TargetConnection = self._factory()
+        connection.path = Framed(FrameDecoder()) if framed else Unframed()
+        await self._loop.create_connection(lambda: connection, sock=sock)
+        return connection
 
 
 class HttpTargets:
@@ -392,7 +384,8 @@
                 _, writer = await self.open_connection(address)
                 writer.transport.abort()
             else:
-                (await open_tunnel_socket(via.peers, address)).close()
+                sock, _ = await open_tunnel_socket(via.peers, address)
+                sock.close()
         except (OSError, TimeoutError, TunnelFailed):
             return False
         return True
--- a/turmericflow/relay/__init__.py
+++ b/turmericflow/relay/__init__.py
@@ -43,7 +43,8 @@
     StoreFailed,
 )
 from turmericflow.relay._tables import Tables
-from turmericflow.relay._target_connections import TargetConnection
+from turmericflow.relay._target_connections import Framed, TargetConnection, Unframed
+from turmericflow.relay._tunnel_frames import FrameDecoder
 from turmericflow.relay._tunnels import TunnelFailed, open_tunnel
 
 __all__ = (
@@ -69,8 +70,11 @@
     "LimitNamed",
     "LimitNotice",
     "RequestInvalid",
+    "FrameDecoder",
+    "Framed",
     "TargetConnection",
     "TunnelFailed",
+    "Unframed",
     "open_tunnel",
     # The object store
     "Change",
--- a/turmericflow/relay/_caller_handler.py
+++ b/turmericflow/relay/_caller_handler.py
@@ -100,7 +100,7 @@
     def abort(self) -> None:
         """Abort the connection, so that the response cannot look complete."""
         conn: Connection = self._request.protocol
-        conn.abort()
+        conn.abort(reset=self._request.version < HttpVersion11)
 
 
 class CallerHandler:
--- a/turmericflow/relay/_connections.py
+++ b/turmericflow/relay/_connections.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import enum
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -12,6 +14,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 
 LISTEN_BACKLOG = 512
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of the option SO_LINGER
 IDLE_CHECK_S = 0.1  # the current idle timeout is first applied after this time
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -121,10 +124,20 @@
         self._stop_timer()
         super().connection_lost(exc)
 
-    def abort(self) -> None:
-        """Close the connection at once, so that its response cannot look complete."""
+    def abort(self, reset: bool = False) -> None:
+        """Close the connection at once, so that its response cannot look complete.
+
+        Parameters
+        ----------
+        reset
+            Whether to reset the connection, which may lose what was sent. Without
+            chunks an ordinary end would complete the response.
+        """
         if self.transport is not None:
             self.closed_by = ClosedBy.SERVER
+            if reset:
+                sock = self.transport.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             self.transport.abort()
 
     def close_if_idle(self) -> None:
--- a/turmericflow/relay/_daemon.py
+++ b/turmericflow/relay/_daemon.py
@@ -90,7 +90,8 @@
 
         Connections are accepted for a part of that time, so that callers and other
         hosts learn that this host is leaving. Then each connection is closed once it
-        holds no bytes that await a response.
+        holds no bytes that await a response. Connections to targets that are carried
+        for other hosts stay open.
 
         Parameters
         ----------
@@ -115,7 +116,7 @@
         await self._callers.stop_listening()
         # The first wait lets connections that were just accepted be counted.
         await asyncio.sleep(DRAIN_POLL_S)
-        while self._callers.connections and clock.now() < drain.serve_until:
+        while self._is_serving() and clock.now() < drain.serve_until:
             self._callers.close_idle_connections()
             await asyncio.sleep(DRAIN_POLL_S)
         self.caller_handler.end_running()
@@ -124,8 +125,12 @@
             "left",
             running=self.caller_handler.running,
             connections=self._callers.connections,
+            tunnels=self._links.tunnels,
         )
 
+    def _is_serving(self) -> bool:
+        return self._callers.connections > 0 or self._links.tunnels > 0
+
     async def close(self) -> None:
         """Close all listeners and their connections."""
         await self._callers.close()
--- a/turmericflow/relay/_handshake.py
+++ b/turmericflow/relay/_handshake.py
@@ -12,9 +12,17 @@
 
 
 class TunnelRequest(msgspec.Struct, array_like=True, tag="tunnel"):
-    """First message of a host that wants a connection to a target, at IP:PORT."""
+    """First message of a host that wants a connection to a target, at IP:PORT.
+
+    Attributes
+    ----------
+    framed
+        Whether the host reads frames (see `_tunnel_frames`). Hosts of an earlier
+        version neither send nor read this field.
+    """
 
     address: str
+    framed: bool = False
 
 
 class TunnelReply(msgspec.Struct, array_like=True, tag="tunnelled"):
@@ -26,7 +34,10 @@
         Empty if the target accepted the connection.
     at_target
         Whether the target is the reason, and not the host that was asked.
+    framed
+        Whether the bytes of the target come in frames.
     """
 
     problem: str = ""
     at_target: bool = False
+    framed: bool = False
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -78,6 +78,8 @@
         Services whose targets the host cannot reach.
     full
         Brittle targets that recently had no room for a request of the host.
+    frames_tunnels
+        Whether connections to targets through the host carry frames.
     """
 
     entry: HostEntry
@@ -104,6 +106,7 @@
     deployment_version: int = -1
     cut_off: list[str] = []
     full: list[str] = []
+    frames_tunnels: bool = False
 
 
 class Host:
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -174,6 +174,11 @@
         ctx.announce = self.announce
         ctx.announce_load = self.announce_load
 
+    @property
+    def tunnels(self) -> int:
+        """Number of connections to targets that this host carries for others."""
+        return self._tunnels.running
+
     async def on_start(self) -> None:
         ip, _, port = self._ctx.settings.peers.rpartition(":")
         self._server = await asyncio.start_server(self._on_accept, ip, int(port))
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -68,6 +68,7 @@
         deployment_version=tables.deployment.version,
         cut_off=list(tables.paths.cut_off),
         full=_recent(tables.targets.own_full, max_age_s, now),
+        frames_tunnels=True,
     )
 
 
--- a/turmericflow/relay/_paths.py
+++ b/turmericflow/relay/_paths.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from turmericflow.relay import _membership as membership
-from turmericflow.relay._host_tables import HostState
+from turmericflow.relay._host_tables import Host, HostState
 from turmericflow.relay._model import HostEntry
 from turmericflow.relay._tables import Tables
 from turmericflow.relay._target_tables import Target
@@ -60,10 +60,10 @@
             del tables.targets.loss_times[domain]
 
 
-def _find_hosts(tables: Tables, service: str, now: float) -> list[HostEntry]:
+def _find_hosts(tables: Tables, service: str, now: float) -> list[Host]:
     """Return the ready hosts that do not say that they are cut off from a service."""
     return [
-        row.entry
+        row
         for row in membership.live_peers(tables, now)
         if row.status.state == HostState.READY and service not in row.status.cut_off
     ]
@@ -74,6 +74,9 @@
 ) -> HostEntry | None:
     """Return a host that has a path to a service's targets, or None.
 
+    Hosts whose connections carry frames go first, as through others a body without a
+    length cannot be told to be complete.
+
     Parameters
     ----------
     tables
@@ -88,5 +91,6 @@
         Source of randomness.
     """
     hosts = _find_hosts(tables, service, now)
-    found = [entry for entry in hosts if entry.name not in excluded]
-    return rng.choice(found) if found else None
+    found = [row for row in hosts if row.entry.name not in excluded]
+    found = [row for row in found if row.status.frames_tunnels] or found
+    return rng.choice(found).entry if found else None
--- a/turmericflow/relay/_target_connections.py
+++ b/turmericflow/relay/_target_connections.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.streams import EMPTY_PAYLOAD
 
+from turmericflow.relay._tunnel_frames import FrameDecoder, FrameError
+
 # Head, interim responses, chunk headers and trailers may have this many bytes more
 # than the body.
 MAX_FRAMING_BYTES = 65_536
@@ -16,20 +19,77 @@
 _HEAD_END = b"\r\n\r\n"
 
 
+@dataclass(slots=True, frozen=True)
+class Direct:
+    """A connection of this host's own."""
+
+
+@dataclass(slots=True, frozen=True)
+class Framed:
+    """A connection through a host that says when the target ends it."""
+
+    decoder: FrameDecoder
+
+
+@dataclass(slots=True, frozen=True)
+class Unframed:
+    """A connection through a host that does not say who ends it."""
+
+
+Path = Direct | Framed | Unframed
+
+
 class TargetConnection(ResponseHandler):
     """Reads one response, and fails once it has too many bytes outside its body.
 
     The head is parsed by itself, so that a complete response counts although bytes
-    that belong to no response follow it at once.
+    that belong to no response follow it at once. A body without a length is complete
+    only if the target has ended the connection.
+
+    Attributes
+    ----------
+    path
+        How the connection reaches the target.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._parsed_bytes = 0
         self._heads = 0
+        self.path: Path = Direct()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; without any, parse those held back by flow control."""
+        if not data or not isinstance(self.path, Framed):
+            self._parse(data)
+            return
+        try:
+            pieces = self.path.decoder.feed(data)
+        except FrameError as exc:
+            self.set_exception(ClientPayloadError(str(exc)))
+            self.transport.abort()
+            return
+        for piece in pieces:
+            self._parse(piece)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the response; only the target ends a body without a length."""
+        if exc is None and not self._ended_by_target():
+            exc = ConnectionResetError("the connection through another host was lost")
+        if exc is not None:
+            self._fail_body(exc)
+        super().connection_lost(exc)
+
+    def _ended_by_target(self) -> bool:
+        match self.path:
+            case Direct():
+                return True
+            case Framed(decoder):
+                return decoder.ended
+            case Unframed():
+                return False
+
+    def _parse(self, data: bytes) -> None:
         if self._parser is None or not data:
             super().data_received(data)
             return
@@ -46,6 +106,9 @@
     ) -> None:
         """Fail the response, and also its body if that is being read."""
         super().set_exception(exc, exc_cause or exc)
+        self._fail_body(exc)
+
+    def _fail_body(self, exc: BaseException) -> None:
         body = self._payload
         if body is not None and not body.is_eof() and body.exception() is None:
             body.set_exception(ClientPayloadError(repr(exc)), exc)
--- a/turmericflow/relay/_tunnels.py
+++ b/turmericflow/relay/_tunnels.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import struct
 from typing import Union
 
 import msgspec
@@ -12,15 +11,16 @@
 
 from turmericflow._framing import StreamDecoder, WireError
 from turmericflow.relay import _placement as placement
+from turmericflow.relay._connections import RESET_ON_CLOSE
 from turmericflow.relay._context import HostContext
 from turmericflow.relay._handshake import Hello, TunnelReply, TunnelRequest
 from turmericflow.relay._host_tables import HostState
 from turmericflow.relay._tables import Tables
+from turmericflow.relay._tunnel_frames import END, encode_frame
 
 READ_BYTES = 65_536
 OPEN_TIMEOUT_S = 0.7  # the other host's own attempt, and the ways to and from it
 MAX_TUNNELS = 1000  # each takes two descriptors
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _DECODER = msgspec.msgpack.Decoder(Union[Hello, TunnelReply])
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -41,9 +41,15 @@
         self.at_target = at_target
 
 
-async def open_tunnel(sock: socket.socket, host: str, address: str) -> None:
+async def open_tunnel(sock: socket.socket, host: str, address: str) -> bool:
     """Connect a socket to a target through another host.
 
+    Returns
+    -------
+    bool
+        Whether the bytes of the target come in frames. Those through a host of an
+        earlier version do not; then the end of the connection may be that of the host.
+
     Parameters
     ----------
     sock
@@ -67,13 +73,14 @@
     if reply.problem:
         message = f"no connection through {host}: {reply.problem}"
         raise TunnelFailed(message, reply.at_target)
+    return reply.framed
 
 
 async def _request(sock: socket.socket, host: str, address: str) -> TunnelReply:
     loop = asyncio.get_running_loop()
     ip, _, port = host.rpartition(":")
     await loop.sock_connect(sock, (ip, int(port)))
-    await loop.sock_sendall(sock, _ENCODER.encode(TunnelRequest(address)))
+    await loop.sock_sendall(sock, _ENCODER.encode(TunnelRequest(address, framed=True)))
     decoder = StreamDecoder(_DECODER)
     while data := await loop.sock_recv(sock, READ_BYTES):
         for msg in decoder.feed(data):
@@ -117,7 +124,7 @@
         problem = _find_problem(self._ctx.tables, req.address)
         if self.running >= MAX_TUNNELS:
             problem = f"{self.running} connections are open"
-        reply, target = TunnelReply(problem), None
+        reply, target = TunnelReply(problem, framed=req.framed), None
         self.running += 1
         try:
             if not problem:
@@ -126,10 +133,12 @@
                     target = await client.open_connection(req.address)
                 except (OSError, TimeoutError) as exc:
                     reply = TunnelReply(repr(exc), at_target=True)
+            if target is not None:
+                _reset_on_close(writer)
             writer.write(_ENCODER.encode(reply))
             await writer.drain()
             if target is not None:
-                await _connect(reader, writer, *target)
+                await _connect(reader, writer, *target, req.framed)
         except OSError as exc:
             log.info("tunnel_lost", address=req.address, reason=repr(exc))
         finally:
@@ -138,10 +147,14 @@
                 target[1].transport.abort()
 
 
-async def _copy(source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
+async def _copy(
+    source: asyncio.StreamReader, sink: asyncio.StreamWriter, framed: bool = False
+) -> None:
     while data := await source.read(READ_BYTES):
-        sink.write(data)
+        sink.write(encode_frame(data) if framed else data)
         await sink.drain()
+    if framed:
+        sink.write(END)
 
 
 async def _connect(
@@ -149,16 +162,17 @@
     host_writer: asyncio.StreamWriter,
     target_reader: asyncio.StreamReader,
     target_writer: asyncio.StreamWriter,
+    framed: bool,
 ) -> None:
     """Copy bytes both ways until the host closes, or the target resets."""
     up = asyncio.create_task(_copy(host_reader, target_writer))
-    down = asyncio.create_task(_copy(target_reader, host_writer))
+    down = asyncio.create_task(_copy(target_reader, host_writer, framed))
     try:
         await asyncio.wait({up, down}, return_when=asyncio.FIRST_COMPLETED)
         if up.done():
             return
         if down.exception() is not None:
-            _reset(host_writer)
+            host_writer.transport.abort()
             return
         # An answer without a length ends here; the host closes once it has it.
         host_writer.write_eof()
@@ -169,8 +183,11 @@
         await asyncio.gather(up, down, return_exceptions=True)
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Reset a connection, so that what it carried does not look complete."""
+def _reset_on_close(writer: asyncio.StreamWriter) -> None:
+    """Let a connection end in a reset unless the target has ended it.
+
+    This holds also if the process is killed. To a host of an earlier version a reset
+    is the only sign that what the connection carried is not whole.
+    """
     sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-    writer.transport.abort()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
