Use no entry that lacks fields or names no address, and survive odd ones

Causes: missing fields got defaults and any text before a port was an address, so that the entries were used as targets; and an error in the look-up of the name, of a kind that one except did not name, ended the watchdog and with it the process.

An entry now needs all fields of a target, of their types and of a bounded size; an address is the IPv4 address of one host and a port. A task on what came from outside logs an error and counts it, and ends no process.

--- a/turmericflow/platform/_objects.py
+++ b/turmericflow/platform/_objects.py
@@ -18,6 +18,7 @@
     TargetEntry,
     VersionRecord,
     WorkKind,
+    parse_address,
 )
 
 _KIND_BY_ROUTE_TYPE = {
@@ -26,11 +27,13 @@
     "streaming": WorkKind.STREAM,
 }
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
-MAX_PORT = 65_535
-
+MAX_NAME_LENGTH = 256  # of a name in an entry; hosts tell each other all entries
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 86_400_000
 
 # Other hosts are told of these numbers in 64 bits.
-_Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+_Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
 
 class _Weighted(msgspec.Struct):
@@ -96,21 +99,22 @@
 
 
 class _Server(msgspec.Struct):
-    backend: str
-    address: str
-    zone: str
-    state: str
-    slots: _Integer = 1
-    coldRemainingMs: float = 0.0
-    version: str = ""  # of its software
-    born: _Integer = 0  # start of the target's process, in Unix milliseconds
+    backend: _Name
+    address: _Name
+    zone: _Name
+    state: _Name
+    version: _Name  # of its software
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+    coldRemainingMs: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)]
+    sequence: Integer  # of the orders that it accepted
+    born: Integer = 0  # start of the target's process, in Unix milliseconds
 
 
 class _Host(msgspec.Struct):
-    incarnation: _Integer
-    data_centre: str
-    callers: str
-    peers: str
+    incarnation: Integer
+    data_centre: _Name
+    callers: _Name
+    peers: _Name
 
 
 def _decode_shares(route: _Route) -> tuple[Share, ...]:
@@ -181,13 +185,6 @@
         raise ValueError(f"got an unusable configuration: {exc}") from exc
 
 
-def _check_address(address: str) -> None:
-    """Raise `ValueError` if an address is not IP:PORT."""
-    ip, _, port = address.rpartition(":")
-    if not ip or not port.isdecimal() or len(port) > 5 or int(port) > MAX_PORT:
-        raise ValueError(f"got address {address!r}, expected IP:PORT")
-
-
 def decode_target(name: str, spec: object) -> TargetEntry:
     """Build a target entry from the object that the target wrote into the store.
 
@@ -196,13 +193,15 @@
     ValueError
         If a field is missing or invalid, or the state is unknown.
     """
+    if len(name) > MAX_NAME_LENGTH:
+        raise ValueError(f"got a name of {len(name)} characters")
     try:
         server = msgspec.convert(spec, _Server)
     except msgspec.MsgspecError as exc:
         raise ValueError(f"got an unusable target entry: {exc}") from exc
     if server.state not in _LEAVING_BY_STATE:
-        raise ValueError(f"got state {server.state!r}, expected ready or draining")
-    _check_address(server.address)
+        raise ValueError(f"got state {server.state[:40]!r}, expected ready or draining")
+    parse_address(server.address)
     return TargetEntry(
         id=name,
         born_ms=server.born,
@@ -228,8 +227,8 @@
         host = msgspec.convert(spec, _Host)
     except msgspec.MsgspecError as exc:
         raise ValueError(f"got an unusable host entry: {exc}") from exc
-    _check_address(host.callers)
-    _check_address(host.peers)
+    parse_address(host.callers)
+    parse_address(host.peers)
     return HostEntry(name, host.incarnation, host.data_centre, host.callers, host.peers)
 
 
--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -15,6 +15,7 @@
 from yarl import URL
 
 from turmericflow.platform import _callers as header_names
+from turmericflow.platform._objects import Integer
 from turmericflow.relay import (
     Call,
     Dispatch,
@@ -31,6 +32,7 @@
     TunnelFailed,
     Unframed,
     open_tunnel,
+    parse_address,
 )
 from turmericflow.verdict import TargetFailed, Verdict
 
@@ -57,6 +59,13 @@
     asyncio.IncompleteReadError,
     ValueError,
 )
+# Deep nesting in an answer exhausts the stack of the decoder.
+_CONTROL_ERRORS = (
+    *_CONNECTION_ERRORS,
+    TimeoutError,
+    msgspec.MsgspecError,
+    RecursionError,
+)
 
 
 # Address for peers of the host through which a task connects to a target, or None.
@@ -78,8 +87,8 @@
 
 class _Report(msgspec.Struct):
     models: list[_Model]
-    kvTotal: int  # capacity of the KV cache, in tokens
-    born: int = 0  # start of the engine's process, in Unix milliseconds
+    kvTotal: Integer  # capacity of the KV cache, in tokens
+    born: Integer = 0  # start of the engine's process, in Unix milliseconds
 
 
 class _Moved(msgspec.Struct):
@@ -275,8 +284,12 @@
         TargetFailed
             If there was no reply; the verdict says whether the request may have run.
         """
-        url = URL(f"http://{dispatch.address}{call.path}", encoded=True)
         VIA.set(dispatch.via and dispatch.via.peers)
+        try:
+            parse_address(dispatch.address)
+            url = URL(f"http://{dispatch.address}{call.path}", encoded=True)
+        except ValueError as exc:
+            raise TargetFailed(Verdict.NOT_RUN, repr(exc), lost=True) from exc
         try:
             resp = await self._session.request(
                 call.method,
@@ -327,7 +340,7 @@
                 message = f"no copy made: status {resp.status}"
                 raise TargetFailed(Verdict.NOT_RUN, message)
             handle = msgspec.json.decode(content, type=_Moved).handle
-        except (*_CONNECTION_ERRORS, TimeoutError, msgspec.MsgspecError) as exc:
+        except _CONTROL_ERRORS as exc:
             raise TargetFailed(Verdict.MAY_HAVE_RUN, repr(exc)) from exc
         return KvCopy(holder, source, handle)
 
@@ -342,7 +355,7 @@
                     report = msgspec.json.decode(
                         await _read_control(resp), type=_Report
                     )
-        except (*_CONNECTION_ERRORS, TimeoutError, msgspec.MsgspecError):
+        except _CONTROL_ERRORS:
             return None
         models = tuple(model.name for model in report.models)
         return EngineReport(id, report.born, report.kvTotal, models)
@@ -357,7 +370,7 @@
             _, writer = await self.open_connection(address)
         except ConnectionRefusedError:
             return False
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError):
             return True
         writer.transport.abort()
         return True
@@ -365,13 +378,16 @@
     async def open_connection(
         self, address: str
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Open a connection to a target; raises `OSError` or `TimeoutError`."""
-        ip, _, port = address.rpartition(":")
+        """Open a connection to a target.
+
+        Raises `OSError`, `TimeoutError`, or `ValueError` if the address is none.
+        """
+        ip_and_port = parse_address(address)
         sock = create_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
         try:
             sock.setblocking(False)
             async with asyncio.timeout(CHECK_TIMEOUT_S):
-                await asyncio.get_running_loop().sock_connect(sock, (ip, int(port)))
+                await asyncio.get_running_loop().sock_connect(sock, ip_and_port)
             return await asyncio.open_connection(sock=sock)
         except BaseException:
             sock.close()
@@ -386,7 +402,7 @@
             else:
                 sock, _ = await open_tunnel_socket(via.peers, address)
                 sock.close()
-        except (OSError, TimeoutError, TunnelFailed):
+        except (OSError, TimeoutError, ValueError, TunnelFailed):
             return False
         return True
 
@@ -396,6 +412,6 @@
             async with asyncio.timeout(timeout_s):
                 async with self._session.get(f"http://{address}{REPORT_PATH}") as resp:
                     await _read_control(resp)
-        except (*_CONNECTION_ERRORS, TimeoutError):
+        except _CONTROL_ERRORS:
             return False
         return resp.status >= MIN_FINAL_STATUS
--- a/turmericflow/relay/__init__.py
+++ b/turmericflow/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from turmericflow.relay._addresses import parse_address
 from turmericflow.relay._call import Call, Dispatch, KvCopy
 from turmericflow.relay._caller_handler import RequestInvalid
 from turmericflow.relay._connections import Listener
@@ -76,6 +77,7 @@
     "TunnelFailed",
     "Unframed",
     "open_tunnel",
+    "parse_address",
     # The object store
     "Change",
     "Changes",
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -19,15 +19,18 @@
     _membership as membership,
     _routing as routing,
 )
+from turmericflow.relay._addresses import parse_address
 from turmericflow.relay._broadcast import Outbox, Rings, RoutedStatus
 from turmericflow.relay._context import HostContext
 from turmericflow.relay._handshake import Hello, TunnelRequest
 from turmericflow.relay._host_tables import HostStatus
 from turmericflow.relay._lag import Lag
 from turmericflow.relay._model import Deployment, TargetEntry
+from turmericflow.relay._peer_entries import check_status, usable_entries
 from turmericflow.relay._rate_limits import LimitNews
 from turmericflow.relay._store import Kind
 from turmericflow.relay._stream_versions import VersionNews
+from turmericflow.relay._tasks import contain
 from turmericflow.relay._tunnels import TunnelServer
 
 CONNECT_TIMEOUT_S = 0.5
@@ -192,14 +195,15 @@
     async def _on_accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await self._serve_stream(reader, writer, dialled=False)
+        work = self._serve_stream(reader, writer, dialled=False)
+        await contain(self._ctx, "accept", work)
 
     async def _dial(self, address: str) -> None:
-        ip, _, port = address.rpartition(":")
         try:
+            ip, port = parse_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(ip, int(port))
-        except (OSError, TimeoutError):
+                reader, writer = await asyncio.open_connection(ip, port)
+        except (OSError, TimeoutError, ValueError):
             return
         finally:
             self._dialling.discard(address)
@@ -247,7 +251,8 @@
             case TargetsSnapshot():
                 tables = self._ctx.tables
                 now = self._ctx.clock.now()
-                if discovery.replace(tables.targets, msg.entries, msg.revision, now):
+                entries = usable_entries(msg.entries)
+                if discovery.replace(tables.targets, entries, msg.revision, now):
                     log.info("targets_learned", revision=msg.revision, source=link.name)
             case SnapshotRequest():
                 self._send_snapshots(link, msg)
@@ -299,6 +304,9 @@
         name = status.entry.name
         if name == tables.hosts.own.name or membership.is_outdated(tables, status):
             return
+        if not check_status(status):
+            log.warning("peer_address_invalid", peer=name, address=status.entry.peers)
+            return
         urgent = membership.is_urgent(tables, status)
         earlier_revision = tables.targets.revision
         if membership.apply_status(tables, status, now):
@@ -500,7 +508,7 @@
     def _start_dial(self, address: str) -> None:
         if address not in self._dialling:
             self._dialling.add(address)
-            self.add_future(self._dial(address))
+            self.add_future(contain(self._ctx, "dial", self._dial(address)))
 
     @Service.task
     async def _heartbeat(self) -> None:
--- a/turmericflow/relay/_metrics.py
+++ b/turmericflow/relay/_metrics.py
@@ -18,6 +18,7 @@
         "limited_sends",
         "resumes",
         "taken_up",
+        "failed_tasks",
         "losses",
         "store_calls",
         "peer_bytes",
@@ -56,6 +57,12 @@
             ["version"],
             registry=registry,
         )
+        self.failed_tasks = Counter(
+            "turmericflow_failed_tasks",
+            "Tasks on what came from outside that ended in an error",
+            ["task"],
+            registry=registry,
+        )
         self.losses = Counter(
             "turmericflow_losses", "Targets lost", ["evidence"], registry=registry
         )
--- a/turmericflow/relay/_store_watch.py
+++ b/turmericflow/relay/_store_watch.py
@@ -27,6 +27,7 @@
     StoreFailed,
 )
 from turmericflow.relay._target_tables import TargetsChange
+from turmericflow.relay._tasks import contain, record_failure
 
 WATCH_TIMEOUT_S = 15.0  # a watch costs one call, however long it waits
 RECOVERY_WATCH_TIMEOUT_S = 0.1  # short, to notice soon that the store answers again
@@ -68,8 +69,15 @@
                 revision = None
             except StoreFailed as exc:
                 self._mark_unreachable(exc)
-                await asyncio.sleep(backoff_s * (0.5 + self._ctx.rng.random()))
+                await self._back_off(backoff_s)
                 backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+            except Exception:
+                record_failure(self._ctx, "watch")
+                revision = None
+                await self._back_off(MAX_BACKOFF_S)
+
+    async def _back_off(self, seconds: float) -> None:
+        await asyncio.sleep(seconds * (0.5 + self._ctx.rng.random()))
 
     def _is_watched_here(self) -> bool:
         """Return whether this host watches the kind itself, not through peers."""
@@ -88,7 +96,7 @@
             retry = failed and self._unreachable_since is not None
             retry |= self._is_era_announced()
             if retry or membership.is_resyncer(self._ctx.tables, self._ctx.clock.now()):
-                failed = not await self._resync()
+                failed = not await contain(self._ctx, "resync", self._resync())
 
     @Service.task
     async def _verify_targets(self) -> None:
@@ -101,7 +109,7 @@
             age_s = self._ctx.clock.now() - tables.targets.verified_at
             known = tables.targets.revision >= 0 and self._unreachable_since is None
             if known and age_s > intervals.max_unverified_s(tables):
-                await self._resync()
+                await contain(self._ctx, "verify", self._resync())
                 await self.sleep(intervals.RESYNC_INTERVAL_S)
 
     async def _resync(self) -> bool:
--- a/turmericflow/relay/_tunnels.py
+++ b/turmericflow/relay/_tunnels.py
@@ -11,6 +11,7 @@
 
 from turmericflow._framing import StreamDecoder, WireError
 from turmericflow.relay import _placement as placement
+from turmericflow.relay._addresses import parse_address
 from turmericflow.relay._connections import RESET_ON_CLOSE
 from turmericflow.relay._context import HostContext
 from turmericflow.relay._handshake import Hello, TunnelReply, TunnelRequest
@@ -68,7 +69,7 @@
     try:
         async with asyncio.timeout(OPEN_TIMEOUT_S):
             reply = await _request(sock, host, address)
-    except (OSError, TimeoutError, WireError) as exc:
+    except (OSError, TimeoutError, ValueError, WireError) as exc:
         raise TunnelFailed(f"no connection through {host}: {exc!r}") from exc
     if reply.problem:
         message = f"no connection through {host}: {reply.problem}"
@@ -78,8 +79,7 @@
 
 async def _request(sock: socket.socket, host: str, address: str) -> TunnelReply:
     loop = asyncio.get_running_loop()
-    ip, _, port = host.rpartition(":")
-    await loop.sock_connect(sock, (ip, int(port)))
+    await loop.sock_connect(sock, parse_address(host))
     await loop.sock_sendall(sock, _ENCODER.encode(TunnelRequest(address, framed=True)))
     decoder = StreamDecoder(_DECODER)
     while data := await loop.sock_recv(sock, READ_BYTES):
@@ -131,7 +131,7 @@
                 client = self._ctx.target_client
                 try:
                     target = await client.open_connection(req.address)
-                except (OSError, TimeoutError) as exc:
+                except (OSError, TimeoutError, ValueError) as exc:
                     reply = TunnelReply(repr(exc), at_target=True)
             if target is not None:
                 _reset_on_close(writer)
--- a/turmericflow/relay/_watchdog.py
+++ b/turmericflow/relay/_watchdog.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Set
+from collections.abc import Coroutine, Set
 
 import structlog
 from mode import Service
@@ -27,6 +27,7 @@
 from turmericflow.relay._model import TargetEntry
 from turmericflow.relay._store import Conflict, StoreFailed
 from turmericflow.relay._tables import AbortReason, CrashSuspect, Run
+from turmericflow.relay._tasks import contain
 from turmericflow.verdict import TargetFailed
 
 TICK_S = 0.05
@@ -58,7 +59,10 @@
             self._probe_misdirected()
             for run in copies.find_lost_copies(self._ctx.tables):
                 run.copying = True
-                self.add_future(self._copy_kv_cache(run))
+                self._start("copy_kv_cache", self._copy_kv_cache(run))
+
+    def _start(self, task: str, work: Coroutine[None, None, object]) -> None:
+        self.add_future(contain(self._ctx, task, work))
 
     def _check_silent_streams(self) -> None:
         tables, now = self._ctx.tables, self._ctx.clock.unstalled_now()
@@ -71,7 +75,7 @@
                     self._resume_elsewhere(run, AbortReason.SILENT, silent_targets)
                 case silence.Action.PROBE:
                     run.probed_at = now
-                    self.add_future(self._probe(run))
+                    self._start("probe", self._probe(run))
 
     def _resume_elsewhere(
         self, run: Run, reason: AbortReason, silent_targets: Set[str]
@@ -151,7 +155,7 @@
         misdirected, self._ctx.misdirected = self._ctx.misdirected, []
         if adoption.store_unreachable(self._ctx.tables, self._ctx.clock.now()):
             for entry in {target.address: target for target in misdirected}.values():
-                self.add_future(self._adopt(entry))
+                self._start("adopt", self._adopt(entry))
 
     async def _adopt(self, earlier: TargetEntry) -> None:
         """Adopt an engine that restarted while no host can read the store."""
@@ -217,7 +221,7 @@
         for suspect in suspects:
             by_target.setdefault(suspect.target.entry.key, []).append(suspect)
         for group in by_target.values():
-            self.add_future(self._confirm_crash(group))
+            self._start("confirm_crash", self._confirm_crash(group))
 
     async def _confirm_crash(self, suspects: list[CrashSuspect]) -> None:
         entry = suspects[0].target.entry
@@ -287,7 +291,7 @@
             await self.sleep(SLOW_TICK_S)
             now = clock.now()
             for entry in adoption.engines_to_probe(tables, now):
-                self.add_future(self._adopt(entry))
+                self._start("adopt", self._adopt(entry))
             for key in discovery.expire(tables.targets, now):
                 log.info("target_gone", target=key, evidence="lapsed entry")
             for name in membership.expire(tables, now):
--- a/turmericflow/tests/test_platform_adapter.py
+++ b/turmericflow/tests/test_platform_adapter.py
@@ -32,7 +32,7 @@
     SettingsInvalid,
     WorkKind,
 )
-from turmericflow.tests.platform_stand_ins import deployment
+from turmericflow.tests.platform_stand_ins import TargetStandIn, deployment
 
 PACKAGE = Path(turmericflow.__file__).parent
 PLATFORM_NAMES = (
@@ -123,7 +123,7 @@
 
 
 def test_a_restarted_target_with_the_same_name_has_another_key():
-    entry = {"backend": "s", "address": "10.0.0.1:1", "zone": "z", "state": "ready"}
+    entry = TargetStandIn("w", "z").entry()
     first = decode_target("w", entry | {"born": 1})
     restarted = decode_target("w", entry | {"born": 2})
     assert first.key != restarted.key
@@ -135,7 +135,7 @@
     host = encode_host(HostEntry("h", 1, "z", "10.0.0.1:1", address))
     with pytest.raises(ValueError, match="IP:PORT"):
         decode_host("h", host)
-    target = {"backend": "s", "address": address, "zone": "z", "state": "ready"}
+    target = TargetStandIn("t", "z").entry() | {"address": address}
     with pytest.raises(ValueError, match="IP:PORT"):
         decode_target("t", target)
 
--- a/turmericflow/tests/test_relay_odd_entries.py
+++ b/turmericflow/tests/test_relay_odd_entries.py
@@ -22,6 +22,10 @@
         "address": '"127.0.0.1:9"',
         "zone": '"dc-0"',
         "state": '"ready"',
+        "version": '"v1"',
+        "slots": "6",
+        "coldRemainingMs": "0",
+        "sequence": "1",
     } | fields
     return "{" + ",".join(f'"{name}":{text}' for name, text in texts.items()) + "}"
 
