Read entries that cannot be decoded once, in steps that let other work go on

Causes: a page that no decoder takes was split token by token on the event loop, three times; and two hosts read the whole list again each second.

The outline of such a page is found in one pass, in steps of a millisecond. Entries are decoded to their fields at once. A change that cannot be decoded costs its own bytes, not a whole list. After a list that is long or holds what cannot be used, the changes since then are read in its place. A line gives the time of each such page, and unusable objects are logged once for each revision.

--- a/turmericflow/platform/_objects.py
+++ b/turmericflow/platform/_objects.py
@@ -117,6 +117,15 @@
     peers: _Name
 
 
+# Deep nesting exhausts the stack of the decoder, long numbers that of the interpreter.
+DECODE_ERRORS = (
+    msgspec.MsgspecError,
+    UnicodeDecodeError,
+    RecursionError,
+    ValueError,
+)
+
+
 def _decode_shares(route: _Route) -> tuple[Share, ...]:
     if route.weightedBackends:
         return tuple(
@@ -155,8 +164,8 @@
     return Service(backend.name, backend.healthPath, backend.maxConnections, spec)
 
 
-def decode_deployment(spec: object) -> Deployment:
-    """Build a deployment from the operator's configuration.
+def decode_deployment(spec: bytes) -> Deployment:
+    """Build a deployment from the operator's configuration, which is JSON.
 
     Raises
     ------
@@ -164,7 +173,7 @@
         If a field is missing or invalid.
     """
     try:
-        config = msgspec.convert(spec, _Config, strict=False)
+        config = msgspec.json.decode(spec, type=_Config, strict=False)
         limits = config.limits
         return Deployment(
             version=config.version,
@@ -181,12 +190,12 @@
                 for tenant in config.tenants
             ),
         )
-    except (msgspec.MsgspecError, KeyError) as exc:
+    except (*DECODE_ERRORS, KeyError) as exc:
         raise ValueError(f"got an unusable configuration: {exc}") from exc
 
 
-def decode_target(name: str, spec: object) -> TargetEntry:
-    """Build a target entry from the object that the target wrote into the store.
+def decode_target(name: str, spec: bytes) -> TargetEntry:
+    """Build a target entry from the JSON that the target wrote into the store.
 
     Raises
     ------
@@ -196,8 +205,8 @@
     if len(name) > MAX_NAME_LENGTH:
         raise ValueError(f"got a name of {len(name)} characters")
     try:
-        server = msgspec.convert(spec, _Server)
-    except msgspec.MsgspecError as exc:
+        server = msgspec.json.decode(spec, type=_Server)
+    except DECODE_ERRORS as exc:
         raise ValueError(f"got an unusable target entry: {exc}") from exc
     if server.state not in _LEAVING_BY_STATE:
         raise ValueError(f"got state {server.state[:40]!r}, expected ready or draining")
@@ -215,8 +224,8 @@
     )
 
 
-def decode_host(name: str, spec: object) -> HostEntry:
-    """Build a host entry from the object that the host wrote into the store.
+def decode_host(name: str, spec: bytes) -> HostEntry:
+    """Build a host entry from the JSON that the host wrote into the store.
 
     Raises
     ------
@@ -224,8 +233,8 @@
         If a field is missing or invalid.
     """
     try:
-        host = msgspec.convert(spec, _Host)
-    except msgspec.MsgspecError as exc:
+        host = msgspec.json.decode(spec, type=_Host)
+    except DECODE_ERRORS as exc:
         raise ValueError(f"got an unusable host entry: {exc}") from exc
     parse_address(host.callers)
     parse_address(host.peers)
@@ -238,8 +247,8 @@
     return msgspec.to_builtins(host)
 
 
-def decode_versions(spec: object) -> VersionRecord:
-    """Build a record of versions from the object that a host wrote into the store.
+def decode_versions(spec: bytes) -> VersionRecord:
+    """Build a record of versions from the JSON that a host wrote into the store.
 
     Raises
     ------
@@ -247,8 +256,8 @@
         If a field is invalid.
     """
     try:
-        return msgspec.convert(spec, VersionRecord)
-    except msgspec.MsgspecError as exc:
+        return msgspec.json.decode(spec, type=VersionRecord)
+    except DECODE_ERRORS as exc:
         raise ValueError(f"got an unusable record of versions: {exc}") from exc
 
 
--- a/turmericflow/platform/_store.py
+++ b/turmericflow/platform/_store.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from dataclasses import dataclass
+from typing import Annotated
 from urllib.parse import quote
 
 import aiohttp
 import msgspec
+import structlog
 from multidict import CIMultiDictProxy
 
 from turmericflow.platform._callers import STORE_ERA
-from turmericflow.platform._json_parts import split_members, split_parts
+from turmericflow.platform._json_outline import Value, read_outline
 from turmericflow.platform._objects import (
+    DECODE_ERRORS as _DECODE_ERRORS,
     decode_deployment,
     decode_host,
     decode_target,
@@ -19,7 +24,9 @@
     encode_host,
     encode_versions,
 )
+from turmericflow.platform._steps import Step
 from turmericflow.relay import (
+    REVISION_BITS,
     Change,
     Changes,
     Conflict,
@@ -38,6 +45,11 @@
 CALL_TIMEOUT_S = 2.0  # calls usually take milliseconds, with a slow store longer
 WATCH_TIMEOUT_MARGIN_S = 2.0  # added to the wait time of a watch
 
+# Above it changes are read in place of the whole list.
+MAX_LISTING_BYTES = 256_000
+
+log = structlog.get_logger()
+
 _PATHS = {
     Kind.DEPLOYMENT: "config",
     Kind.TARGETS: "servers",
@@ -45,13 +57,23 @@
     Kind.VERSIONS: "turmericflow-versions",
 }
 _CONFIG_NAME = "main"
+ITEMS, EVENTS = "items", "events"
+# Levels of nesting that the store writes around what a writer chose.
+OBJECT_LEVELS = 1
+EVENT_LEVELS = OBJECT_LEVELS + 1
+PAGE_LEVELS = {ITEMS: OBJECT_LEVELS + 2, EVENTS: EVENT_LEVELS + 2}
+MAX_PROBLEM = 200  # characters
 MIN_ERROR_STATUS = 500
 MAX_ERA_DIGITS = 4  # an era fits into the upper bits of a revision
 
 
+# The era is kept in the bits above.
+_Revision = Annotated[int, msgspec.Meta(ge=0, lt=1 << REVISION_BITS)]
+
+
 class _Metadata(msgspec.Struct):
     name: str
-    revision: int
+    revision: _Revision
 
 
 class _Object(msgspec.Struct):
@@ -59,9 +81,10 @@
     spec: msgspec.Raw = msgspec.Raw(b"null")
 
 
-class _Items(msgspec.Struct):
-    items: list[msgspec.Raw]
-    storeRevision: int
+class _AnyPage(msgspec.Struct):
+    storeRevision: _Revision
+    items: list[msgspec.Raw] = []
+    events: list[msgspec.Raw] = []
     hasMore: bool = False
 
 
@@ -70,15 +93,8 @@
     tombstone: bool = False
 
 
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    storeRevision: int
-
-
-# Deep nesting exhausts the stack of the decoder.
-_DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
-_ITEMS = msgspec.json.Decoder(_Items)
-_EVENTS = msgspec.json.Decoder(_Events)
+_PAGE = msgspec.json.Decoder(_AnyPage)
+_EVENT = msgspec.json.Decoder(_Event)
 _OBJECT = msgspec.json.Decoder(_Object)
 
 
@@ -89,63 +105,114 @@
     return int(text) if valid else 0
 
 
-def _decode_value(kind: Kind, name: str, spec: msgspec.Raw) -> object:
-    try:
-        value = msgspec.json.decode(spec)
-    except _DECODE_ERRORS as exc:
-        raise ValueError(f"got bytes that are not JSON: {exc}") from exc
+def _decode_value(kind: Kind, name: str, spec: bytes) -> object:
     match kind:
         case Kind.DEPLOYMENT:
-            return decode_deployment(value)
+            return decode_deployment(spec)
         case Kind.TARGETS:
-            return decode_target(name, value)
+            return decode_target(name, spec)
         case Kind.HOSTS:
-            return decode_host(name, value)
+            return decode_host(name, spec)
         case Kind.VERSIONS:
-            return decode_versions(value)
+            return decode_versions(spec)
+
+
+@dataclass(slots=True, frozen=True)
+class _Page:
+    """A part of a list, or of the changes since a revision.
+
+    Attributes
+    ----------
+    values
+        The objects or events.
+    has_more
+        Whether another page follows.
+    """
+
+    values: list[Value]
+    revision: int
+    has_more: bool
 
 
-def _decode_page(content: bytes) -> _Items:
-    """Decode a page of a list; items that cannot be decoded do not spoil it.
+async def _read_page(content: bytes, name: str) -> _Page:
+    """Read a page; values that cannot be decoded do not spoil it.
 
-    Raises `StoreFailed` if it is no page.
+    Parameters
+    ----------
+    content
+        Body of an answer.
+    name
+        Name of the member that holds the objects or events.
+
+    Raises
+    ------
+    StoreFailed
+        If it is no page.
     """
     try:
-        return _ITEMS.decode(content)
+        page = _PAGE.decode(content)
+        found = page.items if name == ITEMS else page.events
+        values = [Value(bytes(text), None) for text in found]
+        return _Page(values, page.storeRevision, page.hasMore)
     except _DECODE_ERRORS:
         pass
+    started_at = time.perf_counter()
     try:
-        members = split_members(content)
-        items = [msgspec.Raw(item) for item in split_parts(members.pop(b"items"))]
-        page = _ITEMS.decode(
-            b'{"items":[],"storeRevision":%s,"hasMore":%s}'
-            % (members[b"storeRevision"], members.get(b"hasMore", b"false"))
-        )
-    except (*_DECODE_ERRORS, ValueError, KeyError) as exc:
-        raise StoreFailed(f"got an unusable list: {exc}") from exc
-    return _Items(items, page.storeRevision, page.hasMore)
-
-
-def _decode_item(kind: Kind, item: msgspec.Raw, era: int) -> Row | None:
-    """Decode an object of a list; return None if it has no name."""
+        members = (await read_outline(content, PAGE_LEVELS[name])).members()
+        found = members.pop(name.encode()).part
+        rest = [b'"%s":%s' % (key, value.text) for key, value in members.items()]
+        page = _PAGE.decode(b"{%s}" % b",".join(rest))
+        values = found.elements()
+    except (*_DECODE_ERRORS, ValueError, KeyError, AttributeError) as exc:
+        raise StoreFailed(f"got an unusable page: {str(exc)[:MAX_PROBLEM]}") from exc
+    log.info(
+        "page_outlined",
+        size=len(content),
+        values=len(values),
+        took_s=round(time.perf_counter() - started_at, 3),
+    )
+    return _Page(values, page.storeRevision, page.hasMore)
+
+
+async def _decode_object(kind: Kind, value: Value, era: int) -> Row | None:
+    """Decode an object; return None if it has no name."""
     try:
-        return _decode_row(kind, _OBJECT.decode(item), era)
+        return _decode_row(kind, _OBJECT.decode(value.text), era)
     except _DECODE_ERRORS as exc:
         problem = f"got an object that cannot be decoded: {type(exc).__name__}"
     try:
-        text = split_members(bytes(item))[b"metadata"]
+        part = value.part or await read_outline(value.text, OBJECT_LEVELS)
+        text = part.members()[b"metadata"].text
         metadata = msgspec.json.decode(text, type=_Metadata)
     except (*_DECODE_ERRORS, ValueError, KeyError):
         return None
     return Row(metadata.name, with_era(era, metadata.revision), None, problem)
 
 
+async def _decode_event(kind: Kind, value: Value, era: int) -> Change | None:
+    """Decode an event; return None if its object has no name."""
+    try:
+        event = _EVENT.decode(value.text)
+        return Change(_decode_row(kind, event.object, era), event.tombstone)
+    except _DECODE_ERRORS:
+        pass
+    try:
+        part = value.part or await read_outline(value.text, EVENT_LEVELS)
+        members = part.members()
+        row = await _decode_object(kind, members[b"object"], era)
+    except (ValueError, KeyError):
+        return None
+    tombstone = members.get(b"tombstone")
+    removed = tombstone is not None and tombstone.text == b"true"
+    return None if row is None else Change(row, removed)
+
+
 def _decode_row(kind: Kind, stored: _Object, era: int) -> Row:
     name, revision = stored.metadata.name, with_era(era, stored.metadata.revision)
     try:
-        return Row(name, revision, _decode_value(kind, name, stored.spec))
+        return Row(name, revision, _decode_value(kind, name, bytes(stored.spec)))
     except ValueError as exc:
-        return Row(name, revision, None, str(exc))
+        return Row(name, revision, None, str(exc)[:MAX_PROBLEM])
 
 
 class StoreClient:
@@ -208,25 +275,30 @@
     async def read(self, kind: Kind) -> Listing:
         """Return all objects of a kind."""
         rows: list[Row] = []
-        after, era = "", None
+        after, era, size, odd, step = "", None, 0, False, Step()
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
             content = await self._call("GET", _PATHS[kind] + query, CALL_TIMEOUT_S)
             if era not in (None, self.era):
                 raise StoreFailed("got a list with pages of two eras")
             era = self.era
-            page, last = _decode_page(content), after
-            for item in page.items:
-                row = _decode_item(kind, item, era)
+            size += len(content)
+            page, last = await _read_page(content, ITEMS), after
+            for value in page.values:
+                await step.end()
+                row = await _decode_object(kind, value, era)
                 if row is None:
+                    odd = True
                     continue
                 after = row.name
                 if kind is not Kind.DEPLOYMENT or after == _CONFIG_NAME:
                     rows.append(row)
-            if page.hasMore and after == last:
+            if page.has_more and after == last:
                 raise StoreFailed("got a page without a name to continue after")
-            if not page.hasMore:
-                return Listing(with_era(era, page.storeRevision), tuple(rows))
+            if not page.has_more:
+                odd |= any(row.value is None for row in rows)
+                revision = with_era(era, page.revision)
+                return Listing(revision, tuple(rows), odd or size > MAX_LISTING_BYTES)
 
     async def changes(self, kind: Kind, revision: int, wait_s: float) -> Changes:
         """Return the changes of a kind since a revision; wait until there are some.
@@ -238,19 +310,16 @@
         self._check_era(revision, HistoryGone)
         content = await self._call("GET", path, wait_s + WATCH_TIMEOUT_MARGIN_S)
         self._check_era(revision, HistoryGone)
-        try:
-            page = _EVENTS.decode(content)
-        except _DECODE_ERRORS as exc:
-            # A full read skips what cannot be decoded.
-            raise HistoryGone(f"got unusable changes: {exc}") from exc
+        page, step = await _read_page(content, EVENTS), Step()
         changes = []
-        for event in page.events:
-            name = event.object.metadata.name
-            if kind is Kind.DEPLOYMENT and name != _CONFIG_NAME:
-                continue
-            row = _decode_row(kind, event.object, self.era)
-            changes.append(Change(row, event.tombstone))
-        return Changes(with_era(self.era, page.storeRevision), tuple(changes))
+        for value in page.values:
+            await step.end()
+            change = await _decode_event(kind, value, self.era)
+            if change is None:
+                raise HistoryGone("got a change of an object without a name")
+            if kind is not Kind.DEPLOYMENT or change.row.name == _CONFIG_NAME:
+                changes.append(change)
+        return Changes(with_era(self.era, page.revision), tuple(changes))
 
     async def publish(self, entry: HostEntry, revision: int | None) -> int:
         """Create or replace this host's entry; return the new revision."""
@@ -278,7 +347,7 @@
             content = await self._call("PUT", path, CALL_TIMEOUT_S, body)
         try:
             return with_era(self.era, _OBJECT.decode(content).metadata.revision)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        except _DECODE_ERRORS as exc:
             raise StoreFailed(f"got an unusable object: {exc}") from exc
 
     async def remove_host(self, name: str, revision: int) -> None:
--- a/turmericflow/relay/__init__.py
+++ b/turmericflow/relay/__init__.py
@@ -31,7 +31,12 @@
     LimitNamed,
     LimitNotice,
 )
-from turmericflow.relay._revisions import era_of, number_of, with_era
+from turmericflow.relay._revisions import (
+    NUMBER_BITS as REVISION_BITS,
+    era_of,
+    number_of,
+    with_era,
+)
 from turmericflow.relay._settings import HostSettings, SettingsInvalid
 from turmericflow.relay._store import (
     Change,
@@ -79,6 +84,7 @@
     "open_tunnel",
     "parse_address",
     # The object store
+    "REVISION_BITS",
     "Change",
     "Changes",
     "Conflict",
--- a/turmericflow/relay/_store.py
+++ b/turmericflow/relay/_store.py
@@ -42,10 +42,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Listing:
-    """All objects of a kind at a store revision."""
+    """All objects of a kind at a store revision.
+
+    Attributes
+    ----------
+    costly
+        Whether it should not be read again each second: it is long, or holds objects
+        that cannot be decoded.
+    """
 
     revision: int
     rows: tuple[Row, ...]
+    costly: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/turmericflow/relay/_store_watch.py
+++ b/turmericflow/relay/_store_watch.py
@@ -35,6 +35,8 @@
 MAX_BACKOFF_S = 1.0  # the store is called within about a second of its return
 VERIFY_CHECK_INTERVAL_S = 0.1
 MIN_OUTAGE_S = 0.5  # no entry lapses in a shorter outage
+MAX_UNREADABLE = 10_000  # objects that are remembered, so that each is logged once
+MAX_LOGGED_NAME = 200  # characters
 
 log = structlog.get_logger()
 
@@ -51,6 +53,9 @@
         self._unreachable_since: float | None = None
         self._unreachable_for_all = False
         self._era: int | None = None
+        # Revision up to which changes are read in place of a costly list, or None.
+        self._resynced: int | None = None
+        self._unreadable: dict[str, int] = {}  # revisions of objects, by name
 
     @Service.task
     async def _watch(self) -> None:
@@ -113,28 +118,50 @@
                 await self.sleep(intervals.RESYNC_INTERVAL_S)
 
     async def _resync(self) -> bool:
-        """Read and apply all objects; return whether the store answered."""
-        self._ctx.metrics.store_calls.labels("read").inc()
+        """Read and apply all objects; return whether the store answered.
+
+        After a costly list only the changes since then are read.
+        """
         try:
-            listing = await self._ctx.store.read(self._kind)
+            if not await self._resync_changes():
+                await self._read()
         except StoreFailed as exc:
             self._mark_unreachable(exc)
             return False
+        return True
+
+    async def _resync_changes(self) -> bool:
+        """Read the changes since a costly list; return False if it must be read."""
+        since = self._resynced
+        if since is None:
+            return False
+        self._ctx.metrics.store_calls.labels("watch").inc()
+        try:
+            changes = await self._ctx.store.changes(self._kind, since, 0.0)
+        except HistoryGone as exc:
+            log.info("store_history_gone", kind=self._kind, reason=str(exc))
+            self._resynced = None
+            return False
         self._mark_reachable()
-        self._apply_listing(listing)
+        self._apply_changes(changes, since)
+        self._resynced = changes.revision
         return True
 
+    async def _read(self) -> int:
+        """Read and apply all objects; return the revision of the store."""
+        self._ctx.metrics.store_calls.labels("read").inc()
+        listing = await self._ctx.store.read(self._kind)
+        self._mark_reachable()
+        self._apply_listing(listing)
+        self._resynced = listing.revision if listing.costly else None
+        return listing.revision
+
     async def _read_or_watch(self, revision: int | None) -> int:
-        calls = self._ctx.metrics.store_calls
         if revision is None:
-            calls.labels("read").inc()
-            listing = await self._ctx.store.read(self._kind)
-            self._mark_reachable()
-            self._apply_listing(listing)
-            return listing.revision
+            return await self._read()
         if self._kind is Kind.TARGETS:
             revision = max(revision, self._ctx.tables.targets.revision)
-        calls.labels("watch").inc()
+        self._ctx.metrics.store_calls.labels("watch").inc()
         timeout_s = (
             WATCH_TIMEOUT_S
             if self._unreachable_since is None
@@ -187,11 +214,18 @@
             log.warning("store_restored", kind=self._kind, era=era, earlier=earlier)
 
     def _readable(self, row: Row) -> bool:
-        if row.value is None:
+        if row.value is not None:
+            self._unreadable.pop(row.name, None)
+            return True
+        if self._unreadable.get(row.name) != row.revision:
+            if len(self._unreadable) >= MAX_UNREADABLE:
+                self._unreadable.clear()
+            self._unreadable[row.name] = row.revision
+            name = row.name[:MAX_LOGGED_NAME]
             log.info(
-                "object_unreadable", kind=self._kind, name=row.name, reason=row.problem
+                "object_unreadable", kind=self._kind, name=name, reason=row.problem
             )
-        return row.value is not None
+        return False
 
     def _apply_listing(self, listing: Listing) -> None:
         targets = self._ctx.tables.targets
--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -112,6 +112,7 @@
         self.calls: Counter[str] = Counter()
         self.era: int | None = 1
         self._written: list[tuple[int, str, dict, bool]] = []
+        self._texts: dict[str, str] = {}  # by the placeholder in an object
         self._watching: set[asyncio.BaseTransport] = set()
         self._changed = asyncio.Event()
 
@@ -143,6 +144,12 @@
         self._record_change(kind, stored, False)
         return self.revision
 
+    def put_text(self, kind: str, name: str, text: str) -> int:
+        """Create or replace an object whose spec is a text that may be no JSON."""
+        placeholder = f"text-{len(self._texts)}-of-another-writer"
+        self._texts[json.dumps(placeholder)] = text
+        return self.put(kind, name, placeholder)
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         stored = self.objects.get(kind, {}).pop(name, None)
@@ -247,7 +254,13 @@
         return self._json({"events": events, "storeRevision": self.revision})
 
     def _json(self, body: object, status: int = 200) -> web.Response:
-        return web.json_response(body, status=status)
+        text = json.dumps(body)
+        for placeholder, found in self._texts.items():
+            text = text.replace(placeholder, found)
+        encoded = text.encode("utf-8", "surrogatepass")
+        return web.Response(
+            body=encoded, status=status, content_type="application/json"
+        )
 
 
 @dataclass(slots=True)
--- a/turmericflow/tests/test_platform_adapter.py
+++ b/turmericflow/tests/test_platform_adapter.py
@@ -10,6 +10,7 @@
 import time
 from pathlib import Path
 
+import msgspec
 import pytest
 from multidict import CIMultiDict
 
@@ -34,6 +35,7 @@
 )
 from turmericflow.tests.platform_stand_ins import TargetStandIn, deployment
 
+as_json = msgspec.json.encode
 PACKAGE = Path(turmericflow.__file__).parent
 PLATFORM_NAMES = (
     "x-turmericflow",
@@ -99,7 +101,7 @@
 
 
 def test_a_deployment_is_translated_with_units_and_kinds():
-    decoded = decode_deployment(deployment(3))
+    decoded = decode_deployment(as_json(deployment(3)))
     stream, order, state = decoded.routes
     assert decoded.version == 3
     assert (stream.kind, stream.resumable, stream.gap_s) == (
@@ -119,13 +121,13 @@
 )
 def test_an_unusable_deployment_says_what_is_wrong(changes: dict):
     with pytest.raises(ValueError, match="got an unusable configuration"):
-        decode_deployment(deployment(3) | changes)
+        decode_deployment(as_json(deployment(3) | changes))
 
 
 def test_a_restarted_target_with_the_same_name_has_another_key():
     entry = TargetStandIn("w", "z").entry()
-    first = decode_target("w", entry | {"born": 1})
-    restarted = decode_target("w", entry | {"born": 2})
+    first = decode_target("w", as_json(entry | {"born": 1}))
+    restarted = decode_target("w", as_json(entry | {"born": 2}))
     assert first.key != restarted.key
 
 
@@ -134,10 +136,10 @@
 def test_an_entry_with_an_unusable_address_is_refused(address: str):
     host = encode_host(HostEntry("h", 1, "z", "10.0.0.1:1", address))
     with pytest.raises(ValueError, match="IP:PORT"):
-        decode_host("h", host)
+        decode_host("h", as_json(host))
     target = TargetStandIn("t", "z").entry() | {"address": address}
     with pytest.raises(ValueError, match="IP:PORT"):
-        decode_target("t", target)
+        decode_target("t", as_json(target))
 
 
 def test_settings_are_read_and_unknown_fields_ignored(tmp_path: Path):
--- a/turmericflow/tests/test_relay_foreign_entries.py
+++ b/turmericflow/tests/test_relay_foreign_entries.py
@@ -71,7 +71,7 @@
 
 def is_used(spec: object) -> bool:
     try:
-        entry = decode_target("t", spec)
+        entry = decode_target("t", msgspec.json.encode(spec))
     except ValueError:
         return False
     # What is used is told to other hosts.
@@ -92,7 +92,7 @@
     assert not is_used(GOOD | {"address": address})
     host = {"incarnation": 1, "data_centre": "d", "callers": "127.0.0.1:1"}
     with pytest.raises(ValueError):
-        decode_host("h", host | {"peers": address})
+        decode_host("h", msgspec.json.encode(host | {"peers": address}))
 
 
 # Guards against values that are used although they are of another type or size.
@@ -106,7 +106,7 @@
 # Guards against an entry's name that is too long to be told to other hosts.
 def test_an_entry_with_a_long_name_names_no_target():
     with pytest.raises(ValueError):
-        decode_target("x" * 100_000, GOOD)
+        decode_target("x" * 100_000, msgspec.json.encode(GOOD))
 
 
 # Guards against entries of a host of the earlier version, which takes them for targets.
--- /dev/null
+++ b/turmericflow/tests/test_relay_large_entries.py
@@ -0,0 +1,198 @@
+"""Tests of what entries of another writer cost a host, whatever they hold.
+
+An entry that names no target costs a bounded time once, and nothing after that.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+
+import aiohttp
+import pytest
+
+from turmericflow.platform._json_outline import read_outline
+from turmericflow.platform._store import StoreClient
+from turmericflow.relay import (
+    Kind,
+    TargetEntry,
+    _discovery as discovery,
+    with_era,
+)
+from turmericflow.relay._target_tables import TargetTable
+from turmericflow.tests.platform_stand_ins import Fleet, StoreStandIn, TargetStandIn
+
+VALUE_BYTES = 1_048_000  # an object is not larger
+ENTRIES = 4
+# Half of the time that a request may take after its route's time.
+MAX_STALL_S = 0.25
+# A host that goes on serving has the rest of each second for it.
+MAX_S_PER_ENTRY = 1.0
+DEEP = "[" * 2000 + "]" * 2000
+
+# Contents of the largest size that cannot be decoded.
+CONTENTS: dict[str, Callable[[int], str]] = {
+    "nested arrays": lambda n: "[" * (n // 2) + "]" * (n // 2),
+    "nested objects": lambda n: '{"":' * (n // 5) + "1" + "}" * (n // 5),
+    "empty arrays": lambda n: "[" + "[]," * (n // 3) + DEEP + "]",
+    "arrays in arrays": lambda n: "[" + "[[]]," * (n // 5) + DEEP + "]",
+    "arrays beside arrays": lambda n: "[[]," * (n // 5) + "1" + "]" * (n // 5),
+    "strings": lambda n: "[" + '"",' * (n // 3) + DEEP + "]",
+    "escapes": lambda n: '["' + '\\"' * (n // 2) + '",' + DEEP + "]",
+    "brackets in strings": lambda n: '["' + "[" * n + '",' + DEEP + "]",
+    "numbers": lambda n: "[" + "1," * (n // 2) + DEEP + "]",
+    "half a pair": lambda n: '"\\ud800' + "x" * n + '"',
+    "fields": lambda n: '{"x":[' + "1," * (n // 2) + "1]}",
+}
+
+
+class Stalls:
+    """Measures the longest time for which the event loop stood still."""
+
+    def __init__(self) -> None:
+        self.longest_s = 0.0
+
+    async def measure(self) -> None:
+        last = time.perf_counter()
+        while True:
+            await asyncio.sleep(0.001)
+            now = time.perf_counter()
+            self.longest_s = max(self.longest_s, now - last)
+            last = now
+
+
+class OneAnswer(StoreClient):
+    """A client of a store that gives the same answer to each call."""
+
+    def __init__(self, session: aiohttp.ClientSession, body: bytes) -> None:
+        super().__init__(session, "127.0.0.1:1")
+        self._body = body
+
+    async def _call(self, *args: object) -> bytes:
+        return self._body
+
+
+# Guards against hosts that stand still beside an entry that cannot be decoded.
+@pytest.mark.parametrize("content", list(CONTENTS))
+@pytest.mark.parametrize("watched", [False, True])
+async def test_an_entry_that_names_no_target_does_not_stall_the_loop(
+    content: str, watched: bool
+):
+    store = StoreStandIn()
+    store.put("servers", "good", TargetStandIn("good", "dc-0").entry())
+    store.put_text("servers", "odd", CONTENTS[content](VALUE_BYTES))
+    store.put("servers", "later", TargetStandIn("later", "dc-0").entry())
+    items = list(store.objects["servers"].values())
+    name = "events" if watched else "items"
+    values = [{"object": item} for item in items] if watched else items
+    body = store._json({name: values, "storeRevision": 9}).body
+    async with aiohttp.ClientSession() as session:
+        client = OneAnswer(session, body)
+        stalls = Stalls()
+        ticks = asyncio.create_task(stalls.measure())
+        await asyncio.sleep(0.01)
+        started_at = time.process_time()
+        if watched:
+            changes = await client.changes(Kind.TARGETS, with_era(0, 1), 0.0)
+            rows = [change.row for change in changes.changes]
+        else:
+            rows = (await client.read(Kind.TARGETS)).rows
+        took_s = time.process_time() - started_at
+        await asyncio.sleep(0.01)
+        ticks.cancel()
+    assert [row.name for row in rows] == ["good", "odd", "later"]
+    assert [row.value is None for row in rows] == [False, True, False]
+    assert stalls.longest_s < MAX_STALL_S
+    assert took_s < MAX_S_PER_ENTRY
+
+
+# Guards against hosts that read what they cannot use again each second.
+@pytest.mark.parametrize("spec", ["deep", "fields missing"])
+async def test_entries_that_name_no_target_are_not_read_again(
+    fleet_of_three: Fleet, spec: str
+):
+    fleet = fleet_of_three
+    await fleet.add_plain(1)
+    text = DEEP if spec == "deep" else '{"backend":"plain"}'
+    for number in range(ENTRIES):
+        fleet.store.put_text("servers", f"odd-{number}", text)
+    await asyncio.sleep(2.5)
+    calls = fleet.store.calls["GET servers"]
+    await asyncio.sleep(3.0)
+    assert fleet.store.calls["GET servers"] == calls
+    await fleet.add_target(TargetStandIn("plain-1", "dc-1"))
+    await fleet.until(lambda: fleet.all_hosts_have_targets("plain", 2))
+    fleet.store.remove("servers", "plain-0")
+    await fleet.until(lambda: fleet.all_hosts_have_targets("plain", 1))
+
+
+# Guards against requests that get no answer beside the largest entries.
+async def test_requests_are_served_beside_the_largest_entries(fleet_of_three: Fleet):
+    fleet = fleet_of_three
+    await fleet.add_plain(3)
+    for number in range(ENTRIES):
+        text = CONTENTS["nested arrays"](VALUE_BYTES)
+        fleet.store.put_text("servers", f"odd-{number}", text)
+    loop, took = asyncio.get_running_loop(), []
+
+    async def send(number: int) -> None:
+        at = loop.time()
+        async with fleet.request("/order/a", f"r{number}", host=number % 3) as resp:
+            await resp.read()
+            took.append((resp.status, loop.time() - at))
+
+    async with asyncio.TaskGroup() as group:
+        for number in range(60):
+            group.create_task(send(number))
+            await asyncio.sleep(0.05)
+    statuses = [status for status, _ in took]
+    assert statuses == [200] * 60
+    assert max(seconds for _, seconds in took) < 0.8
+
+
+# Guards against an outline that differs from what the text says.
+@pytest.mark.parametrize("levels", [1, 2, 3])
+@pytest.mark.parametrize(
+    "text",
+    [
+        '{"a":1,"b":[1,2,[3,{"c":"]"}]],"c":{"d":"\\"}"}}',
+        '[{"a":[]},[],"x,y",null,{"b":{"c":{}}}]',
+        ' [ 1 , { "a" : [ ] } , "\\\\" ] ',
+        "[]",
+        "{}",
+    ],
+)
+async def test_an_outline_holds_the_parts_of_a_text(text: str, levels: int):
+    part = await read_outline(text.encode(), levels)
+    expected = json.loads(text)
+    if isinstance(expected, list):
+        assert [json.loads(value.text) for value in part.elements()] == expected
+    else:
+        found = part.members()
+        assert {k.decode(): json.loads(v.text) for k, v in found.items()} == expected
+
+
+# Guards against texts that are no JSON and pass for a list.
+@pytest.mark.parametrize(
+    "text", ["", "1", "[", "]", "[]]", "[][]", '["', "{", "[1}{", '["\\"]', "x[]"]
+)
+async def test_a_text_that_is_no_value_has_no_outline(text: str):
+    with pytest.raises(ValueError):
+        await read_outline(text.encode(), 2)
+
+
+# Guards against a start beside many entries that takes the square of their number.
+def test_many_entries_are_put_into_the_tables_without_a_stall():
+    entries = [
+        TargetEntry(f"t-{n}", 1, "s", f"127.0.{n // 250}.{n % 250}:{n + 1}", "d", 1)
+        for n in range(10_000)
+    ]
+    table = TargetTable()
+    started_at = time.process_time()
+    assert discovery.replace(table, entries, 5, 0.0)
+    change = discovery.difference(table, entries[1:], ["t-0"], 6)
+    assert discovery.apply(table, change, 0.0)
+    assert time.process_time() - started_at < MAX_STALL_S
+    assert len(table.rows) == 9_999
