Put many entries into the tables in proportion to their number

A host that starts beside 10,000 entries stood still for half a minute. Cause: for each entry that is new, all rows were searched for others of its id or address, and removed ids were looked up in a list. Rows are found through an index now, built once for each list or change.

--- a/turmericflow/relay/_discovery.py
+++ b/turmericflow/relay/_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Collection, Iterable
 
 from turmericflow.relay._model import TargetEntry
 from turmericflow.relay._revisions import era_of
@@ -45,12 +46,43 @@
     return True
 
 
-def _find_later(table: TargetTable, entry: TargetEntry) -> Target | None:
-    """Return the row of a later process of an entry's target, or None."""
-    for row in table.rows.values():
-        if row.entry.id == entry.id and row.entry.born_ms > entry.born_ms:
-            return row
-    return None
+class _Index:
+    """Keys of a table's rows by id and by address, while entries are put into it."""
+
+    __slots__ = ("_table", "_by_id", "_by_address")
+
+    def __init__(self, table: TargetTable) -> None:
+        self._table = table
+        self._by_id: dict[str, set[str]] = {}
+        self._by_address: dict[str, set[str]] = {}
+        for row in table.rows.values():
+            self.add(row.entry)
+
+    def add(self, entry: TargetEntry) -> None:
+        """Add an entry that the table holds."""
+        self._by_id.setdefault(entry.id, set()).add(entry.key)
+        self._by_address.setdefault(entry.address, set()).add(entry.key)
+
+    def _rows(self, keys: Iterable[str]) -> list[Target]:
+        rows = self._table.rows
+        return [rows[key] for key in sorted(keys) if key in rows]
+
+    def find_later(self, entry: TargetEntry) -> Target | None:
+        """Return the row of a later process of an entry's target, or None."""
+        for row in self._rows(self._by_id.get(entry.id, ())):
+            if row.entry.born_ms > entry.born_ms:
+                return row
+        return None
+
+    def find_replaced(self, entry: TargetEntry) -> list[Target]:
+        """Return the rows of the same id, or at the same address."""
+        found = self._by_id.get(entry.id, set())
+        found = found | self._by_address.get(entry.address, set())
+        return [
+            row
+            for row in self._rows(found)
+            if row.entry.id == entry.id or row.entry.address == entry.address
+        ]
 
 
 def _was_removed(table: TargetTable, entry: TargetEntry) -> bool:
@@ -66,14 +98,18 @@
 
 
 def _put(
-    table: TargetTable, entry: TargetEntry, now: float, written: bool = False
+    table: TargetTable,
+    index: _Index,
+    entry: TargetEntry,
+    now: float,
+    written: bool = False,
 ) -> None:
     """Insert or update one entry.
 
     Parameters
     ----------
-    table
-        The table.
+    table, index
+        The table, and the index of its rows.
     entry
         The entry.
     now
@@ -83,7 +119,7 @@
         may be one that only an older copy of the store holds.
     """
     in_copy = not written and now < table.restored_at + OUTDATED_ENTRIES_S
-    later = _find_later(table, entry) if in_copy else None
+    later = index.find_later(entry) if in_copy else None
     if later is not None:
         # The store does not list what is kept.
         expires_at = table.restored_at + OUTDATED_ENTRIES_S
@@ -96,16 +132,15 @@
     if entry.leaving:
         table.leaving.setdefault(entry.key, now)
     existing = table.rows.get(entry.key)
+    index.add(entry)
     if existing is not None:
         existing.entry = entry
         existing.leaving |= entry.leaving
         existing.unconfirmed &= not written
         return
-    for key, target in list(table.rows.items()):
-        earlier = target.entry
-        if earlier.id == entry.id or earlier.address == entry.address:
-            del table.rows[key]
-            _record_removed(table, earlier, now)
+    for target in index.find_replaced(entry):
+        del table.rows[target.entry.key]
+        _record_removed(table, target.entry, now)
     target = table.rows[entry.key] = Target(entry)
     target.leaving |= entry.key in table.leaving
     target.unconfirmed = unconfirmed
@@ -126,12 +161,13 @@
     begin_era(table, revision, now)
     table.revision = table.changed_revision = revision
     keys = {entry.key for entry in entries}
-    missing = [row.entry.id for key, row in table.rows.items() if key not in keys]
+    missing = {row.entry.id for key, row in table.rows.items() if key not in keys}
     in_grace_period = now < table.outage_grace_until
     keep_until = table.outage_grace_until if in_grace_period else None
     _remove(table, missing, keep_until, now)
+    index = _Index(table)
     for entry in entries:
-        _put(table, entry, now)
+        _put(table, index, entry, now)
     _rebuild_service_index(table)
     return True
 
@@ -149,7 +185,8 @@
         for entry in entries
         if old.pop(entry.id, None) != entry or entry.key in table.lapsed
     ]
-    removed = [id for id in old if id not in unreadable]
+    odd = frozenset(unreadable)
+    removed = [id for id in old if id not in odd]
     unreadable = [id for id in unreadable if id in old]
     since = table.changed_revision
     return TargetsChange(since, revision, False, written, removed, unreadable)
@@ -176,13 +213,16 @@
 
 def put(table: TargetTable, entry: TargetEntry, now: float) -> None:
     """Insert or update one entry."""
-    _put(table, entry, now)
+    _put(table, _Index(table), entry, now)
     _rebuild_service_index(table)
 
 
 def _remove(
-    table: TargetTable, ids: list[str], keep_until: float | None, now: float
+    table: TargetTable, ids: Collection[str], keep_until: float | None, now: float
 ) -> None:
+    ids = frozenset(ids)
+    if not ids:
+        return
     for key, target in list(table.rows.items()):
         if target.entry.id not in ids:
             continue
@@ -208,8 +248,9 @@
     keep_until = table.outage_grace_until if in_grace_period else None
     _remove(table, change.removed, keep_until, now)
     _remove(table, change.unreadable, None, now)
+    index = _Index(table) if change.written else None
     for entry in change.written:
-        _put(table, entry, now, change.complete)
+        _put(table, index, entry, now, change.complete)
     table.revision = change.revision
     # Others must not take the targets of two eras for the same.
     if not change.empty or restored:
