Let a stream's id choose its version where no record can be written

Cause: a first event was shown after a fixed time that stood for the record of its version; nothing else that outlasts the hosts told it.

The id of the request that begins a stream chooses a version of its service. New streams go to that version only while records are not written; otherwise an event of another version is shown once the store is known to hold it. A host that is asked for a stream it does not know reads the records, and then takes what the id chose. Nothing is chosen while a host of the earlier version is live: it shows events after a fixed time.

--- a/turmericflow/relay/_context.py
+++ b/turmericflow/relay/_context.py
@@ -72,8 +72,9 @@
     """Ignore announcements until the links to other hosts are set up."""
 
 
-async def _read_nothing() -> None:
+async def _read_nothing() -> bool:
     """Read nothing until the daemon is set up."""
+    return False
 
 
 class HostContext:
@@ -92,7 +93,7 @@
     announce_load
         Announces new work at a target soon.
     read_versions
-        Reads from the store which versions began streams.
+        Reads from the store which versions began streams; returns whether it did.
     """
 
     __slots__ = (
@@ -130,7 +131,7 @@
         self.misdirected: list[TargetEntry] = []
         self.announce: Callable[[], None] = _ignore_announcement
         self.announce_load: Callable[[], None] = _ignore_announcement
-        self.read_versions: Callable[[], Awaitable[None]] = _read_nothing
+        self.read_versions: Callable[[], Awaitable[bool]] = _read_nothing
 
     def apply_settings(self, settings: HostSettings) -> None:
         """Apply settings; changed addresses take effect only after a restart."""
--- a/turmericflow/relay/_host_tables.py
+++ b/turmericflow/relay/_host_tables.py
@@ -10,7 +10,7 @@
 from turmericflow.relay._crashing_parts import PartCrash, PartTimes
 from turmericflow.relay._model import HostEntry, TargetEntry
 from turmericflow.relay._rate_limits import LimitNews
-from turmericflow.relay._stream_versions import VersionNews
+from turmericflow.relay._stream_versions import VersionNews, VersionSets
 from turmericflow.relay._target_tables import Load, TargetsChange
 
 # Of the time to leave; callers' lists of addresses expire in it.
@@ -18,6 +18,9 @@
 DRAIN_ACCEPT_MARGIN_S = 0.2  # the order may be handled late, requests are read late
 # To end responses and close connections before the process is killed.
 DRAIN_END_MARGIN_S = 0.4
+# From 1 on connections to targets through a host carry frames, and a host shows events
+# only if the version of their target is known after the loss of all hosts.
+PROTOCOL = 1
 
 
 class HostState(enum.IntEnum):
@@ -78,8 +81,10 @@
         Services whose targets the host cannot reach.
     full
         Brittle targets that recently had no room for a request of the host.
-    frames_tunnels
-        Whether connections to targets through the host carry frames.
+    protocol
+        `PROTOCOL` of the host's version.
+    versions_in_force, recorded, records_age_s
+        From the host that records the versions of streams: see `StreamVersions`.
     """
 
     entry: HostEntry
@@ -106,7 +111,10 @@
     deployment_version: int = -1
     cut_off: list[str] = []
     full: list[str] = []
-    frames_tunnels: bool = False
+    protocol: int = 0
+    versions_in_force: VersionSets = {}
+    recorded: VersionNews = {}
+    records_age_s: float = float("inf")
 
 
 class Host:
--- a/turmericflow/relay/_intervals.py
+++ b/turmericflow/relay/_intervals.py
@@ -21,6 +21,7 @@
 MAX_LOAD_ANNOUNCEMENTS_PER_S = 1000.0  # of all hosts together
 RECORD_INTERVAL_S = 0.3  # between two writes of what hosts must find after a loss
 RECORD_MARGIN_S = 0.05  # a write usually takes milliseconds
+MIN_RECORDS_AGE_S = 1.5  # a few times what a write and its announcement take
 HEARTBEATS_PER_GOSSIP_WINDOW = 2  # a loss is repeated in this many statuses
 
 
@@ -78,6 +79,11 @@
     )
 
 
+def max_records_age_s(tables: Tables) -> float:
+    """Return the age above which the records count as not written, in seconds."""
+    return max(MIN_RECORDS_AGE_S, RECORD_INTERVAL_S + 3 * heartbeat_interval_s(tables))
+
+
 def record_time_s(tables: Tables) -> float:
     """Return the time until the store holds what a host announced, in seconds.
 
--- a/turmericflow/relay/_membership.py
+++ b/turmericflow/relay/_membership.py
@@ -11,7 +11,13 @@
     _placement as placement,
 )
 from turmericflow.relay._budgets import PeerRetryUsage, RetryUsage
-from turmericflow.relay._host_tables import Host, HostState, HostStatus, HostTable
+from turmericflow.relay._host_tables import (
+    PROTOCOL,
+    Host,
+    HostState,
+    HostStatus,
+    HostTable,
+)
 from turmericflow.relay._model import HostEntry
 from turmericflow.relay._store import Kind
 from turmericflow.relay._tables import Tables
@@ -68,7 +74,10 @@
         deployment_version=tables.deployment.version,
         cut_off=list(tables.paths.cut_off),
         full=_recent(tables.targets.own_full, max_age_s, now),
-        frames_tunnels=True,
+        protocol=PROTOCOL,
+        versions_in_force=tables.stream_versions.own_sets,
+        recorded=tables.stream_versions.recorded_news(max_age_s, now),
+        records_age_s=tables.stream_versions.own_age_s(now),
     )
 
 
@@ -138,6 +147,10 @@
         tables.rate_limits.apply(status.limits, now)
     if status.stream_versions:
         tables.stream_versions.apply(status.stream_versions, now)
+    if status.records_age_s < float("inf"):
+        tables.stream_versions.apply_recorder(
+            status.versions_in_force, status.recorded, status.records_age_s, now
+        )
     return True
 
 
--- a/turmericflow/relay/_model.py
+++ b/turmericflow/relay/_model.py
@@ -174,11 +174,15 @@
     era
         Last era of the store in which the records were complete: a store that comes
         back from an older copy, with a later era, may lack some. None if not known.
+    in_force
+        Versions among which a stream's id chooses if its record cannot be written,
+        by service, newest first; those before may still have been used.
     """
 
     services: dict[str, list[str]] = {}
     streams: dict[str, bytes] = {}
     era: int | None = None
+    in_force: dict[str, list[list[str]]] = {}
 
 
 class EngineReport(msgspec.Struct, frozen=True):
--- a/turmericflow/relay/_paths.py
+++ b/turmericflow/relay/_paths.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from turmericflow.relay import _membership as membership
-from turmericflow.relay._host_tables import Host, HostState
+from turmericflow.relay._host_tables import PROTOCOL, Host, HostState
 from turmericflow.relay._model import HostEntry
 from turmericflow.relay._tables import Tables
 from turmericflow.relay._target_tables import Target
@@ -92,5 +92,5 @@
     """
     hosts = _find_hosts(tables, service, now)
     found = [row for row in hosts if row.entry.name not in excluded]
-    found = [row for row in found if row.status.frames_tunnels] or found
+    found = [row for row in found if row.status.protocol >= PROTOCOL] or found
     return rng.choice(found).entry if found else None
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -16,7 +16,15 @@
     _placement as placement,
     _silence as silence,
 )
-from turmericflow.relay._attempts import AttemptOutcome, Attempts, NotAllowedYet
+from turmericflow.relay._attempts import (
+    AttemptOutcome,
+    Attempts,
+    NotAllowedYet,
+    ShowAtOnce,
+    ShowEvents,
+    ShowFrom,
+    ShowOnceRecorded,
+)
 from turmericflow.relay._call import KvCopy, Reply
 from turmericflow.relay._events import Event, EventReader, EventsInvalid
 from turmericflow.relay._stream_versions import version_of
@@ -30,6 +38,8 @@
 BUDGET_RETRY_INTERVAL_S = 0.05  # half of the least time for usage to reach all hosts
 MAX_IDLE_BYTES = 65_536  # of complete events, none of them new
 MAX_HELD_BYTES = 65_536  # of events that are not shown yet
+SHOW_CHECK_INTERVAL_S = 0.02  # a small part of the time that a record takes
+READ_RECORDS_AFTER_S = 1.5  # of waiting for a record
 PIECE_BYTES = 4096  # events that are handled before other requests have their turn
 
 log = structlog.get_logger()
@@ -67,7 +77,7 @@
         "_last_event_id",
         "_paused_at",
         "_interrupted",
-        "_show_at",
+        "_show",
         "_held",
         "_showing",
         "begun",
@@ -80,7 +90,7 @@
         self._last_event_id = attempts.call.last_event_id
         self._paused_at: float | None = None
         self._interrupted: Run | None = None
-        self._show_at = 0.0
+        self._show: ShowEvents = ShowAtOnce()
         self._held = bytearray()  # events that are not shown yet
         self._showing: asyncio.Task[None] | None = None
         self.begun = False
@@ -103,6 +113,7 @@
     async def _run(self) -> None:
         attempts = self._attempts
         await attempts.bind_resumed()
+        attempts.choose_version()
         while True:
             if attempts.remaining_s <= 0:
                 raise attempts.build_timeout()
@@ -216,9 +227,9 @@
             attempts.ctx.metrics.resumes.labels(how).inc()
         reply = None
         tables.runs.add(run)
-        known_at = attempts.announce_version(target)
-        if attempts.version is None:
-            self._show_at = known_at
+        show = attempts.announce_version(target)
+        if not self._held:
+            self._show = show
         try:
             async with asyncio.timeout_at(attempts.deadline) as run.timeout:
                 sent_at = attempts.ctx.clock.now()
@@ -401,16 +412,32 @@
 
     def _hold(self, reply: Reply, data: bytes) -> bool:
         """Hold data back if its version is not known everywhere; return whether."""
-        wait_s = self._show_at - self._attempts.ctx.clock.now()
-        if self.begun or wait_s <= 0 or len(self._held) > MAX_HELD_BYTES:
+        if self.begun or self._may_show() or len(self._held) > MAX_HELD_BYTES:
             return False
         self._held += data
         if self._showing is None:
-            self._showing = asyncio.create_task(self._show_later(reply, wait_s))
+            self._showing = asyncio.create_task(self._show_later(reply))
         return True
 
-    async def _show_later(self, reply: Reply, seconds: float) -> None:
-        await asyncio.sleep(seconds)
+    def _may_show(self) -> bool:
+        ctx = self._attempts.ctx
+        match self._show:
+            case ShowAtOnce():
+                return True
+            case ShowFrom(at):
+                return ctx.clock.now() >= at
+            case ShowOnceRecorded(id, version):
+                return ctx.tables.stream_versions.is_recorded(id, version)
+
+    async def _show_later(self, reply: Reply) -> None:
+        ctx = self._attempts.ctx
+        read_at = ctx.clock.now() + READ_RECORDS_AFTER_S
+        while not self._may_show():
+            await asyncio.sleep(SHOW_CHECK_INTERVAL_S)
+            if ctx.clock.now() >= read_at:
+                # The host that writes them may not have been heard.
+                await ctx.read_versions()
+                read_at = ctx.clock.now() + READ_RECORDS_AFTER_S
         await self._send_headers(reply)
         data, self._held = bytes(self._held), bytearray()
         await self._writer.write(data)
--- a/turmericflow/relay/_stream_versions.py
+++ b/turmericflow/relay/_stream_versions.py
@@ -1,11 +1,15 @@
 """Software versions that began streams, as known to all hosts.
 
 A stream goes on only at the version that began it. Clients take streams up at any
-host, so each host tells all others the version to which it sends a stream.
+host, so each host tells all others the version to which it sends a stream. What must
+outlast all hosts is recorded in the store; while it cannot be, a stream goes to the
+version that its id chooses, so that the id alone tells it.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import xxhash
 
 from turmericflow.relay._model import TargetEntry, VersionRecord
@@ -16,12 +20,28 @@
 MAX_STREAMS = 50_000  # of a generation, a few megabytes
 
 VersionNews = dict[str, bytes]  # concatenated digests of request ids, by version
+VersionSets = dict[str, list[list[str]]]  # by service, newest first
 
 
 def _digest(request_id: str) -> bytes:
     return xxhash.xxh3_64_digest(request_id.encode())
 
 
+def choose_version(digest: bytes, versions: Iterable[str]) -> str:
+    """Return the version that a request's id chooses among some.
+
+    A version that is added or taken away changes the choice of its share only.
+
+    Parameters
+    ----------
+    digest
+        Digest of the id.
+    versions
+        The versions, one at least.
+    """
+    return max(versions, key=lambda name: xxhash.xxh3_64_digest(digest + name.encode()))
+
+
 def version_of(entry: TargetEntry) -> str:
     """Return what binds a stream of a target: its version, or its key if unknown."""
     return entry.version or f"@{entry.key}"
@@ -50,7 +70,16 @@
 
 
 class StreamVersions:
-    """Versions by the id of the request that brought a stream's first event."""
+    """Versions by the id of the request that brought a stream's first event.
+
+    Attributes
+    ----------
+    in_force
+        Versions among which ids choose, as the store holds them; empty for services
+        of which a host of an earlier version may serve streams.
+    own_sets
+        The same if this host records the versions, else empty.
+    """
 
     __slots__ = (
         "_recent",
@@ -60,6 +89,13 @@
         "_seen",
         "_seen_since",
         "_records_applied",
+        "_recorded",
+        "_recorded_before",
+        "_own_recorded",
+        "_complete_until",
+        "_own_complete_until",
+        "in_force",
+        "own_sets",
     )
 
     def __init__(self) -> None:
@@ -70,10 +106,18 @@
         self._seen: dict[str, dict[str, float]] = {}
         self._seen_since: dict[str, float] = {}
         self._records_applied = False
+        self._recorded: dict[bytes, str] = {}
+        self._recorded_before: dict[bytes, str] = {}
+        self._own_recorded: list[tuple[float, bytes, str]] = []
+        # The store holds all that the recorder knew of until then.
+        self._complete_until = self._own_complete_until = float("-inf")
+        self.in_force: VersionSets = {}
+        self.own_sets: VersionSets = {}
 
     def _rotate(self, now: float) -> None:
         if now - self._rotated_at >= GENERATION_S or len(self._recent) >= MAX_STREAMS:
             self._recent, self._older = {}, self._recent
+            self._recorded, self._recorded_before = {}, self._recorded
             self._rotated_at = now
 
     def record(self, request_id: str, version: str, now: float) -> None:
@@ -129,7 +173,89 @@
                 self._note(service, set(versions), now)
         self._rotate(now)
         self._recent = found | self._older | self._recent
+        self._recorded |= found
         self._records_applied |= complete
+        if complete:
+            self.in_force = {}
+            for record in records:
+                self.in_force = record.in_force or self.in_force
+
+    def chosen_by_id(self, service: str, request_id: str) -> str | None:
+        """Return the version that a request's id chooses, None if that is not clear."""
+        digest, sets = _digest(request_id), self.in_force.get(service, ())
+        found = {choose_version(digest, names) for names in sets if names}
+        return found.pop() if len(found) == 1 else None
+
+    def not_chosen(self, streams: dict[bytes, str]) -> dict[bytes, str]:
+        """Return the streams that do not run at the version that their ids choose."""
+        sets = [names for each in self.in_force.values() for names in each]
+        return {
+            digest: version
+            for digest, version in streams.items()
+            if any(
+                version in names and choose_version(digest, names) != version
+                for names in sets
+            )
+            or not any(version in names for names in sets)
+        }
+
+    def is_recorded(self, request_id: str, version: str) -> bool:
+        """Return whether the store is known to hold the version of a stream."""
+        digest = _digest(request_id)
+        found = self._recorded.get(digest) or self._recorded_before.get(digest)
+        return found == version
+
+    def records_age_s(self, now: float) -> float:
+        """Return since when the store may lack what was to be recorded, in seconds."""
+        return now - self._complete_until
+
+    def apply_recorder(
+        self, sets: VersionSets, recorded: VersionNews, age_s: float, now: float
+    ) -> None:
+        """Apply what the host that records the versions has told.
+
+        Parameters
+        ----------
+        sets
+            Versions in force.
+        recorded
+            Streams that the store holds since lately.
+        age_s
+            Age of what the store holds, in seconds.
+        now
+            Time in seconds.
+        """
+        self._rotate(now)
+        self.in_force = sets
+        self._recorded |= unpack(recorded)
+        self._complete_until = max(self._complete_until, now - age_s)
+
+    def record_written(
+        self, streams: dict[bytes, str], sets: VersionSets, known_at: float, now: float
+    ) -> None:
+        """Record that this host has written all that it knew at a time to the store."""
+        self._rotate(now)
+        self._recorded |= streams
+        self._own_recorded += [(now, digest, v) for digest, v in streams.items()]
+        self.in_force = self.own_sets = sets
+        self._complete_until = self._own_complete_until = known_at
+
+    def stop_recording(self) -> None:
+        """Record that this host writes to the store no more."""
+        self.own_sets = {}
+        self._own_complete_until = float("-inf")
+
+    def recorded_news(self, max_age_s: float, now: float) -> VersionNews:
+        """Return the streams that this host wrote to the store recently."""
+        if not self._own_recorded:
+            return {}
+        recent = [each for each in self._own_recorded if now - each[0] < max_age_s]
+        self._own_recorded = recent
+        return pack({digest: version for _, digest, version in recent})
+
+    def own_age_s(self, now: float) -> float:
+        """Return the age of what this host has written, infinite if it writes none."""
+        return now - self._own_complete_until
 
     def see(self, service: str, entries: list[TargetEntry], now: float) -> set[str]:
         """Return the versions of a service that targets have, or had not long ago.
@@ -152,5 +278,8 @@
         This host has read the records of the store, or has noticed versions for
         longer than a client can take up a stream.
         """
-        since = self._seen_since.get(service, now)
-        return self._records_applied or now - since >= GENERATION_S
+        return self._records_applied or self.seen_for_s(service, now) >= GENERATION_S
+
+    def seen_for_s(self, service: str, now: float) -> float:
+        """Return for how long versions of a service have been noticed, in seconds."""
+        return now - self._seen_since.get(service, now)
--- a/turmericflow/relay/_version_records.py
+++ b/turmericflow/relay/_version_records.py
@@ -1,9 +1,9 @@
 """Keeps in the store which versions began streams, for hosts that start anew.
 
 What hosts tell each other is lost with the last of them. One host writes for all: the
-versions that each service has, and, while a service has several, the streams that the
-hosts have sent. A host reads them once, when it is asked for a stream that it does
-not know.
+versions that each service has, those among which ids choose, and, while a service has
+several, the streams that the hosts have sent. A host reads them once, when it is asked
+for a stream that it does not know.
 """
 
 from __future__ import annotations
@@ -16,12 +16,12 @@
 
 from turmericflow.relay import _membership as membership
 from turmericflow.relay._context import HostContext
-from turmericflow.relay._host_tables import HostState
+from turmericflow.relay._host_tables import PROTOCOL, HostState
 from turmericflow.relay._intervals import RECORD_INTERVAL_S
 from turmericflow.relay._model import VersionRecord, WorkKind
 from turmericflow.relay._revisions import era_of
 from turmericflow.relay._store import Kind, StoreFailed
-from turmericflow.relay._stream_versions import GENERATION_S, pack, unpack
+from turmericflow.relay._stream_versions import GENERATION_S, VersionSets, pack, unpack
 from turmericflow.relay._tables import Tables
 
 # The first host to read the store waits, as it may not have heard of others yet.
@@ -30,7 +30,10 @@
 SEGMENTS = 8
 SEGMENT_S = 10.0  # streams of this time share an object, so that each write is small
 READ_RETRY_S = 0.5  # between two reads that fail
+READ_INTERVAL_S = 0.2  # between two reads for requests
 OBSERVATION_INTERVAL_S = 1.0  # of the other hosts
+SETTLED_S = 2.0  # all hosts have been told of the versions in force
+MAX_SETS = 3  # of versions that were in force lately
 
 assert (SEGMENTS - 1) * SEGMENT_S >= GENERATION_S
 
@@ -60,6 +63,15 @@
     return found
 
 
+def all_hold_back(tables: Tables, now: float) -> bool:
+    """Return whether all hosts show only events whose version outlasts all hosts.
+
+    Those of an earlier version show them after a fixed time.
+    """
+    peers = membership.live_peers(tables, now)
+    return all(row.status.protocol >= PROTOCOL for row in peers)
+
+
 async def read_versions(ctx: HostContext) -> dict[str, tuple[int, VersionRecord]]:
     """Read and apply all records; return each with its revision, by name.
 
@@ -86,33 +98,41 @@
 
 
 class VersionReader:
-    """Reads the records for requests that need them, in one call for all of these."""
+    """Reads the records for requests that need them, in one call for many of these."""
 
-    __slots__ = ("_ctx", "_reading", "_failed_at")
+    __slots__ = ("_ctx", "_next", "_began_at", "_failed_at")
 
     def __init__(self, ctx: HostContext) -> None:
         self._ctx = ctx
-        self._reading: asyncio.Task[None] | None = None
-        self._failed_at = float("-inf")
-
-    async def read(self) -> None:
-        """Read the records, unless that just failed; a failure is only logged."""
-        now = self._ctx.clock.now()
-        if self._reading is None:
-            if now - self._failed_at < READ_RETRY_S:
-                return
-            self._reading = asyncio.create_task(self._read())
+        self._next: asyncio.Task[bool] | None = None  # a read that has not begun
+        self._began_at = self._failed_at = float("-inf")
+
+    async def read(self) -> bool:
+        """Read the records, unless that just failed; a failure is only logged.
+
+        Returns
+        -------
+        bool
+            Whether they were read, in a call that began after this one.
+        """
+        if self._ctx.clock.now() - self._failed_at < READ_RETRY_S:
+            return False
+        if self._next is None:
+            self._next = asyncio.create_task(self._read())
         # A caller that leaves does not end the call for the others.
-        await asyncio.shield(self._reading)
+        return await asyncio.shield(self._next)
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
+        clock = self._ctx.clock
+        await asyncio.sleep(self._began_at + READ_INTERVAL_S - clock.now())
+        self._next, self._began_at = None, clock.now()
         try:
             await read_versions(self._ctx)
         except StoreFailed as exc:
-            self._failed_at = self._ctx.clock.now()
+            self._failed_at = clock.now()
             log.warning("versions_not_read", reason=str(exc))
-        finally:
-            self._reading = None
+            return False
+        return True
 
 
 class VersionRecorder(Service):
@@ -122,6 +142,7 @@
         super().__init__()
         self._ctx = ctx
         self._first_since: float | None = None
+        self._began_anew: bool | None = None  # without records of earlier hosts
         self._forget()
 
     def _forget(self) -> None:
@@ -130,6 +151,9 @@
         self._era = self._ctx.store.era
         self._complete_era: int | None = None
         self._services: dict[str, list[str]] = {}
+        self._in_force: VersionSets = {}  # as the store holds them
+        self._told: VersionSets = {}  # as this host tells the others
+        self._told_since = self._in_force_since = float("-inf")
         self._recorded: dict[bytes, str] = {}
         self._segment = ""
         self._segment_streams: dict[bytes, str] = {}
@@ -141,7 +165,10 @@
             is_recorder = self._is_recorder()
             is_first = self._first_since is not None
             await self.sleep(RECORD_INTERVAL_S if is_first else OBSERVATION_INTERVAL_S)
-            services = observe_versions(self._ctx.tables, self._ctx.clock.now())
+            tables, now = self._ctx.tables, self._ctx.clock.now()
+            services = observe_versions(tables, now)
+            if not all_hold_back(tables, now):
+                tables.stream_versions.in_force = {}
             if not is_recorder:
                 continue
             try:
@@ -158,6 +185,7 @@
             self._first_since = None
             if self._revisions is not None:
                 self._forget()
+                self._ctx.tables.stream_versions.stop_recording()
             return False
         if self._first_since is None:
             self._first_since = now
@@ -169,14 +197,56 @@
         if self._revisions is None:
             await self._read()
             services = observe_versions(self._ctx.tables, self._ctx.clock.now())
+        now, versions = self._ctx.clock.now(), self._ctx.tables.stream_versions
+        told = self._choose_sets(services, now)
+        if told != self._told:
+            self._told, self._told_since = told, now
+        new = {}
+        if any(len(names) > 1 for names in services.values()):
+            new = await self._record_streams()
+        # By then all hosts follow what they were told, and earlier streams are written.
+        settled = now - self._told_since >= SETTLED_S
+        in_force = told if settled or not told else self._in_force
         complete_era = self._find_complete_era(services)
         restored = bool(services) and complete_era != self._complete_era
-        if restored or services != self._services:
-            await self._write(SERVICES, VersionRecord(services, {}, complete_era))
+        if restored or services != self._services or in_force != self._in_force:
+            record = VersionRecord(services, {}, complete_era, in_force)
+            await self._write(SERVICES, record)
             self._services, self._complete_era = services, complete_era
-            log.info("versions_recorded", services=services, era=complete_era)
-        if any(len(versions) > 1 for versions in services.values()):
-            await self._record_streams()
+            self._in_force, self._in_force_since = in_force, now
+            log.info(
+                "versions_recorded",
+                services=services,
+                era=complete_era,
+                in_force=in_force,
+            )
+        versions.record_written(versions.not_chosen(new), told, now, now)
+        if new:
+            self._ctx.announce()
+
+    def _choose_sets(self, services: dict[str, list[str]], now: float) -> VersionSets:
+        """Return the versions among which the ids of streams are to choose.
+
+        Those before stay listed until all hosts know the new ones, and as long as
+        streams may be taken up that only hosts that have died knew.
+        """
+        tables = self._ctx.tables
+        if not all_hold_back(tables, now):
+            return {}
+        settled = now - self._in_force_since >= SETTLED_S
+        found = {}
+        for service, names in services.items():
+            noticed_s = tables.stream_versions.seen_for_s(service, now)
+            knows_all = self._began_anew or noticed_s > GENERATION_S
+            sets = self._in_force.get(service, [])
+            if not sets and not knows_all:
+                continue
+            if sets[:1] != [names]:
+                sets = [names, *sets][:MAX_SETS]
+            elif settled and knows_all:
+                sets = sets[:1]
+            found[service] = sets
+        return found
 
     def _find_complete_era(self, services: Iterable[str]) -> int | None:
         """Return the last era of the store in which the records are complete."""
@@ -193,15 +263,18 @@
             if name == SERVICES:
                 self._services = record.services
                 self._complete_era = record.era
+                self._in_force = self._told = record.in_force
             else:
                 self._recorded |= unpack(record.streams)
+        if self._began_anew is None:
+            self._began_anew = not found
 
-    async def _record_streams(self) -> None:
-        """Write the streams that the store does not hold."""
+    async def _record_streams(self) -> dict[bytes, str]:
+        """Write the streams that the store does not hold, and return them."""
         known = self._ctx.tables.stream_versions.streams()
         new = dict(known.items() - self._recorded.items())
         if not new:
-            return
+            return new
         now = self._ctx.clock.now()
         if now - self._segment_since >= SEGMENT_S:
             self._segment = self._oldest_segment()
@@ -215,6 +288,7 @@
         await self._write(self._segment, VersionRecord({}, pack(streams)))
         self._segment_streams = streams
         self._recorded |= new
+        return new
 
     def _oldest_segment(self) -> str:
         names = [f"streams-{number}" for number in range(SEGMENTS)]
--- /dev/null
+++ b/turmericflow/tests/test_relay_unrecorded_streams.py
@@ -0,0 +1,236 @@
+"""Tests of streams that begin while the store takes no record of their version.
+
+A stream's id then chooses the version that serves it, so that any host can tell the
+version from the id alone, also after all hosts died.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from turmericflow.platform._objects import decode_versions, encode_versions
+from turmericflow.relay import (
+    Tables,
+    VersionRecord,
+    _membership as membership,
+    _version_records as version_records,
+)
+from turmericflow.relay._host_tables import HostStatus
+from turmericflow.relay._stream_versions import StreamVersions, choose_version
+from turmericflow.tests.platform_stand_ins import Fleet, HostStandIn
+from turmericflow.tests.test_relay_lost_hosts import (
+    HOSTS,
+    RECORDS,
+    STREAMS,
+    add_version,
+    begin,
+    joined,
+    kill_hosts,
+    start_hosts,
+    take_up,
+)
+from turmericflow.tests.test_relay_stream_versions import (
+    NEW,
+    OLD,
+    Taken,
+    VersionedEngine,
+)
+from turmericflow.tests.test_relay_systems import host as host_entry
+
+SERVICES = version_records.SERVICES
+# Fields of the status and of the record in the version before.
+OLD_STATUS_FIELDS = 23
+OLD_RECORD_FIELDS = {"services", "streams", "era"}
+
+
+def sets_in_store(fleet: Fleet) -> list[set[str]]:
+    record = fleet.store.objects.get(RECORDS, {}).get(SERVICES)
+    found = record["spec"].get("in_force", {}) if record else {}
+    return [set(names) for names in found.get("model", [])]
+
+
+def go_down(fleet: Fleet) -> None:
+    """Let the store answer 503, and cut the watches that wait."""
+    fleet.store.status = 503
+    for transport in list(fleet.store._watching):
+        transport.abort()
+
+
+@pytest.fixture
+async def settled_fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+    """Run seven hosts and engines of two versions among which ids choose."""
+    fleet = Fleet(tmp_path)
+    await fleet.start(HOSTS)
+    await add_version(fleet, OLD, 3)
+    await add_version(fleet, NEW, 3)
+    await fleet.until(lambda: sets_in_store(fleet) == [{OLD, NEW}], 12.0)
+    yield fleet
+    await fleet.stop()
+
+
+# Guards against streams that are refused for good, begun while the store was away.
+async def test_streams_begun_without_a_store_go_on_after_all_hosts_died(
+    settled_fleet: Fleet,
+):
+    fleet = settled_fleet
+    go_down(fleet)
+    await asyncio.sleep(0.3)
+    streams = await begin(fleet, "s")
+    await kill_hosts(fleet)
+    fleet.store.status = None
+    await start_hosts(fleet)
+    await take_up(streams)
+    assert len({version for each in streams for version in each.versions}) == 2
+    assert joined(streams) == []
+    assert sum(each.whole for each in streams) >= 0.9 * STREAMS
+
+
+# Guards against streams of a version that no record names, taken for those of another.
+async def test_streams_are_not_joined_after_a_version_came_without_a_record(
+    tmp_path: Path,
+):
+    fleet = Fleet(tmp_path)
+    await fleet.start(HOSTS)
+    await add_version(fleet, OLD, 3)
+    await fleet.until(lambda: sets_in_store(fleet) == [{OLD}], 12.0)
+    await add_version(fleet, NEW, 3)
+    go_down(fleet)
+    await asyncio.sleep(0.3)
+    streams = await begin(fleet, "s")
+    await kill_hosts(fleet)
+    late = [name for name in fleet.store.objects["servers"] if NEW in name]
+    entries = {name: fleet.store.objects["servers"].pop(name) for name in late}
+    fleet.store.status = None
+    await asyncio.gather(*(each.start() for each in fleet.hosts))
+    await fleet.until(lambda: all(has_target(each) for each in fleet.hosts))
+    await take_up(streams)
+    fleet.store.objects["servers"] |= entries
+    await fleet.stop()
+    assert joined(streams) == []
+    assert sum(each.whole for each in streams) >= 0.9 * STREAMS
+
+
+def has_target(host: HostStandIn) -> bool:
+    ready = host.tables.deployment.value is not None
+    return ready and bool(host.tables.targets.by_service.get("model"))
+
+
+# Guards against events that are shown though nothing that outlasts the hosts tells
+# their version, and streams that wait for the store though their id tells it.
+async def test_only_streams_at_the_chosen_version_begin_without_a_record(
+    settled_fleet: Fleet,
+):
+    fleet = settled_fleet
+    fleet.store.failing_kinds.add(RECORDS)
+    streams = [Taken(fleet, f"s{number}") for number in range(STREAMS)]
+    reads = [
+        asyncio.create_task(each.read(number % HOSTS, 5))
+        for number, each in enumerate(streams)
+    ]
+    await asyncio.sleep(0.8)
+    begun = [each for each in streams if each.last_event]
+    assert begun
+    for each in begun:
+        chosen = StreamVersions()
+        chosen.in_force = {"model": [[OLD, NEW]]}
+        assert each.versions == {chosen.chosen_by_id("model", each.resumes).encode()}
+    assert len(begun) < STREAMS
+    fleet.store.failing_kinds.clear()
+    await asyncio.gather(*reads)
+    assert all(each.last_event >= 5 for each in streams)
+
+
+# Guards against new streams that are refused or late for as long as the store is away.
+async def test_new_streams_begin_at_once_while_the_store_is_away(settled_fleet: Fleet):
+    fleet = settled_fleet
+    go_down(fleet)
+    await asyncio.sleep(0.3)
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    await begin(fleet, "s", events=1)
+    assert loop.time() - started_at < 1.0
+
+
+# Guards against a stream whose version the id would tell wrongly.
+async def test_a_record_goes_before_what_an_id_chooses(settled_fleet: Fleet):
+    fleet = settled_fleet
+    streams = await begin(fleet, "s")
+    chosen = StreamVersions()
+    chosen.in_force = {"model": [[OLD, NEW]]}
+    others = [
+        each
+        for each in streams
+        if each.versions != {chosen.chosen_by_id("model", each.resumes).encode()}
+    ]
+    assert others
+    await kill_hosts(fleet)
+    await start_hosts(fleet)
+    await take_up(streams)
+    assert joined(streams) == []
+    assert sum(each.whole for each in streams) >= 0.9 * STREAMS
+
+
+# Guards against records and statuses that hosts of the version before cannot read, or
+# that are taken for those of a host that holds events back.
+def test_records_and_statuses_of_the_earlier_version_are_read():
+    status = membership.own_status(Tables(host_entry("a")), 0.0)
+    encoded = msgspec.msgpack.encode(status)
+    fields = msgspec.msgpack.decode(encoded)
+    assert list(HostStatus.__struct_fields__[OLD_STATUS_FIELDS:]) == [
+        "protocol",
+        "versions_in_force",
+        "recorded",
+        "records_age_s",
+    ]
+    earlier = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(fields[:OLD_STATUS_FIELDS]), type=HostStatus
+    )
+    assert earlier.protocol == 0
+    record = VersionRecord({"s": [OLD]}, {OLD: b"12345678"}, 1, {"s": [[OLD]]})
+    stored = encode_versions(record)
+    assert decode_versions(msgspec.json.encode(stored)) == record
+    old_form = {k: v for k, v in stored.items() if k in OLD_RECORD_FIELDS}
+    assert decode_versions(msgspec.json.encode(old_form)).in_force == {}
+    assert OLD_RECORD_FIELDS <= set(stored)
+
+
+# Guards against ids that choose while a host shows events after a fixed time.
+async def test_no_version_is_chosen_beside_a_host_of_the_earlier_version(
+    settled_fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+):
+    fleet = settled_fleet
+    now = asyncio.get_running_loop().time()
+    recorder = membership._hosts_reading_store(fleet.hosts[0].tables, now)[0]
+    earlier, *others = [each for each in fleet.hosts if each.name != recorder]
+    links = type(earlier.daemon._links)
+    enqueue = links._enqueue
+
+    def enqueue_as_earlier(self, status, spans):
+        if status.entry.name == earlier.name:
+            status.protocol = 0
+        enqueue(self, status, spans)
+
+    monkeypatch.setattr(links, "_enqueue", enqueue_as_earlier)
+    await fleet.until(lambda: sets_in_store(fleet) == [], 8.0)
+    await fleet.until(
+        lambda: not any(h.tables.stream_versions.in_force for h in others), 4.0
+    )
+    streams = await begin(fleet, "s")
+    assert len({version for each in streams for version in each.versions}) == 2
+
+
+# Guards against a choice that moves streams between versions that both stay.
+def test_a_version_that_is_added_takes_only_its_own_share():
+    digests = [number.to_bytes(8, "big") for number in range(300)]
+    before = [choose_version(digest, ["a", "b"]) for digest in digests]
+    after = [choose_version(digest, ["c", "b", "a"]) for digest in digests]
+    moved = [new for old, new in zip(before, after) if old != new]
+    assert set(moved) == {"c"}
+    assert min(Counter(before).values()) > 100
+    assert 60 < len(moved) < 140
