Refuse a stream that is not known to a host which cannot read the records

Report: during a release one host was out of step, and streams that had begun at workers of the new version through other hosts went on there at the old one. Shown here: a host that hears nothing while a version comes takes its own view for complete, and joins streams. Cause: it had read the records once, or had seen one version for long, and did not read them again.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -244,11 +244,11 @@
                 self.version = self._find_chosen()
                 outcome = "chosen"
         if self.version is None:
-            self.version = self._find_only()
+            self.version = self._find_only(was_read)
             outcome = "only"
         self.ctx.metrics.taken_up.labels(outcome).inc()
 
-    def _find_only(self) -> str | None:
+    def _find_only(self, was_read: bool) -> str | None:
         """Return the only version that a service has had lately, None if it has none.
 
         Raises
@@ -259,7 +259,8 @@
         versions, service = self.ctx.tables.stream_versions, self.match.service
         now = self.ctx.clock.now()
         found = self._versions(now)
-        complete = versions.is_complete(service, now)
+        # Without the records, a host that is out of step would not notice it.
+        complete = was_read and versions.is_complete(service, now)
         if len(found) > 1 or not complete:
             self.ctx.metrics.taken_up.labels("refused").inc()
             raise self.build_failure(
--- a/turmericflow/tests/test_relay_unrecorded_streams.py
+++ b/turmericflow/tests/test_relay_unrecorded_streams.py
@@ -176,6 +176,48 @@
     assert sum(each.whole for each in streams) >= 0.9 * STREAMS
 
 
+# Guards against a host that was out of step while a version came, and that takes its
+# own view for all there is.
+@pytest.mark.parametrize("reaches_store", [True, False])
+async def test_a_host_that_is_out_of_step_joins_no_streams(
+    tmp_path: Path, reaches_store: bool
+):
+    fleet = Fleet(tmp_path)
+    await fleet.start(HOSTS)
+    await add_version(fleet, OLD, 3)
+    await asyncio.sleep(2.5)
+    now = asyncio.get_running_loop().time()
+    late = next(
+        number
+        for number, each in enumerate(fleet.hosts)
+        if not membership.is_watcher(each.tables, now)
+    )
+    # The change ends the watch that the host began when it knew no others.
+    await fleet.add_target(VersionedEngine("engine-last", "dc-0", OLD))
+    await asyncio.sleep(0.5)
+    unknown = {"Resumes": "unknown", "Last-Event-Id": "3"}
+    async with fleet.request("/stream/x", "x-2", late, headers=unknown) as resp:
+        assert resp.status == 200  # one version, and the records have been read
+    host = fleet.hosts[late]
+    host.daemon._links._on_message = lambda link, message: None
+    if not reaches_store:
+        host.ctx.store._base = "http://127.0.0.1:1/v1/objects"
+    in_step = [number for number in range(HOSTS) if number != late]
+    for number in range(3):
+        engine = VersionedEngine(f"engine-{NEW}-{number}", f"dc-{number}", NEW)
+        await fleet.add_target(engine)
+    await asyncio.sleep(0.2)
+    streams = [Taken(fleet, f"s{number}") for number in range(12)]
+    await asyncio.gather(
+        *(each.read(in_step[n % len(in_step)], 5) for n, each in enumerate(streams))
+    )
+    begun = Counter(version for each in streams for version in each.versions)
+    assert begun[NEW.encode()] > 2
+    await asyncio.gather(*(each.read(late) for each in streams))
+    await fleet.stop()
+    assert joined(streams) == []
+
+
 # Guards against records and statuses that hosts of the version before cannot read, or
 # that are taken for those of a host that holds events back.
 def test_records_and_statuses_of_the_earlier_version_are_read():
