--- a/turmericflow/relay/_target_connections.py
+++ b/turmericflow/relay/_target_connections.py
@@ -78,6 +78,8 @@
             exc = ConnectionResetError("the connection through another host was lost")
         if exc is not None:
             self._fail_body(exc)
+        if self._payload is None:
+            self._parser = None  # it would complete a head that is cut
         super().connection_lost(exc)
 
     def _ended_by_target(self) -> bool:
