Soak with foreign entries, bodies without a length, and a store that is away

The soak's stand-ins sent bodies with a length or in chunks only, its store held no entries of other writers and always answered, and all its hosts ran one build. It now draws, apart from the other faults, entries that name no target, targets that send bodies which end with their connection, and a store that is away while all hosts are killed.

--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -144,6 +144,12 @@
         self._record_change(kind, stored, False)
         return self.revision
 
+    def go_away(self) -> None:
+        """Answer 503, and cut the watches that wait."""
+        self.status = 503
+        for transport in list(self._watching):
+            transport.abort()
+
     def put_text(self, kind: str, name: str, text: str) -> int:
         """Create or replace an object whose spec is a text that may be no JSON."""
         placeholder = f"text-{len(self._texts)}-of-another-writer"
@@ -756,8 +762,10 @@
         transport.write(b"\r\n".join(lines) + b"\r\n\r\n")
         last = request.headers.get("Last-Event-Id")
         torn_at = int(fault.rpartition(" ")[2]) if "tear" in fault else 0
-        for number in range(1 if last is None else int(last) + 1, self.events + 1):
-            await self.pace(self.event_interval_s)
+        events = int(request.query.get("events", self.events))
+        interval_s = float(request.query.get("interval_s", self.event_interval_s))
+        for number in range(1 if last is None else int(last) + 1, events + 1):
+            await self.pace(interval_s)
             event = self.event(received, number)
             transport.write(event[:9] if number == torn_at else event)
             if number == torn_at:
--- a/turmericflow/tests/soak/__main__.py
+++ b/turmericflow/tests/soak/__main__.py
@@ -29,6 +29,9 @@
     parser.add_argument("--stream-s", type=float, nargs=2, default=(1.0, 5.0))
     parser.add_argument("--only", type=_kinds, default=tuple(FaultKind))
     parser.add_argument("--config-interval-s", type=float, default=0.0)
+    parser.add_argument(
+        "--earlier", type=Path, help="sources that hosts run until they first stop"
+    )
     args = parser.parse_args(argv)
     folder = args.logs or Path(tempfile.mkdtemp(prefix=f"soak-{args.seed}-"))
     cfg = SoakConfig(
@@ -40,6 +43,7 @@
         tuple(args.stream_s),
         args.only,
         args.config_interval_s,
+        args.earlier,
     )
     for fault in cfg.schedule():
         print(fault.at_s, fault.kind.value, fault.subject, f"{fault.seconds:.3f}")
--- a/turmericflow/tests/soak/_fleet.py
+++ b/turmericflow/tests/soak/_fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import sys
 import time
@@ -40,6 +41,17 @@
 LINES_WITHIN_S = 0.15  # of the end of a request
 STREAM_TIMEOUT_MS, PLAIN_TIMEOUT_MS = 10_000, 4_000
 MAX_CONNECTIONS = 100_000
+STORE_AWAY_S = 2.0  # after the loss of the hosts
+FOREIGN_ENTRIES = 4
+FOREIGN_CONTENTS = (
+    "[" * 50_000 + "]" * 50_000,
+    '{"backend":"plain","state":"ready"}',
+    '{"backend":"model","state":"ready","zone":"dc-0","address":"m..local:80"}',
+    '{"backend":"plain","state":"ready","zone":"dc-0","address":"0.0.0.0:80"}',
+    '{"backend":7,"address":[]}',
+    '"\\ud800"',
+    "null",
+)
 
 
 @dataclass(slots=True)
@@ -155,8 +167,17 @@
         Exit codes of processes that ended by themselves.
     """
 
-    def __init__(self, number: int, ip: str, store: str, grace_s: float, folder: Path):
+    def __init__(
+        self,
+        number: int,
+        ip: str,
+        store: str,
+        grace_s: float,
+        folder: Path,
+        sources: Path = ROOT,
+    ) -> None:
         self.number = number
+        self.sources = sources
         self.name = f"host-{number}"
         self.ip = ip
         self.ready = asyncio.Event()
@@ -189,16 +210,16 @@
 
     async def keep_running(self) -> None:
         """Start the process whenever it has ended; kill it when this is cancelled."""
-        env = os.environ | {
-            "PYTHONPATH": str(ROOT),
-            "TURMERICFLOW_NODE_FILE": str(self._settings_path),
-        }
         command = (sys.executable, "-m", "turmericflow.platform")
         while True:
             self._ending = False
+            env = os.environ | {
+                "PYTHONPATH": str(self.sources),
+                "TURMERICFLOW_NODE_FILE": str(self._settings_path),
+            }
             with self._log_path.open("ab") as log:
                 self._process = await asyncio.create_subprocess_exec(
-                    *command, env=env, stdout=log, stderr=log
+                    *command, env=env, stdout=log, stderr=log, cwd=self.sources
                 )
             ready = asyncio.create_task(self._wait_until_ready())
             try:
@@ -242,6 +263,7 @@
         """Stop the process; return False if it had to be killed at the end."""
         self.ready.clear()
         self._ending, self._down_s = True, down_s
+        self.sources = ROOT
         self.stops.append(time.time())
         self.signal(signal.SIGTERM)
         try:
@@ -298,7 +320,9 @@
         Configurations with the time of their acknowledgement.
     """
 
-    def __init__(self, size: Size, grace_s: float, folder: Path) -> None:
+    def __init__(
+        self, size: Size, grace_s: float, folder: Path, earlier: Path | None = None
+    ) -> None:
         self.size = size
         self.store = StoreStandIn()
         self.runs: list[Run] = []
@@ -314,6 +338,7 @@
                 self.store.address,
                 grace_s,
                 folder,
+                earlier or ROOT,
             )
             for number in range(size.hosts)
         ]
@@ -352,6 +377,28 @@
         await target.start()
         self.store.put("servers", target.name, target.entry())
 
+    def put_foreign_entry(self, rng: random.Random) -> None:
+        """Write an entry as another program may."""
+        number = rng.randrange(FOREIGN_ENTRIES)
+        content = rng.choice(FOREIGN_CONTENTS)
+        self.store.put_text("servers", f"x-{number}", content)
+
+    async def send_unframed(self, number: int, seconds: float) -> None:
+        """Let a target send bodies without a length or chunks for some time."""
+        target = self.targets[number]
+        target.injected.always = "unframed"
+        await asyncio.sleep(seconds)
+        target.injected.always = ""
+
+    async def black_out(self, seconds: float) -> None:
+        """Take the store away, kill all hosts after some time, and bring all back."""
+        self.store.go_away()
+        await asyncio.sleep(seconds)
+        for host in self.hosts:
+            host.kill(STORE_AWAY_S)
+        await asyncio.sleep(STORE_AWAY_S)
+        self.store.status = None
+
     async def replace_target(self, number: int, draining: bool, seconds: float) -> bool:
         """Take a target out, stop it after some time, and start a new one.
 
--- a/turmericflow/tests/soak/_run.py
+++ b/turmericflow/tests/soak/_run.py
@@ -56,6 +56,7 @@
     stream_s: tuple[float, float] = (1.0, 5.0)
     kinds: tuple[FaultKind, ...] = tuple(FaultKind)
     config_interval_s: float = 0.0
+    earlier: Path | None = None  # sources that hosts run until they first stop
 
     def schedule(self) -> list[Fault]:
         """Return the faults of this soak."""
@@ -76,7 +77,7 @@
     def __init__(self, cfg: SoakConfig) -> None:
         self._cfg = cfg
         cfg.folder.mkdir(parents=True, exist_ok=True)
-        self.fleet = Fleet(cfg.size, cfg.grace_s, cfg.folder)
+        self.fleet = Fleet(cfg.size, cfg.grace_s, cfg.folder, cfg.earlier)
         self.attempts: list[Attempt] = []
         self.findings: list[Finding] = []
         self.injected: Counter[str] = Counter()
@@ -144,6 +145,12 @@
                 await fleet.hosts[fault.subject].freeze(fault.seconds)
             case FaultKind.RELOAD:
                 fleet.hosts[fault.subject].reload()
+            case FaultKind.FOREIGN:
+                fleet.put_foreign_entry(random.Random(fault.seed))
+            case FaultKind.UNFRAMED:
+                await fleet.send_unframed(fault.subject, fault.seconds)
+            case FaultKind.BLACKOUT:
+                await fleet.black_out(fault.seconds)
 
     async def _stop_host(self, host: HostProcess, fault: Fault) -> None:
         if not host.ready.is_set():
--- a/turmericflow/tests/soak/_schedule.py
+++ b/turmericflow/tests/soak/_schedule.py
@@ -33,8 +33,14 @@
     REMOVE_TARGET = "remove_target"  # leaves without a draining state
     CRASH_TARGET = "crash_target"
     SILENCE = "silence"  # a sound target pauses and goes on
+    FOREIGN = "foreign"  # an entry of another writer, that names no target
+    UNFRAMED = "unframed"  # a target sends bodies without a length or chunks
+    BLACKOUT = "blackout"  # all hosts are killed while the store is away
 
 
+FOREIGN_SHARE, UNFRAMED_SHARE = 0.4, 0.4  # of the series
+UNFRAMED_S = (2.0, 8.0)
+BLACKOUT_S = (0.5, 2.5)  # from the loss of the store to that of the hosts
 UNPLANNED = (FaultKind.KILL, FaultKind.FREEZE)
 PLANNED = (FaultKind.STOP, FaultKind.STOP, FaultKind.RELOAD)
 TARGET_FAULTS = (
@@ -125,6 +131,26 @@
     ]
 
 
+def _odd_faults(seed: int, seconds: float, size: Size) -> list[Fault]:
+    """Return the faults of entries, bodies and the store, drawn apart."""
+    rng = random.Random(f"{seed} odd")
+    targets = size.engines + size.plain_targets
+    faults, at_s = [], WARM_UP_S
+    while at_s < seconds:
+        begin_s = at_s + rng.uniform(0, SERIES_SPREAD_S)
+        if rng.random() < FOREIGN_SHARE:
+            seed_of_entry = rng.getrandbits(32)
+            faults.append(Fault(begin_s, FaultKind.FOREIGN, 0, 0.0, seed_of_entry))
+        if rng.random() < UNFRAMED_SHARE:
+            lasts_s = rng.uniform(*UNFRAMED_S)
+            target = rng.randrange(targets)
+            faults.append(Fault(begin_s, FaultKind.UNFRAMED, target, lasts_s))
+        at_s += rng.uniform(*SERIES_S)
+    at_s = rng.uniform(WARM_UP_S, max(WARM_UP_S, seconds - 10))
+    faults.append(Fault(at_s, FaultKind.BLACKOUT, 0, rng.uniform(*BLACKOUT_S)))
+    return faults
+
+
 def build_schedule(
     seed: int,
     seconds: float,
@@ -150,6 +176,7 @@
         faults += [_target_fault(rng, at_s, size) for _ in range(rng.randint(0, 3))]
         faults += _config_changes(rng, at_s)
         at_s += rng.uniform(*SERIES_S)
+    faults += _odd_faults(seed, seconds, size)
     if config_interval_s:
         steps = range(int((seconds - WARM_UP_S) / config_interval_s))
         faults += [
--- a/turmericflow/tests/test_relay_unrecorded_streams.py
+++ b/turmericflow/tests/test_relay_unrecorded_streams.py
@@ -55,13 +55,6 @@
     return [set(names) for names in found.get("model", [])]
 
 
-def go_down(fleet: Fleet) -> None:
-    """Let the store answer 503, and cut the watches that wait."""
-    fleet.store.status = 503
-    for transport in list(fleet.store._watching):
-        transport.abort()
-
-
 @pytest.fixture
 async def settled_fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
     """Run seven hosts and engines of two versions among which ids choose."""
@@ -79,7 +72,7 @@
     settled_fleet: Fleet,
 ):
     fleet = settled_fleet
-    go_down(fleet)
+    fleet.store.go_away()
     await asyncio.sleep(0.3)
     streams = await begin(fleet, "s")
     await kill_hosts(fleet)
@@ -100,7 +93,7 @@
     await add_version(fleet, OLD, 3)
     await fleet.until(lambda: sets_in_store(fleet) == [{OLD}], 12.0)
     await add_version(fleet, NEW, 3)
-    go_down(fleet)
+    fleet.store.go_away()
     await asyncio.sleep(0.3)
     streams = await begin(fleet, "s")
     await kill_hosts(fleet)
@@ -149,7 +142,7 @@
 # Guards against new streams that are refused or late for as long as the store is away.
 async def test_new_streams_begin_at_once_while_the_store_is_away(settled_fleet: Fleet):
     fleet = settled_fleet
-    go_down(fleet)
+    fleet.store.go_away()
     await asyncio.sleep(0.3)
     loop = asyncio.get_running_loop()
     started_at = loop.time()
