Take an answer without objects for no list

Found in reading the change again: since pages of lists and of changes were decoded to one type, an answer of the store that names a revision and no objects passed for an empty list, with which a host takes all targets for removed. Each kind of page has a type of its own again, also where a page is read apart.

Evidence: test_an_answer_that_is_no_list_is_a_failure fails for such an answer on the commit before, and passes now.

--- a/turmericflow/platform/_store.py
+++ b/turmericflow/platform/_store.py
@@ -81,10 +81,9 @@
     spec: msgspec.Raw = msgspec.Raw(b"null")
 
 
-class _AnyPage(msgspec.Struct):
+class _Items(msgspec.Struct):
+    items: list[msgspec.Raw]
     storeRevision: _Revision
-    items: list[msgspec.Raw] = []
-    events: list[msgspec.Raw] = []
     hasMore: bool = False
 
 
@@ -93,7 +92,16 @@
     tombstone: bool = False
 
 
-_PAGE = msgspec.json.Decoder(_AnyPage)
+class _Events(msgspec.Struct):
+    events: list[msgspec.Raw]
+    storeRevision: _Revision
+    hasMore: bool = False
+
+
+_PAGES = {
+    ITEMS: msgspec.json.Decoder(_Items),
+    EVENTS: msgspec.json.Decoder(_Events),
+}
 _EVENT = msgspec.json.Decoder(_Event)
 _OBJECT = msgspec.json.Decoder(_Object)
 
@@ -149,21 +157,24 @@
     StoreFailed
         If it is no page.
     """
+    decode = _PAGES[name].decode
     try:
-        page = _PAGE.decode(content)
-        found = page.items if name == ITEMS else page.events
-        values = [Value(bytes(text), None) for text in found]
+        page = decode(content)
+        values = [Value(bytes(text), None) for text in getattr(page, name)]
         return _Page(values, page.storeRevision, page.hasMore)
     except _DECODE_ERRORS:
         pass
     started_at = time.perf_counter()
     try:
         members = (await read_outline(content, PAGE_LEVELS[name])).members()
-        found = members.pop(name.encode()).part
+        found = members[name.encode()]
+        if found.part is None or found.text[:1] != b"[":
+            raise ValueError(f"got {found.text[:40]!r}, expected an array")
+        values = found.part.elements()
+        members[name.encode()] = Value(b"[]", None)
         rest = [b'"%s":%s' % (key, value.text) for key, value in members.items()]
-        page = _PAGE.decode(b"{%s}" % b",".join(rest))
-        values = found.elements()
-    except (*_DECODE_ERRORS, ValueError, KeyError, AttributeError) as exc:
+        page = decode(b"{%s}" % b",".join(rest))
+    except (*_DECODE_ERRORS, KeyError) as exc:
         raise StoreFailed(f"got an unusable page: {str(exc)[:MAX_PROBLEM]}") from exc
     log.info(
         "page_outlined",
--- a/turmericflow/tests/test_relay_large_entries.py
+++ b/turmericflow/tests/test_relay_large_entries.py
@@ -17,6 +17,7 @@
 from turmericflow.platform._store import StoreClient
 from turmericflow.relay import (
     Kind,
+    StoreFailed,
     TargetEntry,
     _discovery as discovery,
     with_era,
@@ -152,6 +153,33 @@
     assert max(seconds for _, seconds in took) < 0.8
 
 
+# Guards against an answer that is no list and passes for an empty one.
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"storeRevision":9}',
+        b'{"storeRevision":9,"x":%s}' % DEEP.encode(),
+        b'{"storeRevision":9,"items":{},"events":{}}',
+        b'{"storeRevision":9,"items":{},"events":{},"x":%s}' % DEEP.encode(),
+        b'{"storeRevision":9,"items":7,"events":7,"x":%s}' % DEEP.encode(),
+        b'{"items":[],"events":[]}',
+        b'{"items":[],"events":[],"x":%s}' % DEEP.encode(),
+        b'{"items":[],"events":[],"storeRevision":-1}',
+        b'{"items":[],"events":[],"storeRevision":%d}' % 2**60,
+        b"[]",
+        b"",
+    ],
+    ids=lambda body: repr(body[:48]),
+)
+async def test_an_answer_that_is_no_list_is_a_failure(body: bytes):
+    async with aiohttp.ClientSession() as session:
+        client = OneAnswer(session, body)
+        with pytest.raises(StoreFailed):
+            await client.read(Kind.TARGETS)
+        with pytest.raises(StoreFailed):
+            await client.changes(Kind.TARGETS, with_era(0, 1), 0.0)
+
+
 # Guards against an outline that differs from what the text says.
 @pytest.mark.parametrize("levels", [1, 2, 3])
 @pytest.mark.parametrize(
