Let stopped stand-ins reset streams without a length, and wait for a version to come

A target that breaks off resets such a connection, so the stand-in does. A test of a host out of step waited 0.2 s for the others to know a new version, which was too short beside other runs; it waits until they do.

The checks are unchanged.

--- a/turmericflow/tests/platform_stand_ins.py
+++ b/turmericflow/tests/platform_stand_ins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import socket
+import struct
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -755,7 +756,12 @@
     async def _unframed_stream(
         self, request: web.BaseRequest, received: ReceivedRequest, fault: str
     ) -> web.StreamResponse:
-        """Send a stream without a length or chunks; closing the connection ends it."""
+        """Send a stream without a length or chunks; closing the connection ends it.
+
+        If the target is stopped meanwhile, the connection is reset.
+        """
+        sock = request.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         lines = [b"HTTP/1.1 200 OK", b"Content-Type: text/event-stream"]
         lines += [f"{n}: {v}".encode() for n, v in self._signed(request).items()]
         transport = request.transport
@@ -770,6 +776,7 @@
             transport.write(event[:9] if number == torn_at else event)
             if number == torn_at:
                 break
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
         transport.close()
         await asyncio.sleep(3600)
         return web.Response()
--- a/turmericflow/tests/test_relay_unrecorded_streams.py
+++ b/turmericflow/tests/test_relay_unrecorded_streams.py
@@ -199,7 +199,8 @@
     for number in range(3):
         engine = VersionedEngine(f"engine-{NEW}-{number}", f"dc-{number}", NEW)
         await fleet.add_target(engine)
-    await asyncio.sleep(0.2)
+    known = [fleet.hosts[number].tables.targets.rows for number in in_step]
+    await fleet.until(lambda: {len(rows) for rows in known} == {7})
     streams = [Taken(fleet, f"s{number}") for number in range(12)]
     await asyncio.gather(
         *(each.read(in_step[n % len(in_step)], 5) for n, each in enumerate(streams))
