Review a verdict on a part of prompts when output of it was remembered

Cause: the restarted host did not know of any output, so that two parts had the same evidence, and convicted the wrong one. Hosts that knew took the verdict over, since only output after the verdict counted against it.

Change: a verdict says whether output was known. Hosts that remember output judge by the crashes when it was not, and tell of it; a host that hears so drops its verdict and judges again. The field may be missing, as from hosts of the earlier version.

--- a/turmericflow/relay/_crashing_parts.py
+++ b/turmericflow/relay/_crashing_parts.py
@@ -53,10 +53,13 @@
         Times of output.
     convicted
         Times of convictions.
+    after_output
+        Convicted parts that were known to have had output before.
     """
 
     sound: list[tuple[str, float]] = []
     convicted: list[tuple[str, float]] = []
+    after_output: list[str] = []
 
 
 class _Suspicion(NamedTuple):
@@ -79,6 +82,8 @@
         "_sound_at",
         "_convicted_at",
         "_refused_until",
+        "_after_output",
+        "_allowed",
         "_new_crashes",
         "_new_sound",
         "_new_convictions",
@@ -90,6 +95,8 @@
         self._sound_at: dict[str, float] = {}
         self._convicted_at: dict[str, float] = {}
         self._refused_until: dict[str, float] = {}
+        self._after_output: set[str] = set()  # convicted though they had output
+        self._allowed: list[str] = []  # no longer convicted, to be reported
         self._new_crashes: list[PartCrash] = []
         self._new_sound: dict[str, float] = {}
         self._new_convictions: dict[str, float] = {}
@@ -136,7 +143,7 @@
         ]
         while suspicion := self._worst(crashes):
             part = suspicion.part
-            self._add_conviction(part, now)
+            self._add_conviction(part, now, not suspicion.had_no_output)
             self._new_convictions[part] = now
             crashes = [crash for crash in crashes if part not in crash.parts]
 
@@ -161,15 +168,19 @@
                 suspicions.append(_Suspicion(had_no_output, targets, position, part))
         return max(suspicions, default=None)
 
-    def _add_conviction(self, part: str, at: float) -> None:
+    def _add_conviction(self, part: str, at: float, after_output: bool) -> None:
         self._convicted_at[part] = at
         self._refused_until[part] = at + CONVICTION_S
+        if after_output:
+            self._after_output.add(part)
         self._unreported.append(part)
         if len(self._convicted_at) > MAX_CONVICTIONS:
             self._drop_conviction(next(iter(self._convicted_at)))
 
     def _drop_conviction(self, part: str) -> None:
         del self._convicted_at[part], self._refused_until[part]
+        self._after_output.discard(part)
+        self._new_convictions.pop(part, None)
 
     def record_output(self, parts: Iterable[str], now: float) -> bool:
         """Record that an answer has output; return whether it clears a part of crashes.
@@ -183,32 +194,44 @@
                 part in crash.parts and sound_at < crash.at
                 for crash in self._crashes.values()
             )
-            self._record_sound(part, now)
+            self._record_sound(part, now, now)
             if blamed:
                 self._new_sound[part] = now
                 cleared = True
         return cleared
 
-    def _record_sound(self, part: str, at: float) -> None:
+    def _record_sound(self, part: str, at: float, now: float) -> None:
+        """Record output of a part; end or review its conviction.
+
+        A conviction by a host that did not know of earlier output needed too few
+        crashes, and one of a part beside it may be due.
+        """
         at = max(at, self._sound_at.pop(part, float("-inf")))
         self._sound_at[part] = at  # at the end: the oldest is dropped first
         if len(self._sound_at) > MAX_SOUND_PARTS:
             del self._sound_at[next(iter(self._sound_at))]
-        if self._convicted_at.get(part, float("inf")) < at:
+        convicted_at = self._convicted_at.get(part)
+        if convicted_at is None:
+            return
+        if convicted_at < at or part not in self._after_output:
             self._drop_conviction(part)
+            self._allowed.append(part)
+            self._convict(now)
 
     def apply_gossip(
         self, crashes: list[PartCrash], times: PartTimes, now: float
     ) -> None:
         """Apply what another host reports, with ages."""
         for part, age_s in times.sound[:MAX_GOSSIPED_PARTS]:
-            self._record_sound(part, now - age_s)
+            self._record_sound(part, now - age_s, now)
+        after_output = frozenset(times.after_output)
         for part, age_s in times.convicted[:MAX_CONVICTIONS]:
-            at = now - age_s
-            if self._sound_at.get(part, float("-inf")) >= at:
+            at, sound_at = now - age_s, self._sound_at.get(part)
+            # Without knowing of output, the other host asked for fewer crashes.
+            if sound_at is not None and (part not in after_output or sound_at >= at):
                 self._new_sound.setdefault(part, now)
             elif part not in self._convicted_at and age_s < CONVICTION_S:
-                self._add_conviction(part, at)
+                self._add_conviction(part, at, part in after_output)
         for crash in crashes[:MAX_GOSSIPED_CRASHES]:
             crash = msgspec.structs.replace(crash, at=now - crash.at)
             self.record_crash(crash, now)
@@ -216,7 +239,7 @@
     def take_new_convictions(self) -> list[str]:
         """Return the parts that were convicted since the last call."""
         found, self._unreported = self._unreported, []
-        return found
+        return [part for part in found if part in self._convicted_at]
 
     def news(self, max_age_s: float, now: float) -> tuple[list[PartCrash], PartTimes]:
         """Return what this host found within `max_age_s`, with ages, to be gossiped."""
@@ -238,14 +261,16 @@
             (part, now - at)
             for part, at in list(self._new_convictions.items())[-MAX_GOSSIPED_PARTS:]
         ]
-        return crashes, PartTimes(sound, convicted)
+        after_output = [part for part, _ in convicted if part in self._after_output]
+        return crashes, PartTimes(sound, convicted, after_output)
 
-    def convictions(self, now: float) -> list[tuple[str, float]]:
-        """Return the convicted parts, each with the age of its last refusal."""
-        return [
+    def add_convictions(self, times: PartTimes, now: float) -> None:
+        """Put all convicted parts into a message, with the age of the last refusal."""
+        times.convicted = [
             (part, now - until + CONVICTION_S)
             for part, until in self._refused_until.items()
         ]
+        times.after_output = list(self._after_output)
 
     def __len__(self) -> int:
         """Return the number of convicted parts."""
@@ -262,11 +287,15 @@
         return None
 
     def expire(self, now: float) -> list[str]:
-        """Remove old crashes and convictions; return the parts no longer refused."""
+        """Remove old crashes and convictions.
+
+        Return the parts that are no longer refused since the last call.
+        """
         for key, crash in list(self._crashes.items()):
             if now - crash.at >= CRASH_RETENTION_S:
                 del self._crashes[key]
         ended = [part for part, until in self._refused_until.items() if now >= until]
         for part in ended:
             self._drop_conviction(part)
-        return ended
+        allowed, self._allowed = self._allowed, []
+        return allowed + ended
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -284,7 +284,7 @@
         now = self._ctx.clock.now()
         status = membership.own_status(self._ctx.tables, now)
         # The other host may have just started and know none.
-        status.part_times.convicted = self._ctx.tables.crashing_parts.convictions(now)
+        self._ctx.tables.crashing_parts.add_convictions(status.part_times, now)
         for span in broadcast.full_spans(own):
             link.outbox.put(status, span)
         self._schedule_flush(URGENT_FLUSH_S)
--- a/turmericflow/tests/test_relay_broadcast.py
+++ b/turmericflow/tests/test_relay_broadcast.py
@@ -16,6 +16,7 @@
     _membership as membership,
 )
 from turmericflow.relay._broadcast import Outbox, Rings, Span
+from turmericflow.relay._crashing_parts import PartTimes
 from turmericflow.relay._host_tables import HostState, HostStatus
 from turmericflow.relay._tables import Tables
 from turmericflow.relay._target_tables import TargetsChange
@@ -200,6 +201,23 @@
     assert membership.own_status(table, 6.0).target_changes == []
 
 
+class EarlierTimes(msgspec.Struct, array_like=True):
+    """Times of parts as hosts know them that tell no earlier output."""
+
+    sound: list[tuple[str, float]] = []
+    convicted: list[tuple[str, float]] = []
+
+
+# Guards against verdicts that one of two versions cannot read.
+def test_convictions_are_read_by_both_versions():
+    times = PartTimes([("s/a", 1.0)], [("s/b", 2.0)], ["s/b"])
+    sent = msgspec.msgpack.encode(times)
+    earlier = msgspec.msgpack.decode(sent, type=EarlierTimes)
+    assert (earlier.sound, earlier.convicted) == (times.sound, times.convicted)
+    sent = msgspec.msgpack.encode(earlier)
+    assert msgspec.msgpack.decode(sent, type=PartTimes).after_output == []
+
+
 def test_statuses_of_an_earlier_version_are_read():
     table = build_fleet(2)["h000"]
     status = membership.own_status(table, 5.0)
--- a/turmericflow/tests/test_relay_crashing_parts.py
+++ b/turmericflow/tests/test_relay_crashing_parts.py
@@ -121,6 +121,33 @@
     assert count_crashing(fleet) == reached
 
 
+# Guards against a sound part that all hosts refuse for good, since one that has just
+# started cannot tell it from the crashing one (review/2).
+async def test_a_host_that_has_just_started_has_no_sound_part_refused(
+    crashing_fleet: Fleet,
+):
+    fleet = crashing_fleet
+    for number in range(100, 106):
+        assert await send(fleet, number, "b001") == 200
+    started = await fleet.add_host("host-3", "dc-0")
+    await fleet.until(lambda: len(started.tables.hosts.rows) == 3)
+    await fleet.until(lambda: started.tables.targets.rows)
+    found = [
+        asyncio.create_task(send(fleet, number, CRASHING, "b001", host=3))
+        for number in range(4)
+    ]
+    await asyncio.gather(*found)
+    await asyncio.sleep(CRASH_DOWNTIME_S)
+    reached = count_crashing(fleet)
+    for host in range(4):
+        assert await send(fleet, 20 + host, CRASHING, "b001", host=host) == 503
+    assert count_crashing(fleet) == reached
+    statuses = [
+        await send(fleet, 200 + number, "b001", host=number % 4) for number in range(12)
+    ]
+    assert statuses == [200] * 12
+
+
 # Guards against a refusal of parts that many share, when engines die for other reasons.
 async def test_parts_of_engines_that_die_for_other_reasons_are_not_refused(
     fleet_of_three: Fleet,
--- a/turmericflow/tests/test_relay_crashing_parts_table.py
+++ b/turmericflow/tests/test_relay_crashing_parts_table.py
@@ -22,6 +22,12 @@
     receiver.apply_gossip(*source.news(1.0, now), now)
 
 
+def known_convictions(table: CrashingParts, now: float) -> PartTimes:
+    times = PartTimes()
+    table.add_convictions(times, now)
+    return times
+
+
 def test_three_crashes_under_two_contents_convict_a_part():
     table = CrashingParts()
     for number in range(3):
@@ -96,6 +102,48 @@
     assert started.take_new_convictions() == ["bad"]
 
 
+# Guards against a sound part that is refused for good at all hosts, since a host that
+# had just started saw it and the crashing one crash alike (review/2).
+@pytest.mark.parametrize("flags", [True, False])
+@pytest.mark.parametrize("told_at", [1.0, 61.5])
+def test_a_host_that_remembers_no_output_has_no_sound_part_refused(
+    flags: bool, told_at: float
+):
+    started, other, third = CrashingParts(), CrashingParts(), CrashingParts()
+    other.record_output(["shared"], 0.5)
+    for number in range(4):
+        started.record_own_crash(crash(number, "bad", "shared"), 1.0)
+    assert refused(started, "shared", 1.0)
+    crashes, times = started.news(100.0, told_at)
+    if not flags:  # as hosts of the earlier version send it
+        times = PartTimes(times.sound, times.convicted)
+    for table in (other, third):
+        table.apply_gossip(crashes, times, told_at)
+    assert not refused(other, "shared", told_at)
+    now = told_at + 0.1
+    for table in (started, third):
+        gossip(other, table, now)
+        assert not refused(table, "shared", now)
+    for table in (started, third):
+        gossip(table, other, now)
+    assert not refused(other, "shared", now)
+    if told_at < crashing_parts.CRASH_RETENTION_S:
+        for table in (started, other, third):
+            assert refused(table, "bad", now)
+
+
+def test_a_conviction_after_output_is_taken_by_hosts_that_remember_it():
+    table, other = CrashingParts(), CrashingParts()
+    for each in (table, other):
+        each.record_output(["part"], 0.5)
+    for number in range(5):
+        table.record_crash(crash(number, "part"), 1.0)
+    other.apply_gossip([], known_convictions(table, 1.1), 1.1)
+    assert refused(other, "part")
+    gossip(other, table, 1.2)
+    assert refused(table, "part")
+
+
 def test_a_conviction_is_taken_without_its_crashes_and_prolonged_by_refusals():
     table, started = CrashingParts(), CrashingParts()
     for number in range(3):
@@ -105,7 +153,7 @@
         now += 0.9 * crashing_parts.CONVICTION_S
         assert refused(table, "bad", now)
         assert table.expire(now) == []
-    started.apply_gossip([], PartTimes([], table.convictions(now)), now)
+    started.apply_gossip([], known_convictions(table, now), now)
     assert refused(started, "bad", now)
     assert table.expire(now + crashing_parts.CONVICTION_S) == ["bad"]
 
