Tell hosts that have just started of crashes by content

Cause: crashes are told for two heartbeats; what a host that starts gets from its peers held limits, versions, leaving targets and convicted parts, but no crashes.

The field may be missing, as from hosts of the earlier version, which do not read it.

--- a/turmericflow/relay/_crashes.py
+++ b/turmericflow/relay/_crashes.py
@@ -15,6 +15,7 @@
 MIN_CRASHES_TO_REFUSE = 3
 MAX_FINGERPRINTS = 20_000
 CRASH_RETENTION_S = 60.0  # later retries count as new requests
+MAX_TOLD_FINGERPRINTS = 256  # to a host that has just started
 
 
 def fingerprint(call: Call, customer: str | None) -> str:
@@ -88,6 +89,17 @@
             for fingerprint, target, at in self._own_crashes
         ]
 
+    def known(self, now: float) -> list[tuple[str, str, float]]:
+        """Return the last crashes of all hosts: fingerprint, target, age."""
+        recent = [
+            (fingerprint, target, now - at)
+            for fingerprint, crashed_at in list(self._crashes.items())[
+                -MAX_TOLD_FINGERPRINTS:
+            ]
+            for target, at in crashed_at.items()
+        ]
+        return [crash for crash in recent if crash[2] < CRASH_RETENTION_S]
+
     def expire(self, now: float) -> None:
         """Remove records older than `CRASH_RETENTION_S`."""
         for fingerprint, crashed_at in list(self._crashes.items()):
--- a/turmericflow/relay/_links.py
+++ b/turmericflow/relay/_links.py
@@ -71,6 +71,7 @@
     limits: list[LimitNews]
     stream_versions: VersionNews
     leaving: list[str] = []
+    crashes: list[tuple[str, str, float]] = []
 
 
 class DeploymentSnapshot(msgspec.Struct, array_like=True, tag="deployment"):
@@ -262,6 +263,8 @@
                 tables.stream_versions.apply(msg.stream_versions, now)
                 for key in msg.leaving:
                     discovery.record_leaving(tables.targets, key, now)
+                for fingerprint, key, age_s in msg.crashes:
+                    tables.crashes.record(fingerprint, key, now - age_s)
 
     def _on_hello(self, link: Link, name: str) -> None:
         """Register a stream by its host's name; of two streams to a host, cut one.
@@ -341,11 +344,13 @@
         """Send a peer the snapshots that are newer than its revisions."""
         tables = self._ctx.tables
         if req.gossip:
-            limits = tables.rate_limits.known(self._ctx.clock.now())
+            now = self._ctx.clock.now()
+            limits = tables.rate_limits.known(now)
             versions = tables.stream_versions.known()
             leaving = list(tables.targets.leaving)
-            if limits or versions or leaving:
-                link.send(GossipSnapshot(limits, versions, leaving))
+            crashes = tables.crashes.known(now)
+            if limits or versions or leaving or crashes:
+                link.send(GossipSnapshot(limits, versions, leaving, crashes))
         deployment, targets = tables.deployment, tables.targets
         if req.deployment_version < deployment.version:
             link.send(DeploymentSnapshot(deployment.revision, deployment.value))
--- a/turmericflow/tests/test_relay.py
+++ b/turmericflow/tests/test_relay.py
@@ -430,6 +430,29 @@
         await resp.read()
 
 
+# Guards against a content that crashes targets again at each host that is restarted.
+async def test_a_host_that_has_just_started_refuses_a_content_that_crashed_targets(
+    fleet: Fleet,
+):
+    engines = await fleet.add_engines("dc-0", "dc-1", "dc-2", "dc-0", "dc-1")
+    for number in range(6):
+        async with fleet.request("/stream/1", f"r{number}", data=CRASHING_BODY) as resp:
+            assert resp.status in (502, 503)
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(1.5)  # longer than statuses repeat what is new
+    started = await fleet.add_host("started", "dc-1")
+    await fleet.until(lambda: started.tables.targets.rows)
+    await fleet.until(lambda: started.tables.hosts.rows["host-0"].status is not None)
+    await asyncio.sleep(0.5)
+    reached = sum(len(engine.received) for engine in engines)
+    for number in range(3):
+        async with fleet.request(
+            "/stream/1", f"again{number}", 1, data=CRASHING_BODY
+        ) as resp:
+            assert resp.status in (502, 503)
+    assert sum(len(engine.received) for engine in engines) == reached
+
+
 async def test_lost_responses_do_not_block_a_content(fleet: Fleet):
     (target,) = await fleet.add_plain(1)
     for number in range(5):
--- a/turmericflow/tests/test_relay_broadcast.py
+++ b/turmericflow/tests/test_relay_broadcast.py
@@ -18,6 +18,7 @@
 from turmericflow.relay._broadcast import Outbox, Rings, Span
 from turmericflow.relay._crashing_parts import PartTimes
 from turmericflow.relay._host_tables import HostState, HostStatus
+from turmericflow.relay._links import GossipSnapshot
 from turmericflow.relay._tables import Tables
 from turmericflow.relay._target_tables import TargetsChange
 from turmericflow.tests.test_relay_systems import host, known_hosts
@@ -201,6 +202,14 @@
     assert membership.own_status(table, 6.0).target_changes == []
 
 
+class EarlierGossip(msgspec.Struct, array_like=True, tag="gossip"):
+    """The message as hosts without crashes in it know it."""
+
+    limits: list
+    stream_versions: dict
+    leaving: list[str] = []
+
+
 class EarlierTimes(msgspec.Struct, array_like=True):
     """Times of parts as hosts know them that tell no earlier output."""
 
@@ -208,6 +217,16 @@
     convicted: list[tuple[str, float]] = []
 
 
+# Guards against snapshots that one of two versions cannot read.
+def test_crashes_in_a_snapshot_are_read_by_both_versions():
+    new = GossipSnapshot([], {}, ["t@0"], [("content", "t@0", 1.0)])
+    sent = msgspec.msgpack.encode(new)
+    earlier = msgspec.msgpack.decode(sent, type=EarlierGossip)
+    assert earlier.leaving == ["t@0"]
+    sent = msgspec.msgpack.encode(EarlierGossip([], {}, ["t@0"]))
+    assert msgspec.msgpack.decode(sent, type=GossipSnapshot).crashes == []
+
+
 # Guards against verdicts that one of two versions cannot read.
 def test_convictions_are_read_by_both_versions():
     times = PartTimes([("s/a", 1.0)], [("s/b", 2.0)], ["s/b"])
