--- a/turmericflow/relay/_version_records.py
+++ b/turmericflow/relay/_version_records.py
@@ -2,7 +2,7 @@
 
 What hosts tell each other is lost with the last of them. One host writes for all: the
 versions that each service has, those among which ids choose, and, while a service has
-several, the streams that the hosts have sent. A host reads them once, when it is asked
+several, the streams that the hosts have sent. A host reads them whenever it is asked
 for a stream that it does not know.
 """
 
