--- a/review/6/case.py
+++ b/review/6/case.py
@@ -25,6 +25,7 @@
 SEGMENT_BYTES = 1_460  # as on an ordinary network; loopback's are 64 KiB
 CALLERS = 26
 STAGGER_S = 0.3
+RELOAD_S = 1.5  # less than configApplyMs
 ENGINES = 12
 TIMEOUT_MS = 25_000
 
@@ -137,6 +138,14 @@
     return []
 
 
+async def reload_settings(host: lab.Host, record: lab.Record) -> None:
+    """Send SIGHUP, which is planned work, over and over; the settings are the same."""
+    while True:
+        host.signal(signal.SIGHUP)
+        record.line("SIGHUP")
+        await asyncio.sleep(RELOAD_S)
+
+
 async def case(room: lab.Lab) -> list[str]:
     store = await room.add(StoreStandIn())
     engines = [Engine(f"e-{number}", f"dc-{number % 3}") for number in range(ENGINES)]
@@ -151,11 +160,11 @@
     store.put("config", "main", config)
     (host,) = await room.add_hosts(1, store.address)
     await asyncio.sleep(4.0)  # without disruption, so that the host is in touch
-    host.signal(signal.SIGHUP)  # planned work; the settings are the same
-    room.record.line("SIGHUP")
+    reloads = asyncio.create_task(reload_settings(host, room.record))
     found = await asyncio.gather(
         *(call(number, host, room.record) for number in range(CALLERS))
     )
+    reloads.cancel()
     for engine in engines:
         for received in engine.received:
             last = received.headers.get("Last-Event-Id")
