--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,179 +1,187 @@
-"""A caller that reads a stream slowly, and sends its next request on the channel."""
+"""The workers of one version crash, the store goes away, and all hosts lose power."""
 
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
-import socket
+import time
+from collections import Counter
 from pathlib import Path
 
 import lab
+from http_peer import Channel, request
 from turmericflow.tests.platform_stand_ins import (
-    KEY,
     EngineStandIn,
     StoreStandIn,
-    TargetStandIn,
     deployment,
 )
 
-EVENTS = 112  # of the first caller; sizes span 65 kB, as what is buffered at the end varies
-MORE_EVENTS = 1  # of each next one
-EVENT_BYTES = 2_500
-READ_BYTES = 5_000  # at once
-READ_PAUSE_S = 0.1  # at most 50 kB a second, in a caller that reads slowly
-WINDOW_BYTES = 8_192
-SEGMENT_BYTES = 1_460  # as on an ordinary network; loopback's are 64 KiB
-CALLERS = 26
-STAGGER_S = 0.3
-RELOAD_S = 1.5  # less than configApplyMs
-ENGINES = 12
+HOSTS = 3
+OLD_WORKERS, NEW_WORKERS = 2, 10  # of the versions v1 and v2
+STREAMS = 24
+EVENTS, GAP_S = 130, 0.15
 TIMEOUT_MS = 25_000
+STEADY_S = 10.0
+# After the crash of the workers of v1, in seconds.
+REMOVED_S = 3.6  # their entries, after three liveness report intervals
+STORE_DOWN_S, STORE_BACK_S = 3.9, 8.4
+WORKERS_BACK_S = 4.5
+STREAMS_S = 6.2
+KILLED_S, STARTED_S = 8.0, 10.0
+REGISTERED_S = 9.4  # a second after the store's return
+CRASH = os.environ.get("CRASH", "1") != "0"
+STORE = os.environ.get("STORE", "1") != "0"
 
 
 class Engine(EngineStandIn):
-    """An engine whose events hold some text."""
+    """An engine of a software version, which its events name."""
 
-    def event(self, received, number: int) -> bytes:
-        head = f"id: {number}\ndata: {received.id} {number} ".encode()
-        return head.ljust(EVENT_BYTES - 2, b".") + b"\n\n"
-
-
-class Channel:
-    """A caller's kept channel."""
-
-    def __init__(self, address: tuple[str, int], slow: bool) -> None:
-        self._slow = slow
-        self._address = address
-        self.unread = b""
-        self.sock = socket.socket()
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-        self.sock.setblocking(False)
-
-    async def open(self) -> None:
-        await asyncio.get_running_loop().sock_connect(self.sock, self._address)
-
-    async def send(self, data: bytes) -> None:
-        await asyncio.get_running_loop().sock_sendall(self.sock, data)
-
-    async def _read(self) -> bytes:
-        if self._slow:
-            await asyncio.sleep(READ_PAUSE_S)
-        data = await asyncio.get_running_loop().sock_recv(self.sock, READ_BYTES)
-        if not data:
-            raise ConnectionResetError("the channel ended")
-        return data
-
-    async def line(self) -> bytes:
-        while b"\r\n" not in self.unread:
-            self.unread += await self._read()
-        line, _, self.unread = self.unread.partition(b"\r\n")
-        return line
-
-    async def exactly(self, size: int) -> bytes:
-        while len(self.unread) < size:
-            self.unread += await self._read()
-        data, self.unread = self.unread[:size], self.unread[size:]
-        return data
-
-    async def answer(self) -> tuple[bytes, dict[str, str], bytes]:
-        """Return the status line, headers and body of the next answer."""
-        status, headers, body = await self.line(), {}, b""
-        if not status.startswith(b"HTTP/1.1 "):
-            raise ValueError(f"got {status!r}, expected a status line")
-        while line := await self.line():
-            name, _, value = line.decode().partition(":")
-            headers[name.lower()] = value.strip()
-        if headers.get("transfer-encoding") == "chunked":
-            while size := int(await self.line(), 16):
-                body += await self.exactly(size)
-                await self.exactly(2)
-            await self.exactly(2)
-        else:
-            body = await self.exactly(int(headers.get("content-length", "0")))
-        return status, headers, body
-
-
-def request(method: str, path: str, id: str, timeout_ms: int) -> bytes:
-    return (
-        f"{method} {path} HTTP/1.1\r\nHost: site.example\r\n"
-        f"X-Turmericflow-Attempt-Id: {id}\r\nX-Turmericflow-Key: {KEY}\r\n"
-        f"X-Turmericflow-Token-Usage: 800,780\r\nX-Turmericflow-Model: m\r\n"
-        f"X-Turmericflow-Prefix-Hash: 5c1e07a2:200,{id.encode().hex()[-8:]}:600\r\n"
-        f"X-Turmericflow-Deadline-Ms: {timeout_ms}\r\n\r\n"
-    ).encode()
-
-
-async def call(number: int, host: lab.Host, record: lab.Record) -> list[str]:
-    """Read a stream, send one more request on the channel, and check both answers."""
-    id, next_id = f"stream-{number}", f"status-{number}"
-    events = EVENTS + number * MORE_EVENTS
-    channel = Channel(host.front, lab.TROUBLE)
-    await asyncio.sleep(number * STAGGER_S)
-    await channel.open()
-    await channel.send(request("GET", "/state/x", f"first-{number}", 800))
-    status, _, body = await channel.answer()
-    record.line(f"first-{number} answered {status!r} {body!r}; the channel is kept")
-    await channel.send(request("POST", f"/stream/x?events={events}", id, TIMEOUT_MS))
-    record.line(f"{id} sent")
-    try:
-        status, headers, body = await channel.answer()
-    except (OSError, ValueError) as exc:
-        record.line(f"{id}: {exc!r}")
-        return [f"{id}: no complete answer: {exc!r}"]
-    record.line(f"{id} answered {status!r}, {len(body)} bytes, complete")
-    if body.count(b"id: ") != events:
-        return [f"{id}: got {body.count(b'id: ')} of {events} events"]
-    await channel.send(request("GET", "/state/x", next_id, 800))
-    record.line(f"{next_id} sent on the same channel")
-    try:
-        async with asyncio.timeout(5):
-            status, headers, body = await channel.answer()
-    except (OSError, ValueError, TimeoutError) as exc:
-        record.line(f"{next_id}: {exc!r}, further bytes {channel.unread[:300]!r}")
-        return [f"{next_id}: bytes that are no answer: {exc}"]
-    record.line(f"{next_id} answered {status!r} {body!r}")
-    if headers.get("x-turmericflow-attempt-id") != next_id:
-        return [f"{next_id}: the answer is to another request"]
-    return []
+    def __init__(self, name: str, zone: str, version: str) -> None:
+        super().__init__(name, zone)
+        self.version = version
+        self.born = int(time.time() * 1000)
+
+    async def start_again(self) -> None:
+        """Start as a new lifetime with a new id, at the same address."""
+        self.name += "-again"
+        self.born = int(time.time() * 1000)
+        self.kv_copies.clear()
+        await self.start()
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        return super().entry(state) | {"version": self.version, "born": self.born}
 
+    def report(self) -> dict[str, object]:
+        return super().report() | {"born": self.born}
 
-async def reload_settings(host: lab.Host, record: lab.Record) -> None:
-    """Send SIGHUP, which is planned work, over and over; the settings are the same."""
-    while True:
-        host.signal(signal.SIGHUP)
-        record.line("SIGHUP")
-        await asyncio.sleep(RELOAD_S)
+    def event(self, received, number: int) -> bytes:
+        return f"id: {number}\ndata: {self.version} {self.name}\n\n".encode()
+
+
+class Caller:
+    """A caller of one stream, which it takes up again if its channel breaks."""
+
+    def __init__(self, number: int, room: lab.Lab) -> None:
+        self.id = f"stream-{number}"
+        self.host = room.hosts[number % HOSTS]
+        self._record = room.record
+        self.last = 0
+        self.versions: list[str] = []  # of its events, in order
+
+    async def read(self, id: str, resumes: str | None = None) -> bool:
+        """Send the request; return whether the stream has ended."""
+        channel, more = Channel(self.host.front), ""
+        if resumes is not None:
+            more = f"Last-Event-Id: {self.last}\r\nResumes: {resumes}\r\n"
+        try:
+            await channel.open()
+            path = f"/stream/x?events={EVENTS}&interval_s={GAP_S}"
+            data = request("POST", path, id, TIMEOUT_MS, more=more)
+            await channel.send(data)
+            status, headers = await channel.head()
+            if b" 200 " not in status:
+                text = await channel.exactly(int(headers["content-length"]))
+                self._record.line(f"{id} at {self.host.name}: {status!r} {text!r}")
+                return False
+            while data := await channel.chunk():
+                for event in data.split(b"\n\n")[:-1]:
+                    head, _, text = event.decode().partition("\n")
+                    number = int(head.removeprefix("id:"))
+                    if number != self.last + 1:
+                        self._record.line(f"{id}: event {number} after {self.last}")
+                    self.last = number
+                    self.versions.append(text.split(" ")[1])
+        except (OSError, ValueError) as exc:
+            line = f"{id} at {self.host.name}: {exc!r} after event {self.last}"
+            self._record.line(line)
+            return False
+        finally:
+            channel.close()
+        return True
 
 
 async def case(room: lab.Lab) -> list[str]:
     store = await room.add(StoreStandIn())
-    engines = [Engine(f"e-{number}", f"dc-{number % 3}") for number in range(ENGINES)]
-    plain = [TargetStandIn(f"p-{number}", f"dc-{number}") for number in range(2)]
-    for target in [*engines, *plain]:
-        await room.add(target)
-        store.put("servers", target.name, target.entry())
+    versions = ["v1"] * OLD_WORKERS + ["v2"] * NEW_WORKERS
+    engines = [
+        Engine(f"e-{number}", f"dc-{number % 3}", version)
+        for number, version in enumerate(versions)
+    ]
+    old = engines[:OLD_WORKERS]
+    for engine in engines:
+        await room.add(engine)
+        store.put("servers", engine.name, engine.entry())
     config = deployment()
     for route in config["routes"]:
         if route["name"] == "stream":
             route["timeoutMs"] = TIMEOUT_MS
     store.put("config", "main", config)
-    (host,) = await room.add_hosts(1, store.address)
-    await asyncio.sleep(4.0)  # without disruption, so that the host is in touch
-    reloads = asyncio.create_task(reload_settings(host, room.record))
-    found = await asyncio.gather(
-        *(call(number, host, room.record) for number in range(CALLERS))
-    )
-    reloads.cancel()
-    for engine in engines:
-        for received in engine.received:
-            last = received.headers.get("Last-Event-Id")
-            room.record.line(f"{engine.name} ran {received.id}, Last-Event-Id {last}")
-    for entry in host.logged("stream_silent", "target_lost", "stream_sent"):
-        room.record.line(f"log of {host.name}: {entry}")
-    broken = [line for lines in found for line in lines]
-    room.record.line(f"{len(broken)} of {CALLERS} callers without their answers")
-    return broken
+    hosts = await room.add_hosts(HOSTS, store.address)
+    await asyncio.sleep(STEADY_S)
+    loop = asyncio.get_running_loop()
+    began, record = loop.time(), room.record
+
+    async def until(seconds: float, what: str) -> None:
+        await asyncio.sleep(max(0.0, began + seconds - loop.time()))
+        record.line(what)
+
+    if lab.TROUBLE and CRASH:
+        record.line("the workers of v1 crash")
+        for engine in old:
+            for connection in engine.runner.server.connections:
+                connection.transport.abort()
+            await engine.stop()
+        await until(REMOVED_S, "the store removes their entries")
+        for engine in old:
+            store.remove("servers", engine.name)
+    if lab.TROUBLE and STORE:
+        await until(STORE_DOWN_S, "the store is down (busy)")
+        store.go_away()
+    if lab.TROUBLE and CRASH:
+        await until(WORKERS_BACK_S, "the workers of v1 are back")
+        for engine in old:
+            await engine.start_again()
+    await until(STREAMS_S, "the streams are sent")
+    callers = [Caller(number, room) for number in range(STREAMS)]
+    tasks = [asyncio.create_task(each.read(each.id)) for each in callers]
+    if lab.TROUBLE:
+        await until(KILLED_S, "all hosts lose power")
+        for host in hosts:
+            host.signal(signal.SIGKILL)
+        await until(STORE_BACK_S, "the store is back")
+        store.status = None
+        await until(REGISTERED_S, "the workers of v1 write their entries again")
+        for engine in old:
+            store.put("servers", engine.name, engine.entry())
+        await until(STARTED_S, "all hosts start")
+        for host in hosts:
+            await host.start()
+        for host in hosts:
+            await host.wait_until_ready()
+        record.line("all hosts are ready")
+    ended = await asyncio.gather(*tasks)
+    if lab.TROUBLE:
+        await asyncio.sleep(1.0)
+        again = [
+            each
+            for each, complete in zip(callers, ended)
+            if not complete and each.versions
+        ]
+        record.line(f"{len(again)} streams that had begun are taken up")
+        await asyncio.gather(
+            *(each.read(f"{each.id}-again", each.id) for each in again)
+        )
+    joined = []
+    for each in callers:
+        runs = dict(Counter(each.versions))
+        record.line(f"{each.id}: {each.last} of {EVENTS} events, {runs}")
+        if len(runs) > 1:
+            joined.append(each.id)
+    record.line(f"{len(joined)} streams hold events of two versions")
+    if len(joined) > 2:
+        return [f"{len(joined)} of {STREAMS} streams hold events of two versions"]
+    return []
 
 
 lab.main(Path(__file__).parent, case)
--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -67,7 +67,12 @@
         "internalPorts": [7200, 7215],
         "seeds": [],
         "bootstrap": True,
-        "limits": {"cpuShare": 0.537, "speedFactor": 2, "memoryMb": 300, "maxFds": 4100},
+        "limits": {
+            "cpuShare": 0.537,
+            "speedFactor": 2,
+            "memoryMb": 300,
+            "maxFds": 4100,
+        },
         "heartbeatMs": 1200,
         "bounds": {
             "contactMs": 3000,
