Let finished streams wait for their callers

While a host waited for the caller to take the rest, the run did not count as waiting, so that it was taken for silent: the engine counted as lost, and the stream went to a second one and ended twice.

A run whose engine has sent all now counts as waiting for its caller.

--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -323,6 +323,7 @@
             raise EventsInvalid(
                 "stream ended within an event, expected a complete event"
             )
+        run.waiting_on_caller = True  # the engine has sent all
         await self._end_showing()
         await self._send_headers(reply)
         await self._writer.end()
