Begin streams without a record only at versions that their ids tell

Cause: while no record can be written, a new stream goes to the version that its id chooses. If that version had no targets, the stream went anywhere, and its events were shown after a fixed time that stood for a record which nobody wrote. After the loss of all hosts the id told the version that was back. The same wait stood for a record where no version is in force.

Change: such a stream is refused at once, as not run; the next attempt has another id. Where no version is in force, events wait for the record. A version without targets leaves those among which ids choose once the recording host knows all streams, not after 60 s, so that refusals stay rare. A set of versions leaves the store before hosts are told so: a stream without a record is therefore one of the oldest set in the store (hosts_follow_all in the record; records of earlier hosts lack it and tell only what all sets agree on). Sets still in the store are no longer pushed out by quick changes.

test_another_host_writes_what_the_writer_had_not asked for events that nothing outlasting the hosts tells. It now waits until versions are in force, and checks beside the streams that the store lacks them before and holds them after.

--- a/turmericflow/relay/_attempts.py
+++ b/turmericflow/relay/_attempts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import structlog
 
@@ -11,7 +11,6 @@
     _crashes as crashes,
     _crashing_parts as crashing_parts,
     _discovery as discovery,
-    _intervals as intervals,
     _limited_targets as limited_targets,
     _membership as membership,
     _paths as paths,
@@ -23,7 +22,6 @@
 from turmericflow.relay._model import HostEntry, WorkKind
 from turmericflow.relay._rate_limits import MIN_RETRY_AFTER_S, LimitInvalid
 from turmericflow.relay._routing import RouteMatch
-from turmericflow.relay._stream_versions import version_of
 from turmericflow.relay._tables import CrashSuspect, Run
 from turmericflow.relay._target_tables import Target
 from turmericflow.verdict import (
@@ -104,29 +102,6 @@
     TIMEOUT = "timeout"
 
 
-@dataclass(slots=True, frozen=True)
-class ShowAtOnce:
-    """The first event may be shown at once."""
-
-
-@dataclass(slots=True, frozen=True)
-class ShowFrom:
-    """The first event may be shown from a time of the event loop on, in seconds."""
-
-    at: float
-
-
-@dataclass(slots=True, frozen=True)
-class ShowOnceRecorded:
-    """The first event may be shown once the store holds the stream's version."""
-
-    id: str
-    version: str
-
-
-ShowEvents = ShowAtOnce | ShowFrom | ShowOnceRecorded
-
-
 class NotAllowedYet(RequestFailed):
     """Raised when a budget or a limit allows no send now; it may allow one soon."""
 
@@ -172,7 +147,6 @@
         "_fingerprint",
         "_unreached",
         "_failed_hosts",
-        "_announced",
         "rollout",
     )
 
@@ -194,7 +168,6 @@
         self._fingerprint = ""
         self._unreached: set[str] = set()
         self._failed_hosts: set[str] = set()
-        self._announced: set[str] = set()  # versions to which a new stream was sent
         rollouts = ctx.tables.rollouts
         self.rollout = None if rollouts is None else rollouts.open_request(match)
 
@@ -233,133 +206,6 @@
             demand = self.rollout.constrain(demand, self.ctx.clock.now())
         return demand
 
-    async def bind_resumed(self) -> None:
-        """Bind a stream that its client takes up to the version that began it.
-
-        Raises
-        ------
-        RequestFailed
-            If that version is not known, and the service has several, had several or
-            may have had several.
-        """
-        if self.call.last_event_id is None:
-            return
-        self.version = self._find_begun()
-        outcome = "known"
-        if self.version is None:
-            # This host may have missed what the others told.
-            was_read = await self.ctx.read_versions()
-            self.version = self._find_begun()
-            outcome = "read"
-            if self.version is None and was_read:
-                self.version = self._find_chosen()
-                outcome = "chosen"
-        if self.version is None:
-            self.version = self._find_only(was_read)
-            outcome = "only"
-        self.ctx.metrics.taken_up.labels(outcome).inc()
-
-    def _find_only(self, was_read: bool) -> str | None:
-        """Return the only version that a service has had lately, None if it has none.
-
-        Raises
-        ------
-        RequestFailed
-            If it has had several, or may have had others.
-        """
-        versions, service = self.ctx.tables.stream_versions, self.match.service
-        now = self.ctx.clock.now()
-        found = self._versions(now)
-        # Without the records, a host that is out of step would not notice it.
-        complete = was_read and versions.is_complete(service, now)
-        if len(found) > 1 or not complete:
-            self.ctx.metrics.taken_up.labels("refused").inc()
-            raise self.build_failure(
-                f"the version that began the stream {self.call.resumes!r} is not"
-                f" known; versions of the service: {sorted(found)}, all of them"
-                f" known: {complete}"
-            )
-        return next(iter(found), None)
-
-    def _find_begun(self) -> str | None:
-        """Return the version known to have begun the stream that is taken up."""
-        if self.call.resumes is None:
-            return None
-        return self.ctx.tables.stream_versions.find(self.call.resumes)
-
-    def _find_chosen(self) -> str | None:
-        """Return the version that must have begun a stream without a record."""
-        if self.call.resumes is None:
-            return None
-        versions, service = self.ctx.tables.stream_versions, self.match.service
-        if not versions.is_complete(service, self.ctx.clock.now()):
-            return None
-        return versions.chosen_by_id(service, self.call.resumes)
-
-    def choose_version(self) -> None:
-        """Bind a new stream to the version that its id chooses while none is recorded.
-
-        If that version has no targets any more, the stream is not bound.
-        """
-        tables, service = self.ctx.tables, self.match.service
-        if self.call.last_event_id is not None or self._is_recording():
-            return
-        chosen = tables.stream_versions.chosen_by_id(service, self.call.id)
-        if chosen is not None and self.rollout is not None:
-            self.rollout.decline(self.ctx.clock.now())  # its id tells another version
-        if chosen is not None and self._has_targets(chosen):
-            self.version = chosen
-
-    def _is_recording(self) -> bool:
-        tables, now = self.ctx.tables, self.ctx.clock.now()
-        max_age_s = intervals.max_records_age_s(tables)
-        recent = tables.stream_versions.records_age_s(now) <= max_age_s
-        return recent and not tables.hosts.unanswered_kinds
-
-    def _has_targets(self, version: str) -> bool:
-        rows = self.ctx.tables.targets.by_service.get(self.match.service, ())
-        if self.rollout is not None:
-            if version in self.placement_demand().excluded_versions:
-                return False
-        return any(version_of(row.entry) == version for row in rows)
-
-    def _versions(self, now: float) -> set[str]:
-        """Return the versions of the service's targets, also recent ones."""
-        rows = self.ctx.tables.targets.by_service.get(self.match.service, ())
-        entries = [row.entry for row in rows]
-        return self.ctx.tables.stream_versions.see(self.match.service, entries, now)
-
-    def announce_version(self, target: Target) -> ShowEvents:
-        """Tell all hosts the version to which a stream is sent.
-
-        Returns
-        -------
-        ShowEvents
-            When the stream's first event may be shown: once the version that began it
-            is known also after the loss of all hosts.
-        """
-        now, call = self.ctx.clock.now(), self.call
-        versions, service = self.ctx.tables.stream_versions, self.match.service
-        begun_by = call.id if call.last_event_id is None else call.resumes
-        version = version_of(target.entry)
-        if begun_by is not None:
-            versions.record(begun_by, version, now)
-        self.ctx.announce_load()
-        if call.last_event_id is not None:
-            return ShowAtOnce()
-        self._announced.add(version)
-        chosen = versions.chosen_by_id(service, call.id)
-        if self._announced == {chosen}:
-            return ShowAtOnce()
-        if service not in versions.in_force:
-            if len(self._versions(now)) == 1:
-                return ShowAtOnce()
-            return ShowFrom(now + intervals.record_time_s(self.ctx.tables))
-        if chosen is not None and not self._has_targets(chosen):
-            if not self._is_recording():
-                return ShowFrom(now + intervals.record_time_s(self.ctx.tables))
-        return ShowOnceRecorded(call.id, version)
-
     def part_keys(self) -> list[str]:
         """Return the names of the prompt's shared parts in the table of crashes."""
         return [f"{self.match.service}/{part}" for part in self.call.shared_parts]
--- a/turmericflow/relay/_metrics.py
+++ b/turmericflow/relay/_metrics.py
@@ -18,6 +18,7 @@
         "limited_sends",
         "resumes",
         "taken_up",
+        "unrecorded_refusals",
         "failed_tasks",
         "losses",
         "store_calls",
@@ -66,6 +67,11 @@
             ["version"],
             registry=registry,
         )
+        self.unrecorded_refusals = Counter(
+            "turmericflow_unrecorded_refusals",
+            "New streams refused as only a record could tell their version",
+            registry=registry,
+        )
         self.failed_tasks = Counter(
             "turmericflow_failed_tasks",
             "Tasks on what came from outside that ended in an error",
--- a/turmericflow/relay/_model.py
+++ b/turmericflow/relay/_model.py
@@ -177,12 +177,15 @@
     in_force
         Versions among which a stream's id chooses if its record cannot be written,
         by service, newest first; those before may still have been used.
+    hosts_follow_all
+        Whether the hosts are told all of these for as long as the store holds them.
     """
 
     services: dict[str, list[str]] = {}
     streams: dict[str, bytes] = {}
     era: int | None = None
     in_force: dict[str, list[list[str]]] = {}
+    hosts_follow_all: bool = False
 
 
 class RolloutOrder(msgspec.Struct, frozen=True):
--- a/turmericflow/relay/_stream.py
+++ b/turmericflow/relay/_stream.py
@@ -20,16 +20,13 @@
     AttemptOutcome,
     Attempts,
     NotAllowedYet,
-    ShowAtOnce,
-    ShowEvents,
-    ShowFrom,
-    ShowOnceRecorded,
 )
 from turmericflow.relay._call import KvCopy, Reply
 from turmericflow.relay._events import Event, EventReader, EventsInvalid
 from turmericflow.relay._stream_versions import version_of
 from turmericflow.relay._tables import AbortReason, Run
 from turmericflow.relay._target_tables import Target
+from turmericflow.relay.version_binding import ShowAtOnce, ShowEvents, VersionBinding
 from turmericflow.verdict import TargetFailed, Verdict
 
 MIN_NON_STREAM_STATUS = 300  # responses from this status on carry no events
@@ -72,6 +69,7 @@
 
     __slots__ = (
         "_attempts",
+        "_binding",
         "_writer",
         "_kv_copy",
         "_last_event_id",
@@ -85,6 +83,7 @@
 
     def __init__(self, attempts: Attempts, writer: ResponseWriter) -> None:
         self._attempts = attempts
+        self._binding = VersionBinding(attempts)
         self._writer = writer
         self._kv_copy: KvCopy | None = None
         self._last_event_id = attempts.call.last_event_id
@@ -112,8 +111,8 @@
 
     async def _run(self) -> None:
         attempts = self._attempts
-        await attempts.bind_resumed()
-        attempts.choose_version()
+        await self._binding.bind_resumed()
+        self._binding.bind_new()
         if attempts.ctx.admission is not None:
             await attempts.ctx.admission.enter(attempts)
         while True:
@@ -238,7 +237,7 @@
             attempts.ctx.metrics.resumes.labels(how).inc()
         reply = None
         tables.runs.add(run)
-        show = attempts.announce_version(target)
+        show = self._binding.announce(target)
         if not self._held:
             self._show = show
         try:
@@ -430,27 +429,21 @@
 
     def _hold(self, reply: Reply, data: bytes) -> bool:
         """Hold data back if its version is not known everywhere; return whether."""
-        if self.begun or self._may_show() or len(self._held) > MAX_HELD_BYTES:
+        if (
+            self.begun
+            or self._binding.may_show(self._show)
+            or len(self._held) > MAX_HELD_BYTES
+        ):
             return False
         self._held += data
         if self._showing is None:
             self._showing = asyncio.create_task(self._show_later(reply))
         return True
 
-    def _may_show(self) -> bool:
-        ctx = self._attempts.ctx
-        match self._show:
-            case ShowAtOnce():
-                return True
-            case ShowFrom(at):
-                return ctx.clock.now() >= at
-            case ShowOnceRecorded(id, version):
-                return ctx.tables.stream_versions.is_recorded(id, version)
-
     async def _show_later(self, reply: Reply) -> None:
         ctx = self._attempts.ctx
         read_at = ctx.clock.now() + READ_RECORDS_AFTER_S
-        while not self._may_show():
+        while not self._binding.may_show(self._show):
             await asyncio.sleep(SHOW_CHECK_INTERVAL_S)
             if ctx.clock.now() >= read_at:
                 # The host that writes them may not have been heard.
--- a/turmericflow/relay/_stream_versions.py
+++ b/turmericflow/relay/_stream_versions.py
@@ -77,6 +77,8 @@
     in_force
         Versions among which ids choose, as the store holds them; empty for services
         of which a host of an earlier version may serve streams.
+    stored_sets
+        The same as this host last read or wrote them.
     own_sets
         The same if this host records the versions, else empty.
     knows_all
@@ -98,6 +100,8 @@
         "_complete_until",
         "_own_complete_until",
         "in_force",
+        "stored_sets",
+        "_follow_all",
         "own_sets",
         "knows_all",
         "_snapshots_from",
@@ -117,6 +121,8 @@
         # The store holds all that the recorder knew of until then.
         self._complete_until = self._own_complete_until = float("-inf")
         self.in_force: VersionSets = {}
+        self.stored_sets: VersionSets = {}
+        self._follow_all = False
         self.own_sets: VersionSets = {}
         self.knows_all = False
         # Incarnation by host, or None until its next status.
@@ -205,9 +211,12 @@
         self._recorded |= found
         self._records_applied |= complete
         if complete:
-            self.in_force = {}
+            self.in_force, self._follow_all = {}, False
             for record in records:
-                self.in_force = record.in_force or self.in_force
+                if record.in_force:
+                    self.in_force = record.in_force
+                    self._follow_all = record.hosts_follow_all
+            self.stored_sets = self.in_force
 
     def chosen_by_id(self, service: str, request_id: str) -> str | None:
         """Return the version that a request's id chooses, None if that is not clear."""
@@ -215,6 +224,18 @@
         found = {choose_version(digest, names) for names in sets if names}
         return found.pop() if len(found) == 1 else None
 
+    def begun_by_id(self, service: str, request_id: str) -> str | None:
+        """Return the version that must have begun a stream without a record.
+
+        Hosts that follow all sets in the store show a stream for which these differ
+        only once it is recorded, so that others began while the oldest one held alone.
+        """
+        digest, sets = _digest(request_id), self.stored_sets.get(service, ())
+        if self._follow_all:
+            sets = sets[-1:]
+        found = {choose_version(digest, names) for names in sets if names}
+        return found.pop() if len(found) == 1 else None
+
     def not_chosen(self, streams: dict[bytes, str]) -> dict[bytes, str]:
         """Return the streams that do not run at the version that their ids choose."""
         sets = [names for each in self.in_force.values() for names in each]
@@ -260,14 +281,29 @@
         self._complete_until = max(self._complete_until, now - age_s)
 
     def record_written(
-        self, streams: dict[bytes, str], sets: VersionSets, known_at: float, now: float
+        self,
+        streams: dict[bytes, str],
+        sets: VersionSets,
+        stored: VersionSets,
+        now: float,
     ) -> None:
-        """Record that this host has written all that it knew at a time to the store."""
+        """Record that this host has written all that it knows to the store.
+
+        Parameters
+        ----------
+        streams
+            Versions of the streams that it wrote and that others wait for, by digest.
+        sets, stored
+            The sets of versions to tell other hosts, and those in the store.
+        now
+            Time in seconds.
+        """
         self._rotate(now)
         self._recorded |= streams
         self._own_recorded += [(now, digest, v) for digest, v in streams.items()]
         self.in_force = self.own_sets = sets
-        self._complete_until = self._own_complete_until = known_at
+        self.stored_sets, self._follow_all = stored, True
+        self._complete_until = self._own_complete_until = now
 
     def stop_recording(self) -> None:
         """Record that this host writes to the store no more."""
--- a/turmericflow/relay/_version_records.py
+++ b/turmericflow/relay/_version_records.py
@@ -21,8 +21,15 @@
 from turmericflow.relay._model import VersionRecord, WorkKind
 from turmericflow.relay._revisions import era_of
 from turmericflow.relay._store import Kind, StoreFailed
-from turmericflow.relay._stream_versions import GENERATION_S, VersionSets, pack, unpack
+from turmericflow.relay._stream_versions import (
+    GENERATION_S,
+    VersionSets,
+    pack,
+    unpack,
+    version_of,
+)
 from turmericflow.relay._tables import Tables
+from turmericflow.relay.version_binding import Sets, next_sets
 
 # The first host to read the store waits, as it may not have heard of others yet.
 TAKE_OVER_S = 1.0
@@ -33,7 +40,6 @@
 READ_INTERVAL_S = 0.2  # between two reads for requests
 OBSERVATION_INTERVAL_S = 1.0  # of the other hosts
 SETTLED_S = 2.0  # all hosts have been told of the versions in force
-MAX_SETS = 3  # of versions that were in force lately
 
 assert (SEGMENTS - 1) * SEGMENT_S >= GENERATION_S
 
@@ -63,6 +69,12 @@
     return found
 
 
+def open_versions(tables: Tables, service: str) -> set[str]:
+    """Return the versions of a service's targets that take new streams."""
+    rows = tables.targets.by_service.get(service, ())
+    return {version_of(row.entry) for row in rows if not row.leaving}
+
+
 def all_hold_back(tables: Tables, now: float) -> bool:
     """Return whether all hosts show only events whose version outlasts all hosts.
 
@@ -163,8 +175,10 @@
     async def _record_periodically(self) -> None:
         while not self.should_stop:
             is_recorder = self._is_recorder()
-            is_first = self._first_since is not None
-            await self.sleep(RECORD_INTERVAL_S if is_first else OBSERVATION_INTERVAL_S)
+            # A host that starts may be the one that writes the first record.
+            starting = self._ctx.tables.hosts.state is HostState.STARTING
+            soon = starting or self._first_since is not None
+            await self.sleep(RECORD_INTERVAL_S if soon else OBSERVATION_INTERVAL_S)
             tables, now = self._ctx.tables, self._ctx.clock.now()
             services = observe_versions(tables, now)
             if not all_hold_back(tables, now):
@@ -199,19 +213,18 @@
             await self._read()
             services = observe_versions(self._ctx.tables, self._ctx.clock.now())
         now, versions = self._ctx.clock.now(), self._ctx.tables.stream_versions
-        told = self._choose_sets(services, now)
+        sets = self._choose_sets(services, now)
+        told = {service: each.told for service, each in sets.items()}
         if told != self._told:
             self._told, self._told_since = told, now
         new = {}
         if any(len(names) > 1 for names in services.values()):
             new = await self._record_streams()
-        # By then all hosts follow what they were told, and earlier streams are written.
-        settled = now - self._told_since >= SETTLED_S
-        in_force = told if settled or not told else self._in_force
+        in_force = self._settle(sets, now)
         complete_era = self._find_complete_era(services)
         restored = bool(services) and complete_era != self._complete_era
         if restored or services != self._services or in_force != self._in_force:
-            record = VersionRecord(services, {}, complete_era, in_force)
+            record = VersionRecord(services, {}, complete_era, in_force, bool(in_force))
             await self._write(SERVICES, record)
             self._services, self._complete_era = services, complete_era
             self._in_force, self._in_force_since = in_force, now
@@ -221,11 +234,16 @@
                 era=complete_era,
                 in_force=in_force,
             )
-        versions.record_written(versions.not_chosen(new), told, now, now)
+        # A set that has left the store is told no more.
+        self._told = {service: each.stored for service, each in sets.items()}
+        not_chosen = versions.not_chosen(new)
+        versions.record_written(not_chosen, self._told, in_force, now)
         if new:
             self._ctx.announce()
 
-    def _choose_sets(self, services: dict[str, list[str]], now: float) -> VersionSets:
+    def _choose_sets(
+        self, services: dict[str, list[str]], now: float
+    ) -> dict[str, Sets]:
         """Return the versions among which the ids of streams are to choose.
 
         Those before stay listed until all hosts know the new ones, and as long as
@@ -240,16 +258,31 @@
             noticed_s = tables.stream_versions.seen_for_s(service, now)
             tables.stream_versions.knows_all |= noticed_s > GENERATION_S
             knows_all = tables.stream_versions.knows_all
-            sets = self._in_force.get(service, [])
-            if not sets and not knows_all:
+            stored = self._in_force.get(service, [])
+            if not stored and not knows_all:
                 continue
             if tables.rollouts is not None:
                 names = tables.rollouts.open_versions(service, names, now)
-            if sets[:1] != [names]:
-                sets = [names, *sets][:MAX_SETS]
-            elif settled and knows_all:
-                sets = sets[:1]
-            found[service] = sets
+            if knows_all:
+                # All streams of a version that has left are known and recorded.
+                present = open_versions(tables, service)
+                names = [name for name in names if name in present] or names
+            found[service] = next_sets(names, stored, settled and knows_all)
+        return found
+
+    def _settle(self, sets: dict[str, Sets], now: float) -> VersionSets:
+        """Return the sets for the store, in which new ones wait for all hosts.
+
+        By then all hosts follow what they were told, and earlier streams are written.
+        """
+        settled = now - self._told_since >= SETTLED_S
+        found = {}
+        for service, each in sets.items():
+            stored = self._in_force.get(service, [])
+            if settled or each.stored == stored[: len(each.stored)]:
+                found[service] = each.stored
+            elif stored:
+                found[service] = stored
         return found
 
     def _find_complete_era(self, services: Iterable[str]) -> int | None:
@@ -268,6 +301,7 @@
                 self._services = record.services
                 self._complete_era = record.era
                 self._in_force = self._told = record.in_force
+                self._in_force_since = self._ctx.clock.now()
             else:
                 self._recorded |= unpack(record.streams)
         if not self._has_read:
--- a/turmericflow/tests/test_relay_lost_hosts.py
+++ b/turmericflow/tests/test_relay_lost_hosts.py
@@ -6,13 +6,16 @@
 from collections.abc import AsyncIterator
 from pathlib import Path
 
+import msgspec
 import pytest
 
+from turmericflow.platform._objects import decode_versions
 from turmericflow.relay import (
     _intervals as intervals,
     _membership as membership,
     _version_records as version_records,
 )
+from turmericflow.relay._stream_versions import _digest, unpack
 from turmericflow.tests.platform_stand_ins import Fleet
 from turmericflow.tests.test_relay_stream_versions import (
     EVENTS,
@@ -288,13 +291,25 @@
 # Guards against a writer that dies with what it has not written.
 async def test_another_host_writes_what_the_writer_had_not(released_fleet: Fleet):
     fleet = released_fleet
+    # Events are shown without a record only at versions among which ids choose.
+    settled = {"model": [sorted([OLD, NEW])]}
+    versions = [host.tables.stream_versions for host in fleet.hosts]
+    await fleet.until(lambda: all(v.in_force == settled for v in versions), 12.0)
     fleet.store.failing_kinds.add(RECORDS)
+    loop, max_age_s = asyncio.get_running_loop(), intervals.MIN_RECORDS_AGE_S
+    writer = membership._hosts_reading_store(fleet.hosts[0].tables, loop.time())[0]
+    other = next(n for n, host in enumerate(fleet.hosts) if host.name != writer)
+    first = asyncio.create_task(Taken(fleet, "first").read(other, 1))
+    await fleet.until(
+        lambda: all(v.records_age_s(loop.time()) > max_age_s for v in versions)
+    )
     streams = await begin(fleet, "s")
-    now = asyncio.get_running_loop().time()
-    writer = membership._hosts_reading_store(fleet.hosts[0].tables, now)[0]
     await next(host for host in fleet.hosts if host.name == writer).stop()
+    assert not recorded(fleet) & {_digest(each.resumes) for each in streams}
     fleet.store.failing_kinds.clear()
     await asyncio.sleep(TAKE_OVER_S)
+    await first
+    assert recorded(fleet) >= {_digest(each.resumes) for each in streams}
     await kill_hosts(fleet)
     await start_hosts(fleet)
     await take_up(streams)
@@ -302,6 +317,13 @@
     assert sum(each.whole for each in streams) >= 0.9 * STREAMS
 
 
+def recorded(fleet: Fleet) -> set[bytes]:
+    """Return the digests of the streams of which the store has a record."""
+    specs = [each["spec"] for each in fleet.store.objects[RECORDS].values()]
+    records = [decode_versions(msgspec.json.encode(spec)) for spec in specs]
+    return {digest for each in records for digest in unpack(each.streams)}
+
+
 def record_calls(fleet: Fleet) -> int:
     calls = fleet.store.calls.items()
     return sum(number for call, number in calls if call.endswith(RECORDS))
--- a/turmericflow/tests/test_relay_unrecorded_streams.py
+++ b/turmericflow/tests/test_relay_unrecorded_streams.py
@@ -32,6 +32,7 @@
     begin,
     joined,
     kill_hosts,
+    remove_version,
     start_hosts,
     take_up,
 )
@@ -46,6 +47,11 @@
 # Until the last host that took over has told the versions and put them in force.
 TAKE_OVER_AND_SETTLE_S = 8.0
 SERVICES = version_records.SERVICES
+# The hosts have noticed that the store is away: no record is as young as this.
+STORE_KNOWN_AWAY_S = 2.0
+REFUSED_WITHIN_S = 4.0  # the store stays away for longer
+# The host that records the versions has told those that are back.
+TAKEN_UP_AFTER_S = 3.0
 # Fields of the status and of the record in the version before.
 OLD_STATUS_FIELDS = 23
 OLD_RECORD_FIELDS = {"services", "streams", "era"}
@@ -165,6 +171,101 @@
     return ready and bool(host.tables.targets.by_service.get("model"))
 
 
+async def bring_back(fleet: Fleet, version: str) -> None:
+    """Start the engines of a version that had left, as new processes."""
+    for number in range(3):
+        name = f"engine-{version}-{number}"
+        await fleet.add_target(VersionedEngine(name, f"dc-{number}", version))
+
+
+async def lose_all_hosts(fleet: Fleet, returning: str) -> None:
+    """Kill all hosts; the store and a version's engines are back when they start."""
+    await kill_hosts(fleet)
+    fleet.store.status = None
+    await bring_back(fleet, returning)
+    await start_hosts(fleet)
+
+
+async def begin_some(fleet: Fleet) -> tuple[list[Taken], list[Taken]]:
+    """Begin streams; return those that have begun and those that were refused."""
+    streams = [Taken(fleet, f"s{number}") for number in range(STREAMS)]
+    async with asyncio.timeout(REFUSED_WITHIN_S):
+        await asyncio.gather(
+            *(each.read(number % HOSTS, 5) for number, each in enumerate(streams))
+        )
+    assert {each.statuses[-1] for each in streams} <= {200, 503}
+    refused = [each for each in streams if each.statuses[-1] != 200]
+    return [each for each in streams if each not in refused], refused
+
+
+# Guards against streams joined from two versions: their ids choose a version that has
+# no targets while the store is away, and that is back after the loss of all hosts.
+async def test_streams_are_not_joined_after_the_chosen_version_was_away(
+    settled_fleet: Fleet,
+):
+    fleet = settled_fleet
+    await remove_version(fleet, OLD)
+    await asyncio.sleep(0.3)
+    fleet.store.go_away()
+    await asyncio.sleep(STORE_KNOWN_AWAY_S)
+    begun, refused = await begin_some(fleet)
+    # Their next attempts have other ids.
+    for each in refused:
+        async with asyncio.timeout(REFUSED_WITHIN_S):
+            while each.statuses[-1] == 503:
+                await each.read(0, 5)
+    await lose_all_hosts(fleet, OLD)
+    await take_up(begun + refused)
+    assert joined(begun + refused) == []
+    assert refused
+    assert sum(each.whole for each in begun + refused) >= 0.9 * STREAMS
+
+
+# Guards against streams refused for as long as the store is away, though all hosts had
+# known before that the chosen version has no targets, and against joining them later.
+@pytest.mark.parametrize("losses", [1, 2])
+async def test_ids_choose_among_versions_with_targets(
+    settled_fleet: Fleet, losses: int
+):
+    fleet = settled_fleet
+    await remove_version(fleet, OLD)
+    await asyncio.sleep(TAKE_OVER_AND_SETTLE_S)
+    fleet.store.go_away()
+    await asyncio.sleep(STORE_KNOWN_AWAY_S)
+    begun, refused = await begin_some(fleet)
+    await lose_all_hosts(fleet, OLD)
+    for _ in range(losses - 1):
+        await kill_hosts(fleet)
+        await start_hosts(fleet)
+    await asyncio.sleep(TAKEN_UP_AFTER_S)
+    await take_up(begun)
+    assert joined(begun) == []
+    assert refused == []
+    assert sum(each.whole for each in begun) >= 0.9 * STREAMS
+
+
+# Guards against streams that a host begins without a record as it alone does not reach
+# the store, and against refusing them though another host can record them.
+async def test_a_host_cut_off_from_the_store_begins_recorded_streams(
+    settled_fleet: Fleet,
+):
+    fleet = settled_fleet
+    now = asyncio.get_running_loop().time()
+    recorder = membership._hosts_reading_store(fleet.hosts[0].tables, now)[0]
+    number = next(n for n, each in enumerate(fleet.hosts) if each.name != recorder)
+    await remove_version(fleet, OLD)
+    fleet.hosts[number].ctx.store._base = "http://127.0.0.1:1/v1/objects"
+    await asyncio.sleep(0.5)
+    streams = [Taken(fleet, f"s{number}") for number in range(STREAMS)]
+    async with asyncio.timeout(3.0):
+        await asyncio.gather(*(each.read(number, 5) for each in streams))
+    assert {each.last_event >= 5 for each in streams} == {True}
+    await lose_all_hosts(fleet, OLD)
+    await take_up(streams)
+    assert joined(streams) == []
+    assert sum(each.whole for each in streams) >= 0.9 * STREAMS
+
+
 # Guards against events that are shown though nothing that outlasts the hosts tells
 # their version, and streams that wait for the store though their id tells it.
 async def test_only_streams_at_the_chosen_version_begin_without_a_record(
