Fail answers of plain services that are reset

Callers of the product's own interface got a part of an answer as the whole: a service answered a long upload with a 200 without a length, sent part of its body and reset the connection (MIXED, reported by other operators).

Cause: aiohttp ends a body without a length whenever its connection ends. Hosts on the platform read with a connection class of their own, which fails such a body; the product's own interface did not.

Change: the class moves to _responses.py, and both interfaces use it.

--- a/turmericflow/platform/_process.py
+++ b/turmericflow/platform/_process.py
@@ -8,7 +8,6 @@
 import signal
 import sys
 import time
-from functools import partial
 from pathlib import Path
 
 import aiohttp
@@ -16,6 +15,7 @@
 import structlog
 from aiohttp import web
 
+from turmericflow._responses import use_connection
 from turmericflow.platform import _callers
 from turmericflow.platform._settings import read_settings, settings_path
 from turmericflow.platform._store import StoreClient
@@ -70,8 +70,7 @@
 
 def _open_target_session() -> aiohttp.ClientSession:
     session = _open_session(True, TargetConnector)
-    # aiohttp has no option for the class of a session's connections.
-    session.connector._factory = partial(TargetConnection, asyncio.get_running_loop())
+    use_connection(session.connector, TargetConnection)
     return session
 
 
--- a/turmericflow/services/_daemon.py
+++ b/turmericflow/services/_daemon.py
@@ -9,6 +9,7 @@
 import aiohttp
 from mode import Service
 
+from turmericflow._responses import use_connection
 from turmericflow.cfg import Settings
 from turmericflow.services._burn import BurnRecorder
 from turmericflow.services._caller_handler import CallerHandler
@@ -68,8 +69,10 @@
             total=None, sock_connect=TARGET_CONNECT_TIMEOUT_S
         )
         connector = aiohttp.TCPConnector(limit=0)
+        use_connection(connector)
         self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        use_connection(connector)
         self._plain_session = aiohttp.ClientSession(
             connector=connector, timeout=timeout
         )
