Take no status outside 200 to 599 for an answer

Cause: plain calls took each status under 300 for success, and the check of hosts on the platform had no upper bound.

Change: such a status is a failure of the target; the request may have run.

--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -14,6 +14,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from turmericflow._responses import FINAL_STATUSES
 from turmericflow.platform import _callers as header_names
 from turmericflow.platform._objects import Integer
 from turmericflow.relay import (
@@ -51,7 +52,6 @@
 _SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 # Like the header NOT_EXECUTED, this status says that the request did not run.
 MISDIRECTED_STATUS = 421
-MIN_FINAL_STATUS = 200
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 _CONNECTION_ERRORS = (
@@ -118,8 +118,8 @@
 
 def _check_head(resp: aiohttp.ClientResponse) -> None:
     """Raise `TargetFailed` if the head of a response cannot be passed on."""
-    if resp.status < MIN_FINAL_STATUS:
-        message = f"got status {resp.status}, expected a final one"
+    if resp.status not in FINAL_STATUSES:
+        message = f"got the status {resp.status}, expected 200 to 599"
         raise TargetFailed(Verdict.MAY_HAVE_RUN, message)
     for name, value in resp.headers.items():
         if _CONTROL_CHARACTER.search(name + value):
@@ -229,7 +229,7 @@
         self.leaving = says_leaving(resp.headers)
         self.closed_s = closed_s(resp)
         self.brittle = header_names.TARGET_BRITTLE in resp.headers
-        if resp.status < MIN_FINAL_STATUS or echoes_other:
+        if resp.status not in FINAL_STATUSES or echoes_other:
             self.genuine = False
         else:
             self.genuine = (
@@ -440,4 +440,4 @@
                     await _read_control(resp)
         except _CONTROL_ERRORS:
             return False
-        return resp.status >= MIN_FINAL_STATUS
+        return resp.status in FINAL_STATUSES
--- a/turmericflow/services/_plain.py
+++ b/turmericflow/services/_plain.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from turmericflow._responses import FINAL_STATUSES
 from turmericflow.cfg import Address
 from turmericflow.services._engine import (
     EngineOutput,
@@ -17,9 +18,12 @@
 
 
 def _check_status(status: int, body: bytes) -> None:
+    message = f"{status}: {body[:200].decode(errors='replace')}"
+    if status not in FINAL_STATUSES:
+        message = f"got the status {message}, expected 200 to 599"
+        raise TargetFailed(Verdict.MAY_HAVE_RUN, message)
     if status < 300:
         return
-    message = f"{status}: {body[:200].decode(errors='replace')}"
     if status in REFUSED_STATUSES:
         raise TargetFailed(Verdict.NOT_RUN, message)
     if status < 500:
--- a/turmericflow/tests/test_plain_client.py
+++ b/turmericflow/tests/test_plain_client.py
@@ -75,3 +75,20 @@
 
 async def test_an_answer_without_a_length_ends_with_its_connection(client: PlainClient):
     assert await call(client, "x", answer(UNFRAMED + b"whole")) == ["whole"]
+
+
+# Guards against answers whose status is none.
+@pytest.mark.parametrize(
+    "status", [b"000", b"099", b"199", b"600", b"999", b"1000", b"20", b"2OO", b"-200"]
+)
+async def test_a_status_that_is_none_is_no_answer(client: PlainClient, status: bytes):
+    data = b"HTTP/1.1 %s OK\r\nContent-Length: 2\r\n\r\nok" % status
+    with pytest.raises(TargetFailed) as found:
+        await call(client, "x", answer(data))
+    assert found.value.verdict is Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("status", [b"101", b"103"])
+async def test_an_interim_status_is_no_final_one(client: PlainClient, status: bytes):
+    with pytest.raises(TargetFailed):
+        await call(client, "x", answer(b"HTTP/1.1 %s OK\r\n\r\n" % status))
--- a/turmericflow/tests/test_relay_answers.py
+++ b/turmericflow/tests/test_relay_answers.py
@@ -117,7 +117,17 @@
 
 # Guards against a connection that is closed without an answer, or a response that never
 # ends, as the head that a target sent cannot be passed on.
-@pytest.mark.parametrize("status", [b"200 OK", b"101 Switching Protocols", b"099 None"])
+@pytest.mark.parametrize(
+    "status",
+    [
+        b"200 OK",
+        b"101 Switching Protocols",
+        b"000 None",
+        b"099 None",
+        b"600 None",
+        b"999 None",
+    ],
+)
 @pytest.mark.parametrize("route", [b"order", b"stream"])
 async def test_a_targets_head_that_cannot_be_passed_on_is_a_failure(
     fleet: Fleet, monkeypatch: pytest.MonkeyPatch, route: bytes, status: bytes
