Bound what targets may send on the product's own interface

Reported by other operators: a faulty worker sent bytes that were no answer, without end, and the machine that had called it ran out of memory, with the requests of other clients. It happened here: with 20 callers of such a plain service a router ended with MemoryError at 4 GB. Hosts on the platform held.

Cause: answers of plain services, reports, texts of failures and the platform's answers were read whole; lines and the number of tokens of a stream had no bound.

Change: each is bounded, and all that are read at once together; the counting moves from relay/_answers.py to _body_memory.py, which both interfaces use. The store's answers on hosts on the platform are bounded too.

--- a/turmericflow/platform/_store.py
+++ b/turmericflow/platform/_store.py
@@ -13,6 +13,7 @@
 import structlog
 from multidict import CIMultiDictProxy
 
+from turmericflow._body_memory import BodyMemory, BodyTooLong, read_bounded
 from turmericflow.platform._callers import STORE_ERA
 from turmericflow.platform._json_outline import Value, read_outline
 from turmericflow.platform._objects import (
@@ -253,11 +254,12 @@
         answers name none.
     """
 
-    __slots__ = ("_session", "_base", "era")
+    __slots__ = ("_session", "_base", "_memory", "era")
 
     def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
         self._session = session
         self._base = f"http://{address}/v1/objects"
+        self._memory = BodyMemory()
         self.era = 0
 
     async def _call(
@@ -271,8 +273,9 @@
                 async with self._session.request(
                     method, f"{self._base}/{path}", data=data, headers=headers
                 ) as resp:
-                    content = await resp.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+                    chunks = resp.content.iter_any()
+                    content = await read_bounded(chunks, self._memory)
+        except (aiohttp.ClientError, TimeoutError, OSError, BodyTooLong) as exc:
             raise StoreFailed(f"{method} {path}: {exc!r}") from exc
         era = _decode_era(resp.headers)
         if era < self.era and resp.status < MIN_ERROR_STATUS:
--- a/turmericflow/relay/_answers.py
+++ b/turmericflow/relay/_answers.py
@@ -4,6 +4,7 @@
 
 from multidict import CIMultiDict
 
+from turmericflow._body_memory import MAX_ANSWER_BYTES, BodyMemory, BodyTooLong
 from turmericflow.relay._call import Reply
 from turmericflow.relay.caller_limits import Body, BodyBuilder, Hold
 from turmericflow.verdict import (
@@ -14,9 +15,6 @@
     Verdict,
 )
 
-MAX_ANSWER_BYTES = 16_000_000
-MAX_HELD_BYTES = 64_000_000  # of all incomplete answers
-
 
 class Answer:
     """A target's complete response."""
@@ -32,11 +30,10 @@
 class AnswerMemory:
     """Bounds the bytes that this host holds of answers that are not complete."""
 
-    __slots__ = ("_held_bytes", "_answers")
+    __slots__ = ("_memory",)
 
     def __init__(self) -> None:
-        self._held_bytes = 0
-        self._answers = 0
+        self._memory = BodyMemory()
 
     async def read(self, reply: Reply, hold: Hold) -> Answer:
         """Return a reply with its whole body, which stays charged to `hold`.
@@ -50,24 +47,19 @@
             its share of the memory while that is used up.
         """
         body, charged, complete = BodyBuilder(), 0, False
-        self._answers += 1
         try:
-            # Room for a whole answer, so that not all of many wait for their rest.
-            charged += await self._charge(reply.length or 0, hold)
-            async for chunk in reply.chunks():
-                body.append(chunk)
-                self._held_bytes += len(chunk)
-                charged += await self._charge(len(body) - charged, hold)
-                if len(body) > self._limit_bytes():
-                    raise TargetFailed(
-                        Verdict.MAY_HAVE_RUN,
-                        f"got {len(body)} bytes of an answer, expected at most "
-                        f"{self._limit_bytes()}",
-                    )
+            with self._memory.open() as held:
+                # Room for a whole answer, so that not all of many wait for their rest.
+                charged += await self._charge(reply.length or 0, hold)
+                async for chunk in reply.chunks():
+                    body.append(chunk)
+                    held.add(len(chunk))
+                    charged += await self._charge(len(body) - charged, hold)
+                    held.check()
             complete = True
+        except BodyTooLong as exc:
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, str(exc)) from exc
         finally:
-            self._answers -= 1
-            self._held_bytes -= len(body)
             if not complete:
                 hold.release(charged)
         return Answer(reply.status, reply.headers, body.build())
@@ -84,8 +76,3 @@
                 )
             )
         return size
-
-    def _limit_bytes(self) -> int:
-        if self._held_bytes <= MAX_HELD_BYTES:
-            return MAX_ANSWER_BYTES
-        return min(MAX_ANSWER_BYTES, MAX_HELD_BYTES // self._answers)
--- a/turmericflow/services/_engine.py
+++ b/turmericflow/services/_engine.py
@@ -8,12 +8,24 @@
 import aiohttp
 import msgspec
 
+from turmericflow._body_memory import (
+    BodyMemory,
+    BodyTooLong,
+    OpenBody,
+    read_bounded,
+)
 from turmericflow.cfg import Address
 from turmericflow.services._body_polling import BodyPoller
 from turmericflow.services._stats import Stats
 from turmericflow.verdict import TargetFailed, Verdict
 
 REFUSED_STATUSES = frozenset({409, 429, 503})
+MAX_LINE_BYTES = 65_536  # of a stream; a line holds one token
+MAX_STREAM_BYTES = 32_000_000  # a million tokens, the most that a caller may ask for
+MAX_STREAMS_BYTES = 256_000_000  # of all streams that are read
+MAX_REPORT_BYTES = 4_000_000  # all blocks of a prefix cache
+MAX_REPORTS_BYTES = 64_000_000
+MAX_MESSAGE_BYTES = 200  # of a failure, in messages
 REPORT_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 
 
@@ -123,20 +135,25 @@
         Whether the output has ended, or no more of it is needed.
     """
 
-    __slots__ = ("_next_index", "_partial_line", "_on_output", "ended")
+    __slots__ = ("_next_index", "_partial_line", "_on_output", "_body", "ended")
 
-    def __init__(self, expected: int, on_output: OnOutput) -> None:
+    def __init__(self, expected: int, on_output: OnOutput, body: OpenBody) -> None:
         self._next_index = expected
         self._partial_line = b""
         self._on_output = on_output
+        self._body = body
         self.ended = False
 
     def feed(self, data: bytes) -> bool:
         """Parse some bytes of the body; return whether to stop reading."""
+        self._body.add(len(data))
+        self._body.check()
         if self._partial_line:
             data = self._partial_line + data
         end = data.rfind(b"\n") + 1
         self._partial_line = data[end:]
+        if len(self._partial_line) > MAX_LINE_BYTES:
+            raise _output_failure(f"got a line over {MAX_LINE_BYTES} bytes")
         if end:
             output = _parse(data[:end], self._next_index)
             self._next_index += len(output.texts)
@@ -144,6 +161,11 @@
         return self.ended
 
 
+async def _read_message(resp: aiohttp.ClientResponse) -> str:
+    """Return the first bytes of a failure's text that have arrived."""
+    return (await resp.content.read(MAX_MESSAGE_BYTES)).decode(errors="replace")
+
+
 def to_target_failure(exc: Exception) -> TargetFailed:
     """Return the `TargetFailed` for a client error while sending a request.
 
@@ -159,7 +181,13 @@
 class EngineClient:
     """Run generations on engines, read their reports and send them orders."""
 
-    __slots__ = ("_body_poller", "_session", "_stats")
+    __slots__ = (
+        "_body_poller",
+        "_report_memory",
+        "_session",
+        "_stats",
+        "_stream_memory",
+    )
 
     def __init__(
         self, session: aiohttp.ClientSession, stats: Stats | None = None
@@ -167,6 +195,8 @@
         self._session = session
         self._stats = stats
         self._body_poller = BodyPoller()
+        self._report_memory = BodyMemory(MAX_REPORT_BYTES, MAX_REPORTS_BYTES)
+        self._stream_memory = BodyMemory(MAX_STREAM_BYTES, MAX_STREAMS_BYTES)
 
     async def generate(
         self, address: Address, request: EngineRequest, on_output: OnOutput
@@ -230,7 +260,8 @@
         try:
             async with self._session.post(url, data=body) as resp:
                 if resp.status == 409:
-                    raise StaleFence(Verdict.NOT_RUN, f"{url}: {await resp.text()}")
+                    message = f"{url}: {await _read_message(resp)}"
+                    raise StaleFence(Verdict.NOT_RUN, message)
                 if resp.status != 200:
                     raise TargetFailed(Verdict.NOT_RUN, f"{url}: {resp.status}")
         except (aiohttp.ClientError, OSError) as exc:
@@ -239,7 +270,8 @@
     async def _get(self, url: str, kind: type):
         try:
             async with self._session.get(url, timeout=REPORT_TIMEOUT) as resp:
-                raw = await resp.read()
+                chunks = resp.content.iter_any()
+                raw = await read_bounded(chunks, self._report_memory)
                 if self._stats is not None:
                     self._stats.count("reports.polls")
                     self._stats.count("reports.bytes_in", len(raw))
@@ -248,23 +280,26 @@
                 return msgspec.json.decode(raw, type=kind)
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise TargetFailed(Verdict.NOT_RUN, f"{url}: {exc!r}") from exc
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, BodyTooLong) as exc:
             raise TargetFailed(Verdict.NOT_RUN, f"{url}: {exc}") from exc
 
     async def _stream(
         self, method: str, url: str, body: bytes | None, start: int, on_output: OnOutput
     ) -> None:
-        parser = _LineParser(start, on_output)
-        try:
-            async with self._session.request(method, url, data=body) as resp:
-                if resp.status != 200:
-                    text = await resp.text(errors="replace")
-                    refused = resp.status in REFUSED_STATUSES
-                    verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
-                    raise TargetFailed(verdict, f"{resp.status}: {text[:200]}")
-                await self._body_poller.read(resp.content, parser.feed)
-        except (aiohttp.ClientError, OSError) as exc:
-            raise to_target_failure(exc) from exc
+        with self._stream_memory.open() as held:
+            parser = _LineParser(start, on_output, held)
+            try:
+                async with self._session.request(method, url, data=body) as resp:
+                    if resp.status != 200:
+                        refused = resp.status in REFUSED_STATUSES
+                        verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
+                        message = f"{resp.status}: {await _read_message(resp)}"
+                        raise TargetFailed(verdict, message)
+                    await self._body_poller.read(resp.content, parser.feed)
+            except BodyTooLong as exc:
+                raise _output_failure(str(exc)) from exc
+            except (aiohttp.ClientError, OSError) as exc:
+                raise to_target_failure(exc) from exc
         if not parser.ended:
             message = "stream ended before the output did"
             raise TargetFailed(Verdict.MAY_HAVE_RUN, message, lost=True)
--- a/turmericflow/services/_plain.py
+++ b/turmericflow/services/_plain.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from turmericflow._body_memory import BodyMemory, BodyTooLong, read_bounded
 from turmericflow._responses import FINAL_STATUSES
 from turmericflow.cfg import Address
 from turmericflow.services._engine import (
@@ -39,9 +40,10 @@
     whether the call has run.
     """
 
-    __slots__ = ("_session",)
+    __slots__ = ("_memory", "_session")
 
     def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._memory = BodyMemory()
         self._session = session
 
     async def call(
@@ -61,8 +63,11 @@
             async with self._session.post(
                 url, data=payload.encode(), headers=headers
             ) as resp:
-                body = await resp.read()
+                chunks = resp.content.iter_any()
+                body = await read_bounded(chunks, self._memory)
                 _check_status(resp.status, body)
+        except BodyTooLong as exc:
+            raise TargetFailed(Verdict.MAY_HAVE_RUN, str(exc)) from exc
         except (aiohttp.ClientError, OSError) as exc:
             raise to_target_failure(exc) from exc
         on_output(EngineOutput(0, [body.decode(errors="replace")], True))
--- a/turmericflow/services/_platform.py
+++ b/turmericflow/services/_platform.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from turmericflow._body_memory import BodyMemory, BodyTooLong, read_bounded
 from turmericflow.cfg import Address
 from turmericflow.services._stats import Stats
 
@@ -66,7 +67,7 @@
         Size of the last host list received, in bytes.
     """
 
-    __slots__ = ("_base", "_session", "_stats", "hosts_bytes")
+    __slots__ = ("_base", "_memory", "_session", "_stats", "hosts_bytes")
 
     def __init__(
         self,
@@ -75,6 +76,7 @@
         stats: Stats | None = None,
     ) -> None:
         self._session = session
+        self._memory = BodyMemory()
         self._stats = stats
         self.hosts_bytes = 0
         self._base = address.url
@@ -84,7 +86,8 @@
             async with self._session.request(
                 method, self._base + path, **kwargs
             ) as resp:
-                body = await resp.read()
+                chunks = resp.content.iter_any()
+                body = await read_bounded(chunks, self._memory)
                 if self._stats is not None:
                     self._stats.count("platform.calls")
                     self._stats.count("platform.bytes_in", len(body))
@@ -97,7 +100,7 @@
                 return resp.status, body
         except aiohttp.ClientConnectorError as exc:
             raise PlatformError(f"{method} {path}: {exc!r}", False) from exc
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+        except (aiohttp.ClientError, OSError, TimeoutError, BodyTooLong) as exc:
             raise PlatformError(f"{method} {path}: {exc!r}", True) from exc
 
     async def get(self, kind: str, name: str) -> PlatformObject | None:
--- a/turmericflow/services/_runner.py
+++ b/turmericflow/services/_runner.py
@@ -42,6 +42,14 @@
     return NewRequest(request_id, profile, "", 1, b"", "", 1, True)
 
 
+def _check_length(row: RequestRow, output: EngineOutput) -> None:
+    """Raise `TargetFailed` if an engine sends more tokens than it was asked for."""
+    tokens = output.start + len(output.texts)
+    if row.profile.kind is ProfileKind.GENERATION and tokens > row.max_tokens:
+        message = f"got {tokens} tokens, expected at most {row.max_tokens}"
+        raise TargetFailed(Verdict.MAY_HAVE_RUN, message)
+
+
 class Runner:
     """Run requests on targets, and resume them when a target is lost."""
 
@@ -306,6 +314,7 @@
 
         def on_output(output: EngineOutput) -> bool:
             if attempt.live:
+                _check_length(execution.row, output)
                 self._work.on_output(execution.row, attempt, len(output.texts))
                 self._on_output(execution, attempt, output)
             return attempt.live
--- a/turmericflow/testing/service.py
+++ b/turmericflow/testing/service.py
@@ -10,6 +10,9 @@
 
 from turmericflow.testing._serve import serve
 
+ENDLESS = b'"endless"'  # a call with this text is answered without end
+PIECE_BYTES = 65_536
+
 
 class ServiceStandIn:
     """A plain service whose calls take a fixed time."""
@@ -28,7 +31,7 @@
         app.router.add_get("/v1/runs", self._runs)
         return app
 
-    async def _call(self, request: web.Request) -> web.Response:
+    async def _call(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         key = request.headers.get("Idempotency-Key", "")
         self._running += 1
@@ -38,8 +41,20 @@
                 await asyncio.sleep(self._work_s)
         finally:
             self._running -= 1
+        if ENDLESS in body:
+            return await self._send_endlessly(request)
         return web.Response(body=body, headers={"X-Run": str(self.runs[key])})
 
+    @staticmethod
+    async def _send_endlessly(request: web.Request) -> web.StreamResponse:
+        resp = web.StreamResponse()
+        await resp.prepare(request)
+        try:
+            while True:
+                await resp.write(bytes(PIECE_BYTES))
+        except ConnectionError:
+            return resp
+
     async def _load(self, request: web.Request) -> web.Response:
         return web.json_response({"running": self._running})
 
--- a/turmericflow/tests/test_plain_services.py
+++ b/turmericflow/tests/test_plain_services.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from pathlib import Path
 
 import aiohttp
 import pytest
 
+from turmericflow import _body_memory as body_memory
 from turmericflow.client import Caller
 from turmericflow.systems import budgets
 from turmericflow.testing import Cluster, EngineSpec
@@ -23,6 +25,7 @@
 
 DESKS = ("desk-0", "desk-1")
 CALLS = 8
+ENDLESS_CALLS = 20
 
 
 def add_proxies(cluster):
@@ -117,3 +120,30 @@
     attempts = await asyncio.to_thread(sum_counter, cluster, "runner.attempts")
     budget = budgets.MAX_RETRY_TOKENS + budgets.RETRY_RATIO * CALLS
     assert len(lost) <= attempts - CALLS <= budget
+
+
+def peak_bytes(cluster, name):
+    """Return the most memory that a process has had."""
+    path = Path(f"/proc/{cluster.processes[name].process.pid}/status")
+    (line,) = [line for line in path.read_text().splitlines() if "VmHWM" in line]
+    return int(line.split()[1]) * 1024
+
+
+# Guards against a router that keeps what a service sends without end, until it has no
+# memory left and ends with the requests of other callers.
+async def test_endless_answers_leave_memory_for_others(cluster, session):
+    address = cluster.router_addresses["entry-1"]
+    calm_bytes = peak_bytes(cluster, "entry-1")
+    caller = Caller(session, [address], "academy")
+    endless = [
+        asyncio.ensure_future(caller.call("question", {"endless": n}, f"endless-{n}"))
+        for n in range(ENDLESS_CALLS)
+    ]
+    await asyncio.sleep(0.5)
+    others = await gather(start_calls(session, cluster, "question"))
+    assert all(answer.whole for answer in others.values())
+    answers = await asyncio.wait_for(asyncio.gather(*endless), ANSWERS_TIMEOUT_S)
+    assert not any(answer.whole for answer in answers)
+    # A body is copied when it is complete or refused.
+    held_bytes = peak_bytes(cluster, "entry-1") - calm_bytes
+    assert held_bytes < 2 * body_memory.MAX_HELD_BYTES
