Let a test of roll-outs wait until versions are in force

test_a_stream_is_not_sent_again_to_a_version_after_its_rollback began its stream within a second of the start of its hosts, and its engine cuts after 0.75 s. With several versions, events wait for a record until versions are in force, so that the test never saw the third one. It now waits for them first; its checks are the same.

--- a/turmericflow/tests/test_relay_rollouts.py
+++ b/turmericflow/tests/test_relay_rollouts.py
@@ -451,6 +451,9 @@
     fleet = rollouts.fleet
     await add_engines(fleet, OLD, 0)
     await add_engines(fleet, NEW, 2)
+    # Before that, events of a service with several versions wait for a record.
+    versions = [host.tables.stream_versions for host in fleet.hosts]
+    await fleet.until(lambda: all(each.in_force for each in versions), 8.0)
     tell_view(fleet, 1, 1.0, "in_progress")
     stream = Taken(fleet, "s")
     task = asyncio.create_task(stream.read(0))
