Take up streams of dead hosts in the model of versions

The model of test_relay_version_binding.py forgot the streams that only dead hosts knew, so that taking the newest set for the oldest one passed. They now stay until clients have given them up, while the versions change. Three mutations fail: sets that are told no more before they leave the store, the newest set in place of the oldest, and sets pushed out by changes.

--- a/turmericflow/tests/test_relay_version_binding.py
+++ b/turmericflow/tests/test_relay_version_binding.py
@@ -104,6 +104,14 @@
 
     The store holds what the hosts were told a step before.  A host follows what is
     told now, or was told one step ago.
+
+    Attributes
+    ----------
+    streams
+        Versions of streams that hosts know and the store does not hold.
+    orphans
+        The same of those that only hosts that have died knew, until clients have
+        given them up.
     """
 
     def __init__(self, seed: int) -> None:
@@ -113,10 +121,14 @@
         self.stored = [sorted(self.open)]
         self.told = self.told_before = self.stored
         self.away = False
-        self.knows_all = True
-        self.streams: dict[bytes, str] = {}  # without a record
-        self.recorded: set[bytes] = set()
-        self.refused = self.begun = self.taken_up = 0
+        self.knows_all_in = 0  # steps
+        self.streams: dict[bytes, str] = {}
+        self.orphans: dict[bytes, str] = {}
+        self.taken_up = 0
+
+    @property
+    def knows_all(self) -> bool:
+        return self.knows_all_in <= 0
 
     def step(self) -> None:
         if self.rng.random() < 0.3:
@@ -128,6 +140,7 @@
         self.record()
         if self.rng.random() < 0.1:
             self.lose_all_hosts()
+        self.take_up()
 
     def chosen(self, digest: bytes, sets: list[list[str]]) -> str | None:
         found = {choose_version(digest, names) for names in sets}
@@ -145,11 +158,9 @@
             case Anywhere() if self.open:
                 version = self.rng.choice(sorted(self.open))
             case _:
-                self.refused += bool(self.open)
                 return
         if choose_show(found, {version}, RECORD, 0.0) == ShowAtOnce():
             self.streams[digest] = version
-            self.begun += 1
 
     def record(self) -> None:
         """Let the recorder take one step, which it can only with the store."""
@@ -167,12 +178,19 @@
         assert all(names in self.told for names in self.stored)
 
     def lose_all_hosts(self) -> None:
-        """Let new hosts infer from the store which version began each stream."""
-        for digest, version in self.streams.items():
+        self.orphans |= self.streams
+        self.streams.clear()
+        self.told = self.told_before = self.stored
+        self.knows_all_in = 8
+
+    def take_up(self) -> None:
+        """Let hosts infer from the store which version began each stream."""
+        self.knows_all_in -= 1
+        if self.knows_all:
+            self.orphans.clear()
+        for digest, version in self.orphans.items():
             assert choose_version(digest, self.stored[-1]) == version
             self.taken_up += 1
-        self.told = self.told_before = self.stored
-        self.knows_all = self.rng.random() < 0.5
 
 
 # Guards against two changes of versions in a row, losses of all hosts before the first
