Look at all targets only for streams that an id does not tell

Since the binding of versions moved, each send of a stream looked at all targets of its service, twice. Where the stream's id chooses the version that it is sent to, as in services with one version, nothing of that is needed.

--- a/turmericflow/relay/version_binding/_binding.py
+++ b/turmericflow/relay/version_binding/_binding.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from turmericflow.relay._attempts import Attempts
 
-# The first host to write the records reads the store first, and takes over from none.
+# Until a host that starts writes the first record: it waits for others, and reads.
 FIRST_RECORD_S = 5.0
 
 log = structlog.get_logger()
@@ -175,8 +175,11 @@
         if call.last_event_id is not None:
             return ShowAtOnce()
         self._sent_to.add(version)
+        chosen = self._chosen()
+        if self._sent_to == {chosen}:
+            return ShowAtOnce()  # without a look at all targets
         return choose_show(
-            self._view(self._records(now), self._chosen(), now),
+            self._view(self._records(now), chosen, now),
             self._sent_to,
             ShowOnceRecorded(call.id, version),
             now + intervals.record_time_s(ctx.tables),
