--- a/turmericflow/relay/_stream_versions.py
+++ b/turmericflow/relay/_stream_versions.py
@@ -302,7 +302,8 @@
         self._recorded |= streams
         self._own_recorded += [(now, digest, v) for digest, v in streams.items()]
         self.in_force = self.own_sets = sets
-        self.stored_sets, self._follow_all = stored, True
+        if stored != self.stored_sets:  # else another host may have written them
+            self.stored_sets, self._follow_all = stored, True
         self._complete_until = self._own_complete_until = now
 
     def stop_recording(self) -> None:
--- a/turmericflow/tests/test_relay_version_binding.py
+++ b/turmericflow/tests/test_relay_version_binding.py
@@ -95,6 +95,9 @@
     versions = StreamVersions()
     versions.apply_records([record], True, 0.0)
     assert {versions.begun_by_id("model", id) for id in ids} == {"b", None}
+    # The host that takes over has not written them.
+    versions.record_written({}, sets, sets, 0.0)
+    assert {versions.begun_by_id("model", id) for id in ids} == {"b", None}
     versions.apply_records([VersionRecord({}, {}, 1, sets, True)], True, 0.0)
     assert {versions.begun_by_id("model", id) for id in ids} == {"a", "b"}
 
