--- a/turmericflow/tests/test_relay_unrecorded_streams.py
+++ b/turmericflow/tests/test_relay_unrecorded_streams.py
@@ -23,6 +23,7 @@
 )
 from turmericflow.relay._host_tables import HostStatus
 from turmericflow.relay._stream_versions import StreamVersions, choose_version
+from turmericflow.relay.rollouts._share import RolloutView
 from turmericflow.tests.platform_stand_ins import Cut, Fleet, HostStandIn
 from turmericflow.tests.test_relay_lost_hosts import (
     HOSTS,
@@ -47,6 +48,7 @@
 # Until the last host that took over has told the versions and put them in force.
 TAKE_OVER_AND_SETTLE_S = 8.0
 SERVICES = version_records.SERVICES
+THIRD = "v9"
 # The hosts have noticed that the store is away: no record is as young as this.
 STORE_KNOWN_AWAY_S = 2.0
 REFUSED_WITHIN_S = 4.0  # the store stays away for longer
@@ -336,6 +338,50 @@
     assert sum(each.whole for each in begun) >= 0.9 * len(begun)
 
 
+# Guards against a rule that holds for two versions only.
+async def test_no_streams_are_joined_with_three_versions(settled_fleet: Fleet):
+    fleet = settled_fleet
+    await add_version(fleet, THIRD, 3)
+    await fleet.until(lambda: sets_in_store(fleet) == [{OLD, NEW, THIRD}], 12.0)
+    await remove_version(fleet, OLD)
+    await asyncio.sleep(0.3)
+    fleet.store.go_away()
+    await asyncio.sleep(STORE_KNOWN_AWAY_S)
+    begun, refused = await begin_some(fleet)
+    await lose_all_hosts(fleet, OLD)
+    await take_up(begun)
+    assert joined(begun) == []
+    assert refused and len({v for each in begun for v in each.versions}) == 2
+    assert sum(each.whole for each in begun) >= 0.9 * len(begun)
+
+
+# Guards against streams of a version that hosts exclude while the store is away, taken
+# for that version once no host knows of its rollback.
+async def test_no_streams_are_joined_after_a_rollback_that_dies_with_the_hosts(
+    tmp_path: Path,
+):
+    fleet = Fleet(tmp_path, canaryShare=0.2, canarySlack=10, rollbackMs=2000)
+    await fleet.start(HOSTS)
+    await add_version(fleet, OLD, 3)
+    await add_version(fleet, NEW, 3)
+    await fleet.until(lambda: sets_in_store(fleet) == [{OLD, NEW}], 12.0)
+    fleet.store.go_away()
+    view = RolloutView("model", NEW, 1, 1, 1, 0.0, "rolled_back")
+    for host in fleet.hosts:
+        host.tables.rollouts.apply_view(view, host.ctx.clock.now())
+    await asyncio.sleep(STORE_KNOWN_AWAY_S)
+    begun, refused = await begin_some(fleet)
+    assert {version for each in begun for version in each.versions} == {OLD.encode()}
+    await kill_hosts(fleet)
+    fleet.store.status = None
+    await start_hosts(fleet)
+    await take_up(begun)
+    await fleet.stop()
+    assert joined(begun) == []
+    assert refused
+    assert sum(each.whole for each in begun) >= 0.9 * len(begun)
+
+
 # Guards against streams that a host begins without a record as it alone does not reach
 # the store, and against refusing them though another host can record them.
 async def test_a_host_cut_off_from_the_store_begins_recorded_streams(
