Bound what the store of the platform may send outside of bodies

The store's answers were bounded in their bodies only, and a body without a length whose connection is reset counted as complete. The store's client now reads with the same connections as the clients of targets.

--- a/turmericflow/platform/_process.py
+++ b/turmericflow/platform/_process.py
@@ -15,7 +15,7 @@
 import structlog
 from aiohttp import web
 
-from turmericflow._responses import use_connection
+from turmericflow._responses import ResponseConnection, use_connection
 from turmericflow.platform import _callers
 from turmericflow.platform._settings import read_settings, settings_path
 from turmericflow.platform._store import StoreClient
@@ -48,7 +48,9 @@
 
 
 def _open_session(
-    force_close: bool, connector_class: type[aiohttp.TCPConnector]
+    force_close: bool,
+    connector_class: type[aiohttp.TCPConnector],
+    connection_class: type[ResponseConnection],
 ) -> aiohttp.ClientSession:
     connector = connector_class(
         limit=0,
@@ -56,6 +58,7 @@
         socket_factory=create_socket,
         use_dns_cache=False,
     )
+    use_connection(connector, connection_class)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
     session = aiohttp.ClientSession(
         connector=connector,
@@ -68,12 +71,6 @@
     return session
 
 
-def _open_target_session() -> aiohttp.ClientSession:
-    session = _open_session(True, TargetConnector)
-    use_connection(session.connector, TargetConnection)
-    return session
-
-
 class _HttpHandlers:
     """Handlers of readiness checks, address lookups and metrics."""
 
@@ -127,9 +124,8 @@
         settings.peers,
     )
     tables = Tables(own)
-    target_session, store_session = _open_target_session(), _open_session(
-        False, aiohttp.TCPConnector
-    )
+    target_session = _open_session(True, TargetConnector, TargetConnection)
+    store_session = _open_session(False, aiohttp.TCPConnector, ResponseConnection)
     client = StoreClient(store_session, settings.store)
     return HostContext(settings, tables, HttpTargets(target_session), client), [
         target_session,
