Take reports only from answers with the status 200

Such a report decides whether an engine is adopted or counts as crashed.

test_a_report_needs_the_status_200 failed for these five statuses before; 204, which has no body, was refused.

--- a/turmericflow/platform/_targets.py
+++ b/turmericflow/platform/_targets.py
@@ -378,6 +378,8 @@
                 async with self._session.get(base + health_path) as resp:
                     id = resp.headers.get(header_names.INSTANCE_ID, "")
                 async with self._session.get(base + REPORT_PATH) as resp:
+                    if resp.status != 200:
+                        return None  # of a target in trouble
                     report = msgspec.json.decode(
                         await _read_control(resp), type=_Report
                     )
--- a/turmericflow/tests/test_relay_broken_control_answers.py
+++ b/turmericflow/tests/test_relay_broken_control_answers.py
@@ -108,6 +108,19 @@
             await ctx.store.read(Kind.TARGETS)
 
 
+# Guards against the report of a target that answers with a failure, or with nothing.
+@pytest.mark.parametrize("status", [b"000", b"099", b"204", b"404", b"500", b"600"])
+async def test_a_report_needs_the_status_200(
+    ctx: HostContext, peer: Peer, status: bytes
+):
+    head = b"HTTP/1.1 %s S\r\nContent-Length: %d\r\n\r\n"
+    peer.pieces = lambda: [head % (b"200", len(REPORT)) + REPORT]
+    report = await ctx.target_client.fetch_report(peer.address, "/health")
+    assert report is not None and report.born_ms == 7
+    peer.pieces = lambda: [head % (status, len(REPORT)) + REPORT]
+    assert await ctx.target_client.fetch_report(peer.address, "/health") is None
+
+
 @pytest.mark.parametrize("status", [b"000", b"099", b"500", b"503", b"600"])
 async def test_a_copy_needs_the_status_200(ctx: HostContext, peer: Peer, status: bytes):
     handle = b'{"handle": "h"}'
