Bound the peak of many endless answers in their test

The test bounded what the service could send, with a factor that nothing states. It now bounds what is held at once: the stated bound, and a chunk of each body.

--- a/turmericflow/tests/test_endless_services.py
+++ b/turmericflow/tests/test_endless_services.py
@@ -12,7 +12,7 @@
 import pytest
 
 from turmericflow import _body_memory as body_memory
-from turmericflow._responses import use_connection
+from turmericflow._responses import READ_BYTES, use_connection
 from turmericflow.cfg import Address
 from turmericflow.profile import Profile, ProfileKind
 from turmericflow.services import _engine as engine
@@ -29,6 +29,7 @@
 CALLERS = 40
 # What the sockets' buffers of a connection hold, on both sides.
 BUFFERED_BYTES = 8_000_000
+CHUNK_BYTES = 4 * READ_BYTES  # that a body may hand over at once
 WHOLE = {"excess", "excess answers"}
 LINE = b'{"i":0,"t":"'
 OK = b"HTTP/1.1 200 OK\r\n\r\n"
@@ -110,16 +111,22 @@
 
 # Guards against memory that grows with the callers of a faulty service.
 async def test_endless_answers_of_many_calls_share_their_memory(
-    session: aiohttp.ClientSession,
+    session: aiohttp.ClientSession, monkeypatch: pytest.MonkeyPatch
 ):
-    client = PlainClient(session)
-    sent = await fail_all(
+    client, peak_bytes, add = PlainClient(session), 0, body_memory.OpenBody.add
+
+    def add_and_note(self, size: int) -> None:
+        nonlocal peak_bytes
+        add(self, size)
+        peak_bytes = max(peak_bytes, client._memory._held_bytes)
+
+    monkeypatch.setattr(body_memory.OpenBody, "add", add_and_note)
+    await fail_all(
         lambda: endless_bytes("body", {}),
         lambda address: client.call(address, "k", "{}", accept),
         CALLERS,
     )
-    # Each may be refused once all together are over the bound, not before.
-    assert sent <= body_memory.MAX_HELD_BYTES * 3 + CALLERS * BUFFERED_BYTES
+    assert peak_bytes <= body_memory.MAX_HELD_BYTES + CALLERS * CHUNK_BYTES
     assert (client._memory._held_bytes, client._memory._bodies) == (0, 0)
 
 
