Release refused bodies while their errors are handled

Cause: a body over its bound was no longer counted, but the traceback of its error referred to the frame that held it, for as long as the call was tried elsewhere.

Change: the readers of bodies, of the product's own interface and of hosts on the platform, clear what they hold when they fail.

--- a/turmericflow/_body_memory.py
+++ b/turmericflow/_body_memory.py
@@ -84,9 +84,12 @@
         Where they are counted until the body is complete.
     """
     data = bytearray()
-    with memory.open() as body:
-        async for chunk in chunks:
-            data += chunk
-            body.add(len(chunk))
-            body.check()
-    return bytes(data)
+    try:
+        with memory.open() as body:
+            async for chunk in chunks:
+                data += chunk
+                body.add(len(chunk))
+                body.check()
+        return bytes(data)
+    finally:
+        data.clear()  # an error's traceback keeps this frame
--- a/turmericflow/relay/_answers.py
+++ b/turmericflow/relay/_answers.py
@@ -61,6 +61,7 @@
             raise TargetFailed(Verdict.MAY_HAVE_RUN, str(exc)) from exc
         finally:
             if not complete:
+                body.clear()  # an error's traceback keeps this frame
                 hold.release(charged)
         return Answer(reply.status, reply.headers, body.build())
 
--- a/turmericflow/relay/caller_limits/_bodies.py
+++ b/turmericflow/relay/caller_limits/_bodies.py
@@ -57,6 +57,12 @@
         if len(self._small) >= MIN_BLOCK_BYTES:
             self._end_block()
 
+    def clear(self) -> None:
+        """Remove all pieces."""
+        self._blocks.clear()
+        self._small.clear()
+        self._size = 0
+
     def build(self) -> Body:
         """Return the body."""
         if self._small:
--- a/turmericflow/tests/test_plain_services.py
+++ b/turmericflow/tests/test_plain_services.py
@@ -144,6 +144,6 @@
     assert all(answer.whole for answer in others.values())
     answers = await asyncio.wait_for(asyncio.gather(*endless), ANSWERS_TIMEOUT_S)
     assert not any(answer.whole for answer in answers)
-    # A body is copied when it is complete or refused.
+    # A body is copied when it is complete.
     held_bytes = peak_bytes(cluster, "entry-1") - calm_bytes
     assert held_bytes < 2 * body_memory.MAX_HELD_BYTES
