--- a/turmericflow/relay/version_binding/_binding.py
+++ b/turmericflow/relay/version_binding/_binding.py
@@ -150,9 +150,12 @@
                 3,
             ),
         )
+        if view.chosen is None:
+            reason = "it is not known which version the id chooses"
+        else:
+            reason = f"the id chooses the version {view.chosen!r}, which has no targets"
         raise attempts.build_failure(
-            f"the id chooses the version {view.chosen!r} among those in force, which"
-            f" has no targets, and the store records no other; versions with targets:"
+            f"{reason}, and the store records no other; versions with targets:"
             f" {sorted(view.open)}"
         )
 
