Hand slots to a host that is back, though it backs none of those in excess

Cause: a host above its share hands slots over only to their backups. If the host that is back is no backup of its slots, nothing moves any more.

Change: it makes a host below its share the backup of one of its slots first. The wait of the tests names the slots and members in its error.

--- a/turmericflow/systems/_placement.py
+++ b/turmericflow/systems/_placement.py
@@ -94,12 +94,13 @@
 class _SlotCounts:
     """Numbers of owned and backup slots by host, for choosing backups."""
 
-    __slots__ = ("backups", "hosts", "owners", "share")
+    __slots__ = ("backups", "hosts", "owners", "pairs", "share")
 
     def __init__(self, hosts: dict[str, str], entries: list[SlotEntry]) -> None:
         self.hosts = hosts
         self.owners = Counter(entry.owner for entry in entries)
         self.backups = Counter(entry.backup for entry in entries)
+        self.pairs = Counter((entry.owner, entry.backup) for entry in entries)
         self.share = len(entries) / max(1, len(hosts))
 
     def choose_backup(self, slot: int, owner: str) -> str:
@@ -115,6 +116,27 @@
             candidates, key=lambda host: (self.backups[host], _weight(host, key))
         )
 
+    def find_new_owner(self, owner: str) -> str:
+        """Find a host below its share for a slot of an owner that is above its own.
+
+        Returns
+        -------
+        str
+            A host that backs none of the owner's slots yet, and can, or "".
+        """
+        if self.owners[owner] <= self.share + 1:
+            return ""
+        found = [
+            host
+            for host in self.hosts
+            if host != owner
+            and self.owners[host] < self.share
+            and self.in_different_data_centres(owner, host)
+        ]
+        if any(self.pairs[owner, host] for host in found):
+            return ""
+        return min(found, key=lambda host: (self.owners[host], host), default="")
+
     def in_different_data_centres(self, owner: str, backup: str) -> bool:
         """Return whether two hosts differ in data centre, or all share a single one."""
         data_centres = set(self.hosts.values())
@@ -127,6 +149,8 @@
         self.backups[before.backup] -= 1
         self.owners[after.owner] += 1
         self.backups[after.backup] += 1
+        self.pairs[before.owner, before.backup] -= 1
+        self.pairs[after.owner, after.backup] += 1
 
 
 def create(tables: Tables, count: int) -> list[SlotEntry]:
@@ -190,6 +214,10 @@
         and counts.owners[backup] < counts.share
     ):
         return _swapped(entry)
+    new_owner = counts.find_new_owner(tables.host)
+    if new_owner:
+        # The slot is handed over once its records are there.
+        return _with_backup(entry, new_owner)
     if counts.backups[backup] > counts.share + 1:
         found = counts.choose_backup(slot, entry.owner)
         if counts.backups[found] + 1 < counts.share:
--- a/turmericflow/testing/_routers.py
+++ b/turmericflow/testing/_routers.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import time
+from typing import Any
 
 import aiohttp
 
@@ -103,17 +104,30 @@
     """Wait until each host owns slots, all with a backup in sync."""
     deadline = time.monotonic() + OWNER_MAP_TIMEOUT_S
     while time.monotonic() < deadline:
-        slots = [_read_slots(cluster, host) for host in hosts]
-        if all(each["owned"] and each["owned"] == each["synced"] for each in slots):
+        slots = {host: _read_slots(cluster, host) for host in hosts}
+        if all(
+            each["owned"] and each["owned"] == each["synced"] for each in slots.values()
+        ):
             return
         time.sleep(0.1)
-    raise TimeoutError(f"one of {hosts} owns no slot, or has one out of sync")
+    members = {host: _read_members(cluster, host) for host in hosts}
+    raise TimeoutError(
+        f"got the slots {slots}, expected each host to own some, all with a backup in"
+        f" sync; as seen by each host: {members}"
+    )
+
+
+def _read_status(cluster: Cluster, host: str) -> dict[str, Any]:
+    return http_json("GET", f"http://{cluster.router_addresses[host]}/v1/status")
 
 
 def _read_slots(cluster: Cluster, host: str) -> dict[str, int]:
-    return http_json("GET", f"http://{cluster.router_addresses[host]}/v1/status")[
-        "slots"
-    ]
+    return _read_status(cluster, host)["slots"]
+
+
+def _read_members(cluster: Cluster, host: str) -> dict[str, str]:
+    members = _read_status(cluster, host)["members"]
+    return {each["host"]: each["state"] for each in members}
 
 
 def restart_killed_routers(cluster: Cluster) -> None:
--- a/turmericflow/tests/test_placement.py
+++ b/turmericflow/tests/test_placement.py
@@ -1,12 +1,17 @@
-"""Tests of the condition under which a host may change the owner map."""
+"""Tests of when a host may change the owner map, and how it spreads the slots."""
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 
 from turmericflow.cfg import Address
 from turmericflow.systems import placement
-from turmericflow.tables import Peer, PeerState, Tables
+from turmericflow.tables import Peer, PeerState, SlotEntry, Tables
+
+CENTRES = dict(zip("abcde", ("dc-0", "dc-1", "dc-2", "dc-0", "dc-1")))
+ROUNDS = 40
 
 
 @pytest.fixture
@@ -59,3 +64,43 @@
     mark_lost(tables, "entry-1", 10.0, PeerState.SUSPECT)
     tables.peers.rows["entry-1"].leaving = True
     assert placement.may_write(tables, 10.1)
+
+
+def own_changes(host, entries):
+    """Return the changes that a host wants while all live and hold their slots."""
+    tables = Tables(host, CENTRES[host])
+    tables.peers.incarnation = 1
+    for number, (other, centre) in enumerate(CENTRES.items(), 1):
+        if other != host:
+            address = Address("127.0.0.1", number)
+            row = Peer(other, centre, address, address, incarnation=1)
+            tables.peers.rows[other] = row
+    tables.peers.change_count += 1
+    tables.slots.entries = entries
+    for slot, entry in enumerate(entries):
+        tables.slots.held_epochs[slot] = tables.slots.synced_epochs[slot] = entry.epoch
+    return placement.own_changes(tables)
+
+
+# Guards against a host that is back and owns no slot for good, as it is the backup of
+# none of those that own too many.
+def test_a_host_that_is_back_gets_slots_of_those_that_have_too_many():
+    pairs = (
+        [("e", "a")] * 11
+        + [("e", "c")] * 11
+        + [("a", "b")] * 8
+        + [("a", "c")] * 8
+        + [("b", "d")] * 7
+        + [("b", "a")] * 6
+        + [("c", "d")] * 5
+        + [("c", "e")] * 8
+    )
+    entries = [SlotEntry(*pair, 2, 2, 2) for pair in pairs]
+    for _ in range(ROUNDS):
+        changes = [change for host in CENTRES for change in own_changes(host, entries)]
+        entries = placement.merge(entries, changes)
+    owners = Counter(entry.owner for entry in entries)
+    share = len(entries) / len(CENTRES)
+    assert owners["d"] > share / 2 and owners["e"] <= share + 1
+    assert not changes
+    assert all(CENTRES[each.owner] != CENTRES[each.backup] for each in entries)
