--- a/turmericflow/tests/test_engine_client.py
+++ b/turmericflow/tests/test_engine_client.py
@@ -65,6 +65,15 @@
     assert (caught.value.verdict, caught.value.lost) == (verdict, lost)
 
 
+# Guards against an output that counts although the answer's status is none.
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"201", b"600", b"999"])
+async def test_an_output_behind_another_status_is_none(status):
+    output = FIRST + b'{"done":3}\n'
+    with pytest.raises(TargetFailed) as caught:
+        await read_output(b"HTTP/1.1 %s x\r\n\r\n%s" % (status, output))
+    assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+
 async def test_complete_response():
     assert await read_output(OK + FIRST + b'{"done":3}\n') == ["a "]
 
