--- a/turmericflow/systems/_placement.py
+++ b/turmericflow/systems/_placement.py
@@ -122,7 +122,7 @@
         Returns
         -------
         str
-            A host that backs none of the owner's slots yet, and can, or "".
+            "" if there is none, or if one is already the backup of a slot of the owner.
         """
         if self.owners[owner] <= self.share + 1:
             return ""
